--- /dev/null
+++ b/internal/connection/upstream/control.go
@@ -0,0 +1,126 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+)
+
+// Control makes short calls to workers, with or without their lease: seal,
+// follow, stop. It keeps one connection per worker and leaves it for a new one
+// when a call times out.
+type Control struct {
+	settings Settings
+	dial     wire.Dialer
+
+	mu      sync.Mutex
+	clients map[string]*controlClient // by address
+}
+
+type controlClient struct {
+	http    *http.Client
+	service pumiceyardv1connect.WorkerServiceClient
+}
+
+// NewControl returns a Control without connections.
+func NewControl(s Settings, dial wire.Dialer) *Control {
+	return &Control{settings: s, dial: dial, clients: make(map[string]*controlClient)}
+}
+
+func (c *Control) client(address string) *controlClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cl := c.clients[address]
+	if cl == nil {
+		h := wire.NewClient(c.dial, nil)
+		cl = &controlClient{h, pumiceyardv1connect.NewWorkerServiceClient(h, "http://"+address)}
+		c.clients[address] = cl
+	}
+	return cl
+}
+
+// leave drops a connection that did not answer. A silent connection may stay
+// open for good while a new one works, so the next call must not reuse it.
+func (c *Control) leave(address string, cl *controlClient) {
+	c.mu.Lock()
+	if c.clients[address] == cl {
+		delete(c.clients, address)
+	}
+	c.mu.Unlock()
+	cl.http.CloseIdleConnections()
+}
+
+// Close drops all connections.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, cl := range c.clients {
+		cl.http.CloseIdleConnections()
+		delete(c.clients, address)
+	}
+}
+
+// Seal asks a worker to seal a submission, on a new connection for each
+// attempt after the first. Sealing is idempotent, so repeating it is safe.
+// Errors mean that the worker could not be reached within all attempts.
+func (c *Control) Seal(ctx context.Context, address string, req *pb.SealRequest) (*pb.SealResponse, error) {
+	return attempt(ctx, c, address, c.settings.CallTimeout, func(ctx context.Context, s pumiceyardv1connect.WorkerServiceClient) (*pb.SealResponse, error) {
+		resp, err := s.Seal(ctx, connect.NewRequest(req))
+		return message(resp, err)
+	})
+}
+
+// Follow waits at a worker for the end of tasks, as long as req says.
+func (c *Control) Follow(ctx context.Context, address string, req *pb.FollowRequest) (*pb.FollowResponse, error) {
+	bound := c.settings.CallTimeout + time.Duration(req.WaitMillis)*time.Millisecond
+	return attempt(ctx, c, address, bound, func(ctx context.Context, s pumiceyardv1connect.WorkerServiceClient) (*pb.FollowResponse, error) {
+		resp, err := s.Follow(ctx, connect.NewRequest(req))
+		return message(resp, err)
+	})
+}
+
+// StopSubmission stops what runs of a submission on a worker.
+func (c *Control) StopSubmission(ctx context.Context, address string, req *pb.StopSubmissionRequest) (*pb.StopSubmissionResponse, error) {
+	return attempt(ctx, c, address, c.settings.CallTimeout, func(ctx context.Context, s pumiceyardv1connect.WorkerServiceClient) (*pb.StopSubmissionResponse, error) {
+		resp, err := s.StopSubmission(ctx, connect.NewRequest(req))
+		return message(resp, err)
+	})
+}
+
+func message[M any](resp *connect.Response[M], err error) (*M, error) {
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// attempt runs an idempotent call until it answers or the attempts are used up.
+func attempt[M any](ctx context.Context, c *Control, address string, bound time.Duration, call func(context.Context, pumiceyardv1connect.WorkerServiceClient) (*M, error)) (*M, error) {
+	var last error
+	for range c.settings.CallAttempts {
+		cl := c.client(address)
+		callCtx, cancel := context.WithTimeout(ctx, bound)
+		m, err := call(callCtx, cl.service)
+		cancel()
+		if err == nil {
+			return m, nil
+		}
+		last = err
+		c.leave(address, cl)
+		if ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.settings.RedialDelay):
+		}
+	}
+	return nil, last
+}
--- /dev/null
+++ b/internal/connection/upstream/doc.go
@@ -0,0 +1,55 @@
+// Package upstream keeps the connections to workers: one link per worker whose
+// lease this entry VM should hold, and short control calls to any worker.
+//
+// A link has two duties, each a goroutine: one reads what the worker says, one
+// writes what waits in the link's ring as a single message. The link acquires
+// the lease, renews it with heartbeats, and reports Granted and Lost to its
+// Events. After Lost nothing that was sent counts as answered.
+//
+// A connection that goes silent is left, never used for a repeat: the link
+// closes it, reports Lost, and asks for the lease again on a new one.
+package upstream
+
+import (
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+)
+
+// Settings are the bounds of links and control calls.
+type Settings struct {
+	LeaseTTL     time.Duration // asked of the worker
+	Beat         time.Duration // between heartbeats
+	Silence      time.Duration // without any message: the connection is left
+	RedialDelay  time.Duration // between attempts to get the lease
+	CallTimeout  time.Duration // one control call
+	CallAttempts int           // control calls to a silent worker
+	Ring         int           // messages waiting to be written to one worker
+}
+
+// Defaults returns bounds that suit a site whose round trip is below 5 ms.
+func Defaults() Settings {
+	return Settings{
+		LeaseTTL:     3 * time.Second,
+		Beat:         500 * time.Millisecond,
+		Silence:      1500 * time.Millisecond,
+		RedialDelay:  100 * time.Millisecond,
+		CallTimeout:  700 * time.Millisecond,
+		CallAttempts: 3,
+		Ring:         4096,
+	}
+}
+
+// Events is told what happens on links. Calls come from the links' goroutines
+// and must not block for long.
+type Events interface {
+	// Granted: the lease is held under m.Epoch.
+	Granted(worker string, m *pb.Granted)
+	// Lost: the lease is not held any more, or the connection is silent. Starts
+	// without a result have an unknown fate.
+	Lost(worker, why string)
+	// Results of tasks, in the worker's order.
+	Results(worker string, groups []*pb.ResultGroup)
+	// Usage measured on the worker.
+	Usage(worker string, m *pb.Usage)
+}
--- /dev/null
+++ b/internal/connection/wire/wire.go
@@ -0,0 +1,29 @@
+// Package wire converts between the generated messages and the types that the
+// decision packages use, and builds the HTTP/2 clients and servers that all
+// connections between processes share.
+package wire
+
+import (
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+)
+
+// ID reads a submission id. A missing message is the zero ID.
+func ID(m *pb.SubmissionID) ticket.ID {
+	return ticket.ID{Incarnation: m.GetIncarnation(), Counter: m.GetCounter()}
+}
+
+// IDMessage writes a submission id.
+func IDMessage(id ticket.ID) *pb.SubmissionID {
+	return &pb.SubmissionID{Incarnation: id.Incarnation, Counter: id.Counter}
+}
+
+// Generation reads a generation. A missing message is the lowest one.
+func Generation(m *pb.Generation) ticket.Generation {
+	return ticket.Generation{Counter: m.GetCounter(), Author: m.GetAuthor()}
+}
+
+// GenerationMessage writes a generation.
+func GenerationMessage(g ticket.Generation) *pb.Generation {
+	return &pb.Generation{Counter: g.Counter, Author: g.Author}
+}
--- /dev/null
+++ b/internal/standin/worker/service.go
@@ -0,0 +1,350 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+)
+
+const (
+	streamRing  = 1 << 14
+	maxFollow   = 30 * time.Second
+	retryFactor = 4 // a denied holder asks again after a quarter of the rest
+)
+
+// event is one thing to tell the holder.
+type event struct {
+	id     ticket.ID
+	result *pb.TaskResult
+	beat   uint64
+}
+
+// stream is one holder's connection.
+type stream struct {
+	epoch  uint64
+	events *ring.Ring[event]
+}
+
+func (s *stream) push(id ticket.ID, r *pb.TaskResult) {
+	s.events.TryPush(event{id: id, result: r})
+}
+
+// Handler serves the worker's interface.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := pumiceyardv1connect.NewWorkerServiceHandler(w)
+	mux.Handle(path, handler)
+	return mux
+}
+
+var errDead = connect.NewError(connect.CodeUnavailable, errors.New("worker is dead"))
+
+// Hold implements the service.
+func (w *Worker) Hold(ctx context.Context, conn *connect.BidiStream[pb.HoldRequest, pb.HoldResponse]) error {
+	first, err := conn.Receive()
+	if err != nil {
+		return err
+	}
+	s, answer := w.acquire(time.Now(), first.GetAcquire())
+	if answer == nil {
+		return errDead
+	}
+	if err := conn.Send(answer); err != nil || s == nil {
+		return err
+	}
+	go w.receive(conn, s)
+	return w.sendLoop(ctx, conn, s)
+}
+
+// receive is the stream's reading duty.
+func (w *Worker) receive(conn *connect.BidiStream[pb.HoldRequest, pb.HoldResponse], s *stream) {
+	defer s.events.Close()
+	for {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		if !w.take(time.Now(), s, m) {
+			return
+		}
+	}
+}
+
+// sendLoop is the stream's writing duty: whatever waits goes out as one message.
+func (w *Worker) sendLoop(ctx context.Context, conn *connect.BidiStream[pb.HoldRequest, pb.HoldResponse], s *stream) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.events.Ready():
+		}
+		closed := s.events.Closed()
+		m := gather(s.events.Drain())
+		if w.silent() {
+			continue
+		}
+		if m != nil {
+			if m.Beat != 0 {
+				m.Usage = w.usage()
+			}
+			if err := conn.Send(m); err != nil {
+				return err
+			}
+		}
+		if closed {
+			return nil
+		}
+	}
+}
+
+// gather turns waiting events into one message, one group per submission.
+func gather(events []event) *pb.HoldResponse {
+	if len(events) == 0 {
+		return nil
+	}
+	m := &pb.HoldResponse{}
+	groups := make(map[ticket.ID]*pb.ResultGroup, 4)
+	for _, e := range events {
+		if e.result == nil {
+			m.Beat = max(m.Beat, e.beat)
+			continue
+		}
+		g := groups[e.id]
+		if g == nil {
+			g = &pb.ResultGroup{Submission: wire.IDMessage(e.id)}
+			groups[e.id] = g
+			m.Results = append(m.Results, g)
+		}
+		g.Results = append(g.Results, e.result)
+	}
+	return m
+}
+
+func (w *Worker) silent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults.Silent
+}
+
+func (w *Worker) usage() *pb.Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &pb.Usage{
+		Milliwatts: w.milliwatts + w.cfg.IdleMilliwatts,
+		AgeMillis:  uint32(w.cfg.UsageLag.Milliseconds()),
+		Running:    uint32(w.running),
+	}
+}
+
+// acquire decides who holds the lease. A holder keeps it until it gives it back
+// or lets it lapse on this worker's clock; only then the epoch advances.
+func (w *Worker) acquire(now time.Time, a *pb.Acquire) (*stream, *pb.HoldResponse) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead || a == nil {
+		return nil, nil
+	}
+	if w.holder != 0 && w.holder != a.Incarnation && now.Before(w.leaseUntil) {
+		left := w.leaseUntil.Sub(now)
+		return nil, &pb.HoldResponse{Denied: &pb.Denied{
+			Reason:           "held",
+			Holder:           w.holderName,
+			RetryAfterMillis: uint32((left / retryFactor).Milliseconds()) + 1,
+		}}
+	}
+	w.endStream()
+	w.epoch++
+	w.holder, w.holderName = a.Incarnation, a.EntryVm
+	w.ttl = min(time.Duration(a.TtlMillis)*time.Millisecond, maxTTL)
+	w.leaseUntil = now.Add(w.ttl)
+	w.stream = &stream{epoch: w.epoch, events: ring.New[event](streamRing)}
+	return w.stream, &pb.HoldResponse{Granted: &pb.Granted{
+		Epoch:          w.epoch,
+		TtlMillis:      uint32(w.ttl.Milliseconds()),
+		Capacity:       w.cfg.Capacity,
+		IdleMilliwatts: w.cfg.IdleMilliwatts,
+		Running:        w.loads(),
+	}}
+}
+
+// loads lists what still runs here for earlier holders, so that a new holder
+// counts slots and watts exactly.
+func (w *Worker) loads() []*pb.TaskLoad {
+	var loads []*pb.TaskLoad
+	for id, sub := range w.submissions {
+		for index, t := range sub.tasks {
+			if t.state == pb.TaskState_TASK_STATE_RUNNING {
+				ref := &pb.TaskRef{Submission: wire.IDMessage(id), Index: index}
+				loads = append(loads, &pb.TaskLoad{Task: ref, Each: t.each})
+			}
+		}
+	}
+	return loads
+}
+
+// endStream closes the holder's connection. The caller holds mu.
+func (w *Worker) endStream() {
+	if w.stream != nil {
+		w.stream.events.Close()
+		w.stream = nil
+	}
+}
+
+// take handles one message of a holder and reports whether to go on.
+func (w *Worker) take(now time.Time, s *stream, m *pb.HoldRequest) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return false
+	}
+	if w.faults.Silent {
+		return true
+	}
+	w.sweep(now)
+	current := s.epoch == w.epoch && w.holder != 0
+	if m.Release {
+		if current {
+			w.holder = 0
+			w.endStream()
+		}
+		return false
+	}
+	if m.Beat != 0 {
+		if !current || now.After(w.leaseUntil) {
+			return false
+		}
+		w.leaseUntil = now.Add(w.ttl)
+		s.events.TryPush(event{beat: m.Beat})
+	}
+	if m.Throttle != nil && current && m.Throttle.Permille > 0 {
+		w.throttle = min(m.Throttle.Permille, fullSpeed)
+	}
+	for _, g := range m.Starts {
+		w.startGroup(now, s, m.Epoch, g)
+	}
+	for _, r := range m.Stops {
+		if current {
+			w.stop(wire.ID(r.Submission), r.Index)
+		}
+	}
+	return true
+}
+
+func (w *Worker) startGroup(now time.Time, s *stream, epoch uint64, g *pb.StartGroup) {
+	if len(g.Index) != len(g.Input) {
+		return
+	}
+	id := wire.ID(g.Submission)
+	for i := range g.Index {
+		if r := w.start(now, epoch, g, i); r != nil {
+			s.push(id, r)
+		}
+	}
+}
+
+// Seal implements the service: the promise that no start under a lower
+// generation is accepted from now on, and the list of what did start.
+func (w *Worker) Seal(ctx context.Context, req *connect.Request[pb.SealRequest]) (*connect.Response[pb.SealResponse], error) {
+	if w.silent() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return nil, errDead
+	}
+	m := req.Msg
+	if m.WorkerIncarnation != 0 && m.WorkerIncarnation != w.cfg.Incarnation {
+		return connect.NewResponse(&pb.SealResponse{Restarted: true}), nil
+	}
+	id := wire.ID(m.Submission)
+	sub := w.submission(id, m.ExpiryUnixMillis)
+	resp := &pb.SealResponse{Results: sub.results(w.cfg.ID), Closed: sub.closed}
+	if want := wire.Generation(m.Generation); !want.Less(sub.sealed) {
+		sub.sealed = want
+		resp.Sealed = true
+		if m.Closed != "" && sub.closed == "" {
+			sub.closed = m.Closed
+		}
+	}
+	resp.Generation = wire.GenerationMessage(sub.sealed)
+	return connect.NewResponse(resp), nil
+}
+
+func (s *submission) results(worker string) []*pb.TaskResult {
+	out := make([]*pb.TaskResult, 0, len(s.tasks))
+	for index, t := range s.tasks {
+		out = append(out, t.result(index, worker))
+	}
+	return out
+}
+
+// Follow implements the service.
+func (w *Worker) Follow(ctx context.Context, req *connect.Request[pb.FollowRequest]) (*connect.Response[pb.FollowResponse], error) {
+	wait := min(time.Duration(req.Msg.WaitMillis)*time.Millisecond, maxFollow)
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		results, changed, err := w.endedOf(req.Msg)
+		if err != nil {
+			return nil, err
+		}
+		if len(results) > 0 {
+			return connect.NewResponse(&pb.FollowResponse{Results: results}), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timeout.C:
+			return connect.NewResponse(&pb.FollowResponse{}), nil
+		case <-changed:
+		}
+	}
+}
+
+// endedOf returns those of the named tasks that have ended.
+func (w *Worker) endedOf(m *pb.FollowRequest) ([]*pb.TaskResult, <-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return nil, nil, errDead
+	}
+	sub := w.submission(wire.ID(m.Submission), uint64(time.Now().Add(maxFollow).UnixMilli()))
+	var out []*pb.TaskResult
+	for _, index := range m.Index {
+		t := sub.tasks[index]
+		if t != nil && t.state != pb.TaskState_TASK_STATE_RUNNING {
+			out = append(out, t.result(index, w.cfg.ID))
+		}
+	}
+	return out, sub.changed, nil
+}
+
+// StopSubmission implements the service.
+func (w *Worker) StopSubmission(_ context.Context, req *connect.Request[pb.StopSubmissionRequest]) (*connect.Response[pb.StopSubmissionResponse], error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return nil, errDead
+	}
+	id := wire.ID(req.Msg.Submission)
+	resp := &pb.StopSubmissionResponse{}
+	if sub := w.submissions[id]; sub != nil {
+		for index := range sub.tasks {
+			if w.stop(id, index) {
+				resp.Stopped++
+			}
+		}
+	}
+	return connect.NewResponse(resp), nil
+}
