Platform stand-in and the client that calls it

Cause: parts that use the store or the VM list need a stand-in with the real service's faults, and one adapter to call it through. Change: internal/standin/platform (compare-and-set, leases, long-poll watches, 1 MiB values, call counts, rate limits, lagging list; outage, delay, lost answer, silent watch, stale read) and internal/connection/platform (one method for each operation, each with a deadline). Conclusion: the adapter takes the stand-in in-process as well as over HTTP, so tests of failures can run on a virtual clock.

--- /dev/null
+++ b/internal/connection/platform/platform_test.go
@@ -0,0 +1,48 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pumiceyardv1 "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/platform"
+	standin "github.com/pumiceyard/pumiceyard/internal/standin/platform"
+)
+
+func TestOverHTTP(t *testing.T) {
+	server := httptest.NewServer(platform.Handler(standin.New(standin.Options{})))
+	defer server.Close()
+	client := platform.Dial(server.Client(), server.URL)
+	ctx := context.Background()
+	set, err := client.CompareAndSet(ctx, &pumiceyardv1.CompareAndSetRequest{Key: "k", Value: []byte("v")})
+	if err != nil || !set.Swapped {
+		t.Fatalf("compare-and-set: %v, %v", set, err)
+	}
+	got, err := client.Get(ctx, &pumiceyardv1.GetRequest{Key: "k"})
+	if err != nil || string(got.Value) != "v" || got.Version != set.Version {
+		t.Fatalf("get: %v, %v", got, err)
+	}
+}
+
+// Symptom: an entry VM misses changes of the configuration. Sequence: it
+// watches; the connection goes silent; the wait ends without an answer. Cause:
+// something between the two ends has lost track of the connection.
+func TestSilentWatchEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := standin.New(standin.Options{})
+		service.SetFaults(standin.Faults{SilentWatch: true})
+		started := time.Now()
+		_, err := platform.New(service).Watch(t.Context(), &pumiceyardv1.WatchRequest{Key: "k", WaitMillis: 3000})
+		if connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+			t.Errorf("error %v, want a deadline exceeded", err)
+		}
+		if waited := time.Since(started); waited != 3*time.Second+platform.WatchGrace {
+			t.Errorf("waited %v", waited)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/platform/list.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	pumiceyardv1 "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+)
+
+// SetVMs replaces the list of VMs. Readers see it once the lag has passed.
+func (p *Platform) SetVMs(vms []*pumiceyardv1.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last vmList
+	if len(p.lists) > 0 {
+		last = p.lists[len(p.lists)-1]
+	}
+	next := vmList{
+		visible: p.options.Now().Add(p.options.ListLag),
+		version: last.version + 1,
+	}
+	for _, vm := range vms {
+		listed := proto.Clone(vm).(*pumiceyardv1.VM)
+		listed.SinceVersion = joinedAt(last.vms, vm, next.version)
+		next.vms = append(next.vms, listed)
+	}
+	p.lists = append(p.lists, next)
+}
+
+// joinedAt is the list version at which this incarnation of the VM joined.
+func joinedAt(before []*pumiceyardv1.VM, vm *pumiceyardv1.VM, now uint64) uint64 {
+	for _, old := range before {
+		if old.Id == vm.Id && old.Incarnation == vm.Incarnation {
+			return old.SinceVersion
+		}
+	}
+	return now
+}
+
+// ListVMs returns the newest list that the lag lets readers see.
+func (p *Platform) ListVMs(ctx context.Context, _ *connect.Request[pumiceyardv1.ListVMsRequest]) (*connect.Response[pumiceyardv1.ListVMsResponse], error) {
+	if err := p.begin(ctx, MethodListVMs, p.reads); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	answer := new(pumiceyardv1.ListVMsResponse)
+	for _, list := range p.lists {
+		if list.visible.After(now) {
+			break
+		}
+		answer.Version, answer.Vms = list.version, list.vms
+	}
+	return connect.NewResponse(answer), nil
+}
