--- /dev/null
+++ b/internal/connection/peer/client.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+)
+
+const tokenHeader = "Pumiceyard-Peer-Token"
+
+// SecureClient is the TLS side of a Dial. Nil means plain connections.
+type SecureClient struct{ Config *tls.Config }
+
+func (d Dial) client() *http.Client {
+	if d.Secure == nil {
+		return wire.NewClient(d.Dialer, nil)
+	}
+	return wire.NewClient(d.Dialer, d.Secure.Config)
+}
+
+func (d Dial) service(client *http.Client, address string) pumiceyardv1connect.PeerServiceClient {
+	scheme := "http://"
+	if d.Secure != nil {
+		scheme = "https://"
+	}
+	return pumiceyardv1connect.NewPeerServiceClient(client, scheme+address, connect.WithInterceptors(tokenInterceptor(d.Token)))
+}
+
+// tokenInterceptor adds the site's secret to calls and streams.
+type tokenInterceptor string
+
+func (t tokenInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		req.Header().Set(tokenHeader, string(t))
+		return next(ctx, req)
+	}
+}
+
+func (t tokenInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		conn.RequestHeader().Set(tokenHeader, string(t))
+		return conn
+	}
+}
+
+func (t tokenInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
+
+// Calls forwards requests to homes, one connection per peer.
+type Calls struct {
+	settings Settings
+	dial     Dial
+
+	mu      sync.Mutex
+	clients map[string]*callClient
+}
+
+type callClient struct {
+	http    *http.Client
+	service pumiceyardv1connect.PeerServiceClient
+}
+
+// NewCalls returns Calls without connections.
+func NewCalls(s Settings, dial Dial) *Calls {
+	return &Calls{settings: s, dial: dial, clients: make(map[string]*callClient)}
+}
+
+func (c *Calls) client(address string) *callClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cl := c.clients[address]
+	if cl == nil {
+		h := c.dial.client()
+		cl = &callClient{h, c.dial.service(h, address)}
+		c.clients[address] = cl
+	}
+	return cl
+}
+
+func (c *Calls) leave(address string, cl *callClient) {
+	c.mu.Lock()
+	if c.clients[address] == cl {
+		delete(c.clients, address)
+	}
+	c.mu.Unlock()
+	cl.http.CloseIdleConnections()
+}
+
+// Close drops all connections.
+func (c *Calls) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, cl := range c.clients {
+		cl.http.CloseIdleConnections()
+		delete(c.clients, address)
+	}
+}
+
+var errNoAnswer = errors.New("the home ended the call without an answer")
+
+// Submit forwards a submission and waits for the final answer. Heartbeats that
+// stay away end the wait with an error; the request may then have been taken or
+// not, so the caller of Submit must attach or recover, never submit anew.
+func (c *Calls) Submit(ctx context.Context, address string, req *pb.SubmitRequest) (*pb.Answer, error) {
+	cl := c.client(address)
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	guard := time.AfterFunc(c.settings.Silence, cancel)
+	defer guard.Stop()
+	stream, err := cl.service.Submit(callCtx, connect.NewRequest(req))
+	if err != nil {
+		c.leave(address, cl)
+		return nil, err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		guard.Reset(c.settings.Silence)
+		if a := stream.Msg().Answer; a != nil {
+			return a, nil
+		}
+	}
+	if ctx.Err() == nil {
+		c.leave(address, cl)
+	}
+	if err := stream.Err(); err != nil {
+		return nil, err
+	}
+	return nil, errNoAnswer
+}
+
+// Cancel forwards a cancellation.
+func (c *Calls) Cancel(ctx context.Context, address string, req *pb.CancelRequest) (*pb.CancelResponse, error) {
+	return unary(ctx, c, address, func(ctx context.Context, s pumiceyardv1connect.PeerServiceClient) (*connect.Response[pb.CancelResponse], error) {
+		return s.Cancel(ctx, connect.NewRequest(req))
+	})
+}
+
+// Timeline asks one entry VM for its steps.
+func (c *Calls) Timeline(ctx context.Context, address string, req *pb.TimelineRequest) (*pb.TimelineResponse, error) {
+	return unary(ctx, c, address, func(ctx context.Context, s pumiceyardv1connect.PeerServiceClient) (*connect.Response[pb.TimelineResponse], error) {
+		return s.Timeline(ctx, connect.NewRequest(req))
+	})
+}
+
+func unary[M any](ctx context.Context, c *Calls, address string, call func(context.Context, pumiceyardv1connect.PeerServiceClient) (*connect.Response[M], error)) (*M, error) {
+	cl := c.client(address)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Silence)
+	defer cancel()
+	resp, err := call(ctx, cl.service)
+	if err != nil {
+		c.leave(address, cl)
+		return nil, err
+	}
+	return resp.Msg, nil
+}
--- /dev/null
+++ b/internal/connection/peer/server.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+)
+
+// Session is one home's connection to this owner.
+type Session struct {
+	Home        string
+	Incarnation uint64
+
+	out *ring.Ring[*pb.RunResponse]
+}
+
+// NewSession returns a session that is not connected to anything, for an owner
+// inside the same process and for tests.
+func NewSession(home string, incarnation uint64, capacity int) *Session {
+	return &Session{Home: home, Incarnation: incarnation, out: ring.New[*pb.RunResponse](capacity)}
+}
+
+// Report queues results for the home. When the ring is full the session ends:
+// the home then asks the workers, which is slower but loses nothing.
+func (s *Session) Report(m *pb.RunResponse) {
+	if !s.out.TryPush(m) {
+		s.out.Close()
+	}
+}
+
+// Server answers other entry VMs.
+type Server struct {
+	settings Settings
+	token    string
+	self     Identity
+	owner    Owner
+	home     Home
+}
+
+// NewServer returns a server. token is the shared secret of the site's entry
+// VMs.
+func NewServer(s Settings, token string, self Identity, owner Owner, home Home) *Server {
+	return &Server{settings: s, token: token, self: self, owner: owner, home: home}
+}
+
+// Handler serves the peer interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := pumiceyardv1connect.NewPeerServiceHandler(s)
+	mux.Handle(path, s.authenticate(handler))
+	return mux
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(tokenHeader)), []byte(s.token)) != 1 {
+			http.Error(w, "peer token does not match the settings", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type serverStream = connect.BidiStream[pb.RunRequest, pb.RunResponse]
+
+// Run implements the service.
+func (s *Server) Run(ctx context.Context, conn *serverStream) error {
+	first, err := conn.Receive()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil || (hello.PeerIncarnation != 0 && hello.PeerIncarnation != s.self.Incarnation) {
+		return connect.NewError(connect.CodeFailedPrecondition, errors.New("not the incarnation that was asked for"))
+	}
+	session := NewSession(hello.EntryVm, hello.Incarnation, s.settings.Ring)
+	if !s.owner.Join(session) {
+		return connect.NewError(connect.CodeUnavailable, errors.New("not taking sessions"))
+	}
+	defer s.owner.Leave(session)
+	if err := conn.Send(&pb.RunResponse{Advert: s.owner.Advert()}); err != nil {
+		return err
+	}
+	heard := make(chan struct{}, 1)
+	go s.receive(conn, session, heard)
+	return s.send(ctx, conn, session, heard)
+}
+
+// receive is the session's reading duty.
+func (s *Server) receive(conn *serverStream, session *Session, heard chan<- struct{}) {
+	defer session.out.Close()
+	for {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		if len(m.Groups) > 0 {
+			s.owner.Offer(session, m.Groups)
+		}
+		if len(m.Withdraw) > 0 {
+			s.owner.Withdraw(session, m.Withdraw)
+		}
+	}
+}
+
+// send is the session's writing duty: results as they come, an advert and a
+// heartbeat at each beat. It ends when the home was silent too long, because
+// tasks must not wait here for a home that is gone.
+func (s *Server) send(ctx context.Context, conn *serverStream, session *Session, heard <-chan struct{}) error {
+	beats := time.NewTicker(s.settings.Beat)
+	defer beats.Stop()
+	last := time.Now()
+	beat := uint64(0)
+	for {
+		var m *pb.RunResponse
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-heard:
+			last = time.Now()
+			continue
+		case <-beats.C:
+			if time.Since(last) > s.settings.Silence {
+				return connect.NewError(connect.CodeDeadlineExceeded, errors.New("home is silent"))
+			}
+			beat++
+			m = &pb.RunResponse{Beat: beat, Advert: s.owner.Advert()}
+		case <-session.out.Ready():
+			m = joinResponses(session.out.Drain())
+			if m == nil && session.out.Closed() {
+				return nil
+			}
+		}
+		if m == nil {
+			continue
+		}
+		if err := conn.Send(m); err != nil {
+			return err
+		}
+	}
+}
+
+func joinResponses(waiting []*pb.RunResponse) *pb.RunResponse {
+	if len(waiting) == 0 {
+		return nil
+	}
+	m := waiting[0]
+	for _, next := range waiting[1:] {
+		m.Results = append(m.Results, next.Results...)
+		if next.Advert != nil {
+			m.Advert = next.Advert
+		}
+	}
+	return m
+}
+
+// Submit implements the service: heartbeats until the final answer.
+func (s *Server) Submit(ctx context.Context, req *connect.Request[pb.SubmitRequest], conn *connect.ServerStream[pb.SubmitResponse]) error {
+	answer := make(chan *pb.Answer, 1)
+	go func() { answer <- s.home.Submit(ctx.Done(), req.Msg) }()
+	beats := time.NewTicker(s.settings.Beat)
+	defer beats.Stop()
+	for beat := uint64(1); ; beat++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case a := <-answer:
+			return conn.Send(&pb.SubmitResponse{Answer: a})
+		case <-beats.C:
+			if err := conn.Send(&pb.SubmitResponse{Beat: beat}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Cancel implements the service.
+func (s *Server) Cancel(_ context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
+	return connect.NewResponse(s.home.Cancel(req.Msg)), nil
+}
+
+// Timeline implements the service.
+func (s *Server) Timeline(_ context.Context, req *connect.Request[pb.TimelineRequest]) (*connect.Response[pb.TimelineResponse], error) {
+	return connect.NewResponse(s.home.Timeline(req.Msg)), nil
+}
--- /dev/null
+++ b/internal/process/home/home.go
@@ -0,0 +1,277 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+	"github.com/pumiceyard/pumiceyard/internal/request/job"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
+)
+
+// Config wires a Home.
+type Config struct {
+	Settings    Settings
+	Name        string // of this entry VM
+	Domain      string
+	Incarnation uint64
+	Owners      Owners
+	Workers     Workers
+	Peers       Peers
+	Timelines   *timeline.Store
+	Observer    Observer
+}
+
+// Observer is told of ends, for metrics.
+type Observer interface {
+	// Answered: a submission of an account ended after the given time.
+	Answered(account, template string, a *job.Answer, tasks int, took time.Duration)
+}
+
+// Home is the set of submissions that this entry VM drives.
+type Home struct {
+	cfg    Config
+	events *ring.Ring[event]
+	jobs   map[ticket.ID]*entry
+	open   int
+	owners *ownerSet
+	due    dueQueue // entries by the time they want attention
+	kept   retention
+	out    map[string]*pb.RunRequest // messages of this round, by owner
+	now    time.Time
+}
+
+// entry is one submission.
+type entry struct {
+	job        *job.Job
+	sub        Submission
+	hash       uint64 // of the inputs
+	candidates map[string]struct{}
+	waiters    []Reply
+	accepted   time.Time
+	holdUntil  time.Time
+	dueAt      time.Time
+	tasks      int
+	bytes      int // retained, once answered
+	recovery   uint32
+}
+
+// event is one thing for the loop to handle.
+type event interface{ apply(h *Home) }
+
+// New returns a Home; Run starts it.
+func New(cfg Config) *Home {
+	return &Home{
+		cfg:    cfg,
+		events: ring.New[event](cfg.Settings.Ring),
+		jobs:   make(map[ticket.ID]*entry),
+		owners: newOwnerSet(cfg.Name, cfg.Domain),
+		kept:   retention{limit: cfg.Settings.RetainBytes},
+		out:    make(map[string]*pb.RunRequest),
+	}
+}
+
+// Run is the loop's goroutine. It returns when ctx ends.
+func (h *Home) Run(ctx context.Context) {
+	defer h.events.Close()
+	ticks := time.NewTicker(h.cfg.Settings.Tick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.events.Ready():
+		case <-ticks.C:
+		}
+		h.round(time.Now())
+	}
+}
+
+// round handles everything that waits, then sends what came of it: one message
+// per owner, however many submissions it carries.
+func (h *Home) round(now time.Time) {
+	h.now = now
+	for _, e := range h.events.Drain() {
+		e.apply(h)
+	}
+	h.attend()
+	h.flush()
+}
+
+// flush sends the messages of this round.
+func (h *Home) flush() {
+	for owner, m := range h.out {
+		delete(h.out, owner)
+		if h.cfg.Owners.Send(owner, m) {
+			continue
+		}
+		// The ring to the owner is full: nothing was sent, so the tasks are as
+		// if the owner had refused them.
+		for _, g := range m.Groups {
+			h.refused(owner, g)
+		}
+	}
+}
+
+func (h *Home) refused(owner string, g *pb.RunGroup) {
+	e := h.jobs[wire.ID(g.Submission)]
+	if e == nil {
+		return
+	}
+	gen := wire.Generation(g.Generation)
+	for _, index := range g.Index {
+		h.act(e, e.job.NotStarted(owner, gen, index, reason.QueueFull, ""))
+	}
+	h.holdBack(e)
+}
+
+// submitEvent takes a new submission or attaches to a known one.
+type submitEvent struct {
+	sub   Submission
+	reply Reply
+}
+
+// Submit takes a submission. The reply comes once, from the loop. A submission
+// that is known already is attached to: nothing of it starts again. It reports
+// false when the loop is overloaded or ended; nothing was taken then.
+func (h *Home) Submit(sub Submission, reply Reply) bool {
+	return h.events.TryPush(submitEvent{sub, reply})
+}
+
+func (ev submitEvent) apply(h *Home) {
+	id := ev.sub.Ticket.ID
+	hash := hashInputs(ev.sub.Inputs)
+	if e := h.jobs[id]; e != nil && !h.abandoned(e) {
+		h.attach(e, hash, ev.reply)
+		return
+	}
+	if h.open >= h.cfg.Settings.MaxJobs {
+		ev.reply(&job.Answer{Outcome: reason.NotRun, Reason: reason.QueueFull, Detail: "too many submissions are open", RetryAfter: time.Second})
+		return
+	}
+	h.accept(ev.sub, hash, ev.reply)
+}
+
+// abandoned reports whether the submission was left to another driver that does
+// not live any more, so that it has to be recovered once again.
+func (h *Home) abandoned(e *entry) bool {
+	author := e.job.Superseded()
+	return author != 0 && !h.cfg.Peers.Lives(author)
+}
+
+func (h *Home) attach(e *entry, hash uint64, reply Reply) {
+	if hash != e.hash {
+		reply(&job.Answer{Outcome: reason.Unknown, Reason: reason.PayloadMismatch, Detail: "the ticket was used before with other tasks: this request was not run, the earlier one is not affected"})
+		return
+	}
+	if a := e.job.Answer(); a != nil {
+		reply(a)
+		return
+	}
+	e.waiters = append(e.waiters, reply)
+}
+
+func (h *Home) accept(sub Submission, hash uint64, reply Reply) {
+	spec := job.Spec{
+		ID:        sub.Ticket.ID,
+		Account:   sub.Ticket.Account,
+		Template:  sub.Template,
+		Inputs:    sub.Inputs,
+		Expiry:    sub.Ticket.Expiry,
+		Deadline:  sub.Deadline,
+		Revision:  sub.Revision,
+		Closers:   h.owners.closers(sub.Candidates),
+		SettleFor: h.cfg.Settings.SettleFor,
+	}
+	e := &entry{
+		sub:        sub,
+		hash:       hash,
+		candidates: make(map[string]struct{}, len(sub.Candidates)),
+		waiters:    []Reply{reply},
+		accepted:   h.now,
+		tasks:      len(sub.Inputs),
+	}
+	for _, w := range sub.Candidates {
+		e.candidates[w] = struct{}{}
+	}
+	if old := h.jobs[sub.Ticket.ID]; old != nil {
+		e.recovery = old.recovery
+		h.kept.forget(old)
+	}
+	h.jobs[sub.Ticket.ID] = e
+	h.open++
+	if !sub.Recover {
+		e.job = job.New(spec, h.cfg.Incarnation)
+		h.step(e, "accepted", "", "")
+		h.schedule(e)
+		return
+	}
+	e.recovery++
+	var a job.Actions
+	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.Candidates, sub.Incomplete, ticket.Generation{Counter: e.recovery})
+	h.step(e, "recovering", reason.HomeUnreachable, "asking all candidates what has started")
+	h.act(e, a)
+	h.schedule(e)
+}
+
+func hashInputs(inputs [][]byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, in := range inputs {
+		_, _ = d.Write(in)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// cancelEvent gives a submission up.
+type cancelEvent struct {
+	id    ticket.ID
+	reply func(known bool)
+}
+
+// Cancel gives a submission up. The waiters get the final answer.
+func (h *Home) Cancel(id ticket.ID, reply func(known bool)) bool {
+	return h.events.TryPush(cancelEvent{id, reply})
+}
+
+func (ev cancelEvent) apply(h *Home) {
+	e := h.jobs[ev.id]
+	ev.reply(e != nil)
+	if e != nil {
+		h.act(e, e.job.Cancel(h.now))
+		h.schedule(e)
+	}
+}
+
+// attachEvent waits for the answer of a known submission.
+type attachEvent struct {
+	id    ticket.ID
+	reply Reply
+}
+
+// Attach waits for a submission's answer without being able to start it. The
+// reply is nil when the submission is not known here.
+func (h *Home) Attach(id ticket.ID, reply Reply) bool {
+	return h.events.TryPush(attachEvent{id, reply})
+}
+
+func (ev attachEvent) apply(h *Home) {
+	e := h.jobs[ev.id]
+	if e == nil {
+		ev.reply(nil)
+		return
+	}
+	h.attach(e, e.hash, ev.reply)
+}
+
+// step notes what happened to a submission and why.
+func (h *Home) step(e *entry, what string, code reason.Code, detail string) {
+	h.cfg.Timelines.Add(e.sub.Ticket.ID, timeline.Step{At: h.now, What: what, Reason: code, Detail: detail})
+}
