--- /dev/null
+++ b/internal/process/holder/holder.go
@@ -0,0 +1,238 @@
+package holder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
+)
+
+// Config wires a Holder.
+type Config struct {
+	Settings    Settings
+	Domain      string
+	Incarnation uint64
+	Workers     Workers
+	Observer    Observer
+	Timelines   *timeline.Store
+	// Rack names the rack of a worker, for spreading.
+	Rack func(worker string) string
+	// Class is the urgency of a template's work.
+	Class func(template string) fairness.Class
+}
+
+// workKey names the tasks of one submission that one session offered.
+type workKey struct {
+	session Session
+	id      ticket.ID
+}
+
+// work is what waits of one workKey.
+type work struct {
+	groups []*waitingGroup
+	queued int
+}
+
+// waitingGroup is a batch of which tasks from next on wait.
+type waitingGroup struct {
+	m        *pb.RunGroup
+	next     int
+	each     placement.Resources
+	allowed  placement.AllowedSet
+	received time.Time
+	deadline time.Time
+}
+
+type taskKey struct {
+	id    ticket.ID
+	index uint32
+}
+
+// flight is a task that was sent to a worker and has no end yet.
+type flight struct {
+	session Session // nil: started under an earlier lease
+	group   *pb.RunGroup
+	each    placement.Resources
+	started time.Time
+}
+
+// worker is one whose lease is held.
+type worker struct {
+	id       string
+	epoch    uint64
+	capacity placement.Resources
+	flights  map[taskKey]flight
+}
+
+// Holder queues and places tasks on the workers whose leases are held here.
+type Holder struct {
+	cfg     Config
+	events  *ring.Ring[event]
+	order   *fairness.Queue[workKey]
+	placer  *placement.Placer
+	works   map[workKey]*work
+	workers map[string]*worker
+	queued  int
+	now     time.Time
+	dirty   bool // the held workers changed
+
+	starts  map[string]*pb.HoldRequest   // of this round, by worker
+	reports map[Session]*pb.RunResponse  // of this round
+	buf     []placement.Assignment
+
+	draining atomic.Bool
+	advert   atomic.Pointer[pb.Advert]
+	version  uint64
+}
+
+type event interface{ apply(h *Holder) }
+
+// New returns a Holder; Run starts it.
+func New(cfg Config) *Holder {
+	h := &Holder{
+		cfg:     cfg,
+		events:  ring.New[event](cfg.Settings.Ring),
+		order:   fairness.New[workKey](cfg.Settings.Order),
+		placer:  placement.New(cfg.Settings.Placement),
+		works:   make(map[workKey]*work),
+		workers: make(map[string]*worker),
+		starts:  make(map[string]*pb.HoldRequest),
+		reports: make(map[Session]*pb.RunResponse),
+	}
+	h.publish()
+	return h
+}
+
+// Run is the loop's goroutine. It returns when ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	defer h.events.Close()
+	ticks := time.NewTicker(h.cfg.Settings.Tick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.events.Ready():
+		case <-ticks.C:
+		}
+		h.round(time.Now())
+	}
+}
+
+// round handles everything that waits, places, and sends.
+func (h *Holder) round(now time.Time) {
+	h.now = now
+	for _, e := range h.events.Drain() {
+		e.apply(h)
+	}
+	h.expire()
+	h.place()
+	h.publish()
+	h.flush()
+}
+
+// publish makes the present load visible to homes.
+func (h *Holder) publish() {
+	old := h.advert.Load()
+	m := &pb.Advert{
+		Incarnation: h.cfg.Incarnation,
+		Domain:      h.cfg.Domain,
+		FreeSlots:   uint32(h.placer.FreeSlots()),
+		QueuedTasks: uint32(h.queued),
+		Draining:    h.draining.Load(),
+	}
+	if old != nil && !h.dirty {
+		m.WorkersVersion, m.Workers, m.Slots = old.WorkersVersion, old.Workers, old.Slots
+		h.advert.Store(m)
+		return
+	}
+	h.dirty = false
+	h.version++
+	m.WorkersVersion = h.version
+	for _, w := range h.workers {
+		m.Workers = append(m.Workers, &pb.HeldWorker{Id: w.id})
+		m.Slots += w.capacity.Slots
+	}
+	h.advert.Store(m)
+}
+
+// Advert describes this owner now. It is safe for concurrent use.
+func (h *Holder) Advert() *pb.Advert { return h.advert.Load() }
+
+// Drain refuses further tasks and returns those that wait.
+func (h *Holder) Drain() {
+	h.draining.Store(true)
+	h.events.Push(drainEvent{})
+}
+
+// Busy reports whether tasks wait or run here.
+func (h *Holder) Busy() bool {
+	busy := make(chan bool, 1)
+	if !h.events.Push(busyEvent{busy}) {
+		return false
+	}
+	return <-busy
+}
+
+// flush sends this round's messages.
+func (h *Holder) flush() {
+	for id, m := range h.starts {
+		delete(h.starts, id)
+		if !h.cfg.Workers.Send(id, m) {
+			h.unsent(h.workers[id], m)
+		}
+	}
+	for s, m := range h.reports {
+		delete(h.reports, s)
+		m.Advert = h.Advert()
+		s.Report(m)
+	}
+}
+
+// unsent takes back starts that did not fit into the worker's ring. They were
+// not sent, so they are certain not to run.
+func (h *Holder) unsent(w *worker, m *pb.HoldRequest) {
+	if w == nil {
+		return
+	}
+	for _, g := range m.Starts {
+		id := wire.ID(g.Submission)
+		for _, index := range g.Index {
+			h.endFlight(w, taskKey{id, index}, notRun(index, reason.WorkerBusy, ""))
+		}
+	}
+}
+
+func notRun(index uint32, code reason.Code, worker string) *pb.TaskResult {
+	return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code), Worker: worker}
+}
+
+// report adds a result to this round's message for a session. Results of one
+// submission under one generation that follow each other share a message.
+func (h *Holder) report(s Session, id ticket.ID, gen *pb.Generation, r *pb.TaskResult) {
+	m := h.reports[s]
+	if m == nil {
+		m = &pb.RunResponse{}
+		h.reports[s] = m
+	}
+	if n := len(m.Results); n > 0 {
+		last := m.Results[n-1]
+		if wire.ID(last.Submission) == id && wire.Generation(last.Generation) == wire.Generation(gen) {
+			last.Results = append(last.Results, r)
+			return
+		}
+	}
+	m.Results = append(m.Results, &pb.RunResult{
+		Submission: wire.IDMessage(id),
+		Generation: gen,
+		Results:    []*pb.TaskResult{r},
+	})
+}
--- /dev/null
+++ b/internal/process/holder/lease.go
@@ -0,0 +1,127 @@
+package holder
+
+import (
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+)
+
+// grantedEvent is a lease that was won.
+type grantedEvent struct {
+	worker string
+	m      *pb.Granted
+}
+
+// Granted takes a lease into use.
+func (h *Holder) Granted(id string, m *pb.Granted) { h.events.Push(grantedEvent{id, m}) }
+
+func (ev grantedEvent) apply(h *Holder) {
+	w := &worker{
+		id:       ev.worker,
+		epoch:    ev.m.Epoch,
+		capacity: resources(ev.m.Capacity),
+		flights:  make(map[taskKey]flight),
+	}
+	h.workers[ev.worker] = w
+	h.dirty = true
+	h.placer.SetWorker(placement.Worker{
+		ID:       ev.worker,
+		Rack:     h.cfg.Rack(ev.worker),
+		Capacity: w.capacity,
+		Tier:     placement.Healthy,
+	})
+	// Tasks of earlier leases keep their slots until the worker reports their
+	// end: counting them as free would overload the worker, and its cap on
+	// draw.
+	for _, load := range ev.m.Running {
+		each := resources(load.Each)
+		h.placer.Occupy(ev.worker, each, 1)
+		w.flights[taskKey{wire.ID(load.Task.GetSubmission()), load.Task.GetIndex()}] = flight{each: each, started: h.now}
+	}
+	h.updateCapacity()
+}
+
+// lostEvent is a lease that ended.
+type lostEvent struct{ worker, why string }
+
+// Lost takes a lease out of use.
+func (h *Holder) Lost(id, why string) { h.events.Push(lostEvent{id, why}) }
+
+func (ev lostEvent) apply(h *Holder) {
+	w := h.workers[ev.worker]
+	if w == nil {
+		return
+	}
+	for t := range w.flights {
+		h.endFlight(w, t, &pb.TaskResult{
+			Index:  t.index,
+			State:  pb.TaskState_TASK_STATE_LOST,
+			Reason: string(reason.LeaseLost),
+			Worker: w.id,
+		})
+	}
+	delete(h.workers, ev.worker)
+	delete(h.starts, ev.worker)
+	h.placer.RemoveWorker(ev.worker)
+	h.dirty = true
+	h.updateCapacity()
+	h.returnStranded()
+}
+
+// returnStranded gives back waiting tasks that may run on no worker held here
+// any more: nothing would ever start them, and their home may place them on the
+// next holder.
+func (h *Holder) returnStranded() {
+	for key, w := range h.works {
+		if !h.holdsAny(w.groups[0].m.Workers) {
+			h.dropGroups(key, w, reason.NotAllowedHere)
+		}
+	}
+}
+
+// resultsEvent brings results of a worker.
+type resultsEvent struct {
+	worker string
+	groups []*pb.ResultGroup
+}
+
+// Results takes what a worker reports.
+func (h *Holder) Results(id string, groups []*pb.ResultGroup) {
+	h.events.Push(resultsEvent{id, groups})
+}
+
+func (ev resultsEvent) apply(h *Holder) {
+	w := h.workers[ev.worker]
+	if w == nil {
+		return
+	}
+	for _, g := range ev.groups {
+		id := wire.ID(g.Submission)
+		for _, r := range g.Results {
+			h.endFlight(w, taskKey{id, r.Index}, r)
+		}
+	}
+}
+
+// Usage takes a measurement.
+func (h *Holder) Usage(string, *pb.Usage) {}
+
+// endFlight frees what a task occupied and reports its result.
+func (h *Holder) endFlight(w *worker, t taskKey, r *pb.TaskResult) {
+	f, ok := w.flights[t]
+	if !ok {
+		return
+	}
+	delete(w.flights, t)
+	h.placer.Free(w.id, f.each, 1)
+	if f.group == nil {
+		return
+	}
+	busy := h.now.Sub(f.started)
+	h.order.Finish(h.now, workKey{f.session, t.id}, 1, busy, float64(r.Milliwatts)*busy.Seconds())
+	h.cfg.Observer.Ended(f.group.Account, f.group.Template, w.id, r)
+	if f.session != nil {
+		h.report(f.session, t.id, f.group.Generation, r)
+	}
+}
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -92,31 +92,40 @@
 		h.schedule(e)
 		return
 	}
+	highest := wire.Generation(ev.resp.Generation)
+	if h.outbid(e, ev.resp.Sealed, highest) {
+		return
+	}
 	reply := job.SealReply{
 		Worker:  ev.worker,
 		Asked:   ev.asked.Gen,
 		Sealed:  ev.resp.Sealed,
-		Highest: wire.Generation(ev.resp.Generation),
+		Highest: highest,
 		Closed:  reason.Code(ev.resp.Closed),
 		Records: records(ev.resp.Results),
 	}
 	if ev.asked.Closed != "" {
-		reply.Closed = ""
 		h.act(e, e.job.Closed(reply))
 	} else {
 		h.act(e, e.job.Sealed(reply))
 	}
-	if h.abandoned(e) {
-		h.recoverAgain(e, reply.Highest)
-	}
 	h.schedule(e)
 }
 
-// recoverAgain takes a submission up above the generation of a driver that does
-// not live any more. Without it, a recovery that met the seal of an earlier,
-// now dead, recovery would point its caller to that dead entry VM for ever.
-func (h *Home) recoverAgain(e *entry, highest ticket.Generation) {
-	e.recovery = max(e.recovery, highest.Counter)
+// outbid takes a submission over from a driver that holds a higher generation
+// but does not live any more. Without it, a caller would be pointed to that dead
+// entry VM for ever.
+func (h *Home) outbid(e *entry, sealed bool, highest ticket.Generation) bool {
+	if sealed || highest.Author == h.cfg.Incarnation || h.cfg.Peers.Lives(highest.Author) {
+		return false
+	}
+	if !e.job.Generation().Less(highest) {
+		return false
+	}
+	h.step(e, "takeover", reason.HomeUnreachable, "an earlier recovery's driver is gone")
+	h.act(e, e.job.TakeOver(highest, e.sub.Candidates, e.sub.Incomplete))
+	h.schedule(e)
+	return true
 }
 
 func records(results []*pb.TaskResult) []job.Record {
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -59,7 +59,6 @@
 	dueAt      time.Time
 	tasks      int
 	bytes      int // retained, once answered
-	recovery   uint32
 }
 
 // event is one thing for the loop to handle.
@@ -200,21 +199,21 @@
 	for _, w := range sub.Candidates {
 		e.candidates[w] = struct{}{}
 	}
+	var used ticket.Generation
 	if old := h.jobs[sub.Ticket.ID]; old != nil {
-		e.recovery = old.recovery
+		used = old.job.Generation()
 		h.kept.forget(old)
 	}
 	h.jobs[sub.Ticket.ID] = e
 	h.open++
-	if !sub.Recover {
+	if !sub.Recover && used == (ticket.Generation{}) {
 		e.job = job.New(spec, h.cfg.Incarnation)
 		h.step(e, "accepted", "", "")
 		h.schedule(e)
 		return
 	}
-	e.recovery++
 	var a job.Actions
-	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.Candidates, sub.Incomplete, ticket.Generation{Counter: e.recovery})
+	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.Candidates, sub.Incomplete, used)
 	h.step(e, "recovering", reason.HomeUnreachable, "asking all candidates what has started")
 	h.act(e, a)
 	h.schedule(e)
--- /dev/null
+++ b/internal/process/home/schedule.go
@@ -0,0 +1,298 @@
+package home
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+)
+
+// owner is an entry VM that holds worker leases, as its adverts describe it.
+type owner struct {
+	name        string
+	incarnation uint64
+	domain      string
+	version     uint64 // of workers
+	workers     []string
+	slots       int
+	free        int
+	queued      int
+	sent        int // tasks sent since the last advert
+	draining    bool
+	up          bool
+}
+
+// spare is how many more tasks would start at once.
+func (o *owner) spare() int { return o.free - o.queued - o.sent }
+
+// load is the work waiting per slot, for choosing where to queue.
+func (o *owner) load() float64 {
+	return float64(o.queued+o.sent+o.slots-o.free) / float64(max(o.slots, 1))
+}
+
+// ownerSet orders owners: this entry VM first, then its failure domain, then
+// the others.
+type ownerSet struct {
+	self, domain string
+	all          []*owner
+	byName       map[string]*owner
+}
+
+func newOwnerSet(self, domain string) *ownerSet {
+	return &ownerSet{self: self, domain: domain, byName: make(map[string]*owner)}
+}
+
+func (s *ownerSet) get(name string) *owner {
+	o := s.byName[name]
+	if o == nil {
+		o = &owner{name: name}
+		s.byName[name] = o
+		s.all = append(s.all, o)
+	}
+	return o
+}
+
+// distance ranks an owner: moving a task further costs a longer round trip.
+func (s *ownerSet) distance(o *owner) int {
+	switch {
+	case o.name == s.self:
+		return 0
+	case o.domain == s.domain:
+		return 1
+	}
+	return 2
+}
+
+func (s *ownerSet) sort() {
+	slices.SortFunc(s.all, func(a, b *owner) int {
+		if c := cmp.Compare(s.distance(a), s.distance(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+}
+
+// maxClosers bounds the candidates that are tried to record an end.
+const maxClosers = 4
+
+// closers picks candidates to record an end at, those held here first: their
+// connections work.
+func (s *ownerSet) closers(candidates []string) []string {
+	var out []string
+	self := s.byName[s.self]
+	for _, c := range candidates {
+		if len(out) == maxClosers {
+			return out
+		}
+		if self != nil && slices.Contains(self.workers, c) {
+			out = append(out, c)
+		}
+	}
+	for _, c := range candidates {
+		if len(out) == maxClosers {
+			break
+		}
+		if !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// schedule hands out what may be handed out, and asks for attention when the
+// next thing of the entry is due.
+func (h *Home) schedule(e *entry) {
+	if e.job.Answer() != nil {
+		h.due.push(e, h.now)
+		return
+	}
+	if e.job.Unassigned() > 0 {
+		if h.now.Before(e.holdUntil) {
+			h.due.push(e, e.holdUntil)
+		} else if !h.assign(e) {
+			h.due.push(e, h.now.Add(h.cfg.Settings.HoldBack))
+		}
+	}
+	next := e.sub.Deadline
+	if !h.now.Before(next) {
+		next = h.now.Add(h.cfg.Settings.Tick)
+	}
+	h.due.push(e, next)
+}
+
+// assign hands out all tasks that may be handed out and reports whether none is
+// left. Free slots are used first, nearest first; the rest queues where the
+// least work waits for a slot.
+func (h *Home) assign(e *entry) bool {
+	for _, o := range h.owners.all {
+		if e.job.Unassigned() == 0 {
+			return true
+		}
+		if n := o.spare(); n > 0 {
+			h.give(e, o, n)
+		}
+	}
+	for e.job.Unassigned() > 0 {
+		o := h.leastLoaded(e)
+		if o == nil {
+			return false
+		}
+		share := max(1, e.job.Unassigned()/len(h.owners.all))
+		if h.give(e, o, share) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// leastLoaded returns the owner to queue at.
+func (h *Home) leastLoaded(e *entry) *owner {
+	var best *owner
+	for _, o := range h.owners.all {
+		if !o.usable() || len(h.allowed(e, o)) == 0 {
+			continue
+		}
+		if best == nil || o.load() < best.load() {
+			best = o
+		}
+	}
+	return best
+}
+
+func (o *owner) usable() bool { return o.up && !o.draining && len(o.workers) > 0 }
+
+// allowed returns the owner's workers that are candidates of the submission.
+func (h *Home) allowed(e *entry, o *owner) []string {
+	all := true
+	for _, w := range o.workers {
+		if _, ok := e.candidates[w]; !ok {
+			all = false
+			break
+		}
+	}
+	if all {
+		return o.workers
+	}
+	var out []string
+	for _, w := range o.workers {
+		if _, ok := e.candidates[w]; ok {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// give hands up to n tasks of an entry to an owner, and returns how many.
+func (h *Home) give(e *entry, o *owner, n int) int {
+	if !o.usable() {
+		return 0
+	}
+	allowed := h.allowed(e, o)
+	given := 0
+	for given < n {
+		indexes := e.job.Assign(o.name, allowed, min(n-given, h.cfg.Settings.GroupTasks))
+		if len(indexes) == 0 {
+			break
+		}
+		m := h.message(o.name)
+		m.Groups = append(m.Groups, h.group(e, indexes, allowed))
+		given += len(indexes)
+	}
+	if given > 0 {
+		o.sent += given
+		h.step(e, "handed out", "", fmt.Sprintf("%d tasks to %s", given, o.name))
+	}
+	return given
+}
+
+func (h *Home) group(e *entry, indexes []uint32, workers []string) *pb.RunGroup {
+	inputs := make([][]byte, len(indexes))
+	for i, index := range indexes {
+		inputs[i] = e.sub.Inputs[index]
+	}
+	t := &e.sub.Ticket
+	return &pb.RunGroup{
+		Submission:       wire.IDMessage(t.ID),
+		Generation:       wire.GenerationMessage(e.job.Generation()),
+		ExpiryUnixMillis: uint64(t.Expiry.UnixMilli()),
+		Account:          t.Account,
+		Template:         e.sub.Template,
+		Each:             e.sub.Each,
+		ExpectedMicros:   uint32(e.sub.Expected.Microseconds()),
+		JobRemaining:     uint32(e.job.Remaining()),
+		DeadlineMillis:   uint32(max(0, e.sub.Deadline.Sub(h.now)/time.Millisecond)),
+		Index:            indexes,
+		Input:            inputs,
+		Workers:          workers,
+	}
+}
+
+// advertEvent describes an owner.
+type advertEvent struct {
+	owner string
+	m     *pb.Advert
+	up    bool
+}
+
+// OwnerUp takes the news that the link to an owner works.
+func (h *Home) OwnerUp(name string, incarnation uint64) {
+	h.events.Push(advertEvent{name, &pb.Advert{Incarnation: incarnation}, true})
+}
+
+// Advert takes an owner's description of itself.
+func (h *Home) Advert(name string, m *pb.Advert) {
+	h.events.Push(advertEvent{name, m, false})
+}
+
+func (ev advertEvent) apply(h *Home) {
+	o := h.owners.get(ev.owner)
+	o.incarnation = ev.m.Incarnation
+	if ev.up {
+		*o = owner{name: ev.owner, incarnation: ev.m.Incarnation, up: true}
+		return
+	}
+	o.free = int(ev.m.FreeSlots)
+	o.queued = int(ev.m.QueuedTasks)
+	o.sent = 0
+	o.slots = int(ev.m.Slots)
+	o.draining = ev.m.Draining
+	if o.domain != ev.m.Domain {
+		o.domain = ev.m.Domain
+		h.owners.sort()
+	}
+	if o.version == ev.m.WorkersVersion {
+		return
+	}
+	o.version = ev.m.WorkersVersion
+	o.workers = make([]string, len(ev.m.Workers))
+	for i, w := range ev.m.Workers {
+		o.workers[i] = w.Id
+	}
+}
+
+// ownerLostEvent is the end of the link to an owner.
+type ownerLostEvent struct{ owner, why string }
+
+// OwnerLost takes the news that an owner can not be heard any more.
+func (h *Home) OwnerLost(name, why string) {
+	h.events.Push(ownerLostEvent{name, why})
+}
+
+func (ev ownerLostEvent) apply(h *Home) {
+	o := h.owners.get(ev.owner)
+	o.up = false
+	for _, e := range h.jobs {
+		if e.job.Answer() != nil {
+			continue
+		}
+		a := e.job.OwnerLost(ev.owner)
+		if len(a.Seal) > 0 {
+			h.step(e, "owner lost", "", fmt.Sprintf("%s %s: asking %d workers", ev.owner, ev.why, len(a.Seal)))
+		}
+		h.act(e, a)
+		h.schedule(e)
+	}
+}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -115,17 +115,35 @@
 // Recover returns a job at an entry VM that is not its home, which can not be
 // reached. Nothing is handed out before every candidate was sealed: any of them
 // may run tasks of it. When incomplete is set the candidates named are not
-// known to be all of them, so nothing can be proven not to have started.
-func Recover(spec Spec, self uint64, candidates []string, incomplete bool) (*Job, Actions) {
-	gen := ticket.Generation{}.Next(self)
-	j := newJob(spec, self, gen)
-	j.batches = append(j.batches, batch{workers: candidates, gen: gen, gone: incomplete})
+// known to be all of them, so nothing can be proven not to have started. Its
+// generation is above the given one, which must cover every generation that
+// this incarnation has used for the submission before.
+func Recover(spec Spec, self uint64, candidates []string, incomplete bool, above ticket.Generation) (*Job, Actions) {
+	j := newJob(spec, self, ticket.Generation{})
+	return j, j.TakeOver(above, candidates, incomplete)
+}
+
+// TakeOver puts this driver above another one that does not live any more. Any
+// task without an end may have been started by the other, on any candidate, so
+// all candidates are sealed before one is handed out again.
+func (j *Job) TakeOver(above ticket.Generation, candidates []string, incomplete bool) Actions {
+	var a Actions
+	if j.answer != nil {
+		return a
+	}
+	if above.Less(j.gen) {
+		above = j.gen
+	}
+	j.gen = above.Next(j.self)
+	b := int32(len(j.batches))
+	j.batches = append(j.batches, batch{workers: candidates, gone: incomplete})
 	for i := range j.tasks {
-		j.move(uint32(i), assigned, 0)
+		if s := j.tasks[i].state; s == unassigned || s == assigned || s == uncertain {
+			j.move(uint32(i), assigned, b)
+		}
 	}
-	var a Actions
-	j.sealBatch(0, &a)
-	return j, a
+	j.sealBatch(b, &a)
+	return a
 }
 
 // Spec returns what the submission asks for.
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -333,6 +333,20 @@
 	j.release()
 }
 
+// Discard drops the outputs of an answer that is kept no longer. The submission
+// stays known, so that asking again never starts anything.
+func (j *Job) Discard() {
+	if j.answer == nil || j.answer.Outputs == nil {
+		return
+	}
+	j.answer = &Answer{
+		Outcome:  reason.Failed,
+		Reason:   reason.AnswerDiscarded,
+		Detail:   "the submission completed, its answer is no longer kept",
+		Revision: j.answer.Revision,
+	}
+}
+
 // release drops what only a running job needs.
 func (j *Job) release() {
 	j.spec.Inputs = nil
