Order of work and admission as deterministic cores

Cause: an entry VM that holds workers needs a rule for whose tasks start next, and one for what it refuses before anything ran.

Conclusion: correct by the property test against a model (300 runs of 200 calls).

--- /dev/null
+++ b/internal/process/fairness/lane.go
@@ -0,0 +1,237 @@
+package fairness
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+)
+
+// levelCount is the number of feedback levels within an account.
+const levelCount = 4
+
+// tailLevel is where the last tasks of a long job go.
+const tailLevel = 1
+
+// bulkLevel is the highest level of bulk work.
+const bulkLevel = 2
+
+// job is the queue's record of one submission's tasks at this entry VM.
+type job[K comparable] struct {
+	Job[K]
+	lane   *lane[K]
+	learnt *estimate
+
+	queued  int
+	running int
+	// charged is the estimated service of the running tasks, in share-seconds.
+	charged float64
+	// attained is the finished service in slot-seconds, startSum the sum of the
+	// start times of the running tasks, in seconds.
+	attained float64
+	startSum float64
+
+	level       int
+	list        *jobList[K] // the list that holds the job, or nil
+	prev, next  *job[K]
+	parkedSince float64 // first unsuccessful placement since the last start
+	wasParked   bool
+
+	bucket               int // in the deadline wheel, or noIndex
+	timerPrev, timerNext *job[K]
+}
+
+// jobList is a doubly linked list, so that any job leaves it in constant time.
+type jobList[K comparable] struct {
+	head, tail *job[K]
+	count      int
+}
+
+func (l *jobList[K]) pushBack(j *job[K]) {
+	j.list, j.prev, j.next = l, l.tail, nil
+	if l.tail == nil {
+		l.head = j
+	} else {
+		l.tail.next = j
+	}
+	l.tail = j
+	l.count++
+}
+
+func (l *jobList[K]) pushFront(j *job[K]) {
+	j.list, j.prev, j.next = l, nil, l.head
+	if l.head == nil {
+		l.tail = j
+	} else {
+		l.head.prev = j
+	}
+	l.head = j
+	l.count++
+}
+
+func (l *jobList[K]) remove(j *job[K]) {
+	if j.prev == nil {
+		l.head = j.next
+	} else {
+		j.prev.next = j.next
+	}
+	if j.next == nil {
+		l.tail = j.prev
+	} else {
+		j.next.prev = j.prev
+	}
+	j.list, j.prev, j.next = nil, nil, nil
+	l.count--
+}
+
+// lane is the work of one account, in feedback levels. Each level is in order
+// of arrival and runs its first job to the end, so that two wide jobs of one
+// account finish one after the other and not both late.
+type lane[K comparable] struct {
+	account string
+	leaf    *node[K]
+	levels  [levelCount]jobList[K]
+
+	ready       int // jobs in the levels
+	parked      int
+	queuedTasks int
+	queuedJobs  int
+	runningJobs int
+	slots       int64
+	milliwatts  int64
+	// owed is service, in slot-seconds, that the shorter levels owe the deepest
+	// waiting one.
+	owed      float64
+	parkedWhy reason.Code // of the job parked last
+}
+
+// active reports whether the account queues or runs work.
+func (l *lane[K]) active() bool { return l.queuedTasks > 0 || l.runningJobs > 0 }
+
+// add puts a job at the end of its level.
+func (l *lane[K]) add(j *job[K], level int) {
+	j.level = level
+	l.levels[level].pushBack(j)
+	l.ready++
+}
+
+// take removes a job from its level.
+func (l *lane[K]) take(j *job[K]) {
+	j.list.remove(j)
+	l.ready--
+}
+
+// shallowest returns the first level with work.
+func (l *lane[K]) shallowest() int {
+	for level := range l.levels {
+		if l.levels[level].head != nil {
+			return level
+		}
+	}
+	panic("fairness: an account without ready jobs was picked")
+}
+
+// deepest returns the last level with work.
+func (l *lane[K]) deepest() int {
+	for level := levelCount - 1; level > 0; level-- {
+		if l.levels[level].head != nil {
+			return level
+		}
+	}
+	return 0
+}
+
+// front returns the job whose tasks go next in this account.
+func (l *lane[K]) front(s *Settings) (*job[K], reason.Code) {
+	first, deepest := l.shallowest(), l.deepest()
+	j, aged := l.levels[first].head, l.levels[deepest].head
+	switch {
+	case first < deepest && l.owed >= aged.taskCost():
+		return aged, Aged
+	case j.nearlyDone(s):
+		return j, JobTail
+	}
+	return j, ShareDue
+}
+
+// settle moves service owed between levels after slotSeconds went to a level.
+func (l *lane[K]) settle(level int, slotSeconds, share float64) {
+	deepest := l.deepest()
+	if l.ready == 0 || level == deepest {
+		l.owed = max(0, l.owed-slotSeconds)
+		return
+	}
+	if level < deepest {
+		l.owed += share * slotSeconds
+	}
+}
+
+// addQueued changes the count of queued tasks, for the job and its account.
+func (j *job[K]) addQueued(n int) {
+	before := j.queued
+	j.queued += n
+	j.lane.queuedTasks += n
+	switch {
+	case before == 0 && j.queued > 0:
+		j.lane.queuedJobs++
+	case before > 0 && j.queued == 0:
+		j.lane.queuedJobs--
+	}
+}
+
+// taskCost is the expected service of one task, in slot-seconds.
+func (j *job[K]) taskCost() float64 {
+	return j.taskSeconds() * float64(j.Slots)
+}
+
+// taskSeconds is the expected run time of one task.
+func (j *job[K]) taskSeconds() float64 {
+	return j.learnt.seconds(j.Expected)
+}
+
+// attainedBy returns the job's service up to now, in slot-seconds. Running tasks
+// count with what they were expected to take or with what they have taken,
+// whichever is more, so that neither a wide job nor a job of wrongly declared
+// size stays among the short ones until its first task ends.
+func (j *job[K]) attainedBy(now float64) float64 {
+	if j.running == 0 {
+		return j.attained
+	}
+	elapsed := float64(j.running)*now - j.startSum
+	expected := float64(j.running) * j.taskSeconds()
+	return j.attained + max(elapsed, expected)*float64(j.Slots)
+}
+
+// levelBy returns the job's feedback level.
+func (j *job[K]) levelBy(now float64, s *Settings) int {
+	attained := j.attainedBy(now)
+	level := 0
+	for level < levelCount-1 && attained >= s.Quanta[level].Seconds() {
+		level++
+	}
+	if j.Class == Bulk {
+		level = max(level, bulkLevel)
+	}
+	if level > tailLevel && j.nearlyDone(s) {
+		level = tailLevel
+	}
+	return level
+}
+
+// nearlyDone reports whether only the last tasks of a begun job are left. Its
+// response time is that of its slowest task, so finishing it frees a caller for
+// little service.
+func (j *job[K]) nearlyDone(s *Settings) bool {
+	return j.attained > 0 && j.JobRemaining <= s.TailTasks
+}
+
+// quantumTasks returns how many tasks the job may start before it sinks.
+func (j *job[K]) quantumTasks(now float64, s *Settings) int {
+	if j.level >= levelCount-1 {
+		return j.queued
+	}
+	left := s.Quanta[j.level].Seconds() - j.attainedBy(now)
+	return max(1, int(min(left/j.taskCost(), float64(j.queued))))
+}
+
+// seconds converts a time to the queue's internal clock.
+func seconds(t, epoch time.Time) float64 { return t.Sub(epoch).Seconds() }
--- /dev/null
+++ b/internal/process/fairness/queue.go
@@ -0,0 +1,543 @@
+package fairness
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+)
+
+// Queue orders the waiting tasks of one entry VM. See the package comment for
+// the contract.
+type Queue[K comparable] struct {
+	settings Settings
+	epoch    time.Time
+	now      float64 // seconds since epoch
+
+	accounts  []Account
+	root      *node[K]
+	nodes     map[string]*node[K]
+	lanes     map[string]*lane[K]
+	jobs      map[K]*job[K]
+	estimates map[estimateKey]*estimate
+	arrivals  *lane[K] // holds all jobs under PolicyFIFO
+	parked    jobList[K]
+	timers    wheel[K]
+
+	scarce   Resource
+	capacity Capacity
+	remoteAt float64 // when the remote usage was last accounted
+
+	starved   *job[K] // others are held back for it
+	holdUntil float64
+}
+
+// New returns an empty queue. It panics on settings that Validate refuses.
+func New[K comparable](s Settings) *Queue[K] {
+	if err := s.Validate(); err != nil {
+		panic(err)
+	}
+	q := &Queue[K]{
+		settings:  s,
+		lanes:     make(map[string]*lane[K]),
+		jobs:      make(map[K]*job[K]),
+		estimates: make(map[estimateKey]*estimate),
+		capacity:  Capacity{Slots: 1, Milliwatts: 1},
+	}
+	q.rebuild()
+	if s.Policy == PolicyFIFO {
+		q.arrivals = &lane[K]{}
+	}
+	return q
+}
+
+// advance takes the caller's time.
+func (q *Queue[K]) advance(now time.Time) {
+	if q.epoch.IsZero() {
+		q.epoch = now
+	}
+	q.now = max(q.now, seconds(now, q.epoch))
+}
+
+// SetCapacity tells what the shared resource amounts to. Values of zero or less
+// leave the former value.
+func (q *Queue[K]) SetCapacity(now time.Time, c Capacity) {
+	q.advance(now)
+	if c.Slots > 0 {
+		q.capacity.Slots = c.Slots
+	}
+	if c.Milliwatts > 0 {
+		q.capacity.Milliwatts = c.Milliwatts
+	}
+	q.rekey()
+}
+
+// SetScarce tells which resource accounts share by weight from now on.
+func (q *Queue[K]) SetScarce(now time.Time, r Resource) {
+	q.advance(now)
+	q.scarce = r
+	q.rekey()
+}
+
+// Push adds tasks to a job, new or known. The fields of a known job that can
+// change (remaining tasks, deadline, expected time) are taken from j.
+func (q *Queue[K]) Push(now time.Time, j Job[K], tasks int) {
+	q.advance(now)
+	if tasks <= 0 {
+		return
+	}
+	known := q.jobs[j.Key]
+	if known == nil {
+		known = q.create(j)
+	}
+	known.JobRemaining = max(j.JobRemaining, known.queued+known.running+tasks)
+	known.Expected = j.Expected
+	q.setDeadline(known, j.Deadline)
+	known.addQueued(tasks)
+	if known.list == nil {
+		q.enlist(known)
+	}
+	known.lane.leaf.refreshBusy()
+}
+
+// create records a new job.
+func (q *Queue[K]) create(spec Job[K]) *job[K] {
+	spec.Slots = max(spec.Slots, 1)
+	j := &job[K]{Job: spec, bucket: noIndex}
+	j.lane = q.laneOf(spec.Account)
+	j.learnt = q.estimateOf(spec.Account, spec.Template)
+	q.jobs[spec.Key] = j
+	return j
+}
+
+// estimateOf returns the learnt run times of a template, or nil when the table
+// is full.
+func (q *Queue[K]) estimateOf(account, template string) *estimate {
+	key := estimateKey{account, template}
+	e := q.estimates[key]
+	if e == nil && len(q.estimates) < maxEstimates {
+		e = &estimate{}
+		q.estimates[key] = e
+	}
+	return e
+}
+
+// setDeadline replaces a job's deadline.
+func (q *Queue[K]) setDeadline(j *job[K], deadline time.Time) {
+	q.timers.remove(j)
+	j.Deadline = deadline
+	if !deadline.IsZero() {
+		q.timers.add(j, seconds(deadline, q.epoch))
+	}
+}
+
+// enlist puts a job that has queued tasks among the ready ones.
+func (q *Queue[K]) enlist(j *job[K]) {
+	if q.arrivals != nil {
+		q.arrivals.add(j, 0)
+		return
+	}
+	j.lane.add(j, j.levelBy(q.now, &q.settings))
+	q.rejoin(j.lane.leaf)
+}
+
+// delist takes a job out of whichever list holds it.
+func (q *Queue[K]) delist(j *job[K]) {
+	switch {
+	case j.list == nil:
+	case j.list == &q.parked:
+		q.parked.remove(j)
+		j.lane.parked--
+	case q.arrivals != nil:
+		q.arrivals.take(j)
+	default:
+		j.lane.take(j)
+		j.lane.leaf.refresh()
+	}
+}
+
+// rejoin brings a node with new work back into the order, no further behind
+// than its memory allows.
+func (q *Queue[K]) rejoin(n *node[K]) {
+	for m := n; m.parent != nil; m = m.parent {
+		if m.index != noIndex {
+			break
+		}
+		lag := q.settings.Memory.Seconds() * m.fraction() / float64(m.weight)
+		m.vt = max(m.vt, m.parent.clock-lag)
+		q.setKey(m)
+	}
+	n.refresh()
+}
+
+// Next returns the job whose tasks go next. It reports false when nothing can
+// go: nothing is queued, all of it is parked or over quota, or other work is
+// held back for a job that was parked too long.
+func (q *Queue[K]) Next(now time.Time) (Pick[K], bool) {
+	q.advance(now)
+	if q.arrivals != nil {
+		return q.nextArrival()
+	}
+	if pick, found := q.nextStarved(); found {
+		return pick, true
+	}
+	if q.starved != nil {
+		return Pick[K]{}, false
+	}
+	for len(q.root.heap) > 0 {
+		pick, found := q.nextShare()
+		if found {
+			return pick, true
+		}
+	}
+	return Pick[K]{}, false
+}
+
+// nextArrival returns the job that came first.
+func (q *Queue[K]) nextArrival() (Pick[K], bool) {
+	j := q.arrivals.levels[0].head
+	if j == nil {
+		return Pick[K]{}, false
+	}
+	return Pick[K]{j.Key, min(j.queued, q.settings.MaxBatch), ArrivalOrder}, true
+}
+
+// nextStarved offers the job that others are held back for, and ends the hold
+// when it took too long: a job that can be placed nowhere must not stop the
+// others for ever.
+func (q *Queue[K]) nextStarved() (Pick[K], bool) {
+	j := q.starved
+	if j == nil {
+		return Pick[K]{}, false
+	}
+	if q.now >= q.holdUntil {
+		j.parkedSince = q.now
+		q.starved = nil
+		return Pick[K]{}, false
+	}
+	if j.list == &q.parked || q.pathRoom(j) < int64(j.Slots) {
+		return Pick[K]{}, false
+	}
+	return Pick[K]{j.Key, 1, Starved}, true
+}
+
+// nextShare offers the front job of the account furthest behind its due. It
+// reports false after a step that changed the order: a job sank, or an account
+// reached its quota.
+func (q *Queue[K]) nextShare() (Pick[K], bool) {
+	n := q.root
+	for n.lane == nil {
+		n = n.heap[0]
+	}
+	j, why := n.lane.front(&q.settings)
+	if level := j.levelBy(q.now, &q.settings); level != j.level {
+		n.lane.take(j)
+		n.lane.add(j, level)
+		return Pick[K]{}, false
+	}
+	room := q.pathRoom(j)
+	if room < int64(j.Slots) {
+		q.block(j)
+		return Pick[K]{}, false
+	}
+	most := min(j.queued, q.settings.MaxBatch, int(room/int64(j.Slots)))
+	most = min(most, j.quantumTasks(q.now, &q.settings), q.turnTasks(j))
+	if why == Aged {
+		most = 1
+	}
+	return Pick[K]{j.Key, most, why}, true
+}
+
+// pathRoom returns the slots that the quotas of the job's accounts leave.
+func (q *Queue[K]) pathRoom(j *job[K]) int64 {
+	room := maxRoom
+	for n := j.lane.leaf; n.parent != nil; n = n.parent {
+		room = min(room, n.room())
+	}
+	return room
+}
+
+// block takes the account whose quota is used up out of the order until slots
+// are given back. A job larger than the quota itself is parked instead, or it
+// would block the account for ever.
+func (q *Queue[K]) block(j *job[K]) {
+	for n := j.lane.leaf; n.parent != nil; n = n.parent {
+		if n.room() >= int64(j.Slots) {
+			continue
+		}
+		if n.quota < int64(j.Slots) {
+			q.Park(j.Key, reason.QuotaExceeded)
+			return
+		}
+		n.blockedNeed = int64(j.Slots)
+		n.refresh()
+		return
+	}
+}
+
+// turnTasks returns how many tasks may start before another account is further
+// behind its due.
+func (q *Queue[K]) turnTasks(j *job[K]) int {
+	turn := float64(q.settings.MaxBatch)
+	step := q.cost(j, 1) + q.settings.OccupancyWeight.Seconds()*q.share(int64(j.Slots), int64(j.Milliwatts))
+	for n := j.lane.leaf; n.parent != nil; n = n.parent {
+		rival := n.parent.runnerUp()
+		if rival == nil {
+			continue
+		}
+		ahead := (rival.key - n.key) * float64(n.weight)
+		turn = min(turn, ahead/step+1)
+	}
+	return max(1, int(turn))
+}
+
+// runnerUp returns the child that goes after the first one.
+func (n *node[K]) runnerUp() *node[K] {
+	switch {
+	case len(n.heap) < 2:
+		return nil
+	case len(n.heap) == 2 || n.less(1, 2):
+		return n.heap[1]
+	default:
+		return n.heap[2]
+	}
+}
+
+// share converts an occupancy to a part of the capacity of the scarce resource.
+func (q *Queue[K]) share(slots, milliwatts int64) float64 {
+	if q.scarce == Watts {
+		return float64(milliwatts) / q.capacity.Milliwatts
+	}
+	return float64(slots) / q.capacity.Slots
+}
+
+// cost is the expected service of n tasks, in share-seconds.
+func (q *Queue[K]) cost(j *job[K], n int) float64 {
+	return j.taskSeconds() * float64(n) * q.share(int64(j.Slots), int64(j.Milliwatts))
+}
+
+// setKey recomputes a node's place in the order without moving it.
+func (q *Queue[K]) setKey(n *node[K]) {
+	use := q.share(n.slots, n.milliwatts)
+	if q.scarce == Watts {
+		use += n.remoteMilli / q.capacity.Milliwatts
+	} else {
+		use += n.remoteSlots / q.capacity.Slots
+	}
+	n.key = n.vt + q.settings.OccupancyWeight.Seconds()*use/float64(n.weight)
+}
+
+// reorder recomputes the keys from a leaf up and restores the heaps.
+func (q *Queue[K]) reorder(leaf *node[K]) {
+	for n := leaf; n.parent != nil; n = n.parent {
+		q.setKey(n)
+		if n.index != noIndex {
+			n.parent.fix(n.index)
+		}
+		n.parent.catchUp()
+	}
+}
+
+// Start records that n tasks of a job were placed. It reports false, and
+// changes nothing, when the job does not have that many queued tasks.
+func (q *Queue[K]) Start(now time.Time, key K, n int) bool {
+	q.advance(now)
+	j := q.jobs[key]
+	if j == nil || n <= 0 || n > j.queued {
+		return false
+	}
+	cost := q.cost(j, n)
+	level := j.level
+	j.addQueued(-n)
+	j.startSum += float64(n) * q.now
+	j.charged += cost
+	j.wasParked = false
+	if j.running == 0 {
+		j.lane.runningJobs++
+	}
+	j.running += n
+	if q.starved == j {
+		q.starved = nil
+	}
+	q.occupy(j, n)
+	q.relevel(j)
+	j.lane.settle(level, j.taskCost()*float64(n), q.settings.AgeingShare)
+	j.lane.leaf.charge(cost, q.settings.Memory.Seconds())
+	q.reorder(j.lane.leaf)
+	return true
+}
+
+// relevel moves a job that started tasks to the list it belongs to.
+func (q *Queue[K]) relevel(j *job[K]) {
+	if j.queued == 0 {
+		q.delist(j)
+		return
+	}
+	if q.arrivals != nil || j.list == nil || j.list == &q.parked {
+		return
+	}
+	if level := j.levelBy(q.now, &q.settings); level != j.level {
+		j.lane.take(j)
+		j.lane.add(j, level)
+	}
+}
+
+// occupy counts n tasks as running, or as ended when n is negative.
+func (q *Queue[K]) occupy(j *job[K], n int) {
+	slots := int64(n) * int64(j.Slots)
+	milliwatts := int64(n) * int64(j.Milliwatts)
+	j.lane.slots += slots
+	j.lane.milliwatts += milliwatts
+	for m := j.lane.leaf; m.parent != nil; m = m.parent {
+		m.slots += slots
+		m.milliwatts += milliwatts
+	}
+}
+
+// Finish records that n running tasks of a job ended, whatever their outcome.
+// busy is the sum of their run times and milliwattSeconds the sum of their
+// energy; they replace the estimates that Start charged.
+func (q *Queue[K]) Finish(now time.Time, key K, n int, busy time.Duration, milliwattSeconds float64) bool {
+	q.advance(now)
+	j := q.jobs[key]
+	if j == nil || n <= 0 || n > j.running {
+		return false
+	}
+	correction := q.actual(j, busy, milliwattSeconds) - q.uncharge(j, n)
+	j.learnt.learn(busy.Seconds() / float64(n))
+	j.attained += busy.Seconds() * float64(j.Slots)
+	j.JobRemaining -= n
+	q.occupy(j, -n)
+	if j.running == 0 {
+		j.lane.runningJobs--
+	}
+	leaf := j.lane.leaf
+	leaf.charge(correction, q.settings.Memory.Seconds())
+	q.unblock(leaf)
+	q.relevelTail(j)
+	q.reorder(leaf)
+	q.forget(j)
+	return true
+}
+
+// uncharge takes the estimates of n ended tasks from the job and returns them.
+func (q *Queue[K]) uncharge(j *job[K], n int) float64 {
+	part := float64(n) / float64(j.running)
+	charged := j.charged * part
+	j.charged -= charged
+	j.startSum -= j.startSum * part
+	j.running -= n
+	return charged
+}
+
+// actual is the service given, in share-seconds.
+func (q *Queue[K]) actual(j *job[K], busy time.Duration, milliwattSeconds float64) float64 {
+	if q.scarce == Watts {
+		return milliwattSeconds / q.capacity.Milliwatts
+	}
+	return busy.Seconds() * float64(j.Slots) / q.capacity.Slots
+}
+
+// relevelTail prefers a job that became nearly finished.
+func (q *Queue[K]) relevelTail(j *job[K]) {
+	if j.queued > 0 && j.JobRemaining <= q.settings.TailTasks {
+		q.relevel(j)
+	}
+}
+
+// unblock brings back the accounts of a path whose quota has room again.
+func (q *Queue[K]) unblock(leaf *node[K]) {
+	for n := leaf; n.parent != nil; n = n.parent {
+		if n.blockedNeed > 0 && n.room() >= n.blockedNeed {
+			n.blockedNeed = 0
+			q.rejoin(n)
+		}
+	}
+}
+
+// forget drops the record of a job that has neither queued nor running tasks.
+func (q *Queue[K]) forget(j *job[K]) {
+	if j.queued+j.running > 0 {
+		return
+	}
+	q.timers.remove(j)
+	if q.starved == j {
+		q.starved = nil
+	}
+	delete(q.jobs, j.Key)
+	j.lane.leaf.refreshBusy()
+}
+
+// Park takes a job out of the order until Unpark, because no worker can take
+// one of its tasks now. why is kept for the status page.
+//
+// Without a bound, smaller tasks would take each freed slot and a large one
+// would wait for ever; one would see a parked job whose wait grows while others
+// start. A job parked for longer than the patience therefore holds the others
+// back until it is placed or the hold ends.
+func (q *Queue[K]) Park(key K, why reason.Code) {
+	j := q.jobs[key]
+	if j == nil || j.list == nil || j.list == &q.parked {
+		return
+	}
+	q.delist(j)
+	q.parked.pushBack(j)
+	j.lane.parked++
+	j.lane.parkedWhy = why
+	if !j.wasParked {
+		j.wasParked = true
+		j.parkedSince = q.now
+	}
+	waited := q.now - j.parkedSince
+	if q.starved == nil && why != reason.QuotaExceeded && waited > q.settings.ParkPatience.Seconds() {
+		q.starved = j
+		q.holdUntil = q.now + q.settings.ParkHold.Seconds()
+	}
+}
+
+// Unpark puts all parked jobs back at the front of their levels, in their former
+// order. Each job costs constant time, paid for by its Park.
+func (q *Queue[K]) Unpark() {
+	for j := q.parked.tail; j != nil; j = q.parked.tail {
+		q.parked.remove(j)
+		j.lane.parked--
+		if q.arrivals != nil {
+			q.arrivals.levels[0].pushFront(j)
+			q.arrivals.ready++
+			continue
+		}
+		j.level = j.levelBy(q.now, &q.settings)
+		j.lane.levels[j.level].pushFront(j)
+		j.lane.ready++
+		q.rejoin(j.lane.leaf)
+	}
+}
+
+// Drop withdraws the queued tasks of a job and returns their count. Running
+// tasks stay accounted until Finish.
+func (q *Queue[K]) Drop(key K) int {
+	j := q.jobs[key]
+	if j == nil {
+		return 0
+	}
+	dropped := j.queued
+	q.delist(j)
+	j.addQueued(-dropped)
+	if q.starved == j {
+		q.starved = nil
+	}
+	q.forget(j)
+	return dropped
+}
+
+// Expire withdraws the queued tasks of the jobs whose deadline passed and
+// returns their keys. Running tasks stay accounted until Finish.
+func (q *Queue[K]) Expire(now time.Time) []K {
+	q.advance(now)
+	var keys []K
+	for _, j := range q.timers.expired(now, q.now) {
+		q.timers.remove(j)
+		keys = append(keys, j.Key)
+		q.Drop(j.Key)
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/process/fairness/queue_test.go
@@ -0,0 +1,450 @@
+package fairness
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+)
+
+const testSlots = 48
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newQueue(accounts ...Account) *Queue[int] {
+	q := New[int](Defaults())
+	q.SetCapacity(start, Capacity{Slots: testSlots, Milliwatts: testSlots * 1000})
+	q.SetAccounts(start, accounts)
+	return q
+}
+
+func task(key int, account string, expected time.Duration) Job[int] {
+	return Job[int]{Key: key, Account: account, Class: Normal, Slots: 1, Milliwatts: 1000, Expected: expected}
+}
+
+// machine runs the queue's picks on a fixed number of slots, in virtual time.
+type machine struct {
+	q       *Queue[int]
+	free    int
+	now     time.Duration
+	took    map[int]time.Duration // run time of a job's tasks
+	running []run
+	inUse   map[int]int
+}
+
+type run struct {
+	key int
+	end time.Duration
+}
+
+func newMachine(q *Queue[int]) *machine {
+	return &machine{q: q, free: testSlots, took: map[int]time.Duration{}, inUse: map[int]int{}}
+}
+
+func (m *machine) push(j Job[int], tasks int, took time.Duration) {
+	m.took[j.Key] = took
+	m.q.Push(at(m.now), j, tasks)
+}
+
+// fill starts tasks until no slot is free or nothing is offered.
+func (m *machine) fill() {
+	for m.free > 0 {
+		pick, found := m.q.Next(at(m.now))
+		if !found {
+			return
+		}
+		n := min(pick.Max, m.free)
+		m.q.Start(at(m.now), pick.Key, n)
+		m.free -= n
+		m.inUse[pick.Key] += n
+		for range n {
+			m.running = append(m.running, run{pick.Key, m.now + m.took[pick.Key]})
+		}
+	}
+}
+
+// runUntil ends and starts tasks up to a time.
+func (m *machine) runUntil(end time.Duration) {
+	for {
+		m.fill()
+		first := -1
+		for i, r := range m.running {
+			if first < 0 || r.end < m.running[first].end {
+				first = i
+			}
+		}
+		if first < 0 || m.running[first].end > end {
+			m.now = end
+			return
+		}
+		r := m.running[first]
+		m.running = append(m.running[:first], m.running[first+1:]...)
+		m.now = r.end
+		m.free++
+		m.inUse[r.key]--
+		m.q.Finish(at(m.now), r.key, 1, m.took[r.key], m.took[r.key].Seconds()*float64(m.q.jobs[r.key].Milliwatts))
+	}
+}
+
+func serviceOf(q *Queue[int], account string) float64 {
+	for _, s := range q.Snapshot(start) {
+		if s.Name == account {
+			return s.Service
+		}
+	}
+	return math.NaN()
+}
+
+func within(t *testing.T, what string, got, want, tolerance float64) {
+	t.Helper()
+	if !(math.Abs(got-want) <= tolerance*want) {
+		t.Errorf("%s: %.3f, want %.3f within %.0f%%", what, got, want, tolerance*100)
+	}
+}
+
+// Each account is given its due under full load, whatever the length of its
+// tasks and whatever it declares.
+func TestSharesByWeightUnderFullLoad(t *testing.T) {
+	q := newQueue(
+		Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 2},
+		Account{Name: "team", Weight: 3}, Account{Name: "c", Weight: 1, Parent: "team"}, Account{Name: "d", Weight: 2, Parent: "team"},
+	)
+	m := newMachine(q)
+	took := []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond}
+	for i, account := range []string{"a", "b", "c", "d"} {
+		m.push(task(i, account, 50*time.Millisecond), 1_000_000, took[i])
+	}
+	m.runUntil(5 * time.Second)
+	total := 5.0
+	within(t, "a", serviceOf(q, "a"), total/6, 0.05)
+	within(t, "b", serviceOf(q, "b"), total/3, 0.05)
+	within(t, "c", serviceOf(q, "c"), total/6, 0.05)
+	within(t, "d", serviceOf(q, "d"), total/3, 0.05)
+}
+
+// Symptom: an account that comes back finds its share lent and stays short.
+// Sequence: b uses the idle share of a with tasks of 500 ms; a returns.
+// Cause: slots are given back only as tasks end, and past loans could count.
+func TestLentShareIsRegained(t *testing.T) {
+	q := newQueue(Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 1})
+	m := newMachine(q)
+	m.push(task(1, "b", 500*time.Millisecond), 1_000_000, 500*time.Millisecond)
+	m.runUntil(10 * time.Second)
+	if m.inUse[1] != testSlots {
+		t.Fatalf("b uses %d slots of an idle machine", m.inUse[1])
+	}
+	m.push(task(2, "a", 500*time.Millisecond), 1_000_000, 500*time.Millisecond)
+	m.runUntil(11 * time.Second)
+	if m.inUse[2] < testSlots/2 {
+		t.Errorf("after two task lengths a holds %d slots, its due is %d", m.inUse[2], testSlots/2)
+	}
+	m.runUntil(14 * time.Second)
+	if m.inUse[1] < testSlots/3 {
+		t.Errorf("b is punished for its loan: it holds %d slots", m.inUse[1])
+	}
+}
+
+func TestScarceWattsAreSharedByWeight(t *testing.T) {
+	q := newQueue(Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 1})
+	q.SetScarce(start, Watts)
+	m := newMachine(q)
+	hungry := task(1, "a", 100*time.Millisecond)
+	hungry.Milliwatts = 3000
+	m.push(hungry, 1_000_000, 100*time.Millisecond)
+	m.push(task(2, "b", 100*time.Millisecond), 1_000_000, 100*time.Millisecond)
+	m.runUntil(5 * time.Second)
+	within(t, "slots of b per slot of a", float64(m.inUse[2])/float64(m.inUse[1]), 3, 0.15)
+}
+
+func TestRemoteUsageCountsAgainstTheShare(t *testing.T) {
+	q := newQueue(Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 1})
+	q.SetCapacity(start, Capacity{Slots: 2 * testSlots, Milliwatts: 1})
+	m := newMachine(q)
+	m.push(task(1, "a", 100*time.Millisecond), 1_000_000, 100*time.Millisecond)
+	m.push(task(2, "b", 100*time.Millisecond), 1_000_000, 100*time.Millisecond)
+	for m.now < 2*time.Second {
+		q.SetRemoteUsage(at(m.now), []Usage{{Account: "a", Slots: 36}, {Account: "b", Slots: 12}})
+		m.runUntil(m.now + 100*time.Millisecond)
+	}
+	within(t, "slots of a", float64(36+m.inUse[1]), testSlots, 0.1)
+}
+
+// A short job passes a wide one of the same account, also when the wide one
+// claims to be short.
+func TestShortJobPassesWideBuild(t *testing.T) {
+	for _, declared := range []time.Duration{time.Second, time.Millisecond} {
+		q := newQueue(Account{Name: "a"})
+		m := newMachine(q)
+		build := task(1, "a", declared)
+		build.Template = "build"
+		m.push(build, 920, time.Second)
+		m.runUntil(1500 * time.Millisecond)
+		m.push(task(2, "a", 50*time.Millisecond), 1, 50*time.Millisecond)
+		pick, _ := q.Next(at(m.now))
+		if pick.Key != 2 {
+			t.Errorf("declared %v: the build goes before the check", declared)
+		}
+	}
+}
+
+func TestLastTasksArePreferred(t *testing.T) {
+	q := newQueue(Account{Name: "a"})
+	q.settings.AgeingShare = 0
+	q.Push(start, task(1, "a", time.Second), 60)
+	q.Push(start, task(2, "a", time.Second), 60)
+	q.Start(start, 1, 30)
+	q.Start(start, 2, 58)
+	q.Finish(at(time.Second), 2, 58, 58*time.Second, 0)
+	if pick, _ := q.Next(at(time.Second)); pick.Key != 2 || pick.Why != JobTail {
+		t.Errorf("picked %+v, want the last two tasks of job 2", pick)
+	}
+}
+
+// Symptom: a build stands still although its account gets service.
+// Sequence: shorter jobs of the same account arrive without a pause.
+// Cause: levels in strict order starve the deepest one.
+func TestAgeingFeedsTheDeepestLevel(t *testing.T) {
+	q := newQueue(Account{Name: "a"})
+	m := newMachine(q)
+	m.push(task(1, "a", 500*time.Millisecond), 100_000, 500*time.Millisecond)
+	m.runUntil(2 * time.Second)
+	for i := range 200 {
+		m.push(task(2+i, "a", 500*time.Millisecond), 100, 500*time.Millisecond)
+	}
+	before := q.jobs[1].attained
+	m.runUntil(12 * time.Second)
+	part := (q.jobs[1].attained - before) / (10 * testSlots)
+	if part < 0.1 || part > 0.4 {
+		t.Errorf("the build got %.2f of its account's service", part)
+	}
+}
+
+// Symptom: a job that needs a whole worker never starts.
+// Sequence: it is parked at each attempt, and small tasks take each freed slot.
+// Cause: there is never a moment with enough free slots in one place.
+func TestParkedJobIsNotStarved(t *testing.T) {
+	q := newQueue()
+	large := task(1, "a", time.Second)
+	large.Slots = 8
+	q.Push(start, large, 1)
+	q.Push(start, task(2, "b", time.Second), 1000)
+	q.Park(1, reason.NoWorkers)
+	if pick, found := q.Next(at(time.Second)); !found || pick.Key != 2 {
+		t.Fatal("small tasks must go while the large job is parked for a short time")
+	}
+	q.Unpark()
+	q.Next(at(3 * time.Second))
+	q.Park(1, reason.NoWorkers)
+	if pick, found := q.Next(at(3 * time.Second)); found {
+		t.Fatalf("%+v takes the room that the large job waits for", pick)
+	}
+	q.Unpark()
+	if pick, _ := q.Next(at(3100 * time.Millisecond)); pick.Key != 1 || pick.Why != Starved {
+		t.Errorf("picked %+v, want the large job first", pick)
+	}
+	q.Park(1, reason.NoWorkers)
+	if pick, found := q.Next(at(4 * time.Second)); !found || pick.Key != 2 {
+		t.Error("a job that can be placed nowhere holds the others for ever")
+	}
+}
+
+func TestExpireReturnsPassedDeadlinesOnly(t *testing.T) {
+	q := newQueue()
+	for i := range 3000 {
+		j := task(i, "a", time.Second)
+		j.Deadline = at(time.Duration(i) * 7 * time.Millisecond)
+		q.Push(start, j, 2)
+	}
+	seen := map[int]bool{}
+	for now := time.Duration(0); now <= 25*time.Second; now += 333 * time.Millisecond {
+		for _, key := range q.Expire(at(now)) {
+			if seen[key] || time.Duration(key)*7*time.Millisecond > now {
+				t.Fatalf("job %d expired at %v", key, now)
+			}
+			seen[key] = true
+		}
+		if due := min(3000, int(now/(7*time.Millisecond))+1); len(seen) != due {
+			t.Fatalf("at %v, %d jobs expired and %d were due", now, len(seen), due)
+		}
+	}
+	if len(q.jobs) != 0 {
+		t.Errorf("%d expired jobs are still recorded", len(q.jobs))
+	}
+}
+
+func TestFIFOKeepsArrivalOrder(t *testing.T) {
+	s := Defaults()
+	s.Policy = PolicyFIFO
+	q := New[int](s)
+	for i := range 10 {
+		q.Push(at(time.Duration(i)), task(i, fmt.Sprint(i%3), time.Second), 2)
+	}
+	for i := range 10 {
+		pick, _ := q.Next(start)
+		if pick.Key != i {
+			t.Fatalf("pick %d is job %d", i, pick.Key)
+		}
+		q.Start(start, pick.Key, 2)
+	}
+}
+
+func TestValidateNamesTheSetting(t *testing.T) {
+	bad := map[string]func(*Settings){
+		"policy":      func(s *Settings) { s.Policy = "lifo" },
+		"quanta":      func(s *Settings) { s.Quanta[1] = s.Quanta[0] },
+		"ageingShare": func(s *Settings) { s.AgeingShare = 1 },
+		"maxBatch":    func(s *Settings) { s.MaxBatch = 0 },
+		"parkHold":    func(s *Settings) { s.ParkHold = 0 },
+	}
+	for name, change := range bad {
+		s := Defaults()
+		change(&s)
+		if e, ok := s.Validate().(*SettingError); !ok || e.Setting != name {
+			t.Errorf("%s: got %v", name, s.Validate())
+		}
+	}
+	if err := Defaults().Validate(); err != nil {
+		t.Error(err)
+	}
+}
+
+// step is one random call; model is what the queue must agree with.
+type step struct{ Op, Key, Count, Wait int }
+
+var reflectStep = reflect.TypeOf(step{})
+
+type model struct {
+	queued, running map[int]int
+	parked          map[int]bool
+}
+
+const (
+	propertyKeys  = 12
+	propertyQuota = 5
+)
+
+func propertyJob(key int) Job[int] {
+	j := task(key, fmt.Sprint("account", key%5), time.Duration(1+key*100)*time.Millisecond)
+	j.Slots = uint32(1 + key%3)
+	j.Class = Class(key % 3)
+	return j
+}
+
+func propertyAccounts(variant int) []Account {
+	return []Account{
+		{Name: "team", Weight: 2, QuotaSlots: propertyQuota},
+		{Name: "account0", Parent: "team", Weight: uint32(variant)},
+		{Name: "account1", Parent: "team"},
+		{Name: "account2", Parent: "account1"},
+		{Name: "account3", Parent: "account4"},
+		{Name: "account4", Parent: "account3"},
+	}
+}
+
+// apply makes one call on the queue and on the model, and reports a mismatch.
+func (m *model) apply(q *Queue[int], s step, now time.Time) error {
+	key := s.Key % propertyKeys
+	switch s.Op {
+	case 0, 1:
+		q.Push(now, propertyJob(key), s.Count)
+		m.queued[key] += s.Count
+	case 2, 3, 4:
+		return m.next(q, s, now)
+	case 5:
+		n := min(s.Count, m.running[key])
+		if q.Finish(now, key, n, time.Duration(n)*time.Second, 0) != (n > 0) {
+			return fmt.Errorf("finish of %d tasks of %d", n, key)
+		}
+		m.running[key] -= n
+	case 6:
+		q.Unpark()
+		clear(m.parked)
+	case 7:
+		if dropped := q.Drop(key); dropped != m.queued[key] {
+			return fmt.Errorf("dropped %d of %d tasks", dropped, m.queued[key])
+		}
+		m.queued[key] = 0
+		delete(m.parked, key)
+	case 8:
+		q.SetAccounts(now, propertyAccounts(s.Count))
+	}
+	return nil
+}
+
+// next starts or parks a pick. When there is none, each job must be parked, over
+// quota or held back.
+func (m *model) next(q *Queue[int], s step, now time.Time) error {
+	pick, found := q.Next(now)
+	if !found {
+		return m.idle(q)
+	}
+	if pick.Max < 1 || pick.Max > m.queued[pick.Key] || m.parked[pick.Key] {
+		return fmt.Errorf("picked %+v with %d queued", pick, m.queued[pick.Key])
+	}
+	if s.Op == 4 {
+		q.Park(pick.Key, reason.NoWorkers)
+		m.parked[pick.Key] = true
+		return nil
+	}
+	q.Start(now, pick.Key, pick.Max)
+	m.queued[pick.Key] -= pick.Max
+	m.running[pick.Key] += pick.Max
+	if used := m.teamSlots(); used > propertyQuota {
+		return fmt.Errorf("%d slots in use, over the quota", used)
+	}
+	return nil
+}
+
+func inTeam(key int) bool { return key%5 <= 2 }
+
+func (m *model) teamSlots() int {
+	used := 0
+	for key, n := range m.running {
+		if inTeam(key) {
+			used += n * int(propertyJob(key).Slots)
+		}
+	}
+	return used
+}
+
+func (m *model) idle(q *Queue[int]) error {
+	for key, n := range m.queued {
+		free := !inTeam(key) || m.teamSlots()+3 <= propertyQuota
+		if n > 0 && !m.parked[key] && free && q.starved == nil {
+			return fmt.Errorf("job %d waits although nothing stands in its way", key)
+		}
+	}
+	return nil
+}
+
+// Whatever the calls, no task is picked twice or lost, quotas hold, and a task
+// that nothing stands in the way of is offered.
+func TestQueueAgreesWithModel(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	steps := gen.SliceOfN(200, gen.Struct(reflectStep, map[string]gopter.Gen{
+		"Op": gen.IntRange(0, 8), "Key": gen.IntRange(0, 99), "Count": gen.IntRange(1, 6), "Wait": gen.IntRange(0, 400),
+	}))
+	properties.Property("agrees", prop.ForAll(func(steps []step) (bool, error) {
+		q := newQueue(propertyAccounts(1)...)
+		m := &model{map[int]int{}, map[int]int{}, map[int]bool{}}
+		now := start
+		for i, s := range steps {
+			now = now.Add(time.Duration(s.Wait) * time.Millisecond)
+			if err := m.apply(q, s, now); err != nil {
+				return false, fmt.Errorf("step %d: %w", i, err)
+			}
+		}
+		return true, nil
+	}, steps))
+	properties.TestingRun(t)
+}
