--- a/internal/connection/peer/doc.go
+++ b/internal/connection/peer/doc.go
@@ -12,6 +12,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
 )
 
 const logPrefix = "peer: "
@@ -49,13 +50,13 @@
 // Owner takes the batches of homes. The server of this package calls it.
 type Owner interface {
 	// Join starts a session. It returns false to refuse.
-	Join(s *Session) bool
+	Join(s holder.Session) bool
 	// Offer hands over batches. Each task gets one result on the session.
-	Offer(s *Session, groups []*pb.RunGroup)
+	Offer(s holder.Session, groups []*pb.RunGroup)
 	// Withdraw takes back what has not started of the submissions.
-	Withdraw(s *Session, ids []*pb.SubmissionID)
+	Withdraw(s holder.Session, ids []*pb.SubmissionID)
 	// Leave ends a session: its tasks that have not started never will.
-	Leave(s *Session)
+	Leave(s holder.Session)
 	// Advert describes the owner now.
 	Advert() *pb.Advert
 }
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,23 +15,23 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
-// Session is one home's connection to this owner.
-type Session struct {
-	Home        string
-	Incarnation uint64
-
-	out *ring.Ring[*pb.RunResponse]
+// session is one home's connection to this owner.
+type session struct {
+	home    string
+	out     *ring.Ring[*pb.RunResponse]
+	version uint64 // of the held workers the home was told last
+	taken   atomic.Uint64
 }
 
-// NewSession returns a session that is not connected to anything, for an owner
-// inside the same process and for tests.
-func NewSession(home string, incarnation uint64, capacity int) *Session {
-	return &Session{Home: home, Incarnation: incarnation, out: ring.New[*pb.RunResponse](capacity)}
-}
+// Took counts tasks that show in the owner's advert from now on.
+func (s *session) Took(tasks int) { s.taken.Add(uint64(tasks)) }
+
+// HomeName is the entry VM at the other end.
+func (s *session) HomeName() string { return s.home }
 
 // Report queues results for the home. When the ring is full the session ends:
 // the home then asks the workers, which is slower but loses nothing.
-func (s *Session) Report(m *pb.RunResponse) {
+func (s *session) Report(m *pb.RunResponse) {
 	if !s.out.TryPush(m) {
 		s.out.Close()
 	}
@@ -81,12 +82,12 @@
 	if hello == nil || (hello.PeerIncarnation != 0 && hello.PeerIncarnation != s.self.Incarnation) {
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("not the incarnation that was asked for"))
 	}
-	session := NewSession(hello.EntryVm, hello.Incarnation, s.settings.Ring)
+	session := &session{home: hello.EntryVm, out: ring.New[*pb.RunResponse](s.settings.Ring)}
 	if !s.owner.Join(session) {
 		return connect.NewError(connect.CodeUnavailable, errors.New("not taking sessions"))
 	}
 	defer s.owner.Leave(session)
-	if err := conn.Send(&pb.RunResponse{Advert: s.owner.Advert()}); err != nil {
+	if err := conn.Send(&pb.RunResponse{Advert: session.brief(s.owner.Advert())}); err != nil {
 		return err
 	}
 	heard := make(chan struct{}, 1)
@@ -95,7 +96,7 @@
 }
 
 // receive is the session's reading duty.
-func (s *Server) receive(conn *serverStream, session *Session, heard chan<- struct{}) {
+func (s *Server) receive(conn *serverStream, session *session, heard chan<- struct{}) {
 	defer session.out.Close()
 	for {
 		m, err := conn.Receive()
@@ -118,7 +119,7 @@
 // send is the session's writing duty: results as they come, an advert and a
 // heartbeat at each beat. It ends when the home was silent too long, because
 // tasks must not wait here for a home that is gone.
-func (s *Server) send(ctx context.Context, conn *serverStream, session *Session, heard <-chan struct{}) error {
+func (s *Server) send(ctx context.Context, conn *serverStream, session *session, heard <-chan struct{}) error {
 	beats := time.NewTicker(s.settings.Beat)
 	defer beats.Stop()
 	last := time.Now()
@@ -136,7 +137,7 @@
 				return connect.NewError(connect.CodeDeadlineExceeded, errors.New("home is silent"))
 			}
 			beat++
-			m = &pb.RunResponse{Beat: beat, Advert: s.owner.Advert()}
+			m = &pb.RunResponse{Beat: beat}
 		case <-session.out.Ready():
 			m = joinResponses(session.out.Drain())
 			if m == nil && session.out.Closed() {
@@ -146,12 +147,33 @@
 		if m == nil {
 			continue
 		}
+		m.Advert = session.brief(s.owner.Advert())
 		if err := conn.Send(m); err != nil {
 			return err
 		}
 	}
 }
 
+// brief is the advert for this home. It leaves the list of workers out of an advert that the home has already:
+// the list is long and changes seldom.
+func (s *session) brief(m *pb.Advert) *pb.Advert {
+	brief := &pb.Advert{
+		Incarnation:    m.Incarnation,
+		Domain:         m.Domain,
+		FreeSlots:      m.FreeSlots,
+		QueuedTasks:    m.QueuedTasks,
+		Draining:       m.Draining,
+		WorkersVersion: m.WorkersVersion,
+		Slots:          m.Slots,
+		TakenTasks:     s.taken.Load(),
+	}
+	if m.WorkersVersion != s.version {
+		s.version = m.WorkersVersion
+		brief.Workers = m.Workers
+	}
+	return brief
+}
+
 func joinResponses(waiting []*pb.RunResponse) *pb.RunResponse {
 	if len(waiting) == 0 {
 		return nil
@@ -159,9 +181,6 @@
 	m := waiting[0]
 	for _, next := range waiting[1:] {
 		m.Results = append(m.Results, next.Results...)
-		if next.Advert != nil {
-			m.Advert = next.Advert
-		}
 	}
 	return m
 }
--- /dev/null
+++ b/internal/process/fleet/fleet.go
@@ -0,0 +1,135 @@
+// Package fleet keeps what the platform's list of VMs said, as immutable
+// snapshots: which entry VMs and workers there are, and which workers are the
+// candidates of a ticket.
+//
+// The list lags and can be out of reach; nothing here decides that a VM is dead.
+// Snapshots only go forward in version: a stale read changes nothing.
+package fleet
+
+import (
+	"slices"
+	"sync"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+)
+
+// Bounds on the candidates of a ticket: a recovery asks that many workers at
+// most, and a job has that many workers' slots at most.
+const (
+	CandidatesAtHome    = 48
+	CandidatesElsewhere = 48
+)
+
+// keptSnapshots is how many list versions are remembered for tickets.
+const keptSnapshots = 64
+
+// VM is one entry of the list.
+type VM struct {
+	ID          string
+	Incarnation uint64
+	Domain      string
+	Region      string
+	Rack        string
+	Address     string
+	Leaving     bool
+	Since       uint64
+}
+
+// Snapshot is the list at one version.
+type Snapshot struct {
+	Version uint64
+	Entries map[string]VM
+	Workers map[string]VM
+	pool    *ownership.Pool
+}
+
+// Fleet remembers snapshots. It is safe for concurrent use.
+type Fleet struct {
+	mu      sync.Mutex
+	history []*Snapshot // by version, the newest last
+}
+
+// New returns a Fleet that has seen no list.
+func New() *Fleet {
+	return &Fleet{history: []*Snapshot{build(&pb.ListVMsResponse{})}}
+}
+
+// Update takes a list and reports whether it was newer than the last one.
+func (f *Fleet) Update(m *pb.ListVMsResponse) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Version <= f.history[len(f.history)-1].Version {
+		return false
+	}
+	f.history = append(f.history, build(m))
+	if len(f.history) > keptSnapshots {
+		f.history = slices.Delete(f.history, 0, 1)
+	}
+	return true
+}
+
+func build(m *pb.ListVMsResponse) *Snapshot {
+	s := &Snapshot{Version: m.Version, Entries: make(map[string]VM), Workers: make(map[string]VM)}
+	for _, v := range m.Vms {
+		vm := VM{v.Id, v.Incarnation, v.Domain, v.Region, v.Rack, v.Address, v.Leaving, v.SinceVersion}
+		switch v.Role {
+		case pb.VMRole_VM_ROLE_ENTRY:
+			s.Entries[v.Id] = vm
+		case pb.VMRole_VM_ROLE_WORKER:
+			s.Workers[v.Id] = vm
+		}
+	}
+	s.pool = ownership.NewPool(s.refs(m.Version))
+	return s
+}
+
+// refs names the workers that had joined by a list version.
+func (s *Snapshot) refs(by uint64) []ownership.WorkerRef {
+	refs := make([]ownership.WorkerRef, 0, len(s.Workers))
+	for _, w := range s.Workers {
+		if w.Since <= by {
+			refs = append(refs, ownership.WorkerRef{ID: w.ID, Incarnation: w.Incarnation, Domain: w.Domain})
+		}
+	}
+	return refs
+}
+
+// Latest returns the newest snapshot.
+func (f *Fleet) Latest() *Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history[len(f.history)-1]
+}
+
+// Choose draws the candidates of a new ticket, and their digest.
+func (s *Snapshot) Choose(id ticket.ID, domain string) ([]ownership.WorkerRef, uint64) {
+	refs := candidates(s.pool, id, domain)
+	return refs, ownership.Digest(refs)
+}
+
+func candidates(pool *ownership.Pool, id ticket.ID, domain string) []ownership.WorkerRef {
+	return pool.Candidates(id.Incarnation^id.Counter*goldenRatio, domain, CandidatesAtHome, CandidatesElsewhere)
+}
+
+// goldenRatio spreads consecutive counters over the whole range.
+const goldenRatio = 0x9E3779B97F4A7C15
+
+// Candidates derives the workers of a ticket from what this VM knows. complete
+// is false when it can not be proven that they are all of them: the list of the
+// ticket's version is not known here, and workers have gone since.
+func (f *Fleet) Candidates(t *ticket.Ticket) (refs []ownership.WorkerRef, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.history) - 1; i >= 0; i-- {
+		if s := f.history[i]; s.Version == t.ListVersion {
+			refs = candidates(s.pool, t.ID, t.Domain)
+			return refs, ownership.Digest(refs) == t.Digest
+		}
+	}
+	latest := f.history[len(f.history)-1]
+	pool := ownership.NewPool(latest.refs(t.ListVersion))
+	refs = candidates(pool, t.ID, t.Domain)
+	return refs, ownership.Digest(refs) == t.Digest
+}
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -52,6 +52,8 @@
 type Session interface {
 	// Report queues results for the home and does not block.
 	Report(m *pb.RunResponse)
+	// Took counts tasks of an offer that show in the advert from now on.
+	Took(tasks int)
 	// HomeName is the entry VM at the other end.
 	HomeName() string
 }
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -58,8 +58,9 @@
 
 // flight is a task that was sent to a worker and has no end yet.
 type flight struct {
-	session Session // nil: started under an earlier lease
-	group   *pb.RunGroup
+	session Session
+	left    bool         // the session ended, nobody is told of the end
+	group   *pb.RunGroup // nil: started under an earlier lease
 	each    placement.Resources
 	started time.Time
 }
@@ -84,8 +85,8 @@
 	now     time.Time
 	dirty   bool // the held workers changed
 
-	starts  map[string]*pb.HoldRequest   // of this round, by worker
-	reports map[Session]*pb.RunResponse  // of this round
+	starts  map[string]*pb.HoldRequest  // of this round, by worker
+	reports map[Session]*pb.RunResponse // of this round
 	buf     []placement.Assignment
 
 	draining atomic.Bool
@@ -192,7 +193,6 @@
 	}
 	for s, m := range h.reports {
 		delete(h.reports, s)
-		m.Advert = h.Advert()
 		s.Report(m)
 	}
 }
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -3,6 +3,7 @@
 import (
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
@@ -121,7 +122,17 @@
 	busy := h.now.Sub(f.started)
 	h.order.Finish(h.now, workKey{f.session, t.id}, 1, busy, float64(r.Milliwatts)*busy.Seconds())
 	h.cfg.Observer.Ended(f.group.Account, f.group.Template, w.id, r)
-	if f.session != nil {
+	if !f.left {
 		h.report(f.session, t.id, f.group.Generation, r)
 	}
 }
+
+// updateCapacity tells the order of work what there is to share.
+func (h *Holder) updateCapacity() {
+	var c fairness.Capacity
+	for _, w := range h.workers {
+		c.Slots += float64(w.capacity.Slots)
+		c.Milliwatts += float64(w.capacity.Milliwatts)
+	}
+	h.order.SetCapacity(h.now, c)
+}
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -23,8 +23,15 @@
 	h.events.Push(offerEvent{s, groups})
 }
 
+// TryOffer is Offer for callers that must not wait. It reports whether the
+// batches were taken.
+func (h *Holder) TryOffer(s Session, groups []*pb.RunGroup) bool {
+	return h.events.TryPush(offerEvent{s, groups})
+}
+
 func (ev offerEvent) apply(h *Holder) {
 	for _, g := range ev.groups {
+		ev.session.Took(len(g.Index))
 		if len(g.Index) != len(g.Input) {
 			continue
 		}
@@ -183,7 +190,7 @@
 		Input:            g.m.Input[g.next:until],
 	})
 	for _, index := range g.m.Index[g.next:until] {
-		w.flights[taskKey{key.id, index}] = flight{key.session, g.m, g.each, h.now}
+		w.flights[taskKey{key.id, index}] = flight{session: key.session, group: g.m, each: g.each, started: h.now}
 	}
 	g.next = until
 }
@@ -268,7 +275,7 @@
 	for _, w := range h.workers {
 		for t, f := range w.flights {
 			if f.session == ev.session {
-				f.session = nil
+				f.left = true
 				w.flights[t] = f
 			}
 		}
@@ -290,7 +297,7 @@
 	busy := h.queued > 0
 	for _, w := range h.workers {
 		for _, f := range w.flights {
-			busy = busy || f.session != nil
+			busy = busy || (f.group != nil && !f.left)
 		}
 	}
 	ev.answer <- busy
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -20,17 +20,21 @@
 	slots       int
 	free        int
 	queued      int
-	sent        int // tasks sent since the last advert
+	sent        uint64 // tasks sent on the present link
+	taken       uint64 // of these, counted in free and queued
 	draining    bool
 	up          bool
 }
 
 // spare is how many more tasks would start at once.
-func (o *owner) spare() int { return o.free - o.queued - o.sent }
+func (o *owner) spare() int { return o.free - o.queued - o.underway() }
+
+// underway is the tasks sent that the owner's advert does not show yet.
+func (o *owner) underway() int { return int(o.sent - o.taken) }
 
 // load is the work waiting per slot, for choosing where to queue.
 func (o *owner) load() float64 {
-	return float64(o.queued+o.sent+o.slots-o.free) / float64(max(o.slots, 1))
+	return float64(o.queued+o.underway()+o.slots-o.free) / float64(max(o.slots, 1))
 }
 
 // ownerSet orders owners: this entry VM first, then its failure domain, then
@@ -202,7 +206,7 @@
 		given += len(indexes)
 	}
 	if given > 0 {
-		o.sent += given
+		o.sent += uint64(given)
 		h.step(e, "handed out", "", fmt.Sprintf("%d tasks to %s", given, o.name))
 	}
 	return given
@@ -256,7 +260,7 @@
 	}
 	o.free = int(ev.m.FreeSlots)
 	o.queued = int(ev.m.QueuedTasks)
-	o.sent = 0
+	o.taken = ev.m.TakenTasks
 	o.slots = int(ev.m.Slots)
 	o.draining = ev.m.Draining
 	if o.domain != ev.m.Domain {
