Ownership: keep hashes next to each other when drawing candidates

Cause: Candidates cost 7 ns a worker at 2,900, three times what the hash itself takes.

Change: hashes in one slice for each domain, apart from the references; the seed is mixed once; the lowest kept weight is compared before anything is built.

Below 200 workers the heap and the sort of the 32 chosen dominate, and nothing changes.

--- a/internal/process/ownership/ownership.go
+++ b/internal/process/ownership/ownership.go
@@ -37,14 +37,12 @@
 	domains []domain // by name
 }
 
+// domain keeps hashes apart from references: a draw reads every hash, and
+// next to each other eight of them share a cache line.
 type domain struct {
-	name    string
-	workers []hashed // by ID
-}
-
-type hashed struct {
-	ref  WorkerRef
-	hash uint64
+	name   string
+	refs   []WorkerRef // by ID
+	hashes []uint64    // same order as refs
 }
 
 // NewPool hashes the workers. Their order does not matter.
@@ -58,8 +56,9 @@
 			p.domains = append(p.domains, domain{name: ref.Domain})
 			last++
 		}
-		entry := hashed{ref: ref, hash: xxhash.Sum64String(ref.ID)}
-		p.domains[last].workers = append(p.domains[last].workers, entry)
+		d := &p.domains[last]
+		d.refs = append(d.refs, ref)
+		d.hashes = append(d.hashes, xxhash.Sum64String(ref.ID))
 	}
 	return p
 }
@@ -69,19 +68,20 @@
 // each part by falling weight. The weight does not depend on the incarnation,
 // so a restart moves no candidate.
 func (p *Pool) Candidates(ticketSeed uint64, homeDomain string, perHome, others int) []WorkerRef {
+	key := mix(ticketSeed)
 	home := newTop(perHome)
 	rest := newTop(others)
 	for i := range p.domains {
 		d := &p.domains[i]
 		if d.name == homeDomain {
-			home.offer(ticketSeed, d.workers)
+			home.offer(key, d)
 		} else {
-			rest.offer(ticketSeed, d.workers)
+			rest.offer(key, d)
 		}
 	}
 	refs := make([]WorkerRef, 0, len(home.best)+len(rest.best))
-	refs = home.refs(refs)
-	return rest.refs(refs)
+	refs = home.drain(refs)
+	return rest.drain(refs)
 }
 
 // Candidates draws from a list that is used once. Draw from a Pool to use a
--- a/internal/process/ownership/top.go
+++ b/internal/process/ownership/top.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// top keeps the entries of highest weight, in a heap with the lowest of them
+// top keeps the workers of highest weight, in a heap with the lowest of them
 // first.
 type top struct {
 	limit int
@@ -14,7 +14,7 @@
 
 type weighed struct {
 	weight uint64
-	entry  *hashed
+	ref    *WorkerRef
 }
 
 func newTop(limit int) *top {
@@ -22,27 +22,46 @@
 	return &top{limit: limit, best: make([]weighed, 0, limit)}
 }
 
-// offer weighs every entry and keeps the best.
-func (t *top) offer(seed uint64, entries []hashed) {
+// offer weighs every worker of d under the mixed seed and keeps the best.
+func (t *top) offer(key uint64, d *domain) {
 	if t.limit == 0 {
 		return
 	}
-	for i := range entries {
-		w := weighed{weight(seed, entries[i].hash), &entries[i]}
-		if len(t.best) < t.limit {
-			t.push(w)
-		} else if compare(w, t.best[0]) > 0 {
-			t.best[0] = w
-			t.sink()
+	floor := t.floor()
+	for i, hash := range d.hashes {
+		w := mix(key ^ hash)
+		if w < floor {
+			continue
 		}
+		t.keep(weighed{w, &d.refs[i]})
+		floor = t.floor()
 	}
 }
 
-// refs appends the entries to refs by falling weight. It uses up the heap.
-func (t *top) refs(refs []WorkerRef) []WorkerRef {
+// floor returns the weight below which nothing is kept.
+func (t *top) floor() uint64 {
+	if len(t.best) < t.limit {
+		return 0
+	}
+	return t.best[0].weight
+}
+
+func (t *top) keep(w weighed) {
+	if len(t.best) < t.limit {
+		t.push(w)
+		return
+	}
+	if compare(w, t.best[0]) > 0 {
+		t.best[0] = w
+		t.sink()
+	}
+}
+
+// drain appends the workers to refs by falling weight. It uses up the heap.
+func (t *top) drain(refs []WorkerRef) []WorkerRef {
 	slices.SortFunc(t.best, func(a, b weighed) int { return compare(b, a) })
 	for _, w := range t.best {
-		refs = append(refs, w.entry.ref)
+		refs = append(refs, *w.ref)
 	}
 	return refs
 }
@@ -83,5 +102,5 @@
 	if c := cmp.Compare(a.weight, b.weight); c != 0 {
 		return c
 	}
-	return compareRefs(b.entry.ref, a.entry.ref)
+	return compareRefs(*b.ref, *a.ref)
 }
