Let corrections of the estimate fade with samples

Cause: a correction made while a template was under-declared by 3 lost only a half with each window of 128 samples, which took tens of seconds, while the samples had shown the draw long before.

Change: a quarter of the correction goes with every 8 samples.

--- a/internal/process/estimate/estimate.go
+++ b/internal/process/estimate/estimate.go
@@ -193,19 +193,19 @@
 	}
 }
 
-// turn starts a new window in place of the older one and halves what is left
-// of a correction, since the samples now show the draw themselves.
+// turn starts a new window in place of the older one.
 func (n *entry) turn() {
 	n.current = 1 - n.current
 	for i := range n.series {
 		n.series[i][n.current] = window{}
 	}
-	n.correction = permilleFull + (n.correction-permilleFull)/2
 }
 
-// refresh computes the learned quantiles.
+// refresh computes the learned quantiles and takes a quarter off a correction,
+// since the samples show the draw themselves.
 func (e *Estimator) refresh(n *entry) {
 	n.stale = 0
+	n.correction -= (n.correction - permilleFull) / 4
 	permille := [3]int{
 		seriesTime:   e.settings.TimePermille,
 		seriesPower:  e.settings.PowerPermille,
@@ -218,7 +218,7 @@
 
 // Underestimated tells that a worker which ran tasks of this key drew permille
 // thousandths of what was charged there. The learned draw is raised by as
-// much; half of the correction goes with each window of samples.
+// much; a quarter of the correction goes with every 8 samples.
 func (e *Estimator) Underestimated(template, account string, permille uint32) {
 	n := e.entries[key{template, account}]
 	if n == nil || permille <= permilleFull {
