--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -25,6 +25,22 @@
 	WatchGrace = time.Second
 )
 
+// NewHTTPClient returns the HTTP client to dial with.
+//
+// It speaks HTTP/1.1 only. A connection can go silent for good while new ones
+// work; HTTP/2 would go on putting calls on it, and each would time out. On
+// HTTP/1.1 a call that times out takes its connection with it, and the next
+// call opens another.
+func NewHTTPClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Client{Transport: &http.Transport{Protocols: protocols, MaxIdleConnsPerHost: idleConnections}}
+}
+
+// idleConnections is how many connections to the service are kept for reuse: a
+// watch, and a few calls beside it.
+const idleConnections = 4
+
 // Client calls the platform's service.
 type Client struct {
 	service pumiceyardv1connect.PlatformServiceClient
--- /dev/null
+++ b/internal/version/document/diff.go
@@ -0,0 +1,58 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Difference is one field that two documents disagree on.
+type Difference struct {
+	Path string // such as templates[quote].deadline_millis
+	Old  string // JSON, empty when the field was added
+	New  string // JSON, empty when the field was removed
+}
+
+// Diff lists what changes from one document to another, in the order of the
+// paths. It leaves out revision, change id, author and time.
+func Diff(from, to *Document) []Difference {
+	before, after := from.fields(), to.fields()
+	paths := maps.Clone(before)
+	maps.Copy(paths, after)
+	var differences []Difference
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		if before[path] != after[path] {
+			differences = append(differences, Difference{Path: path, Old: before[path], New: after[path]})
+		}
+	}
+	return differences
+}
+
+// fields maps the path of each field to its value in JSON.
+func (d *Document) fields() map[string]string {
+	fields := make(map[string]string)
+	for _, t := range d.Templates {
+		flatten(fields, fmt.Sprintf("templates[%s]", t.Name), t)
+	}
+	for _, a := range d.Accounts {
+		flatten(fields, fmt.Sprintf("accounts[%s]", a.Name), a)
+	}
+	flatten(fields, "site", d.Site)
+	return fields
+}
+
+func flatten(fields map[string]string, path string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("document: a document that cannot be encoded: " + err.Error())
+	}
+	var object map[string]json.RawMessage
+	if json.Unmarshal(text, &object) != nil {
+		fields[path] = string(text)
+		return
+	}
+	for name, field := range object {
+		flatten(fields, path+"."+name, field)
+	}
+}
