--- /dev/null
+++ b/internal/connection/caller/doc.go
@@ -0,0 +1,154 @@
+// Package caller is the HTTP/JSON interface to callers.
+//
+//	POST   /v1/tickets                        tickets, in batches
+//	PUT    /v1/submissions/{ticket}           submit, or attach when known
+//	POST   /v1/submissions                    submit under a ticket minted on arrival
+//	GET    /v1/submissions/{ticket}           attach, waits for the answer
+//	DELETE /v1/submissions/{ticket}           cancel
+//	GET    /v1/submissions/{ticket}/timeline  what happened and why
+//
+// A caller authenticates with its client account's key as a bearer token.
+// Refusals and failures are RFC 9457 problem details with the members outcome
+// (not_run, failed, unknown), reason (a stable code) and, where it makes sense
+// to ask again, retry_after_millis.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/process/router"
+	"github.com/pumiceyard/pumiceyard/internal/request/job"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+// Settings bound what a caller may send.
+type Settings struct {
+	MaxBodyBytes int64
+	MaxTasks     int // over all templates
+	MaxDepth     int // of nested JSON in a task
+	MaxTickets   int // in one batch
+	// Wait bounds one GET; the caller asks again afterwards.
+	Wait time.Duration
+}
+
+// Defaults returns bounds that fit a job of 920 tasks of some KB each.
+func Defaults() Settings {
+	return Settings{MaxBodyBytes: 16 << 20, MaxTasks: 4096, MaxDepth: 32, MaxTickets: 256, Wait: 25 * time.Second}
+}
+
+// Router drives submissions.
+type Router interface {
+	Mint(account string) (ticket.Ticket, string)
+	Parse(token, account string) (ticket.Ticket, *ticket.Error)
+	Submit(ctx context.Context, req router.Request) *job.Answer
+	Attach(ctx context.Context, token string, t ticket.Ticket, forwarded bool) *job.Answer
+	Cancel(ctx context.Context, token string, t ticket.Ticket, forwarded bool) bool
+}
+
+// Timelines collects the steps of a submission over the entry VMs.
+type Timelines interface {
+	Collect(ctx context.Context, id ticket.ID) []NamedStep
+}
+
+// NamedStep is a step with the entry VM that noted it.
+type NamedStep struct {
+	EntryVM string
+	timeline.Step
+}
+
+// SubmitBody is the body of a submission.
+type SubmitBody struct {
+	Template       string            `json:"template"`
+	Tasks          []json.RawMessage `json:"tasks"`
+	DeadlineMillis uint32            `json:"deadline_millis,omitempty"`
+}
+
+// TicketsBody asks for tickets.
+type TicketsBody struct {
+	Count int `json:"count"`
+}
+
+// Tickets is a batch of tickets.
+type Tickets struct {
+	Tickets []IssuedTicket `json:"tickets"`
+}
+
+// IssuedTicket is one ticket.
+type IssuedTicket struct {
+	Ticket           string `json:"ticket"`
+	ID               string `json:"id"`
+	ExpiryUnixMillis int64  `json:"expiry_unix_millis"`
+}
+
+// Result is a complete answer.
+type Result struct {
+	Ticket   string            `json:"ticket"`
+	Outcome  reason.Outcome    `json:"outcome"`
+	Outputs  []json.RawMessage `json:"outputs"`
+	Revision uint64            `json:"revision"`
+}
+
+// Problem tells why there is no complete answer (RFC 9457).
+type Problem struct {
+	Type             string         `json:"type"`
+	Title            string         `json:"title"`
+	Status           int            `json:"status"`
+	Detail           string         `json:"detail,omitempty"`
+	Outcome          reason.Outcome `json:"outcome"`
+	Reason           reason.Code    `json:"reason"`
+	RetryAfterMillis int64          `json:"retry_after_millis,omitempty"`
+	Task             *uint32        `json:"task,omitempty"`
+	Ticket           string         `json:"ticket,omitempty"`
+}
+
+// TimelineBody lists what happened to a submission.
+type TimelineBody struct {
+	ID    string         `json:"id"`
+	Steps []TimelineStep `json:"steps"`
+}
+
+// TimelineStep is one step, in the order of time.
+type TimelineStep struct {
+	UnixMicros int64       `json:"unix_micros"`
+	EntryVM    string      `json:"entry_vm"`
+	Step       string      `json:"step"`
+	Reason     reason.Code `json:"reason,omitempty"`
+	Detail     string      `json:"detail,omitempty"`
+}
+
+// statusOf maps a reason to an HTTP status.
+func statusOf(code reason.Code, outcome reason.Outcome) int {
+	switch code {
+	case reason.MalformedRequest, reason.BadTicket, reason.TooManyTasks, reason.TicketExpired:
+		return http.StatusBadRequest
+	case reason.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case reason.WrongKey:
+		return http.StatusUnauthorized
+	case reason.ForeignTicket:
+		return http.StatusForbidden
+	case reason.UnknownTemplate, reason.UnknownAccount, reason.NoSuchSubmission:
+		return http.StatusNotFound
+	case reason.NeverFits, reason.TicketRequired, reason.DeadlineTooShort:
+		return http.StatusUnprocessableEntity
+	case reason.PayloadMismatch, reason.Cancelled:
+		return http.StatusConflict
+	case reason.QuotaExceeded, reason.QueueFull, reason.BrownOut:
+		return http.StatusTooManyRequests
+	case reason.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	}
+	if outcome == reason.Failed {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Documents gives the configuration in force, nil before there is one.
+type Documents func() *document.Document
--- a/internal/connection/upstream/link.go
+++ b/internal/connection/upstream/link.go
@@ -245,21 +245,27 @@
 	}
 }
 
-// flush joins all waiting messages into one.
+// flush joins all waiting messages into one. A message that was made under an
+// earlier lease is dropped: its starts were reported as lost with that lease,
+// and sent under this one they would run without the holder's knowledge.
 func (l *Link) flush(conn *holdStream, epoch uint64) error {
-	waiting := l.out.Drain()
-	if len(waiting) == 0 {
-		return nil
-	}
-	joined := waiting[0]
-	for _, m := range waiting[1:] {
-		joined.Starts = append(joined.Starts, m.Starts...)
-		joined.Stops = append(joined.Stops, m.Stops...)
-		if m.Throttle != nil {
-			joined.Throttle = m.Throttle
+	var joined *pb.HoldRequest
+	for _, m := range l.out.Drain() {
+		switch {
+		case m.Epoch != epoch:
+		case joined == nil:
+			joined = m
+		default:
+			joined.Starts = append(joined.Starts, m.Starts...)
+			joined.Stops = append(joined.Stops, m.Stops...)
+			if m.Throttle != nil {
+				joined.Throttle = m.Throttle
+			}
 		}
 	}
-	joined.Epoch = epoch
+	if joined == nil {
+		return nil
+	}
 	return conn.Send(joined)
 }
 
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,275 @@
+// Package entry assembles one entry VM: it wires the duties of a process to each
+// other and to their connections, and starts and stops them.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
+	"github.com/pumiceyard/pumiceyard/internal/connection/platform"
+	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
+	"github.com/pumiceyard/pumiceyard/internal/process/home"
+	"github.com/pumiceyard/pumiceyard/internal/process/metrics"
+	"github.com/pumiceyard/pumiceyard/internal/process/router"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+const logPrefix = "entry: "
+
+// maxForwards is how often a home is tried before it counts as gone.
+const maxForwards = 2
+
+// VM is one running entry VM.
+type VM struct {
+	settings    Settings
+	incarnation uint64
+
+	document  atomic.Pointer[document.Document]
+	fleet     *fleet.Fleet
+	timelines *timeline.Store
+	metrics   *metrics.Metrics
+	home      *home.Home
+	holder    *holder.Holder
+	router    *router.Router
+	peers     *peerSet
+	workers   *workerSet
+	local     *localSession
+	platform  *platform.Client
+	platHTTP  *http.Client
+
+	listeners listeners
+	servers   []*http.Server
+	ready     atomic.Bool
+	draining  atomic.Bool
+
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// listeners are the VM's sockets.
+type listeners struct{ caller, operator, peer net.Listener }
+
+// Start brings an entry VM up. It listens when Start returns, and turns ready
+// once it has a configuration and a list of VMs.
+func Start(s Settings) (*VM, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	vm := &VM{settings: s, incarnation: ticket.NewIncarnation(time.Now())}
+	if err := vm.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.cancel = cancel
+	vm.build()
+	vm.run(ctx)
+	klog.InfoS(logPrefix+"started", "name", s.Name, "domain", s.Domain, "incarnation", vm.incarnation,
+		"callers", vm.CallerAddress(), "operators", vm.OperatorAddress(), "peers", vm.PeerAddress())
+	return vm, nil
+}
+
+func (vm *VM) listen() error {
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{vm.settings.CallerListen, &vm.listeners.caller},
+		{vm.settings.OperatorListen, &vm.listeners.operator},
+		{vm.settings.PeerListen, &vm.listeners.peer},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			vm.closeListeners()
+			return err
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+func (vm *VM) closeListeners() {
+	for _, l := range []net.Listener{vm.listeners.caller, vm.listeners.operator, vm.listeners.peer} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// build creates the duties and wires them.
+func (vm *VM) build() {
+	s := &vm.settings
+	vm.fleet = fleet.New()
+	vm.timelines = timeline.NewStore(s.Timelines)
+	vm.metrics = metrics.New(s.Name)
+	vm.platHTTP = wire.NewClient(nil, nil)
+	vm.platform = platform.Dial(vm.platHTTP, s.Platform)
+	vm.workers = newWorkerSet(vm)
+	vm.peers = newPeerSet(vm)
+
+	holderSettings := holder.Defaults()
+	holderSettings.MaxQueued = s.MaxQueuedTasks
+	vm.holder = holder.New(holder.Config{
+		Settings:    holderSettings,
+		Domain:      s.Domain,
+		Incarnation: vm.incarnation,
+		Workers:     vm.workers,
+		Observer:    vm.metrics,
+		Timelines:   vm.timelines,
+		Rack:        func(worker string) string { return vm.fleet.Latest().Workers[worker].Rack },
+		Class:       vm.classOf,
+	})
+	homeSettings := home.Defaults()
+	homeSettings.RetainBytes = s.RetainAnswerBytes
+	vm.home = home.New(home.Config{
+		Settings:    homeSettings,
+		Name:        s.Name,
+		Domain:      s.Domain,
+		Incarnation: vm.incarnation,
+		Owners:      vm.peers,
+		Workers:     vm.workers,
+		Peers:       vm.peers,
+		Timelines:   vm.timelines,
+		Observer:    vm.metrics,
+	})
+	vm.local = newLocalSession(vm)
+	vm.router = router.New(router.Config{
+		Name:        s.Name,
+		Domain:      s.Domain,
+		Incarnation: vm.incarnation,
+		Key:         []byte(s.TicketKey),
+		TicketTTL:   millis(s.TicketTTLMillis),
+		MaxForwards: maxForwards,
+		Home:        vm.home,
+		Fleet:       vm.fleet,
+		Peers:       vm.peers,
+		Document:    vm.Document,
+	})
+}
+
+// run starts the goroutines of the duties and the servers.
+func (vm *VM) run(ctx context.Context) {
+	vm.duties.Go(func() { vm.home.Run(ctx) })
+	vm.duties.Go(func() { vm.holder.Run(ctx) })
+	vm.duties.Go(func() { vm.local.run(ctx) })
+	vm.duties.Go(func() { vm.watchDocument(ctx) })
+	vm.duties.Go(func() { vm.pollList(ctx) })
+
+	callers := caller.Defaults()
+	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
+	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document).Handler())
+	self := peer.Identity{Name: vm.settings.Name, Incarnation: vm.incarnation}
+	vm.serve(vm.listeners.peer, peer.NewServer(vm.settings.peer(), vm.settings.PeerToken, self, vm.holder, peerHome{vm}).Handler())
+	vm.serve(vm.listeners.operator, vm.operatorHandler())
+}
+
+func (vm *VM) serve(l net.Listener, handler http.Handler) {
+	server := wire.NewServer(handler, nil)
+	vm.servers = append(vm.servers, server)
+	vm.duties.Go(func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, logPrefix+"listener ended", "address", l.Addr().String())
+		}
+	})
+}
+
+// Document is the configuration in force, nil before there is one.
+func (vm *VM) Document() *document.Document { return vm.document.Load() }
+
+// Incarnation is this start's identity.
+func (vm *VM) Incarnation() uint64 { return vm.incarnation }
+
+// CallerAddress is where callers connect.
+func (vm *VM) CallerAddress() string { return vm.listeners.caller.Addr().String() }
+
+// OperatorAddress is where operators connect.
+func (vm *VM) OperatorAddress() string { return vm.listeners.operator.Addr().String() }
+
+// PeerAddress is where other entry VMs connect.
+func (vm *VM) PeerAddress() string {
+	if vm.settings.PeerAddress != "" {
+		return vm.settings.PeerAddress
+	}
+	return vm.listeners.peer.Addr().String()
+}
+
+// Ready reports whether the balancer should send callers here.
+func (vm *VM) Ready() bool { return vm.ready.Load() && !vm.draining.Load() }
+
+func (vm *VM) classOf(template string) fairness.Class {
+	if d := vm.Document(); d != nil {
+		if t := d.Template(template); t != nil {
+			switch t.Class {
+			case document.Urgent:
+				return fairness.Urgent
+			case document.Bulk:
+				return fairness.Bulk
+			}
+		}
+	}
+	return fairness.Normal
+}
+
+// Kill ends the VM as a crash does: nothing is told to anyone, sockets close.
+func (vm *VM) Kill() {
+	vm.cancel()
+	for _, s := range vm.servers {
+		_ = s.Close()
+	}
+	vm.peers.stop()
+	vm.workers.stop()
+	vm.duties.Wait()
+	vm.platHTTP.CloseIdleConnections()
+	vm.metrics.Close()
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// Stop is the planned stop: unready first, unstarted tasks go back to their
+// homes, running ones end, every caller gets its answer, leases are given back.
+// It ends at the bound from the settings at the latest and reports whether
+// everything was finished by then.
+func (vm *VM) Stop(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, millis(vm.settings.ShutdownMillis))
+	defer cancel()
+	klog.InfoS(logPrefix+"stopping", "name", vm.settings.Name)
+	vm.draining.Store(true)
+	vm.router.Drain()
+	vm.holder.Drain()
+	finished := vm.waitIdle(ctx)
+	vm.workers.release()
+	for _, s := range vm.servers[:1] {
+		_ = s.Shutdown(ctx)
+	}
+	vm.Kill()
+	klog.InfoS(logPrefix+"stopped", "name", vm.settings.Name, "finished", finished)
+	return finished
+}
+
+// waitIdle waits until no submission is open here and no task runs.
+func (vm *VM) waitIdle(ctx context.Context) bool {
+	for {
+		if !vm.home.Busy() && !vm.holder.Busy() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(drainPoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/entry/settings.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
+	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
+	"github.com/pumiceyard/pumiceyard/internal/process/home"
+)
+
+// Settings are what one entry VM is told at its start. Everything else comes
+// from the platform.
+type Settings struct {
+	Name   string `json:"name"`   // unique among the site's entry VMs
+	Domain string `json:"domain"` // failure domain of this VM
+	Region string `json:"region,omitempty"`
+
+	CallerListen   string `json:"caller_listen"`   // host:port
+	OperatorListen string `json:"operator_listen"` // host:port
+	PeerListen     string `json:"peer_listen"`     // host:port
+	// PeerAddress is what other entry VMs dial; empty: the peer listener's.
+	PeerAddress string `json:"peer_address,omitempty"`
+	Platform    string `json:"platform"` // base URL of the platform's service
+
+	TicketKey string `json:"ticket_key"` // shared by the site's entry VMs, at least 16 characters
+	PeerToken string `json:"peer_token"` // shared by the site's entry VMs, at least 16 characters
+
+	TicketTTLMillis   uint32 `json:"ticket_ttl_millis"`
+	LeaseTTLMillis    uint32 `json:"lease_ttl_millis"`
+	BeatMillis        uint32 `json:"beat_millis"`         // heartbeats, to workers and peers
+	SilenceMillis     uint32 `json:"silence_millis"`      // a connection without a message is left after it
+	ListPollMillis    uint32 `json:"list_poll_millis"`    // between reads of the VM list
+	ShutdownMillis    uint32 `json:"shutdown_millis"`     // bound on a planned stop
+	RetainAnswerBytes int    `json:"retain_answer_bytes"` // final answers kept for callers that ask again
+	MaxQueuedTasks    int    `json:"max_queued_tasks"`
+	MaxBodyBytes      int64  `json:"max_body_bytes"`
+	Timelines         int    `json:"timelines"` // submissions that can be explained
+}
+
+// DefaultSettings returns settings without names, addresses and secrets.
+func DefaultSettings() Settings {
+	return Settings{
+		CallerListen:      "127.0.0.1:8080",
+		OperatorListen:    "127.0.0.1:8081",
+		PeerListen:        "127.0.0.1:8082",
+		TicketTTLMillis:   600_000,
+		LeaseTTLMillis:    3000,
+		BeatMillis:        500,
+		SilenceMillis:     1500,
+		ListPollMillis:    1000,
+		ShutdownMillis:    20_000,
+		RetainAnswerBytes: home.Defaults().RetainBytes,
+		MaxQueuedTasks:    holder.Defaults().MaxQueued,
+		MaxBodyBytes:      caller.Defaults().MaxBodyBytes,
+		Timelines:         20_000,
+	}
+}
+
+// SettingError names a setting that can not be used.
+type SettingError struct {
+	Path    string
+	Value   any
+	Allowed string
+}
+
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting %s is %v: allowed is %s", e.Path, e.Value, e.Allowed)
+}
+
+// LoadSettings reads a settings file over the defaults and validates it.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	s, err := ParseSettings(text)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings reads settings over the defaults. Unknown fields are refused:
+// a misspelt name would otherwise leave the default in force unnoticed.
+func ParseSettings(text []byte) (Settings, error) {
+	s := DefaultSettings()
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return s, errors.New("something follows the settings object")
+	}
+	return s, s.Validate()
+}
+
+const (
+	minSecret   = 16
+	maxTicketMS = 3_600_000
+	maxNameSize = 64
+)
+
+// Validate reports all settings that can not be used.
+func (s *Settings) Validate() error {
+	var errs []error
+	refuse := func(ok bool, path string, value any, allowed string) {
+		if !ok {
+			errs = append(errs, &SettingError{path, value, allowed})
+		}
+	}
+	refuse(s.Name != "" && len(s.Name) <= maxNameSize, "name", s.Name, "1 to 64 characters")
+	refuse(s.Domain != "" && len(s.Domain) <= maxNameSize, "domain", s.Domain, "1 to 64 characters")
+	for _, a := range []struct{ path, value string }{
+		{"caller_listen", s.CallerListen}, {"operator_listen", s.OperatorListen}, {"peer_listen", s.PeerListen},
+	} {
+		_, _, err := net.SplitHostPort(a.value)
+		refuse(err == nil, a.path, a.value, "host:port")
+	}
+	refuse(s.Platform != "", "platform", s.Platform, "a base URL such as http://10.0.0.1:7000")
+	refuse(len(s.TicketKey) >= minSecret, "ticket_key", secret(s.TicketKey), "at least 16 characters")
+	refuse(len(s.PeerToken) >= minSecret, "peer_token", secret(s.PeerToken), "at least 16 characters")
+	refuse(s.TicketTTLMillis >= 1000 && s.TicketTTLMillis <= maxTicketMS, "ticket_ttl_millis", s.TicketTTLMillis, "1000 to 3600000")
+	refuse(s.BeatMillis >= 10 && s.BeatMillis <= 10_000, "beat_millis", s.BeatMillis, "10 to 10000")
+	refuse(s.SilenceMillis >= 2*s.BeatMillis, "silence_millis", s.SilenceMillis, "at least twice beat_millis")
+	refuse(s.LeaseTTLMillis >= 2*s.BeatMillis && s.LeaseTTLMillis <= 10_000, "lease_ttl_millis", s.LeaseTTLMillis, "from twice beat_millis to 10000")
+	refuse(s.ListPollMillis >= 50, "list_poll_millis", s.ListPollMillis, "at least 50")
+	refuse(s.ShutdownMillis >= 100, "shutdown_millis", s.ShutdownMillis, "at least 100")
+	refuse(s.RetainAnswerBytes >= 1<<16, "retain_answer_bytes", s.RetainAnswerBytes, "at least 65536")
+	refuse(s.MaxQueuedTasks >= 1000, "max_queued_tasks", s.MaxQueuedTasks, "at least 1000")
+	refuse(s.MaxBodyBytes >= 1024, "max_body_bytes", s.MaxBodyBytes, "at least 1024")
+	refuse(s.Timelines >= 16, "timelines", s.Timelines, "at least 16")
+	return errors.Join(errs...)
+}
+
+// secret hides a secret's text in messages.
+func secret(s string) string { return fmt.Sprintf("%d characters long", len(s)) }
+
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (s *Settings) upstream() upstream.Settings {
+	u := upstream.Defaults()
+	u.LeaseTTL = millis(s.LeaseTTLMillis)
+	u.Beat = millis(s.BeatMillis)
+	u.Silence = millis(s.SilenceMillis)
+	return u
+}
+
+func (s *Settings) peer() peer.Settings {
+	p := peer.Defaults()
+	p.Beat = millis(s.BeatMillis)
+	p.Silence = millis(s.SilenceMillis)
+	return p
+}
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -12,6 +12,9 @@
 	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
 )
 
+// Join accepts a session, unless this owner is stopping.
+func (h *Holder) Join(Session) bool { return !h.draining.Load() }
+
 // offerEvent hands over batches.
 type offerEvent struct {
 	session Session
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -77,7 +77,7 @@
 		Generation:        wire.GenerationMessage(s.Gen),
 		ExpiryUnixMillis:  uint64(t.Expiry.UnixMilli()),
 		Closed:            string(s.Closed),
-		WorkerIncarnation: 0,
+		WorkerIncarnation: e.candidates[s.Worker],
 	}
 	h.cfg.Workers.Seal(s.Worker, req, func(resp *pb.SealResponse, err error) {
 		h.events.Push(sealedEvent{e, s.Worker, s, resp, err})
@@ -123,7 +123,7 @@
 		return false
 	}
 	h.step(e, "takeover", reason.HomeUnreachable, "an earlier recovery's driver is gone")
-	h.act(e, e.job.TakeOver(highest, e.sub.Candidates, e.sub.Incomplete))
+	h.act(e, e.job.TakeOver(highest, e.sub.candidateIDs(), e.sub.Incomplete))
 	h.schedule(e)
 	return true
 }
--- a/internal/process/home/doc.go
+++ b/internal/process/home/doc.go
@@ -12,6 +12,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 )
@@ -72,7 +73,7 @@
 	Each       *pb.Resources
 	Expected   time.Duration // run time of one task
 	Revision   uint64
-	Candidates []string // workers that may run its tasks
+	Candidates []ownership.WorkerRef // workers that may run its tasks
 	// Incomplete: Candidates is not known to be all of them.
 	Incomplete bool
 	// Recover: this entry VM is not the home, which can not be reached.
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -51,8 +51,8 @@
 type entry struct {
 	job        *job.Job
 	sub        Submission
-	hash       uint64 // of the inputs
-	candidates map[string]struct{}
+	hash       uint64            // of the inputs
+	candidates map[string]uint64 // incarnations of the workers, by id
 	waiters    []Reply
 	accepted   time.Time
 	holdUntil  time.Time
@@ -191,13 +191,13 @@
 	e := &entry{
 		sub:        sub,
 		hash:       hash,
-		candidates: make(map[string]struct{}, len(sub.Candidates)),
+		candidates: make(map[string]uint64, len(sub.Candidates)),
 		waiters:    []Reply{reply},
 		accepted:   h.now,
 		tasks:      len(sub.Inputs),
 	}
 	for _, w := range sub.Candidates {
-		e.candidates[w] = struct{}{}
+		e.candidates[w.ID] = w.Incarnation
 	}
 	var used ticket.Generation
 	if old := h.jobs[sub.Ticket.ID]; old != nil {
@@ -213,12 +213,21 @@
 		return
 	}
 	var a job.Actions
-	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.Candidates, sub.Incomplete, used)
+	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.candidateIDs(), sub.Incomplete, used)
 	h.step(e, "recovering", reason.HomeUnreachable, "asking all candidates what has started")
 	h.act(e, a)
 	h.schedule(e)
 }
 
+// candidateIDs names the candidates.
+func (s *Submission) candidateIDs() []string {
+	ids := make([]string, len(s.Candidates))
+	for i, w := range s.Candidates {
+		ids[i] = w.ID
+	}
+	return ids
+}
+
 func hashInputs(inputs [][]byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -270,6 +279,19 @@
 	h.attach(e, e.hash, ev.reply)
 }
 
+type busyEvent struct{ answer chan bool }
+
+// Busy reports whether a submission has no answer yet.
+func (h *Home) Busy() bool {
+	answer := make(chan bool, 1)
+	if !h.events.Push(busyEvent{answer}) {
+		return false
+	}
+	return <-answer
+}
+
+func (ev busyEvent) apply(h *Home) { ev.answer <- h.open > 0 }
+
 // step notes what happened to a submission and why.
 func (h *Home) step(e *entry, what string, code reason.Code, detail string) {
 	h.cfg.Timelines.Add(e.sub.Ticket.ID, timeline.Step{At: h.now, What: what, Reason: code, Detail: detail})
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 )
 
 // owner is an entry VM that holds worker leases, as its adverts describe it.
@@ -84,23 +85,23 @@
 
 // closers picks candidates to record an end at, those held here first: their
 // connections work.
-func (s *ownerSet) closers(candidates []string) []string {
+func (s *ownerSet) closers(candidates []ownership.WorkerRef) []string {
 	var out []string
 	self := s.byName[s.self]
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			return out
 		}
-		if self != nil && slices.Contains(self.workers, c) {
-			out = append(out, c)
+		if self != nil && slices.Contains(self.workers, c.ID) {
+			out = append(out, c.ID)
 		}
 	}
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			break
 		}
-		if !slices.Contains(out, c) {
-			out = append(out, c)
+		if !slices.Contains(out, c.ID) {
+			out = append(out, c.ID)
 		}
 	}
 	return out
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -30,6 +30,7 @@
 	Outputs    [][]byte // one per task when complete, else nil
 	Task       uint32   // first task that failed, when one did
 	Revision   uint64
+	Driver     uint64 // incarnation that drives it instead, when recovered elsewhere
 }
 
 // taskState is what the driver knows of one task.
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -115,8 +115,10 @@
 		Reason:   reason.RecoveredElsewhere,
 		Detail:   "another entry VM drives the submission now: attach again",
 		Revision: j.spec.Revision,
+		Driver:   higher.Author,
 	}
 	a.Answer = j.answer
+	j.release()
 }
 
 // takeClosed repeats the end that an earlier driver recorded.
