The whole path, thin: caller to workers and back over real sockets

Cause: nothing ran end to end. Change: entry VM (caller HTTP/JSON, peer links by connect-go, worker links with leases and heartbeats, home and holder loops), SDK, a demo site of 8 entry VMs and 50 worker stand-ins in one process.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,277 @@
+// Package client is the Go SDK for callers of pumiceyard.
+//
+// Submit gives each job a ticket that was fetched ahead, so a ticket costs no
+// round trip. A broken connection is followed by the same ticket on another one,
+// which attaches to the running job or fetches its answer: no job is submitted
+// anew after it may have been taken. The end is always one Answer with a typed
+// Outcome, or an error that says the outcome is not known.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Outcome is how a job ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// Complete: every task ran, all outputs are there.
+	Complete Outcome = "complete"
+	// Failed: the job ended and something of it may have run.
+	Failed Outcome = "failed"
+	// NotRun: nothing of the job has run or will run. It may be submitted anew.
+	NotRun Outcome = "not_run"
+	// Unknown: it could not be proven whether some task ran.
+	Unknown Outcome = "unknown"
+)
+
+// Job is what to run.
+type Job struct {
+	Template string
+	Tasks    []json.RawMessage
+	Deadline time.Duration // 0: the template's
+}
+
+// Answer is the end of a job.
+type Answer struct {
+	Outcome    Outcome
+	Outputs    []json.RawMessage // one per task when Complete, else nil
+	Reason     string            // stable code when not Complete
+	Detail     string
+	RetryAfter time.Duration // when it makes sense to ask again, 0: never
+	Ticket     string
+	Revision   uint64 // configuration revision the job ran under
+	Sent       int    // requests this answer took, 1 when nothing went wrong
+}
+
+// UnresolvedError says that no answer could be had before the context ended.
+// The job may run or have run; Resume with the ticket asks again.
+type UnresolvedError struct {
+	Ticket string
+	Cause  error
+}
+
+func (e *UnresolvedError) Error() string {
+	return "no answer yet, the outcome is not known: " + e.Cause.Error()
+}
+
+func (e *UnresolvedError) Unwrap() error { return e.Cause }
+
+// Options set up a Client.
+type Options struct {
+	// Endpoints are base URLs of entry VMs, or of a balancer before them.
+	Endpoints []string
+	// Key is the client account's key.
+	Key string
+	// Prefetch is how many tickets are kept ready per endpoint; 0: 32.
+	Prefetch int
+	// NotRunRetries is how often a job that was not run is submitted anew, after
+	// the time the site asks for; 0: never.
+	NotRunRetries int
+	// HTTP is the client to use; nil: one with bounds suited to short jobs.
+	HTTP *http.Client
+}
+
+const (
+	defaultPrefetch = 32
+	firstBackoff    = 20 * time.Millisecond
+	lastBackoff     = time.Second
+	maxConnsPerHost = 512
+	attachTimeout   = 60 * time.Second
+)
+
+// Client submits jobs for one client account. It is safe for concurrent use.
+type Client struct {
+	opt   Options
+	http  *http.Client
+	pools []*pool
+	next  atomic.Uint64
+}
+
+// New returns a Client. It opens no connection until the first call.
+func New(opt Options) (*Client, error) {
+	if len(opt.Endpoints) == 0 {
+		return nil, fmt.Errorf("client: no endpoints")
+	}
+	if opt.Prefetch == 0 {
+		opt.Prefetch = defaultPrefetch
+	}
+	c := &Client{opt: opt, http: opt.HTTP}
+	if c.http == nil {
+		c.http = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxConnsPerHost,
+			MaxIdleConns:        maxConnsPerHost * len(opt.Endpoints),
+			IdleConnTimeout:     time.Minute,
+		}}
+	}
+	for _, endpoint := range opt.Endpoints {
+		c.pools = append(c.pools, newPool(c, endpoint))
+	}
+	return c, nil
+}
+
+// Submit runs a job and waits for its end.
+func (c *Client) Submit(ctx context.Context, j Job) (*Answer, error) {
+	sent := 0
+	for retry := 0; ; retry++ {
+		ticket, home, err := c.ticket(ctx)
+		if err != nil {
+			// Without a ticket nothing was submitted.
+			return nil, &NoTicketError{Cause: err}
+		}
+		a, err := c.drive(ctx, ticket, home, j)
+		if err != nil {
+			return nil, err
+		}
+		sent += a.Sent
+		a.Sent = sent
+		if a.Outcome != NotRun || retry >= c.opt.NotRunRetries || a.RetryAfter == 0 {
+			return a, nil
+		}
+		if !sleep(ctx, jitter(a.RetryAfter)) {
+			return a, nil
+		}
+	}
+}
+
+// NoTicketError says that no entry VM gave a ticket. Nothing was run.
+type NoTicketError struct{ Cause error }
+
+func (e *NoTicketError) Error() string { return "no ticket, nothing was run: " + e.Cause.Error() }
+
+func (e *NoTicketError) Unwrap() error { return e.Cause }
+
+// Resume asks again for the job of a ticket, with the same tasks.
+func (c *Client) Resume(ctx context.Context, ticket string, j Job) (*Answer, error) {
+	return c.drive(ctx, ticket, c.pick(), j)
+}
+
+// drive puts the job under its ticket until there is a final answer. Every
+// attempt after the first goes to another endpoint.
+func (c *Client) drive(ctx context.Context, ticket string, at int, j Job) (*Answer, error) {
+	body, err := json.Marshal(submitBody{j.Template, j.Tasks, uint32(j.Deadline.Milliseconds())})
+	if err != nil {
+		return nil, err
+	}
+	backoff := firstBackoff
+	for sent := 1; ; sent++ {
+		a, err := c.put(ctx, c.opt.Endpoints[at], ticket, body)
+		if err == nil && !a.passing() {
+			a.Sent = sent
+			return a, nil
+		}
+		if err == nil {
+			err = fmt.Errorf("%s: %s", a.Reason, a.Detail)
+		} else {
+			c.pools[at].discard()
+		}
+		if !sleep(ctx, jitter(backoff)) {
+			return nil, &UnresolvedError{Ticket: ticket, Cause: err}
+		}
+		backoff = min(2*backoff, lastBackoff)
+		at = (at + 1) % len(c.opt.Endpoints)
+	}
+}
+
+// passing reports whether asking again under the same ticket may tell more.
+func (a *Answer) passing() bool {
+	switch a.Reason {
+	case "recovered_elsewhere", "home_unreachable", "no_configuration", "queue_full":
+		return a.Outcome == Unknown
+	}
+	return false
+}
+
+type submitBody struct {
+	Template       string            `json:"template"`
+	Tasks          []json.RawMessage `json:"tasks"`
+	DeadlineMillis uint32            `json:"deadline_millis,omitempty"`
+}
+
+type resultBody struct {
+	Outcome  Outcome           `json:"outcome"`
+	Outputs  []json.RawMessage `json:"outputs"`
+	Revision uint64            `json:"revision"`
+	Reason   string            `json:"reason"`
+	Detail   string            `json:"detail"`
+	Retry    int64             `json:"retry_after_millis"`
+}
+
+func (c *Client) put(ctx context.Context, endpoint, ticket string, body []byte) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+	defer cancel()
+	text, err := c.call(ctx, http.MethodPut, endpoint+"/v1/submissions/"+ticket, body)
+	if err != nil {
+		return nil, err
+	}
+	return decode(text, ticket)
+}
+
+func decode(text []byte, ticket string) (*Answer, error) {
+	var r resultBody
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, err
+	}
+	if r.Outcome == "" {
+		return nil, fmt.Errorf("client: an answer without an outcome")
+	}
+	return &Answer{
+		Outcome:    r.Outcome,
+		Outputs:    r.Outputs,
+		Reason:     r.Reason,
+		Detail:     r.Detail,
+		RetryAfter: time.Duration(r.Retry) * time.Millisecond,
+		Ticket:     ticket,
+		Revision:   r.Revision,
+	}, nil
+}
+
+// call makes one request and returns the whole body.
+func (c *Client) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.opt.Key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+// Cancel gives a job up. Its submitter gets the final answer.
+func (c *Client) Cancel(ctx context.Context, ticket string) error {
+	_, err := c.call(ctx, http.MethodDelete, c.opt.Endpoints[c.pick()]+"/v1/submissions/"+ticket, nil)
+	return err
+}
+
+func (c *Client) pick() int { return int(c.next.Add(1) % uint64(len(c.opt.Endpoints))) }
+
+// jitter spreads waits over half to one and a half times d, so that callers
+// that failed together do not come back together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/client/pool.go
@@ -0,0 +1,150 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// pool keeps tickets of one endpoint ready.
+type pool struct {
+	client   *Client
+	endpoint string
+
+	mu        sync.Mutex
+	tickets   []issued
+	filling   bool
+	brokenTil time.Time
+}
+
+type issued struct {
+	token  string
+	expiry time.Time
+}
+
+const (
+	// freshFor is the rest of its life that a ticket must have to be used: a job
+	// has to be asked for again for that long.
+	freshFor = 30 * time.Second
+	// brokenFor is how long an endpoint that gave no tickets is passed over.
+	brokenFor   = time.Second
+	fillTimeout = 2 * time.Second
+)
+
+func newPool(c *Client, endpoint string) *pool {
+	return &pool{client: c, endpoint: endpoint}
+}
+
+// ticket takes one from the next endpoint that has any, and returns which.
+func (c *Client) ticket(ctx context.Context) (string, int, error) {
+	start := c.pick()
+	var last error
+	for i := range c.pools {
+		at := (start + i) % len(c.pools)
+		token, err := c.pools[at].take(ctx)
+		if err == nil {
+			return token, at, nil
+		}
+		last = err
+	}
+	return "", 0, last
+}
+
+var errBroken = errors.New("the endpoint gave no tickets just now")
+
+// take returns a ticket, fetching a batch when none is left.
+func (p *pool) take(ctx context.Context) (string, error) {
+	if token, ok := p.pop(); ok {
+		return token, nil
+	}
+	p.mu.Lock()
+	broken := time.Now().Before(p.brokenTil)
+	p.mu.Unlock()
+	if broken {
+		return "", errBroken
+	}
+	if err := p.fill(ctx); err != nil {
+		return "", err
+	}
+	if token, ok := p.pop(); ok {
+		return token, nil
+	}
+	return "", errBroken
+}
+
+// pop takes a ready ticket and starts a refill when few are left.
+func (p *pool) pop() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.tickets) > 0 {
+		t := p.tickets[len(p.tickets)-1]
+		p.tickets = p.tickets[:len(p.tickets)-1]
+		if t.expiry.Sub(now) < freshFor/2 {
+			continue
+		}
+		if len(p.tickets) < p.client.opt.Prefetch/4 && !p.filling {
+			p.filling = true
+			go p.refill()
+		}
+		return t.token, true
+	}
+	return "", false
+}
+
+func (p *pool) refill() {
+	ctx, cancel := context.WithTimeout(context.Background(), fillTimeout)
+	defer cancel()
+	_ = p.fill(ctx)
+	p.mu.Lock()
+	p.filling = false
+	p.mu.Unlock()
+}
+
+type ticketsBody struct {
+	Count int `json:"count"`
+}
+
+type issuedBody struct {
+	Tickets []struct {
+		Ticket           string `json:"ticket"`
+		ExpiryUnixMillis int64  `json:"expiry_unix_millis"`
+	} `json:"tickets"`
+	Detail string `json:"detail"`
+}
+
+func (p *pool) fill(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fillTimeout)
+	defer cancel()
+	body, _ := json.Marshal(ticketsBody{p.client.opt.Prefetch})
+	text, err := p.client.call(ctx, http.MethodPost, p.endpoint+"/v1/tickets", body)
+	var got issuedBody
+	if err == nil {
+		err = json.Unmarshal(text, &got)
+	}
+	if err == nil && len(got.Tickets) == 0 {
+		err = errors.New(got.Detail)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.brokenTil = time.Now().Add(brokenFor)
+		return err
+	}
+	for _, t := range got.Tickets {
+		p.tickets = append(p.tickets, issued{t.Ticket, time.UnixMilli(t.ExpiryUnixMillis)})
+	}
+	return nil
+}
+
+// discard drops the tickets that are kept ready for an endpoint, after it was
+// found to be gone: their jobs would have to be recovered at once.
+func (p *pool) discard() {
+	p.mu.Lock()
+	p.tickets = nil
+	p.brokenTil = time.Now().Add(brokenFor)
+	p.mu.Unlock()
+}
--- a/internal/process/entry/config.go
+++ b/internal/process/entry/config.go
@@ -8,12 +8,9 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
-	"github.com/pumiceyard/pumiceyard/internal/version/document"
+	"github.com/pumiceyard/pumiceyard/internal/version/publication"
 )
 
-// DocumentKey is where the platform's store keeps the configuration.
-const DocumentKey = "pumiceyard/document"
-
 const (
 	watchWait  = 20 * time.Second
 	watchRetry = 300 * time.Millisecond
@@ -24,7 +21,7 @@
 	version := uint64(0)
 	for ctx.Err() == nil {
 		m, err := vm.platform.Watch(ctx, &pb.WatchRequest{
-			Key:          DocumentKey,
+			Key:          publication.HeadKey,
 			AfterVersion: version,
 			WaitMillis:   uint32(watchWait.Milliseconds()),
 		})
@@ -45,11 +42,12 @@
 // applyDocument puts a document in force if it is valid and newer than the one
 // in force. A stale read must never bring an older revision back.
 func (vm *VM) applyDocument(text []byte) {
-	d, err := document.Parse(text)
+	head, err := publication.DecodeHead(text)
 	if err != nil {
 		klog.ErrorS(err, logPrefix+"document refused")
 		return
 	}
+	d := head.Document
 	if old := vm.Document(); old != nil && d.Revision <= old.Revision {
 		return
 	}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/platform"
-	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
--- /dev/null
+++ b/internal/standin/site/ids.go
@@ -0,0 +1,5 @@
+package site
+
+import "github.com/pumiceyard/pumiceyard/internal/request/ticket"
+
+type ticketID = ticket.ID
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,380 @@
+// Package site starts a small site in one process: the platform stand-in, worker
+// stand-ins and entry VMs, each with sockets of its own on loopback. The demo,
+// the load tool's self test and end-to-end tests use it.
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/platform"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/entry"
+	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
+	platformstandin "github.com/pumiceyard/pumiceyard/internal/standin/platform"
+	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+	"github.com/pumiceyard/pumiceyard/internal/version/publication"
+)
+
+// Options describe a site.
+type Options struct {
+	Domains        []string
+	EntryVMs       int
+	Workers        int
+	PerRack        int
+	Capacity       *pb.Resources
+	IdleMilliwatts uint32
+	Behaviour      worker.Behaviour
+	ListLag        time.Duration
+	Tune           func(*entry.Settings) // changes the settings of each entry VM; may be nil
+}
+
+// Defaults returns a site of the users' present size.
+func Defaults(domains []string) Options {
+	return Options{
+		Domains:  domains,
+		EntryVMs: 8,
+		Workers:  50,
+		PerRack:  6,
+		Capacity: &pb.Resources{
+			Slots:      8,
+			Millicpu:   16_000,
+			MemoryMib:  64 << 10,
+			Milliwatts: 160_000,
+		},
+		IdleMilliwatts: 120_000,
+		ListLag:        200 * time.Millisecond,
+	}
+}
+
+// Secrets of the demo site.
+const (
+	ticketKey = "demo-ticket-key-not-for-use"
+	peerToken = "demo-peer-token-not-for-use"
+)
+
+// Site is a running site.
+type Site struct {
+	opt      Options
+	Platform *platformstandin.Platform
+
+	platformURL string
+	servers     []*http.Server
+
+	mu       sync.Mutex
+	entries  []*Entry
+	workers  []*Worker
+	sequence uint64
+}
+
+// Entry is one entry VM of the site.
+type Entry struct {
+	VM     *entry.VM
+	Name   string
+	Domain string
+	alive  bool
+	left   bool
+}
+
+// Worker is one worker of the site.
+type Worker struct {
+	*worker.Worker
+	Domain string
+	Rack   string
+	vm     *pb.VM
+	server *http.Server
+	alive  bool
+}
+
+// Start brings a site up.
+func Start(opt Options) (*Site, error) {
+	s := &Site{opt: opt, Platform: platformstandin.New(platformstandin.Options{ListLag: opt.ListLag})}
+	url, server, err := listen(platform.Handler(s.Platform))
+	if err != nil {
+		return nil, err
+	}
+	s.platformURL = "http://" + url
+	s.servers = append(s.servers, server)
+	for i := range opt.Workers {
+		if err := s.addWorker(i); err != nil {
+			s.Stop()
+			return nil, err
+		}
+	}
+	for i := range opt.EntryVMs {
+		if _, err := s.AddEntry(opt.Domains[i%len(opt.Domains)]); err != nil {
+			s.Stop()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func listen(handler http.Handler) (string, *http.Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	server := wire.NewServer(handler, nil)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), server, nil
+}
+
+func (s *Site) addWorker(i int) error {
+	domain := s.opt.Domains[i%len(s.opt.Domains)]
+	rack := fmt.Sprintf("%s-r%d", domain, i/len(s.opt.Domains)/max(s.opt.PerRack, 1))
+	w := worker.New(worker.Config{
+		ID:             fmt.Sprintf("w%03d", i),
+		Incarnation:    uint64(i) + 1,
+		Capacity:       s.opt.Capacity,
+		IdleMilliwatts: s.opt.IdleMilliwatts,
+		Behaviour:      s.opt.Behaviour,
+		UsageLag:       time.Second,
+	})
+	address, server, err := listen(w.Handler())
+	if err != nil {
+		return err
+	}
+	vm := &pb.VM{
+		Id:          w.ID(),
+		Role:        pb.VMRole_VM_ROLE_WORKER,
+		Incarnation: uint64(i) + 1,
+		Domain:      domain,
+		Rack:        rack,
+		Address:     address,
+	}
+	s.mu.Lock()
+	s.workers = append(s.workers, &Worker{Worker: w, Domain: domain, Rack: rack, vm: vm, server: server, alive: true})
+	s.mu.Unlock()
+	return nil
+}
+
+// AddEntry starts one more entry VM in a failure domain and lists it.
+func (s *Site) AddEntry(domain string) (*Entry, error) {
+	s.mu.Lock()
+	s.sequence++
+	name := fmt.Sprintf("e%d", s.sequence)
+	s.mu.Unlock()
+	settings := entry.DefaultSettings()
+	settings.Name = name
+	settings.Domain = domain
+	settings.CallerListen = "127.0.0.1:0"
+	settings.OperatorListen = "127.0.0.1:0"
+	settings.PeerListen = "127.0.0.1:0"
+	settings.Platform = s.platformURL
+	settings.TicketKey = ticketKey
+	settings.PeerToken = peerToken
+	settings.ListPollMillis = 250
+	if s.opt.Tune != nil {
+		s.opt.Tune(&settings)
+	}
+	vm, err := entry.Start(settings)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{VM: vm, Name: name, Domain: domain, alive: true}
+	s.mu.Lock()
+	s.entries = append(s.entries, e)
+	s.mu.Unlock()
+	s.relist()
+	return e, nil
+}
+
+// relist tells the platform's list which VMs there are.
+func (s *Site) relist() {
+	s.mu.Lock()
+	var vms []*pb.VM
+	for _, w := range s.workers {
+		if w.alive {
+			vms = append(vms, w.vm)
+		}
+	}
+	for _, e := range s.entries {
+		if !e.alive {
+			continue
+		}
+		vms = append(vms, &pb.VM{
+			Id:          e.Name,
+			Role:        pb.VMRole_VM_ROLE_ENTRY,
+			Incarnation: e.VM.Incarnation(),
+			Domain:      e.Domain,
+			Address:     e.VM.PeerAddress(),
+			Leaving:     e.left,
+		})
+	}
+	s.mu.Unlock()
+	s.Platform.SetVMs(vms)
+}
+
+// Entries returns the entry VMs that live.
+func (s *Site) Entries() []*Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*Entry
+	for _, e := range s.entries {
+		if e.alive {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Workers returns all workers, dead ones too.
+func (s *Site) Workers() []*Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.workers)
+}
+
+// Endpoints are the callers' base URLs of the entry VMs that live.
+func (s *Site) Endpoints() []string {
+	var out []string
+	for _, e := range s.Entries() {
+		out = append(out, "http://"+e.VM.CallerAddress())
+	}
+	return out
+}
+
+// KillEntry ends an entry VM as a crash does. The list shows it with its lag.
+func (s *Site) KillEntry(e *Entry) {
+	s.mu.Lock()
+	e.alive = false
+	s.mu.Unlock()
+	e.VM.Kill()
+	s.relist()
+}
+
+// StopEntry stops an entry VM as planned and reports whether it finished.
+func (s *Site) StopEntry(ctx context.Context, e *Entry) bool {
+	s.mu.Lock()
+	e.left = true
+	s.mu.Unlock()
+	s.relist()
+	finished := e.VM.Stop(ctx)
+	s.mu.Lock()
+	e.alive = false
+	s.mu.Unlock()
+	s.relist()
+	return finished
+}
+
+// KillWorker ends a worker as a crash does.
+func (s *Site) KillWorker(w *Worker) {
+	s.mu.Lock()
+	w.alive = false
+	s.mu.Unlock()
+	w.Kill()
+	_ = w.server.Close()
+	s.relist()
+}
+
+// Publish puts a document in force and waits until each entry VM has it.
+func (s *Site) Publish(ctx context.Context, d *document.Document, author, change string) (uint64, error) {
+	httpClient := wire.NewClient(nil, nil)
+	defer httpClient.CloseIdleConnections()
+	store := storeclient.New(platform.Dial(httpClient, s.platformURL), storeclient.Options{
+		StoreReadsPerSecond:  2000,
+		StoreWritesPerSecond: 300,
+		Fleet:                s.opt.EntryVMs,
+	})
+	publisher := publication.New(store.Configuration(), time.Now)
+	receipt, err := publisher.Publish(ctx, publication.Change{ID: change, Author: author, Base: d.Revision, Document: d})
+	if err != nil {
+		return 0, err
+	}
+	return receipt.Revision, s.await(ctx, func(e *Entry) bool {
+		doc := e.VM.Document()
+		return doc != nil && doc.Revision >= receipt.Revision
+	})
+}
+
+const awaitPoll = 20 * time.Millisecond
+
+// AwaitReady waits until every entry VM is ready and every worker is held.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() }); err != nil {
+		return err
+	}
+	for {
+		held, alive := 0, 0
+		for _, e := range s.Entries() {
+			held += len(e.VM.Status().Workers)
+		}
+		for _, w := range s.Workers() {
+			if w.alive {
+				alive++
+			}
+		}
+		if held >= alive {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d workers are held: %w", held, alive, ctx.Err())
+		case <-time.After(awaitPoll):
+		}
+	}
+}
+
+func (s *Site) await(ctx context.Context, done func(*Entry) bool) error {
+	for {
+		waiting := ""
+		for _, e := range s.Entries() {
+			if !done(e) {
+				waiting = e.Name
+			}
+		}
+		if waiting == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not there yet: %w", waiting, ctx.Err())
+		case <-time.After(awaitPoll):
+		}
+	}
+}
+
+// Starts counts tasks and starts over all workers, dead ones too, and how often
+// the task with the most starts was started.
+func (s *Site) Starts() (tasks, starts, highest int) {
+	type key struct {
+		incarnation, counter uint64
+		index                uint32
+	}
+	counts := make(map[key]int)
+	for _, w := range s.Workers() {
+		w.EachStart(func(id ticketID, index uint32, n int) {
+			counts[key{id.Incarnation, id.Counter, index}] += n
+		})
+	}
+	for _, n := range counts {
+		tasks++
+		starts += n
+		highest = max(highest, n)
+	}
+	return tasks, starts, highest
+}
+
+// Stop ends everything.
+func (s *Site) Stop() {
+	var stops sync.WaitGroup
+	for _, e := range s.Entries() {
+		stops.Go(e.VM.Kill)
+	}
+	stops.Wait()
+	for _, w := range s.Workers() {
+		w.Kill()
+		_ = w.server.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/tool/demo/report.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/client"
+)
+
+// tally counts how jobs ended.
+type tally struct {
+	jobs       int
+	outcomes   map[client.Outcome]int
+	reasons    map[string]int
+	unresolved int
+	wrong      int                  // complete answers that were not the job's own, whole answer
+	sent       int                  // requests
+	responses  map[string][]float64 // response over ideal, by template
+}
+
+// roundTrip is the caller's own round trip, part of the ideal.
+const roundTrip = time.Millisecond
+
+// record counts one job's end.
+func (r *run) record(s *Stream, base int, longest, took time.Duration, a *client.Answer, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &r.tally
+	if t.outcomes == nil {
+		t.outcomes = make(map[client.Outcome]int)
+		t.reasons = make(map[string]int)
+		t.responses = make(map[string][]float64)
+	}
+	t.jobs++
+	if err != nil {
+		t.unresolved++
+		t.reasons[err.Error()]++
+		return
+	}
+	t.sent += a.Sent
+	t.outcomes[a.Outcome]++
+	if a.Outcome != client.Complete {
+		t.reasons[string(a.Outcome)+" "+a.Reason+": "+a.Detail]++
+		return
+	}
+	if !checkEcho(a.Outputs, s.Tasks, base) {
+		t.wrong++
+	}
+	ideal := longest + roundTrip
+	t.responses[s.Template] = append(t.responses[s.Template], float64(took)/float64(ideal))
+}
+
+// powerWatch follows the site's draw.
+type powerWatch struct{ peak uint64 }
+
+const powerSample = 5 * time.Millisecond
+
+// watchPower samples the site's draw until the returned function is called.
+func (r *run) watchPower() func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for pause(ctx, powerSample) {
+			var sum uint64
+			for _, w := range r.site.Workers() {
+				now, _ := w.Draw()
+				sum += uint64(now)
+			}
+			r.watch.peak = max(r.watch.peak, sum)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// broken are the promises that did not hold.
+var errBroken = errors.New("a promise was broken")
+
+// report prints the table and says whether the promises held.
+func (r *run) report() error {
+	t := &r.tally
+	tasks, starts, highest := r.site.Starts()
+	capMilliwatts := r.dep.Document.Site.PowerCapMilliwatts
+	overCap := float64(r.watch.peak) / float64(capMilliwatts)
+	r.say("done, results:")
+	w := tabwriter.NewWriter(r.opt.Out, 2, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "\njobs\t%d\n", t.jobs)
+	fmt.Fprintf(w, "  complete\t%d\n", t.outcomes[client.Complete])
+	fmt.Fprintf(w, "  failed\t%d\n", t.outcomes[client.Failed])
+	fmt.Fprintf(w, "  not run\t%d\n", t.outcomes[client.NotRun])
+	fmt.Fprintf(w, "  outcome unknown\t%d\n", t.outcomes[client.Unknown])
+	fmt.Fprintf(w, "  no answer\t%d\n", t.unresolved)
+	fmt.Fprintf(w, "tasks started / starts / most starts of one task\t%d / %d / %d\n", tasks, starts, highest)
+	fmt.Fprintf(w, "wrong or partial answers\t%d\n", t.wrong)
+	fmt.Fprintf(w, "requests beyond one per job (wasted)\t%.4f per job\n", float64(t.sent-t.jobs+t.unresolved)/float64(max(t.jobs, 1)))
+	fmt.Fprintf(w, "peak draw over cap\t%.3f\n", overCap)
+	for template, rs := range sortedTemplates(t.responses) {
+		fmt.Fprintf(w, "response over ideal, %s\tp50 %.2f  p99 %.2f  (%d jobs)\n", template, quantile(rs, 0.5), quantile(rs, 0.99), len(rs))
+	}
+	_ = w.Flush()
+	for reason, n := range t.reasons {
+		fmt.Fprintf(r.opt.Out, "  %4d x %s\n", n, reason)
+	}
+	if highest > 1 || t.wrong > 0 || overCap > 1 || t.unresolved > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// sortedTemplates yields the templates by name, their values sorted.
+func sortedTemplates(m map[string][]float64) func(func(string, []float64) bool) {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return func(yield func(string, []float64) bool) {
+		for _, name := range names {
+			slices.Sort(m[name])
+			if !yield(name, m[name]) {
+				return
+			}
+		}
+	}
+}
