Leaving a connection closes it: a killed entry VM ends at once

Cause: cancelling a stream's context did not wake its reader; net/http's HTTP/2 transport notices a cancelled context only after the request body's next read, and the body is an open pipe. A goroutine dump showed Link.read in Receive after the cancel, and Link.serve waiting for it. Ruled out: full rings, the worker's stand-in, the platform's watch. Change: wire.Client tracks its connections and Leave closes them; links leave before they wait for their reader. Conclusion: a silent connection must be closed, not cancelled.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
@@ -20,14 +19,14 @@
 // SecureClient is the TLS side of a Dial. Nil means plain connections.
 type SecureClient struct{ Config *tls.Config }
 
-func (d Dial) client() *http.Client {
+func (d Dial) client() *wire.Client {
 	if d.Secure == nil {
 		return wire.NewClient(d.Dialer, nil)
 	}
 	return wire.NewClient(d.Dialer, d.Secure.Config)
 }
 
-func (d Dial) service(client *http.Client, address string) pumiceyardv1connect.PeerServiceClient {
+func (d Dial) service(client *wire.Client, address string) pumiceyardv1connect.PeerServiceClient {
 	scheme := "http://"
 	if d.Secure != nil {
 		scheme = "https://"
@@ -67,7 +66,7 @@
 }
 
 type callClient struct {
-	http    *http.Client
+	http    *wire.Client
 	service pumiceyardv1connect.PeerServiceClient
 }
 
@@ -94,7 +93,7 @@
 		delete(c.clients, address)
 	}
 	c.mu.Unlock()
-	cl.http.CloseIdleConnections()
+	cl.http.Leave()
 }
 
 // Close drops all connections.
@@ -102,7 +101,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, cl := range c.clients {
-		cl.http.CloseIdleConnections()
+		cl.http.Leave()
 		delete(c.clients, address)
 	}
 }
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := l.dial.client()
-	defer client.CloseIdleConnections()
+	defer client.Leave()
 	conn := l.dial.service(client, l.target.Address).Run(ctx)
 	hello := &pb.RunRequest{Hello: &pb.Hello{
 		EntryVm:         l.self.Name,
@@ -111,12 +111,14 @@
 	l.out.Drain()
 	l.events.OwnerUp(l.target.Name, first.Advert.Incarnation)
 	l.events.Advert(l.target.Name, first.Advert)
-	why := l.serve(ctx, cancel, conn)
+	why := l.serve(ctx, client, conn)
 	klog.V(1).InfoS(logPrefix+"link ended", "peer", l.target.Name, "why", why)
 	l.events.OwnerLost(l.target.Name, why)
 }
 
-func (l *Link) serve(ctx context.Context, cancel context.CancelFunc, conn *runStream) string {
+func (l *Link) serve(ctx context.Context, client *wire.Client, conn *runStream) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var last atomic.Int64
 	last.Store(time.Now().UnixNano())
 	var duties sync.WaitGroup
@@ -125,7 +127,7 @@
 		l.read(conn, &last)
 	})
 	why := l.write(ctx, conn, &last)
-	cancel()
+	client.Leave()
 	duties.Wait()
 	return why
 }
--- a/internal/connection/upstream/control.go
+++ b/internal/connection/upstream/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 }
 
 type controlClient struct {
-	http    *http.Client
+	http    *wire.Client
 	service pumiceyardv1connect.WorkerServiceClient
 }
 
@@ -54,7 +53,7 @@
 		delete(c.clients, address)
 	}
 	c.mu.Unlock()
-	cl.http.CloseIdleConnections()
+	cl.http.Leave()
 }
 
 // Close drops all connections.
@@ -62,7 +61,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, cl := range c.clients {
-		cl.http.CloseIdleConnections()
+		cl.http.Leave()
 		delete(c.clients, address)
 	}
 }
--- a/internal/connection/upstream/link.go
+++ b/internal/connection/upstream/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,14 +115,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := wire.NewClient(l.dial, nil)
-	defer client.CloseIdleConnections()
+	defer client.Leave()
 	granted, conn, wait := l.acquire(ctx, client)
 	if granted == nil {
 		return wait
 	}
 	l.out.Drain()
 	l.events.Granted(l.target.ID, granted)
-	why := l.serve(ctx, cancel, conn, granted)
+	why := l.serve(ctx, client, conn, granted)
 	klog.V(1).InfoS(logPrefix+"lease ended", "worker", l.target.ID, "epoch", granted.Epoch, "why", why)
 	l.events.Lost(l.target.ID, why)
 	return l.settings.RedialDelay
@@ -132,7 +131,7 @@
 type holdStream = connect.BidiStreamForClient[pb.HoldRequest, pb.HoldResponse]
 
 // acquire opens a stream and asks for the lease.
-func (l *Link) acquire(ctx context.Context, client *http.Client) (*pb.Granted, *holdStream, time.Duration) {
+func (l *Link) acquire(ctx context.Context, client *wire.Client) (*pb.Granted, *holdStream, time.Duration) {
 	retry := l.settings.RedialDelay
 	conn := pumiceyardv1connect.NewWorkerServiceClient(client, "http://"+l.target.Address).Hold(ctx)
 	first := &pb.HoldRequest{Acquire: &pb.Acquire{
@@ -172,18 +171,18 @@
 }
 
 // serve runs both duties of a granted connection until it ends, and says why.
-func (l *Link) serve(ctx context.Context, cancel context.CancelFunc, conn *holdStream, granted *pb.Granted) string {
+func (l *Link) serve(ctx context.Context, client *wire.Client, conn *holdStream, granted *pb.Granted) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	w := &watchdog{}
 	w.heard()
 	var duties sync.WaitGroup
-	duties.Add(1)
-	go func() {
-		defer duties.Done()
+	duties.Go(func() {
 		defer cancel()
 		l.read(conn, w)
-	}()
+	})
 	why := l.write(ctx, conn, granted.Epoch, w)
-	cancel()
+	client.Leave()
 	duties.Wait()
 	return why
 }
--- a/internal/connection/wire/http.go
+++ b/internal/connection/wire/http.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -30,12 +31,22 @@
 // Dialer opens the connections of a client. Tests pass one over in-memory pipes.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Client is an HTTP/2 client that can leave its connections at once.
+type Client struct {
+	*http.Client
+	dial Dialer
+
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+	left bool
+}
+
 // NewClient returns a client that speaks HTTP/2 only. With a TLS configuration
 // it speaks it over TLS, otherwise in the clear. Nil dial uses TCP.
 //
 // Pings are left to the services' own heartbeats: those also notice a peer
 // whose kernel answers while its process does not.
-func NewClient(dial Dialer, secure *tls.Config) *http.Client {
+func NewClient(dial Dialer, secure *tls.Config) *Client {
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(secure == nil)
 	p.SetHTTP2(secure != nil)
@@ -43,8 +54,9 @@
 		d := &net.Dialer{Timeout: dialTimeout}
 		dial = d.DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:     dial,
+	c := &Client{dial: dial, open: make(map[net.Conn]struct{})}
+	c.Client = &http.Client{Transport: &http.Transport{
+		DialContext:     c.dialContext,
 		TLSClientConfig: secure,
 		Protocols:       p,
 		IdleConnTimeout: idleTimeout,
@@ -54,6 +66,51 @@
 			MaxReadFrameSize:              frameBytes,
 		},
 	}}
+	return c
+}
+
+func (c *Client) dialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	c.open[conn] = struct{}{}
+	return &trackedConn{Conn: conn, client: c}, nil
+}
+
+// Leave closes all connections, whatever is under way on them. Cancelling a
+// stream's context is not enough: the transport notices it only after its next
+// write, and on a connection that went silent a write may block for minutes.
+// One would see the reader of a cancelled stream wait on.
+func (c *Client) Leave() {
+	c.mu.Lock()
+	c.left = true
+	open := c.open
+	c.open = nil
+	c.mu.Unlock()
+	for conn := range open {
+		_ = conn.Close()
+	}
+	c.CloseIdleConnections()
+}
+
+// trackedConn forgets itself when it is closed.
+type trackedConn struct {
+	net.Conn
+	client *Client
+}
+
+func (t *trackedConn) Close() error {
+	t.client.mu.Lock()
+	delete(t.client.open, t.Conn)
+	t.client.mu.Unlock()
+	return t.Conn.Close()
 }
 
 // NewServer returns a server for HTTP/1 and HTTP/2 in the clear, or over TLS
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -49,7 +49,7 @@
 	workers   *workerSet
 	local     *localSession
 	platform  *platform.Client
-	platHTTP  *http.Client
+	platHTTP  *wire.Client
 
 	listeners listeners
 	servers   []*http.Server
@@ -232,7 +232,7 @@
 	vm.peers.stop()
 	vm.workers.stop()
 	vm.duties.Wait()
-	vm.platHTTP.CloseIdleConnections()
+	vm.platHTTP.Leave()
 	vm.metrics.Close()
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -278,7 +278,7 @@
 // Publish puts a document in force and waits until each entry VM has it.
 func (s *Site) Publish(ctx context.Context, d *document.Document, author, change string) (uint64, error) {
 	httpClient := wire.NewClient(nil, nil)
-	defer httpClient.CloseIdleConnections()
+	defer httpClient.Leave()
 	store := storeclient.New(platform.Dial(httpClient, s.platformURL), storeclient.Options{
 		StoreReadsPerSecond:  2000,
 		StoreWritesPerSecond: 300,
