Feedback levels count waiting tasks once run times are learnt

Cause: each wide job began among the short ones and passed the older wide jobs until it had attained their level, so that all of them ended late.

Change: when run times of a template and account have been seen, a job's size is what it attained and what its waiting tasks will take; before that it is attained service alone. The ageing test now uses truly shorter jobs, because its former ones are of the build's own size class and rightly wait behind it; its bounds are unchanged.

--- a/internal/process/fairness/estimate.go
+++ b/internal/process/fairness/estimate.go
@@ -26,12 +26,15 @@
 
 // seconds returns the learnt run time, or the declared one.
 func (e *estimate) seconds(declared time.Duration) float64 {
-	if e != nil && e.mean > 0 {
+	if e.known() {
 		return e.mean
 	}
 	return max(declared.Seconds(), minTaskSeconds)
 }
 
+// known reports whether run times have been seen.
+func (e *estimate) known() bool { return e != nil && e.mean > 0 }
+
 // learn takes the mean run time of tasks that ended together.
 func (e *estimate) learn(sample float64) {
 	if e == nil {
--- a/internal/process/fairness/lane.go
+++ b/internal/process/fairness/lane.go
@@ -201,11 +201,24 @@
 	return j.attained + max(elapsed, expected)*float64(j.Slots)
 }
 
+// sizeBy returns the least that the job's whole service can be expected to be,
+// in slot-seconds. Before run times of its kind have been seen this is what it
+// has attained, since a declared size proves nothing. Afterwards the waiting
+// tasks count too: without them, each wide job would begin among the short ones
+// and pass the older wide jobs, so that all of them end late.
+func (j *job[K]) sizeBy(now float64) float64 {
+	attained := j.attainedBy(now)
+	if !j.learnt.known() {
+		return attained
+	}
+	return attained + float64(j.queued)*j.taskCost()
+}
+
 // levelBy returns the job's feedback level.
 func (j *job[K]) levelBy(now float64, s *Settings) int {
-	attained := j.attainedBy(now)
+	size := j.sizeBy(now)
 	level := 0
-	for level < levelCount-1 && attained >= s.Quanta[level].Seconds() {
+	for level < levelCount-1 && size >= s.Quanta[level].Seconds() {
 		level++
 	}
 	if j.Class == Bulk {
