Short urgent jobs have a feedback level of their own

Cause: in the Tsagaan Shavar mix the managers' checks waited behind their own bursts of 200 lookups, which are as short but have no caller waiting.

Change: short urgent jobs go one level above short normal ones.

In the Ventilsvaz mix the accounts that check also build, so their checks wait for their account's turn, which levels cannot change.

--- a/internal/process/fairness/lane.go
+++ b/internal/process/fairness/lane.go
@@ -7,13 +7,19 @@
 )
 
 // levelCount is the number of feedback levels within an account.
-const levelCount = 4
+const levelCount = 5
 
-// tailLevel is where the last tasks of a long job go.
-const tailLevel = 1
-
-// bulkLevel is the highest level of bulk work.
-const bulkLevel = 2
+const (
+	// urgentLevel is for short urgent jobs alone, which would otherwise wait
+	// behind a burst of short jobs for which nobody holds the line.
+	urgentLevel = 0
+	// shortLevel is the highest level of normal work.
+	shortLevel = 1
+	// tailLevel is where the last tasks of a long job go.
+	tailLevel = 2
+	// bulkLevel is the highest level of bulk work.
+	bulkLevel = 3
+)
 
 // job is the queue's record of one submission's tasks at this entry VM.
 type job[K comparable] struct {
@@ -217,12 +223,15 @@
 // levelBy returns the job's feedback level.
 func (j *job[K]) levelBy(now float64, s *Settings) int {
 	size := j.sizeBy(now)
-	level := 0
-	for level < levelCount-1 && size >= s.Quanta[level].Seconds() {
+	level := shortLevel
+	for level < levelCount-1 && size >= s.quantum(level) {
 		level++
 	}
-	if j.Class == Bulk {
+	switch {
+	case j.Class == Bulk:
 		level = max(level, bulkLevel)
+	case j.Class == Urgent && level == shortLevel:
+		level = urgentLevel
 	}
 	if level > tailLevel && j.nearlyDone(s) {
 		level = tailLevel
@@ -242,7 +251,7 @@
 	if j.level >= levelCount-1 {
 		return j.queued
 	}
-	left := s.Quanta[j.level].Seconds() - j.attainedBy(now)
+	left := s.quantum(j.level) - j.attainedBy(now)
 	return max(1, int(min(left/j.taskCost(), float64(j.queued))))
 }
 
--- a/internal/process/fairness/settings.go
+++ b/internal/process/fairness/settings.go
@@ -27,8 +27,8 @@
 	// more closely.
 	OccupancyWeight time.Duration `json:"occupancyWeight"`
 	// Quanta are the attained service, in slot-time, at which a job sinks from
-	// level 0 to 1, from 1 to 2, and so on.
-	Quanta [levelCount - 1]time.Duration `json:"quanta"`
+	// the short levels to the next one, and so on.
+	Quanta [quantumCount]time.Duration `json:"quanta"`
 	// AgeingShare is the part of an account's service that its deepest waiting
 	// level is given for certain, from 0 up to 1.
 	AgeingShare float64 `json:"ageingShare"`
@@ -49,7 +49,7 @@
 		Policy:          PolicyFair,
 		Memory:          time.Second,
 		OccupancyWeight: 250 * time.Millisecond,
-		Quanta:          [levelCount - 1]time.Duration{200 * time.Millisecond, 2 * time.Second, 20 * time.Second},
+		Quanta:          [quantumCount]time.Duration{200 * time.Millisecond, 2 * time.Second, 20 * time.Second},
 		AgeingShare:     0.2,
 		TailTasks:       4,
 		MaxBatch:        64,
@@ -58,6 +58,15 @@
 	}
 }
 
+// quantumCount is one less than the number of levels by size; the urgent level
+// is for the same sizes as the short one.
+const quantumCount = levelCount - 2
+
+// quantum is the service in slot-seconds at which a job leaves a level.
+func (s *Settings) quantum(level int) float64 {
+	return s.Quanta[max(0, level-shortLevel)].Seconds()
+}
+
 // SettingError names the setting that cannot be used and why.
 type SettingError struct {
 	Setting string
