Short urgent work passes the fair order within its account's due

Cause: an account that both builds and checks uses more than its share, so its checks waited for its turn behind the builds of others.

Change: lanes with short urgent work are offered first while their urgent service and their urgent slots in use are within the account's due. The service is charged as usual, so shares stay as they are.

What is left of the check's wait is the time until a slot frees at all.

--- a/internal/process/fairness/accounts.go
+++ b/internal/process/fairness/accounts.go
@@ -86,6 +86,7 @@
 	}
 	l := &lane[K]{account: account, leaf: q.leafOf(account)}
 	l.leaf.lane = l
+	q.addPass(l)
 	q.lanes[account] = l
 	return l
 }
@@ -229,6 +230,8 @@
 	l.leaf.refreshBusy()
 	q.reorder(l.leaf)
 	l.leaf.refresh()
+	l.passBlocked = false
+	q.refreshPass(l)
 }
 
 // Snapshot returns the standing of all accounts by name.
--- a/internal/process/fairness/lane.go
+++ b/internal/process/fairness/lane.go
@@ -29,6 +29,7 @@
 
 	queued  int
 	running int
+	passed  int // running tasks that were short urgent work when they started
 	// charged is the estimated service of the running tasks, in share-seconds.
 	charged float64
 	// attained is the finished service in slot-seconds, startSum the sum of the
@@ -95,7 +96,10 @@
 type lane[K comparable] struct {
 	account string
 	leaf    *node[K]
-	levels  [levelCount]jobList[K]
+	pass    *node[K]
+	// passBlocked: a quota keeps the pass out of the order.
+	passBlocked bool
+	levels      [levelCount]jobList[K]
 
 	ready       int // jobs in the levels
 	parked      int
--- /dev/null
+++ b/internal/process/fairness/pass.go
@@ -0,0 +1,104 @@
+package fairness
+
+// Short urgent work of all accounts may pass the fair order, each account up to
+// its due.
+//
+// Without this, an account whose builds used more than its share would have its
+// own checks wait until its turn comes; one would see the response time of its
+// checks rise with its builds. Bounded by the due, the pass takes nothing from
+// others: the service is charged to the account like any other, and an account
+// that sends more short work than its due falls back to the fair order.
+//
+// A lane's pass is a node below q.passes. Its virtual time is the lane's short
+// urgent service in units of its due, and the clock of q.passes is the service
+// given to all accounts. A lane that is not ahead of the clock may pass.
+
+// addPass gives a lane its pass.
+func (q *Queue[K]) addPass(l *lane[K]) {
+	l.pass = &node[K]{name: l.account, parent: q.passes, weight: 1, index: noIndex}
+	l.pass.vt = q.passes.clock
+}
+
+// refreshPass brings a lane's pass into or out of the order, as it has short
+// urgent work or not.
+func (q *Queue[K]) refreshPass(l *lane[K]) {
+	work := l.levels[urgentLevel].head != nil && !l.passBlocked && q.withinDue(l)
+	switch in := l.pass.index != noIndex; {
+	case work && !in:
+		l.pass.vt = max(l.pass.vt, q.passes.clock-q.settings.Memory.Seconds())
+		l.pass.key = l.pass.vt
+		q.passes.insert(l.pass)
+	case !work && in:
+		q.passes.remove(l.pass)
+	}
+}
+
+// withinDue reports whether a lane's running short urgent tasks leave a part of
+// its due unused. The virtual time alone would let a burst take all slots at
+// once, which others would notice as a rise of their response times.
+func (q *Queue[K]) withinDue(l *lane[K]) bool {
+	use := q.share(l.pass.slots, l.pass.milliwatts)
+	return l.pass.slots == 0 || use < l.leaf.fraction()
+}
+
+// occupyPass counts n tasks as running short urgent work, or as ended when n is
+// negative.
+func (q *Queue[K]) occupyPass(j *job[K], n int) {
+	j.passed += n
+	j.lane.pass.slots += int64(n) * int64(j.Slots)
+	j.lane.pass.milliwatts += int64(n) * int64(j.Milliwatts)
+	q.refreshPass(j.lane)
+}
+
+// chargePass counts service given to all accounts, and to a lane's short urgent
+// work when urgent is true.
+func (q *Queue[K]) chargePass(l *lane[K], cost float64, urgent bool) {
+	q.passes.clock += cost
+	if !urgent {
+		return
+	}
+	p := l.pass
+	p.vt = max(p.vt, q.passes.clock-q.settings.Memory.Seconds()) + cost/l.leaf.fraction()
+	p.key = p.vt
+	if p.index != noIndex {
+		q.passes.fix(p.index)
+	}
+}
+
+// nextPass offers the front short urgent job among the lanes that may pass.
+func (q *Queue[K]) nextPass() (Pick[K], bool) {
+	for len(q.passes.heap) > 0 && q.passes.heap[0].key <= q.passes.clock {
+		l := q.lanes[q.passes.heap[0].name]
+		j := l.levels[urgentLevel].head
+		if q.sink(j) {
+			continue
+		}
+		room := q.pathRoom(j)
+		if room < int64(j.Slots) {
+			q.block(j)
+			continue
+		}
+		most := min(j.queued, q.settings.MaxBatch, int(room/int64(j.Slots)))
+		return Pick[K]{j.Key, min(most, j.quantumTasks(q.now, &q.settings)), Passed}, true
+	}
+	return Pick[K]{}, false
+}
+
+// blockPass takes a lane's pass out of the order until its account is unblocked.
+func (q *Queue[K]) blockPass(blocked *node[K], l *lane[K]) {
+	if l.passBlocked {
+		return
+	}
+	l.passBlocked = true
+	q.refreshPass(l)
+	blocked.passes = append(blocked.passes, l)
+}
+
+// unblockPasses brings back the passes that an account's quota kept out.
+func (q *Queue[K]) unblockPasses(n *node[K]) {
+	for _, l := range n.passes {
+		l.passBlocked = false
+		q.refreshPass(l)
+	}
+	n.passes = nil
+}
--- a/internal/process/fairness/queue.go
+++ b/internal/process/fairness/queue.go
@@ -19,6 +19,7 @@
 	lanes     map[string]*lane[K]
 	jobs      map[K]*job[K]
 	estimates map[estimateKey]*estimate
+	passes    *node[K]
 	arrivals  *lane[K] // holds all jobs under PolicyFIFO
 	parked    jobList[K]
 	timers    wheel[K]
@@ -42,6 +43,7 @@
 		jobs:      make(map[K]*job[K]),
 		estimates: make(map[estimateKey]*estimate),
 		capacity:  Capacity{Slots: 1, Milliwatts: 1},
+		passes:    &node[K]{index: noIndex},
 	}
 	q.rebuild()
 	if s.Policy == PolicyFIFO {
@@ -137,6 +139,7 @@
 		return
 	}
 	j.lane.add(j, j.levelBy(q.now, &q.settings))
+	q.refreshPass(j.lane)
 	q.rejoin(j.lane.leaf)
 }
 
@@ -151,6 +154,7 @@
 		q.arrivals.take(j)
 	default:
 		j.lane.take(j)
+		q.refreshPass(j.lane)
 		j.lane.leaf.refresh()
 	}
 }
@@ -180,6 +184,9 @@
 	if pick, found := q.nextStarved(); found {
 		return pick, true
 	}
+	if pick, found := q.nextPass(); found {
+		return pick, true
+	}
 	if q.starved != nil {
 		return Pick[K]{}, false
 	}
@@ -229,9 +236,7 @@
 		n = n.heap[0]
 	}
 	j, why := n.lane.front(&q.settings)
-	if level := j.levelBy(q.now, &q.settings); level != j.level {
-		n.lane.take(j)
-		n.lane.add(j, level)
+	if q.sink(j) {
 		return Pick[K]{}, false
 	}
 	room := q.pathRoom(j)
@@ -247,6 +252,19 @@
 	return Pick[K]{j.Key, most, why}, true
 }
 
+// sink moves a ready job to the level it belongs to by now, and reports whether
+// it moved.
+func (q *Queue[K]) sink(j *job[K]) bool {
+	level := j.levelBy(q.now, &q.settings)
+	if level == j.level {
+		return false
+	}
+	j.lane.take(j)
+	j.lane.add(j, level)
+	q.refreshPass(j.lane)
+	return true
+}
+
 // pathRoom returns the slots that the quotas of the job's accounts leave.
 func (q *Queue[K]) pathRoom(j *job[K]) int64 {
 	room := maxRoom
@@ -270,6 +288,7 @@
 		}
 		n.blockedNeed = int64(j.Slots)
 		n.refresh()
+		q.blockPass(n, j.lane)
 		return
 	}
 }
@@ -362,6 +381,10 @@
 	q.relevel(j)
 	j.lane.settle(level, j.taskCost()*float64(n), q.settings.AgeingShare)
 	j.lane.leaf.charge(cost, q.settings.Memory.Seconds())
+	q.chargePass(j.lane, cost, level == urgentLevel)
+	if level == urgentLevel {
+		q.occupyPass(j, n)
+	}
 	q.reorder(j.lane.leaf)
 	return true
 }
@@ -375,10 +398,7 @@
 	if q.arrivals != nil || j.list == nil || j.list == &q.parked {
 		return
 	}
-	if level := j.levelBy(q.now, &q.settings); level != j.level {
-		j.lane.take(j)
-		j.lane.add(j, level)
-	}
+	q.sink(j)
 }
 
 // occupy counts n tasks as running, or as ended when n is negative.
@@ -412,6 +432,10 @@
 	}
 	leaf := j.lane.leaf
 	leaf.charge(correction, q.settings.Memory.Seconds())
+	q.chargePass(j.lane, correction, j.level == urgentLevel)
+	if ended := min(n, j.passed); ended > 0 {
+		q.occupyPass(j, -ended)
+	}
 	q.unblock(leaf)
 	q.relevelTail(j)
 	q.reorder(leaf)
@@ -449,6 +473,7 @@
 	for n := leaf; n.parent != nil; n = n.parent {
 		if n.blockedNeed > 0 && n.room() >= n.blockedNeed {
 			n.blockedNeed = 0
+			q.unblockPasses(n)
 			q.rejoin(n)
 		}
 	}
@@ -508,6 +533,7 @@
 		j.level = j.levelBy(q.now, &q.settings)
 		j.lane.levels[j.level].pushFront(j)
 		j.lane.ready++
+		q.refreshPass(j.lane)
 		q.rejoin(j.lane.leaf)
 	}
 }
--- a/internal/process/fairness/tree.go
+++ b/internal/process/fairness/tree.go
@@ -12,7 +12,8 @@
 type node[K comparable] struct {
 	name   string
 	parent *node[K]
-	lane   *lane[K] // work of a leaf; nil for an inner node
+	passes []*lane[K] // kept out while the node is blocked
+	lane   *lane[K]   // work of a leaf; nil for an inner node
 	weight int64
 	quota  int64 // slots; 0 is none
 
--- a/internal/process/fairness/types.go
+++ b/internal/process/fairness/types.go
@@ -32,6 +32,8 @@
 const (
 	// ShareDue: the account is furthest behind its weighted share.
 	ShareDue reason.Code = "share_due"
+	// Passed: short urgent work went first, within its account's due.
+	Passed reason.Code = "urgent_within_due"
 	// Aged: the job's level was owed service by the shorter jobs above it.
 	Aged reason.Code = "aged"
 	// JobTail: only the last tasks of the job are left.
