--- a/internal/process/fairness/lane.go
+++ b/internal/process/fairness/lane.go
@@ -7,13 +7,19 @@
 )
 
 // levelCount is the number of feedback levels within an account.
-const levelCount = 4
+const levelCount = 5
 
-// tailLevel is where the last tasks of a long job go.
-const tailLevel = 1
-
-// bulkLevel is the highest level of bulk work.
-const bulkLevel = 2
+const (
+	// urgentLevel is for short urgent jobs alone, which would otherwise wait
+	// behind a burst of short jobs for which nobody holds the line.
+	urgentLevel = 0
+	// shortLevel is the highest level of normal work.
+	shortLevel = 1
+	// tailLevel is where the last tasks of a long job go.
+	tailLevel = 2
+	// bulkLevel is the highest level of bulk work.
+	bulkLevel = 3
+)
 
 // job is the queue's record of one submission's tasks at this entry VM.
 type job[K comparable] struct {
@@ -23,6 +29,7 @@
 
 	queued  int
 	running int
+	passed  int // running tasks that were short urgent work when they started
 	// charged is the estimated service of the running tasks, in share-seconds.
 	charged float64
 	// attained is the finished service in slot-seconds, startSum the sum of the
@@ -89,7 +96,10 @@
 type lane[K comparable] struct {
 	account string
 	leaf    *node[K]
-	levels  [levelCount]jobList[K]
+	pass    *node[K]
+	// passBlocked: a quota keeps the pass out of the order.
+	passBlocked bool
+	levels      [levelCount]jobList[K]
 
 	ready       int // jobs in the levels
 	parked      int
@@ -201,15 +211,31 @@
 	return j.attained + max(elapsed, expected)*float64(j.Slots)
 }
 
+// sizeBy returns the least that the job's whole service can be expected to be,
+// in slot-seconds. Before run times of its kind have been seen this is what it
+// has attained, since a declared size proves nothing. Afterwards the waiting
+// tasks count too: without them, each wide job would begin among the short ones
+// and pass the older wide jobs, so that all of them end late.
+func (j *job[K]) sizeBy(now float64) float64 {
+	attained := j.attainedBy(now)
+	if !j.learnt.known() {
+		return attained
+	}
+	return attained + float64(j.queued)*j.taskCost()
+}
+
 // levelBy returns the job's feedback level.
 func (j *job[K]) levelBy(now float64, s *Settings) int {
-	attained := j.attainedBy(now)
-	level := 0
-	for level < levelCount-1 && attained >= s.Quanta[level].Seconds() {
+	size := j.sizeBy(now)
+	level := shortLevel
+	for level < levelCount-1 && size >= s.quantum(level) {
 		level++
 	}
-	if j.Class == Bulk {
+	switch {
+	case j.Class == Bulk:
 		level = max(level, bulkLevel)
+	case j.Class == Urgent && level == shortLevel:
+		level = urgentLevel
 	}
 	if level > tailLevel && j.nearlyDone(s) {
 		level = tailLevel
@@ -229,7 +255,7 @@
 	if j.level >= levelCount-1 {
 		return j.queued
 	}
-	left := s.Quanta[j.level].Seconds() - j.attainedBy(now)
+	left := s.quantum(j.level) - j.attainedBy(now)
 	return max(1, int(min(left/j.taskCost(), float64(j.queued))))
 }
 
