Distribution tests: isolate the take-over and the stale first read

Cause: two mutations of the core went unnoticed: repair hid a broken take-over, and the peers always answered before the store. Change: the dead watcher is also tried without repair; in the stale read the store answers before the peers.

--- a/internal/process/distribution/node_test.go
+++ b/internal/process/distribution/node_test.go
@@ -16,9 +16,9 @@
 
 // settled is a fleet of the design size in which the first revision is in force
 // everywhere.
-func settled(t *testing.T, seed uint64) *fleet {
+func settled(t *testing.T, seed uint64, build makeNode) *fleet {
 	t.Helper()
-	f := newFleet(seed, 60, 19, chosen)
+	f := newFleet(seed, 60, 19, build)
 	f.publish(small)
 	f.net.Run(10 * time.Second)
 	if !f.everywhere(anyPeer) || len(f.ready) != len(f.peers) {
@@ -38,19 +38,22 @@
 
 // Symptom: a change is in force in all failure domains but one. Sequence: the
 // node that watches for the domain dies; a change is published. Cause: the only
-// watch of the domain died with it.
+// watch of the domain died with it. Without repair from other domains only the
+// take-over is left to help.
 func TestWatcherDies(t *testing.T) {
-	f := settled(t, 1)
-	f.dead["vm-000"] = true
-	f.publish(small)
-	mustSpread(t, f, anyPeer)
+	for _, build := range []makeNode{chosen, ordinary(Options{NoRepair: true})} {
+		f := settled(t, 1, build)
+		f.dead["vm-000"] = true
+		f.publish(small)
+		mustSpread(t, f, anyPeer)
+	}
 }
 
 // Symptom: a change is in force nowhere, though the store holds it. Sequence:
 // all open watches go silent, new calls work; a change is published. Cause: a
 // watch without a bound of its own waits for ever.
 func TestAllWatchesGoSilent(t *testing.T) {
-	f := settled(t, 2)
+	f := settled(t, 2, chosen)
 	f.silent = func(Peer) bool { return true }
 	f.publish(small)
 	f.silent = func(Peer) bool { return false }
@@ -61,7 +64,7 @@
 // Sequence: the store goes out; a VM is replaced. Cause: a start that needs the
 // store, though peers hold the configuration.
 func TestVMIsReplacedDuringAnOutage(t *testing.T) {
-	f := settled(t, 3)
+	f := settled(t, 3, chosen)
 	f.publish(small)
 	mustSpread(t, f, anyPeer)
 	f.storeDown = func(Peer) bool { return true }
@@ -85,10 +88,11 @@
 // read comes to an old replica of the store. Cause: the store's answer taken as
 // the newest.
 func TestStaleReadNeverReverts(t *testing.T) {
-	f := settled(t, 4)
+	f := settled(t, 4, chosen)
 	f.publish(small)
 	mustSpread(t, f, anyPeer)
 	f.stale = true
+	f.net.Delay = 50 * time.Millisecond // so that the store answers first
 	f.start(f.peers[7], 999, chosen)
 	f.net.RunUntil(f.net.Now.Add(inForceWithin), func() bool { return f.nodes["vm-007"].(*Node).Ready() })
 	if got := f.nodes["vm-007"].Held().Revision; got != f.value.Revision {
@@ -104,7 +108,7 @@
 // the domain loses the store but not its peers; a change is published. Cause:
 // the store as the only source.
 func TestDomainWithoutTheStore(t *testing.T) {
-	f := settled(t, 5)
+	f := settled(t, 5, chosen)
 	f.storeDown = func(p Peer) bool { return p.Domain == "d03" }
 	f.publish(small)
 	mustSpread(t, f, anyPeer)
@@ -114,7 +118,7 @@
 // long after. Sequence: the domain is cut off from peers and store; a change is
 // published; the cut heals. The others must not wait for it.
 func TestDomainCutOffAndHealed(t *testing.T) {
-	f := settled(t, 6)
+	f := settled(t, 6, chosen)
 	f.cutOff("d03")
 	f.publish(small)
 	mustSpread(t, f, func(p Peer) bool { return p.Domain != "d03" })
