Holder learns what tasks use and judges workers by their outcomes

Cause: placement trusted declared figures and every worker. Change: estimates (run time, draw, memory) are charged and learned per template and client account; health moves workers between tiers.

--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -165,6 +165,7 @@
 		Draining:       m.Draining,
 		WorkersVersion: m.WorkersVersion,
 		Slots:          m.Slots,
+		Largest:        m.Largest,
 		TakenTasks:     s.taken.Load(),
 	}
 	if m.WorkersVersion != s.version {
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -31,6 +31,7 @@
 		Draining:       m.Draining,
 		WorkersVersion: m.WorkersVersion,
 		Slots:          m.Slots,
+		Largest:        m.Largest,
 		TakenTasks:     c.n.Load(),
 	}
 }
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -23,7 +23,9 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/estimate"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 )
 
@@ -34,6 +36,8 @@
 	MaxQueued int           // tasks waiting for a slot
 	Order     fairness.Settings
 	Placement placement.Settings
+	Health    health.Settings
+	Estimate  estimate.Settings
 }
 
 // Defaults returns settings for an entry VM of 2 cores.
@@ -44,6 +48,8 @@
 		MaxQueued: 100_000,
 		Order:     fairness.Defaults(),
 		Placement: placement.Defaults(),
+		Health:    health.Defaults(),
+		Estimate:  estimate.DefaultSettings(),
 	}
 }
 
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -7,7 +7,9 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/estimate"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
@@ -45,7 +47,8 @@
 type waitingGroup struct {
 	m        *pb.RunGroup
 	next     int
-	each     placement.Resources
+	each     placement.Resources // of one task, learned
+	expected time.Duration       // of one task, learned
 	allowed  placement.AllowedSet
 	received time.Time
 	deadline time.Time
@@ -58,11 +61,12 @@
 
 // flight is a task that was sent to a worker and has no end yet.
 type flight struct {
-	session Session
-	left    bool         // the session ended, nobody is told of the end
-	group   *pb.RunGroup // nil: started under an earlier lease
-	each    placement.Resources
-	started time.Time
+	session  Session
+	left     bool         // the session ended, nobody is told of the end
+	group    *pb.RunGroup // nil: started under an earlier lease
+	each     placement.Resources
+	expected time.Duration
+	started  time.Time
 }
 
 // worker is one whose lease is held.
@@ -79,11 +83,14 @@
 	events  *ring.Ring[event]
 	order   *fairness.Queue[workKey]
 	placer  *placement.Placer
+	health  *health.Table
+	learned *estimate.Estimator
 	works   map[workKey]*work
 	workers map[string]*worker
 	queued  int
 	now     time.Time
-	dirty   bool // the held workers changed
+	dirty   bool      // the held workers changed
+	judged  time.Time // health's last tick
 
 	starts  map[string]*pb.HoldRequest  // of this round, by worker
 	reports map[Session]*pb.RunResponse // of this round
@@ -103,6 +110,8 @@
 		events:  ring.New[event](cfg.Settings.Ring),
 		order:   fairness.New[workKey](cfg.Settings.Order),
 		placer:  placement.New(cfg.Settings.Placement),
+		health:  health.New(cfg.Settings.Health),
+		learned: estimate.New(cfg.Settings.Estimate),
 		works:   make(map[workKey]*work),
 		workers: make(map[string]*worker),
 		starts:  make(map[string]*pb.HoldRequest),
@@ -135,6 +144,7 @@
 		e.apply(h)
 	}
 	h.expire()
+	h.judge()
 	h.place()
 	h.publish()
 	h.flush()
@@ -151,7 +161,7 @@
 		Draining:    h.draining.Load(),
 	}
 	if old != nil && !h.dirty {
-		m.WorkersVersion, m.Workers, m.Slots = old.WorkersVersion, old.Workers, old.Slots
+		m.WorkersVersion, m.Workers, m.Slots, m.Largest = old.WorkersVersion, old.Workers, old.Slots, old.Largest
 		h.advert.Store(m)
 		return
 	}
@@ -162,6 +172,7 @@
 		m.Workers = append(m.Workers, &pb.HeldWorker{Id: w.id})
 		m.Slots += w.capacity.Slots
 	}
+	m.Largest = resourcesMessage(h.placer.Largest())
 	h.advert.Store(m)
 }
 
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -1,9 +1,15 @@
 package holder
 
 import (
+	"time"
+
+	"k8s.io/klog/v2"
+
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/estimate"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
@@ -30,8 +36,9 @@
 		ID:       ev.worker,
 		Rack:     h.cfg.Rack(ev.worker),
 		Capacity: w.capacity,
-		Tier:     placement.Healthy,
+		Tier:     placement.Probation,
 	})
+	h.apply(h.health.Joined(h.now, ev.worker, h.cfg.Domain))
 	// Tasks of earlier leases keep their slots until the worker reports their
 	// end: counting them as free would overload the worker, and its cap on
 	// draw.
@@ -65,6 +72,7 @@
 	delete(h.workers, ev.worker)
 	delete(h.starts, ev.worker)
 	h.placer.RemoveWorker(ev.worker)
+	h.health.Removed(ev.worker)
 	h.dirty = true
 	h.updateCapacity()
 	h.returnStranded()
@@ -122,6 +130,7 @@
 	busy := h.now.Sub(f.started)
 	h.order.Finish(h.now, workKey{f.session, t.id}, 1, busy, float64(r.Milliwatts)*busy.Seconds())
 	h.cfg.Observer.Ended(f.group.Account, f.group.Template, w.id, r)
+	h.learn(w, f, r)
 	if !f.left {
 		h.report(f.session, t.id, f.group.Generation, r)
 	}
@@ -136,3 +145,48 @@
 	}
 	h.order.SetCapacity(h.now, c)
 }
+
+// learn passes the end of a task to the estimates and to the judgement of its
+// worker. A task that did not start says nothing about either.
+func (h *Holder) learn(w *worker, f flight, r *pb.TaskResult) {
+	outcome := health.OK
+	switch r.State {
+	case pb.TaskState_TASK_STATE_DONE:
+		h.learned.Observe(f.group.Template, f.group.Account, estimate.Sample{
+			Time:       time.Duration(r.RunMicros) * time.Microsecond,
+			Milliwatts: r.Milliwatts,
+		})
+	case pb.TaskState_TASK_STATE_FAILED:
+		outcome = health.Failed
+	case pb.TaskState_TASK_STATE_LOST:
+		outcome = health.Lost
+	default:
+		return
+	}
+	run := time.Duration(r.RunMicros) * time.Microsecond
+	h.apply(h.health.Ended(h.now, w.id, f.group.Template, outcome, run, f.expected))
+}
+
+// judgeEvery is how often what is due by time is judged.
+const judgeEvery = time.Second
+
+// judge lets the judgement of workers see time pass.
+func (h *Holder) judge() {
+	if h.now.Sub(h.judged) < judgeEvery {
+		return
+	}
+	h.judged = h.now
+	h.apply(h.health.Tick(h.now))
+}
+
+// apply puts changes of tier in force.
+func (h *Holder) apply(changes []health.Change) {
+	for _, c := range changes {
+		h.placer.SetTier(c.Worker, c.To)
+		if c.To == placement.Ejected || c.To == placement.Suspect {
+			klog.InfoS(logPrefix+"worker distrusted", "worker", c.Worker, "tier", c.To, "reason", c.Reason, "template", c.Template, "score", c.Score)
+		}
+	}
+}
+
+const logPrefix = "holder: "
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -6,6 +6,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/estimate"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
@@ -83,9 +84,18 @@
 		w = &work{}
 		h.works[key] = w
 	}
+	guess := h.learned.Charge(g.Template, g.Account, estimate.Declared{
+		Time:       time.Duration(g.ExpectedMicros) * time.Microsecond,
+		Milliwatts: g.Each.GetMilliwatts(),
+		MemoryMiB:  g.Each.GetMemoryMib(),
+	})
+	each := resources(g.Each)
+	each.Milliwatts = guess.Milliwatts
+	each.MemoryMiB = guess.MemoryMiB
 	wg := &waitingGroup{
 		m:        g,
-		each:     resources(g.Each),
+		each:     each,
+		expected: guess.Time,
 		allowed:  h.placer.Allow(g.Workers),
 		received: h.now,
 		deadline: h.now.Add(time.Duration(g.DeadlineMillis) * time.Millisecond),
@@ -100,12 +110,22 @@
 		Class:        h.cfg.Class(g.Template),
 		Slots:        wg.each.Slots,
 		Milliwatts:   wg.each.Milliwatts,
-		Expected:     time.Duration(g.ExpectedMicros) * time.Microsecond,
+		Expected:     guess.Time,
 		JobRemaining: int(g.JobRemaining),
 		Deadline:     wg.deadline,
 	}, len(g.Index))
 }
 
+func resourcesMessage(r placement.Resources) *pb.Resources {
+	return &pb.Resources{
+		Slots:        r.Slots,
+		Millicpu:     r.MilliCPU,
+		MemoryMib:    r.MemoryMiB,
+		Accelerators: r.Accelerators,
+		Milliwatts:   r.Milliwatts,
+	}
+}
+
 func resources(m *pb.Resources) placement.Resources {
 	return placement.Resources{
 		Slots:        max(m.GetSlots(), 1),
@@ -193,7 +213,8 @@
 		Input:            g.m.Input[g.next:until],
 	})
 	for _, index := range g.m.Index[g.next:until] {
-		w.flights[taskKey{key.id, index}] = flight{session: key.session, group: g.m, each: g.each, started: h.now}
+		w.flights[taskKey{key.id, index}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
+		h.health.Started(h.now, w.id, g.m.Template, g.expected)
 	}
 	g.next = until
 }
