Home admits, plans over owners by spare capacity, and refuses truthfully

Cause: a home queued tasks at owners for good and refused only by count; a refusal of a resubmitted ticket could say not run while another entry VM had recovered it. Change: admission decides each new submission; spill.Plan places what finds free slots, the rest stays at the home until slots turn free; a refusal of a ticket that may have been sent before is first closed at a candidate.

--- a/client/client.go
+++ b/client/client.go
@@ -128,7 +128,7 @@
 			// Without a ticket nothing was submitted.
 			return nil, &NoTicketError{Cause: err}
 		}
-		a, err := c.drive(ctx, ticket, home, j)
+		a, err := c.drive(ctx, ticket, home, j, true)
 		if err != nil {
 			return nil, err
 		}
@@ -152,13 +152,13 @@
 
 // Resume asks again for the job of a ticket, with the same tasks.
 func (c *Client) Resume(ctx context.Context, ticket string, j Job) (*Answer, error) {
-	return c.drive(ctx, ticket, c.pick(), j)
+	return c.drive(ctx, ticket, c.pick(), j, false)
 }
 
 // drive puts the job under its ticket until there is a final answer. Every
 // attempt after the first goes to another endpoint.
-func (c *Client) drive(ctx context.Context, ticket string, at int, j Job) (*Answer, error) {
-	body, err := json.Marshal(submitBody{j.Template, j.Tasks, uint32(j.Deadline.Milliseconds())})
+func (c *Client) drive(ctx context.Context, ticket string, at int, j Job, first bool) (*Answer, error) {
+	body, err := json.Marshal(submitBody{j.Template, j.Tasks, uint32(j.Deadline.Milliseconds()), first})
 	if err != nil {
 		return nil, err
 	}
@@ -174,6 +174,10 @@
 		} else {
 			c.pools[at].discard()
 		}
+		if first {
+			first = false
+			body, _ = json.Marshal(submitBody{j.Template, j.Tasks, uint32(j.Deadline.Milliseconds()), false})
+		}
 		if !sleep(ctx, jitter(backoff)) {
 			return nil, &UnresolvedError{Ticket: ticket, Cause: err}
 		}
@@ -195,6 +199,7 @@
 	Template       string            `json:"template"`
 	Tasks          []json.RawMessage `json:"tasks"`
 	DeadlineMillis uint32            `json:"deadline_millis,omitempty"`
+	First          bool              `json:"first,omitempty"`
 }
 
 type resultBody struct {
--- a/internal/connection/caller/doc.go
+++ b/internal/connection/caller/doc.go
@@ -67,6 +67,9 @@
 	Template       string            `json:"template"`
 	Tasks          []json.RawMessage `json:"tasks"`
 	DeadlineMillis uint32            `json:"deadline_millis,omitempty"`
+	// First says that the caller never sent this ticket before. A refusal can
+	// then say "not run" without asking any worker.
+	First bool `json:"first,omitempty"`
 }
 
 // TicketsBody asks for tickets.
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -131,6 +131,7 @@
 		return
 	}
 	tk, token := s.router.Mint(account)
+	body.First = true
 	s.run(w, r, body, tk, token)
 }
 
@@ -163,7 +164,7 @@
 }
 
 func (s *Server) run(w http.ResponseWriter, r *http.Request, body *SubmitBody, t ticket.Ticket, token string) {
-	req := router.Request{Token: token, Ticket: t, Template: body.Template, Inputs: make([][]byte, len(body.Tasks))}
+	req := router.Request{Token: token, Ticket: t, Template: body.Template, First: body.First, Inputs: make([][]byte, len(body.Tasks))}
 	for i, task := range body.Tasks {
 		req.Inputs[i] = task
 	}
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -43,6 +43,7 @@
 func (h *Home) answer(e *entry, a *job.Answer) {
 	h.step(e, "answered", a.Reason, string(a.Outcome)+" "+a.Detail)
 	h.open--
+	h.load.closed(e)
 	for _, w := range e.waiters {
 		w(a)
 	}
--- a/internal/process/home/doc.go
+++ b/internal/process/home/doc.go
@@ -12,7 +12,9 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/admission"
 	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
+	"github.com/pumiceyard/pumiceyard/internal/process/spill"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 )
@@ -28,6 +30,11 @@
 	MaxJobs     int           // submissions that have no answer yet
 	// GroupTasks bounds the tasks in one batch to one owner.
 	GroupTasks int
+	// Backlog is the tasks handed to the own holder beyond its free slots, per
+	// slot.
+	Backlog   int
+	Admission admission.Settings
+	Spill     spill.Settings
 }
 
 // Defaults returns settings for an entry VM of 2 cores.
@@ -41,6 +48,9 @@
 		RetainBytes: 64 << 20,
 		MaxJobs:     20_000,
 		GroupTasks:  256,
+		Backlog:     1,
+		Admission:   admission.Defaults(),
+		Spill:       spill.Defaults(),
 	}
 }
 
@@ -76,6 +86,12 @@
 	Candidates []ownership.WorkerRef // workers that may run its tasks
 	// Incomplete: Candidates is not known to be all of them.
 	Incomplete bool
+	// Class of the template, and the limits of its account.
+	Class      admission.Class
+	Weight     uint32
+	QuotaSlots uint32
+	// First: the caller says that it never sent this ticket before.
+	First bool
 	// Recover: this entry VM is not the home, which can not be reached.
 	Recover bool
 }
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -8,7 +8,9 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/admission"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+	"github.com/pumiceyard/pumiceyard/internal/process/spill"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
@@ -45,6 +47,11 @@
 	kept   retention
 	out    map[string]*pb.RunRequest // messages of this round, by owner
 	now    time.Time
+
+	admission *admission.Controller
+	load      load
+	peers     []spill.Peer // reused
+	away      bool         // the last plan sent tasks to other failure domains
 }
 
 // entry is one submission.
@@ -59,6 +66,8 @@
 	dueAt      time.Time
 	tasks      int
 	bytes      int // retained, once answered
+	// represented: tasks of it were handed to the own holder.
+	represented bool
 }
 
 // event is one thing for the loop to handle.
@@ -73,6 +82,9 @@
 		owners: newOwnerSet(cfg.Name, cfg.Domain),
 		kept:   retention{limit: cfg.Settings.RetainBytes},
 		out:    make(map[string]*pb.RunRequest),
+
+		admission: admission.New(cfg.Settings.Admission, cfg.Incarnation),
+		load:      newLoad(),
 	}
 }
 
@@ -151,10 +163,23 @@
 		return
 	}
 	if h.open >= h.cfg.Settings.MaxJobs {
-		ev.reply(&job.Answer{Outcome: reason.NotRun, Reason: reason.QueueFull, Detail: "too many submissions are open", RetryAfter: time.Second})
+		ev.reply(&job.Answer{Outcome: h.refusedOutcome(&ev.sub), Reason: reason.QueueFull, Detail: "too many submissions are open", RetryAfter: time.Second})
+		return
+	}
+	refusal := h.admit(&ev.sub)
+	if refusal != nil && ev.sub.First {
+		ev.reply(&job.Answer{Outcome: reason.NotRun, Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
 		return
 	}
-	h.accept(ev.sub, hash, ev.reply)
+	h.accept(ev.sub, hash, ev.reply, refusal)
+}
+
+// refusedOutcome is what can be said of a submission without asking any worker.
+func (h *Home) refusedOutcome(s *Submission) reason.Outcome {
+	if s.First {
+		return reason.NotRun
+	}
+	return reason.Unknown
 }
 
 // abandoned reports whether the submission was left to another driver that does
@@ -176,7 +201,10 @@
 	e.waiters = append(e.waiters, reply)
 }
 
-func (h *Home) accept(sub Submission, hash uint64, reply Reply) {
+// accept drives a submission. One that is refused although its caller may have
+// sent it before is driven to its end at once: another entry VM may have
+// recovered it, and "not run" has to be true.
+func (h *Home) accept(sub Submission, hash uint64, reply Reply, refusal *admission.Refusal) {
 	spec := job.Spec{
 		ID:        sub.Ticket.ID,
 		Account:   sub.Ticket.Account,
@@ -206,9 +234,15 @@
 	}
 	h.jobs[sub.Ticket.ID] = e
 	h.open++
+	h.load.opened(e)
 	if !sub.Recover && used == (ticket.Generation{}) {
 		e.job = job.New(spec, h.cfg.Incarnation)
-		h.step(e, "accepted", "", "")
+		if refusal != nil {
+			h.step(e, "refused", refusal.Reason, refusal.Detail)
+			h.act(e, e.job.End(h.now, refusal.Reason, refusal.Detail, refusal.RetryAfter))
+		} else {
+			h.step(e, "accepted", "", "")
+		}
 		h.schedule(e)
 		return
 	}
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -9,6 +9,8 @@
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
+	"github.com/pumiceyard/pumiceyard/internal/process/spill"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
 
 // owner is an entry VM that holds worker leases, as its adverts describe it.
@@ -25,15 +27,14 @@
 	taken       uint64 // of these, counted in free and queued
 	draining    bool
 	up          bool
+	heard       time.Time // last advert
+	largest     *pb.Resources
 }
 
-// spare is how many more tasks would start at once.
-func (o *owner) spare() int { return o.free - o.queued - o.underway() }
-
 // underway is the tasks sent that the owner's advert does not show yet.
 func (o *owner) underway() int { return int(o.sent - o.taken) }
 
-// load is the work waiting per slot, for choosing where to queue.
+// load is the work at an owner per slot.
 func (o *owner) load() float64 {
 	return float64(o.queued+o.underway()+o.slots-o.free) / float64(max(o.slots, 1))
 }
@@ -129,42 +130,92 @@
 }
 
 // assign hands out all tasks that may be handed out and reports whether none is
-// left. Free slots are used first, nearest first; the rest queues where the
-// least work waits for a slot.
+// left.
 func (h *Home) assign(e *entry) bool {
-	for _, o := range h.owners.all {
-		if e.job.Unassigned() == 0 {
-			return true
-		}
-		if n := o.spare(); n > 0 {
-			h.give(e, o, n)
-		}
+	own := h.owners.get(h.cfg.Name)
+	load := spill.Load{
+		Name:      own.name,
+		Domain:    h.cfg.Domain,
+		FreeSlots: own.free,
+		Queued:    own.queued + own.underway(),
+		Workers:   len(own.workers),
+		Draining:  own.draining,
+		Away:      h.away,
 	}
-	for e.job.Unassigned() > 0 {
-		o := h.leastLoaded(e)
-		if o == nil {
-			return false
+	moves := spill.Plan(h.cfg.Settings.Spill, load, h.peerLoads(), e.job.Unassigned(), func(peer string) bool {
+		return len(h.allowed(e, h.owners.get(peer))) > 0
+	})
+	away := false
+	for _, m := range moves {
+		if m.Peer == spill.Here {
+			h.giveHere(e, own, m)
+			continue
 		}
-		share := max(1, e.job.Unassigned()/len(h.owners.all))
-		if h.give(e, o, share) == 0 {
-			return false
+		h.give(e, h.owners.get(m.Peer), m.Count, reason.Code(m.Reason))
+		away = away || m.Reason == spill.FreeAway
+	}
+	h.away = away
+	if e.job.Unassigned() > 0 && !own.usable() {
+		h.giveAnywhere(e)
+	}
+	return e.job.Unassigned() == 0
+}
+
+// giveHere hands tasks to this VM's own holder. Once handed out they can not go
+// anywhere else, so of those that find no free slot only as many as keep the
+// slots busy until the next plan are handed out; the others stay free to go
+// where slots turn free first.
+func (h *Home) giveHere(e *entry, own *owner, m spill.Move) {
+	n := m.Count
+	if m.Reason != spill.FreeHere {
+		room := h.cfg.Settings.Backlog*own.slots - own.queued - own.underway()
+		if !e.represented {
+			room = max(room, minBacklog)
 		}
+		n = min(n, room)
+	}
+	if h.give(e, own, n, reason.Code(m.Reason)) > 0 {
+		e.represented = true
 	}
-	return true
 }
 
-// leastLoaded returns the owner to queue at.
-func (h *Home) leastLoaded(e *entry) *owner {
-	var best *owner
+// minBacklog is how many tasks of a job are handed to the own holder at least,
+// once: the order between jobs is decided there, so each has to be represented.
+const minBacklog = 8
+
+// peerLoads describes the other owners to the plan.
+func (h *Home) peerLoads() []spill.Peer {
+	h.peers = h.peers[:0]
 	for _, o := range h.owners.all {
-		if !o.usable() || len(h.allowed(e, o)) == 0 {
+		if o.name == h.cfg.Name || !o.usable() {
 			continue
 		}
-		if best == nil || o.load() < best.load() {
+		h.peers = append(h.peers, spill.Peer{
+			Name:      o.name,
+			Domain:    o.domain,
+			FreeSlots: o.free,
+			Queued:    o.queued,
+			Workers:   len(o.workers),
+			Draining:  o.draining,
+			Age:       h.now.Sub(o.heard),
+			Sent:      o.underway(),
+		})
+	}
+	return h.peers
+}
+
+// giveAnywhere hands tasks to the least loaded owner, when this entry VM holds
+// no workers: it just started, or its workers are all gone.
+func (h *Home) giveAnywhere(e *entry) {
+	var best *owner
+	for _, o := range h.owners.all {
+		if o.usable() && len(h.allowed(e, o)) > 0 && (best == nil || o.load() < best.load()) {
 			best = o
 		}
 	}
-	return best
+	if best != nil {
+		h.give(e, best, e.job.Unassigned(), "no_workers_here")
+	}
 }
 
 func (o *owner) usable() bool { return o.up && !o.draining && len(o.workers) > 0 }
@@ -191,7 +242,7 @@
 }
 
 // give hands up to n tasks of an entry to an owner, and returns how many.
-func (h *Home) give(e *entry, o *owner, n int) int {
+func (h *Home) give(e *entry, o *owner, n int, why reason.Code) int {
 	if !o.usable() {
 		return 0
 	}
@@ -208,7 +259,7 @@
 	}
 	if given > 0 {
 		o.sent += uint64(given)
-		h.step(e, "handed out", "", fmt.Sprintf("%d tasks to %s", given, o.name))
+		h.step(e, "handed out", why, fmt.Sprintf("%d tasks to %s", given, o.name))
 	}
 	return given
 }
@@ -264,6 +315,8 @@
 	o.taken = ev.m.TakenTasks
 	o.slots = int(ev.m.Slots)
 	o.draining = ev.m.Draining
+	o.heard = h.now
+	o.largest = ev.m.Largest
 	if o.domain != ev.m.Domain {
 		o.domain = ev.m.Domain
 		h.owners.sort()
--- a/internal/process/router/peer.go
+++ b/internal/process/router/peer.go
@@ -27,7 +27,7 @@
 	if m.AttachOnly {
 		return toWire(r.Attach(ctx, m.Ticket, t, true))
 	}
-	req := Request{Token: m.Ticket, Ticket: t, Template: m.Template, Inputs: m.Input, Forward: true}
+	req := Request{Token: m.Ticket, Ticket: t, Template: m.Template, Inputs: m.Input, First: m.First, Forward: true}
 	if m.DeadlineMillis > 0 {
 		req.Deadline = time.Now().Add(time.Duration(m.DeadlineMillis) * time.Millisecond)
 	}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -11,6 +11,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/admission"
 	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
 	"github.com/pumiceyard/pumiceyard/internal/process/home"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
@@ -68,6 +69,7 @@
 	Template string
 	Inputs   [][]byte
 	Deadline time.Time // zero: the template's
+	First    bool      // the caller never sent this ticket before
 	Forward  bool      // came from another entry VM, must not be forwarded again
 }
 
@@ -125,6 +127,8 @@
 		if err == nil {
 			return r.elsewhere(ctx, req, fromWire(a))
 		}
+		// The home may have taken it.
+		req.First = false
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -138,6 +142,7 @@
 		Account:  req.Ticket.Account,
 		Template: req.Template,
 		Input:    req.Inputs,
+		First:    req.First,
 	}
 	if !req.Deadline.IsZero() {
 		m.DeadlineMillis = uint32(max(1, time.Until(req.Deadline).Milliseconds()))
@@ -195,12 +200,13 @@
 
 // refuse answers a request that is not taken. A submission that is driven here
 // already is attached to instead: it was taken before the cause of the refusal.
-// Away from its home it may have run, so "not run" would be a guess.
+// Away from its home, and when it was sent before, it may have run: "not run"
+// would be a guess.
 func (r *Router) refuse(req Request, refusal *job.Answer) *job.Answer {
 	if a, known := r.attached(req); known {
 		return a
 	}
-	if !r.isHome(&req.Ticket) {
+	if !r.isHome(&req.Ticket) || !req.First {
 		refusal.Outcome = reason.Unknown
 	}
 	return refusal
@@ -230,8 +236,16 @@
 	if !complete && !recovery {
 		return nil, notRun(reason.ListTooOld, 500*time.Millisecond, "the ticket's workers are not known any more: take a new ticket")
 	}
+	account := doc.Account(req.Ticket.Account)
+	if account == nil {
+		return nil, notRun(reason.UnknownAccount, 0, "client account %q is not in configuration revision %d", req.Ticket.Account, doc.Revision)
+	}
 	return &home.Submission{
 		Ticket:     req.Ticket,
+		Class:      classes[t.Class],
+		Weight:     account.Weight,
+		QuotaSlots: account.QuotaSlots,
+		First:      req.First && !recovery,
 		Template:   t.Name,
 		Inputs:     req.Inputs,
 		Deadline:   deadline(now, req, t),
@@ -244,6 +258,12 @@
 	}, nil
 }
 
+var classes = map[document.Class]admission.Class{
+	document.Urgent: admission.Urgent,
+	document.Normal: admission.Normal,
+	document.Bulk:   admission.Bulk,
+}
+
 // attached waits for a submission that is driven here already.
 func (r *Router) attached(req Request) (*job.Answer, bool) {
 	answer := make(chan *job.Answer, 1)
