Placement: remember which sizes of task fit nowhere; mend a shrunk set

(2) When workers left, the turn of an allowed set could point past its end and Place panicked.

The turn starts over when a set is resolved again.

--- a/internal/process/health/table_test.go
+++ b/internal/process/health/table_test.go
@@ -123,6 +123,32 @@
 	b.want(t, "w0", placement.Probation, OnTrial)
 }
 
+func TestTemplateThatFailsEverywhereIsSuspended(t *testing.T) {
+	// Symptom: many workers get no tasks while one template is broken.
+	// Sequence: a template fails on one worker after the other.
+	// Cause: each of the workers was charged with it.
+	b := newBench(40)
+	for i := range 40 {
+		b.end(fmt.Sprint("w", i), "bad", Failed)
+	}
+	charges := 0
+	for _, s := range b.Status() {
+		charges += s.Charges
+	}
+	if charges != maxAccused {
+		t.Fatalf("%d workers charged, want %d", charges, maxAccused)
+	}
+	b.wait(Defaults().HoldFor)
+	for range trustAgain {
+		b.end("w39", "bad", OK) // the template was mended
+	}
+	for _, s := range b.Status() {
+		if s.Score > 0 {
+			t.Errorf("%s has score %.1f from the time when the template was bad", s.Worker, s.Score)
+		}
+	}
+}
+
 func TestOneJobWithBadInputCountsOnce(t *testing.T) {
 	b := newBench(8)
 	for range 4 {
--- a/internal/process/placement/allowed.go
+++ b/internal/process/placement/allowed.go
@@ -29,6 +29,7 @@
 	p.resolves++
 	set.members = p.members
 	set.workers = set.workers[:0]
+	set.turn = 0 // the set may have become smaller
 	for _, id := range set.ids {
 		w := p.byID[id]
 		if w == nil || w.resolve == p.resolves {
--- a/internal/process/placement/place.go
+++ b/internal/process/placement/place.go
@@ -31,6 +31,18 @@
 
 // byIndex places on any worker, best first.
 func (pl *placing) byIndex() {
+	if short := pl.shortages.find(&pl.each); short != nil {
+		pl.fromGained(short)
+		return
+	}
+	pl.scan()
+	if pl.left > 0 {
+		pl.shortages.add(&pl.each, &pl.tally)
+	}
+}
+
+// scan places on the workers of the index until none fits.
+func (pl *placing) scan() {
 	start := 0
 	if pl.each.Accelerators > 0 {
 		start = 1
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -21,19 +21,20 @@
 
 // Placer keeps the accounts of the workers held here and chooses among them.
 type Placer struct {
-	settings Settings
-	rng      *rand.Rand
-	workers  []*worker
-	byID     map[string]*worker
-	racks    map[string]*rack
-	index    index
-	free     uint64 // slots that Place can fill now
-	byTier   [tiers + 1]int
-	largest  Resources
-	measured bool   // largest is up to date
-	members  uint64 // grows when a worker joins or goes
-	calls    uint64 // of Place
-	resolves uint64 // of allowed sets
+	settings  Settings
+	rng       *rand.Rand
+	workers   []*worker
+	byID      map[string]*worker
+	racks     map[string]*rack
+	index     index
+	free      uint64 // slots that Place can fill now
+	byTier    [tiers + 1]int
+	largest   Resources
+	measured  bool   // largest is up to date
+	members   uint64 // grows when a worker joins or goes
+	calls     uint64 // of Place
+	shortages shortages
+	resolves  uint64 // of allowed sets
 
 	// Scratch space of one call.
 	aside []*worker
@@ -77,6 +78,7 @@
 		return
 	}
 	p.detach(w)
+	p.shortages.forgetAll()
 	p.leaveRack(w)
 	delete(p.byID, id)
 	last := len(p.workers) - 1
@@ -115,6 +117,7 @@
 		w.Misfreed += n
 	}
 	p.attach(w)
+	p.shortages.gain(w)
 	return exact
 }
 
@@ -197,6 +200,7 @@
 	p.detach(w)
 	apply()
 	p.attach(w)
+	p.shortages.gain(w)
 }
 
 // detach takes w out of the index and the total before it changes.
--- a/internal/process/placement/placer_test.go
+++ b/internal/process/placement/placer_test.go
@@ -87,6 +87,8 @@
 		if placed(out) != 2 {
 			t.Errorf("%s: placed %d, want 2", want, placed(out))
 		}
+		_, refusal = p.Place(Request{Count: 1, Each: each}, nil) // remembered
+		wantReason(t, refusal, want)
 	}
 	p := fleet(2, standard)
 	_, refusal := p.Place(Request{Count: 1, Each: Resources{Accelerators: 1}}, nil)
@@ -173,6 +175,22 @@
 	}
 }
 
+func TestMoreWorkersGainThanAreRemembered(t *testing.T) {
+	// Symptom: tasks wait although workers have room.
+	// Sequence: a size fits nowhere, then tasks end on very many workers.
+	// Cause: only some of these workers were remembered as worth a look.
+	p := fleet(2*maxGained, standard)
+	heavy := Resources{Milliwatts: standard.Milliwatts}
+	p.Place(Request{Count: 1 + 2*maxGained, Each: heavy}, nil)
+	for _, w := range p.workers {
+		p.Free(w.ID, heavy, 1)
+	}
+	out, _ := p.Place(Request{Count: 2 * maxGained, Each: heavy}, nil)
+	if placed(out) != 2*maxGained {
+		t.Fatalf("placed %d, want %d", placed(out), 2*maxGained)
+	}
+}
+
 func TestSettingsValidate(t *testing.T) {
 	bad := []Settings{{}, {Policy: Spread, BatchSize: 65, TrialEvery: 1}, {Policy: Random, BatchSize: 1}}
 	for _, s := range bad {
@@ -196,7 +214,7 @@
 	for range 200 {
 		id := fmt.Sprintf("w%d", rng.IntN(10))
 		shape := rng.IntN(len(shapes))
-		switch rng.IntN(6) {
+		switch rng.IntN(7) {
 		case 0:
 			if p.byID[id] == nil {
 				p.SetWorker(Worker{id, fmt.Sprint("r", rng.IntN(3)), standard, Tier(rng.IntN(5))})
@@ -205,6 +223,11 @@
 		case 1:
 			p.SetTier(id, Tier(rng.IntN(5)))
 		case 2:
+			p.RemoveWorker(id)
+			for shape := range shapes {
+				delete(running, Assignment{id, shape})
+			}
+		case 3:
 			if n := running[Assignment{id, shape}]; n > 0 {
 				if !p.Free(id, shapes[shape], n) {
 					return trace, "a task that was placed could not be freed"
@@ -219,6 +242,9 @@
 			out, refusal := p.Place(req, nil)
 			trace += fmt.Sprint(out, refusal.Reason)
 			for _, a := range out {
+				if p.byID[a.Worker] == nil {
+					return trace, "tasks were placed on a worker that is gone"
+				}
 				running[Assignment{a.Worker, shape}] += a.Count
 			}
 			if placed(out) < req.Count && req.Allowed == nil && p.Explain(req.Each).Fit > 0 {
