Placement, health: watts never make a task unplaceable; reason of a return

Cause: (1) a task that exceeds the present allotments of watts was refused as never fitting, but allotments move. (2) The change of tier at the end of an ejection gave on_trial as its reason, so ejection_over was never seen.

Change: never_fits leaves watts out and the refusal is short_of_milliwatts; the end of an ejection is reported as ejection_over.

--- a/internal/process/health/judge.go
+++ b/internal/process/health/judge.go
@@ -165,6 +165,9 @@
 			reason = Proven
 		}
 	}
+	if reason == OnTrial && why == EjectionOver {
+		reason = why
+	}
 	if tier == w.tier && (reason == w.reason || tier == placement.Healthy || tier == placement.Probation) {
 		return
 	}
--- a/internal/process/placement/place.go
+++ b/internal/process/placement/place.go
@@ -1,5 +1,7 @@
 package placement
 
+import "math"
+
 // Place reserves places for up to req.Count tasks and appends one assignment
 // for each worker to buf[:0]. The assignments are valid until buf is reused.
 // When tasks are left over, the refusal says why; what was placed stands.
@@ -141,6 +143,7 @@
 		return refusalNotAllowed
 	}
 	largest := pl.Largest()
+	largest.Milliwatts = math.MaxUint32 // allotments move, so watts are never short for good
 	if !largest.fits(&pl.each, 1) {
 		return refusalNeverFits
 	}
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -137,7 +137,8 @@
 }
 
 // Largest returns the largest capacity of any worker, resource by resource,
-// ejected workers included: they may return.
+// ejected workers included: they may return. Its milliwatts are of the present
+// allotments, which move; a task that exceeds them may fit later.
 func (p *Placer) Largest() Resources {
 	if p.measured {
 		return p.largest
--- a/internal/process/placement/placer_test.go
+++ b/internal/process/placement/placer_test.go
@@ -93,6 +93,8 @@
 	p := fleet(2, standard)
 	_, refusal := p.Place(Request{Count: 1, Each: Resources{Accelerators: 1}}, nil)
 	wantReason(t, refusal, reason.NeverFits)
+	_, refusal = p.Place(Request{Count: 1, Each: Resources{Milliwatts: 2 * standard.Milliwatts}}, nil)
+	wantReason(t, refusal, ShortOfMilliwatts)
 	_, refusal = New(Defaults()).Place(Request{Count: 1}, nil)
 	wantReason(t, refusal, reason.NoWorkers)
 }
