--- a/internal/process/health/table_test.go
+++ b/internal/process/health/table_test.go
@@ -28,15 +28,13 @@
 		b.Joined(b.now, fmt.Sprint("w", i), "domain")
 	}
 	for i := range n {
-		for range defaultsProbation() {
+		for range Defaults().ProbationSuccesses {
 			b.end(fmt.Sprint("w", i), "t", OK)
 		}
 	}
 	return b
 }
 
-func defaultsProbation() int { return Defaults().ProbationSuccesses }
-
 // end runs one task to its end.
 func (b *bench) end(worker, template string, outcome Outcome) []Change {
 	b.Started(b.now, worker, template, run)
@@ -93,7 +91,7 @@
 		b.wait(until.Sub(b.now) - time.Millisecond)
 		b.want(t, "w0", placement.Ejected, FailsAcross)
 		b.wait(time.Millisecond)
-		b.want(t, "w0", placement.Probation, OnTrial)
+		b.want(t, "w0", placement.Probation, EjectionOver)
 		b.convict("w0", "w1", 1)
 		b.want(t, "w0", placement.Ejected, FailsAcross)
 	}
@@ -123,6 +121,32 @@
 	b.want(t, "w0", placement.Probation, OnTrial)
 }
 
+func TestTemplateThatFailsEverywhereIsSuspended(t *testing.T) {
+	// Symptom: many workers get no tasks while one template is broken.
+	// Sequence: a template fails on one worker after the other.
+	// Cause: each of the workers was charged with it.
+	b := newBench(40)
+	for i := range 40 {
+		b.end(fmt.Sprint("w", i), "bad", Failed)
+	}
+	charges := 0
+	for _, s := range b.Status() {
+		charges += s.Charges
+	}
+	if charges != maxAccused {
+		t.Fatalf("%d workers charged, want %d", charges, maxAccused)
+	}
+	b.wait(Defaults().HoldFor)
+	for range trustAgain {
+		b.end("w39", "bad", OK) // the template was mended
+	}
+	for _, s := range b.Status() {
+		if s.Score > 0 {
+			t.Errorf("%s has score %.1f from the time when the template was bad", s.Worker, s.Score)
+		}
+	}
+}
+
 func TestOneJobWithBadInputCountsOnce(t *testing.T) {
 	b := newBench(8)
 	for range 4 {
--- a/internal/process/placement/allowed.go
+++ b/internal/process/placement/allowed.go
@@ -20,7 +20,7 @@
 // Allow resolves the workers named by ids. Names that are not held here are
 // kept, and count once the worker joins.
 func (p *Placer) Allow(ids []string) AllowedSet {
-	set := &allowedSet{ids: slices.Clone(ids)}
+	set := &allowedSet{ids: slices.Clone(ids), workers: make([]*worker, 0, len(ids))}
 	p.resolve(set)
 	return set
 }
@@ -29,6 +29,7 @@
 	p.resolves++
 	set.members = p.members
 	set.workers = set.workers[:0]
+	set.turn = 0 // the set may have become smaller
 	for _, id := range set.ids {
 		w := p.byID[id]
 		if w == nil || w.resolve == p.resolves {
