Demo explains its slowest job; the SDK fetches timelines

Cause: a bad response over ideal in the demo could not be traced. Change: client.Timeline, and the demo prints the slowest job's steps.

--- a/client/client.go
+++ b/client/client.go
@@ -256,6 +256,35 @@
 	return io.ReadAll(resp.Body)
 }
 
+// Step is one thing that happened to a job, as an entry VM noted it.
+type Step struct {
+	UnixMicros int64  `json:"unix_micros"`
+	EntryVM    string `json:"entry_vm"`
+	Step       string `json:"step"`
+	Reason     string `json:"reason"`
+	Detail     string `json:"detail"`
+}
+
+// Timeline returns what happened to the job of a ticket, over all entry VMs that
+// can be reached, in the order of time.
+func (c *Client) Timeline(ctx context.Context, ticket string) ([]Step, error) {
+	text, err := c.call(ctx, http.MethodGet, c.opt.Endpoints[c.pick()]+"/v1/submissions/"+ticket+"/timeline", nil)
+	if err != nil {
+		return nil, err
+	}
+	var body struct {
+		Steps  []Step `json:"steps"`
+		Detail string `json:"detail"`
+	}
+	if err := json.Unmarshal(text, &body); err != nil {
+		return nil, err
+	}
+	if body.Steps == nil {
+		return nil, fmt.Errorf("client: no timeline: %s", body.Detail)
+	}
+	return body.Steps, nil
+}
+
 // Cancel gives a job up. Its submitter gets the final answer.
 func (c *Client) Cancel(ctx context.Context, ticket string) error {
 	_, err := c.call(ctx, http.MethodDelete, c.opt.Endpoints[c.pick()]+"/v1/submissions/"+ticket, nil)
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -42,6 +42,7 @@
 	mu      sync.Mutex
 	tally   tally
 	watch   powerWatch
+	slowest slowest
 	clients map[string]*client.Client
 }
 
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -51,6 +51,9 @@
 		t.wrong++
 	}
 	ideal := longest + roundTrip
+	if ratio := float64(took) / float64(ideal); ratio > r.slowest.ratio {
+		r.slowest = slowest{ratio, s.Account, s.Template, a.Ticket}
+	}
 	t.responses[s.Template] = append(t.responses[s.Template], float64(took)/float64(ideal))
 }
 
@@ -87,7 +90,41 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-// broken are the promises that did not hold.
+// slowest is the complete job with the worst response over ideal.
+type slowest struct {
+	ratio             float64
+	account, template string
+	ticket            string
+}
+
+// explainSlowest prints what the entry VMs noted of the slowest job.
+func (r *run) explainSlowest() {
+	c := r.clients[r.slowest.account]
+	if c == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	steps, err := c.Timeline(ctx, r.slowest.ticket)
+	if err != nil || len(steps) == 0 {
+		r.say("the slowest job can not be explained: %v", err)
+		return
+	}
+	r.say("the slowest job: %s of %s, %.1f times its ideal, step by step:", r.slowest.template, r.slowest.account, r.slowest.ratio)
+	for i, s := range steps {
+		if i >= maxExplained {
+			fmt.Fprintf(r.opt.Out, "          ... %d more steps\n", len(steps)-i)
+			break
+		}
+		after := time.Duration(s.UnixMicros-steps[0].UnixMicros) * time.Microsecond
+		fmt.Fprintf(r.opt.Out, "  %8.1fms  %-4s %-11s %s %s\n", float64(after)/float64(time.Millisecond), s.EntryVM, s.Step, s.Reason, s.Detail)
+	}
+}
+
+// maxExplained bounds the steps that are printed.
+const maxExplained = 16
+
+// errBroken says that a promise did not hold.
 var errBroken = errors.New("a promise was broken")
 
 // report prints the table and says whether the promises held.
@@ -115,6 +152,7 @@
 	for reason, n := range t.reasons {
 		fmt.Fprintf(r.opt.Out, "  %4d x %s\n", n, reason)
 	}
+	r.explainSlowest()
 	if highest > 1 || t.wrong > 0 || overCap > 1 || t.unresolved > 0 {
 		return errBroken
 	}
