Account heap with four children and its keys beside the nodes

Change: a heap of width four whose entries hold key and order of creation, in a file of its own. The replay reports waits weighted by run time.

--- a/internal/process/fairness/accounts.go
+++ b/internal/process/fairness/accounts.go
@@ -71,7 +71,7 @@
 		n := q.nodes[name]
 		q.setKey(n)
 		if n.index != noIndex {
-			n.parent.fix(n.index)
+			n.parent.heap.fix(n)
 		}
 		if n.lane != nil {
 			q.unblock(n)
@@ -127,6 +127,7 @@
 		quota:  int64(a.QuotaSlots),
 		vt:     parent.clock,
 		index:  noIndex,
+		order:  len(q.nodes),
 	}
 	q.nodes[name] = n
 	return n
--- a/internal/process/fairness/pass.go
+++ b/internal/process/fairness/pass.go
@@ -15,7 +15,7 @@
 
 // addPass gives a lane its pass.
 func (q *Queue[K]) addPass(l *lane[K]) {
-	l.pass = &node[K]{name: l.account, parent: q.passes, weight: 1, index: noIndex}
+	l.pass = &node[K]{name: l.account, parent: q.passes, weight: 1, index: noIndex, order: l.leaf.order}
 	l.pass.vt = q.passes.clock
 }
 
@@ -27,9 +27,9 @@
 	case work && !in:
 		l.pass.vt = max(l.pass.vt, q.passes.clock-q.settings.Memory.Seconds())
 		l.pass.key = l.pass.vt
-		q.passes.insert(l.pass)
+		q.passes.heap.insert(l.pass)
 	case !work && in:
-		q.passes.remove(l.pass)
+		q.passes.heap.remove(l.pass)
 	}
 }
 
@@ -61,14 +61,14 @@
 	p.vt = max(p.vt, q.passes.clock-q.settings.Memory.Seconds()) + cost/l.leaf.fraction()
 	p.key = p.vt
 	if p.index != noIndex {
-		q.passes.fix(p.index)
+		q.passes.heap.fix(p)
 	}
 }
 
 // nextPass offers the front short urgent job among the lanes that may pass.
 func (q *Queue[K]) nextPass() (Pick[K], bool) {
 	for len(q.passes.heap) > 0 && q.passes.heap[0].key <= q.passes.clock {
-		l := q.lanes[q.passes.heap[0].name]
+		l := q.lanes[q.passes.heap[0].node.name]
 		j := l.levels[urgentLevel].head
 		if q.sink(j) {
 			continue
--- a/internal/process/fairness/queue.go
+++ b/internal/process/fairness/queue.go
@@ -233,7 +233,7 @@
 func (q *Queue[K]) nextShare() (Pick[K], bool) {
 	n := q.root
 	for n.lane == nil {
-		n = n.heap[0]
+		n = n.heap[0].node
 	}
 	j, why := n.lane.front(&q.settings)
 	if q.sink(j) {
@@ -299,28 +299,16 @@
 	turn := float64(q.settings.MaxBatch)
 	step := q.cost(j, 1) + q.settings.OccupancyWeight.Seconds()*q.share(int64(j.Slots), int64(j.Milliwatts))
 	for n := j.lane.leaf; n.parent != nil; n = n.parent {
-		rival := n.parent.runnerUp()
-		if rival == nil {
+		rival, found := n.parent.heap.runnerUp()
+		if !found {
 			continue
 		}
-		ahead := (rival.key - n.key) * float64(n.weight)
+		ahead := (rival - n.key) * float64(n.weight)
 		turn = min(turn, ahead/step+1)
 	}
 	return max(1, int(turn))
 }
 
-// runnerUp returns the child that goes after the first one.
-func (n *node[K]) runnerUp() *node[K] {
-	switch {
-	case len(n.heap) < 2:
-		return nil
-	case len(n.heap) == 2 || n.less(1, 2):
-		return n.heap[1]
-	default:
-		return n.heap[2]
-	}
-}
-
 // share converts an occupancy to a part of the capacity of the scarce resource.
 func (q *Queue[K]) share(slots, milliwatts int64) float64 {
 	if q.scarce == Watts {
@@ -350,7 +338,7 @@
 	for n := leaf; n.parent != nil; n = n.parent {
 		q.setKey(n)
 		if n.index != noIndex {
-			n.parent.fix(n.index)
+			n.parent.heap.fix(n)
 		}
 		n.parent.catchUp()
 	}
--- a/internal/process/fairness/tree.go
+++ b/internal/process/fairness/tree.go
@@ -20,9 +20,10 @@
 	vt    float64 // share-seconds per unit of weight, in the parent's frame
 	key   float64 // order in the parent's heap: vt and occupancy
 	index int     // position in the parent's heap, or noIndex
+	order int     // breaks ties in the parent's heap
 
 	clock      float64 // virtual time of the children
-	heap       []*node[K]
+	heap       accountHeap[K]
 	busyWeight int64 // weights of the children that queue or run work
 
 	slots        int64 // in use here
@@ -66,9 +67,9 @@
 			return
 		}
 		if work {
-			n.parent.insert(n)
+			n.parent.heap.insert(n)
 		} else {
-			n.parent.remove(n)
+			n.parent.heap.remove(n)
 		}
 	}
 }
@@ -144,77 +145,6 @@
 // themselves would be lost.
 func (n *node[K]) catchUp() {
 	if len(n.heap) > 0 {
-		n.clock = max(n.clock, n.heap[0].vt)
+		n.clock = max(n.clock, n.heap[0].node.vt)
 	}
 }
-
-// insert, remove and fix keep a binary heap on (key, name). It is written out
-// because container/heap costs an interface call for each comparison.
-
-func (n *node[K]) insert(child *node[K]) {
-	child.index = len(n.heap)
-	n.heap = append(n.heap, child)
-	n.up(child.index)
-}
-
-func (n *node[K]) remove(child *node[K]) {
-	i := child.index
-	last := len(n.heap) - 1
-	n.swap(i, last)
-	n.heap[last] = nil
-	n.heap = n.heap[:last]
-	child.index = noIndex
-	if i < last {
-		n.fix(i)
-	}
-}
-
-func (n *node[K]) fix(i int) {
-	if !n.down(i) {
-		n.up(i)
-	}
-}
-
-func (n *node[K]) less(i, j int) bool {
-	a, b := n.heap[i], n.heap[j]
-	if a.key != b.key {
-		return a.key < b.key
-	}
-	return a.name < b.name
-}
-
-func (n *node[K]) swap(i, j int) {
-	n.heap[i], n.heap[j] = n.heap[j], n.heap[i]
-	n.heap[i].index = i
-	n.heap[j].index = j
-}
-
-func (n *node[K]) up(i int) {
-	for i > 0 {
-		parent := (i - 1) / 2
-		if !n.less(i, parent) {
-			return
-		}
-		n.swap(i, parent)
-		i = parent
-	}
-}
-
-func (n *node[K]) down(i int) bool {
-	start := i
-	for {
-		child := 2*i + 1
-		if child >= len(n.heap) {
-			break
-		}
-		if child+1 < len(n.heap) && n.less(child+1, child) {
-			child++
-		}
-		if !n.less(child, i) {
-			break
-		}
-		n.swap(i, child)
-		i = child
-	}
-	return i > start
-}
--- a/internal/process/replay/replay_test.go
+++ b/internal/process/replay/replay_test.go
@@ -43,6 +43,8 @@
 			b.ReportMetric(fifo.quantile("check", 0.99)/fair.quantile("check", 0.99), "check-p99-gain")
 			b.ReportMetric(float64(fair.mean("build"))/float64(fifo.mean("build")), "build-mean/fifo")
 			b.ReportMetric(fair.quantile("build", 0.99)/fifo.quantile("build", 0.99), "build-p99/fifo")
+			b.ReportMetric(fair.waitedAll()/fifo.waitedAll(), "waited/fifo")
+			b.ReportMetric(fair.waited["build"]/fair.waitedAll(), "waited-by-builds")
 		})
 	}
 }
--- a/internal/process/replay/run_test.go
+++ b/internal/process/replay/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,6 +54,10 @@
 	// ratios holds response over ideal by "account/template", and by template.
 	ratios map[string][]float64
 	means  map[string]time.Duration // sum of responses by template
+	// waited sums, by template, each task's wait times its run time, in s². The
+	// sum over all templates hardly depends on the order of work: what one kind
+	// gains, the others lose.
+	waited map[string]float64
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -65,7 +70,7 @@
 		random:  rand.New(rand.NewPCG(3, 4)),
 		started: make([]int, len(jobs)), ended: make([]int, len(jobs)),
 		work: map[string]time.Duration{}, tasks: map[string]int{}, busy: map[string]time.Duration{},
-		refused: map[string]int{}, ratios: map[string][]float64{}, means: map[string]time.Duration{},
+		refused: map[string]int{}, ratios: map[string][]float64{}, means: map[string]time.Duration{}, waited: map[string]float64{},
 		freeTotal: m.place.slots(),
 		free:      slices.Repeat([]int{slotsPerWorker}, m.place.workers),
 	}
@@ -152,6 +157,7 @@
 	r.started[i]++
 	r.work[a.stream.account] -= a.stream.took
 	r.tasks[a.stream.account]--
+	r.waited[a.stream.template] += (r.now - a.at).Seconds() * took.Seconds()
 	worker := r.place()
 	r.free[worker]--
 	r.freeTotal--
@@ -210,6 +216,15 @@
 	return r.means[template] / time.Duration(max(1, len(r.ratios[template])))
 }
 
+// waitedAll sums the waits of all templates.
+func (r *replay) waitedAll() float64 {
+	total := 0.0
+	for _, template := range slices.Sorted(maps.Keys(r.waited)) {
+		total += r.waited[template]
+	}
+	return total
+}
+
 // service returns an account's slot-time up to now, running tasks included.
 func (r *replay) service(account string) time.Duration {
 	total := r.busy[account]
