Model the at-most-once protocol and check it with spin

Cause: the promise "no task starts twice" rests on a protocol between home, owner, worker and recoverer that nothing had searched yet.

--- /dev/null
+++ b/spec/atmostonce.pml
@@ -0,0 +1,417 @@
+/*
+ * At-most-once protocol of pumiceyard: one submission, its drivers and its
+ * two candidate workers. README.md maps each step to the Go code.
+ *
+ * Network: a message once sent may be delivered late, never, or again and
+ * again, in any order. Processes: one that is no longer scheduled is paused,
+ * cut off or dead; so crashes of entry VMs need no steps of their own.
+ *
+ * -DNO_<GUARD> removes one guard. check.sh expects a violation for each.
+ */
+#ifndef NT
+#define NT 1                    /* tasks of the submission */
+#endif
+#ifndef MAXFAULT
+#define MAXFAULT 1              /* worker restarts and early clocks */
+#endif
+#define NW    2                 /* candidate workers */
+#define ALL   ((1 << NT) - 1)
+#define EVERY ((1 << NW) - 1)
+
+/* Generations, ordered as workers compare them. The home stays below every
+ * recoverer, because it may seal a part of the candidates only. */
+#define G_HOME  1
+#define G_REC1  3
+#ifdef NO_ABOVE_SEEN            /* the last ask does not outbid the others */
+#define G_LAST  3
+#else
+#define G_LAST  5
+#endif
+#ifdef NO_AUTHOR                /* counter without author: recoverers tie */
+#define G_REC2  3
+#else
+#define G_REC2  4
+#endif
+#ifdef NO_FLOOR                 /* the home may outbid a recoverer */
+#define G_RAISED 4
+#else
+#define G_RAISED 2
+#endif
+
+#define KEY(g, t)     (1 << (((g) - 1) * NT + (t)))
+#define BY_HOME(g)    ((g) == G_HOME || (g) == G_RAISED)
+#define HAS(set, bit) (((set) & (bit)) != 0)
+
+/* Worker state, one entry per candidate. */
+byte sealed[NW];                /* highest generation sealed */
+byte rec[NW];                   /* tasks with a record */
+bit  closed[NW];                /* submission ended for good as not run */
+bit  restarted[NW];             /* another incarnation than the ticket's */
+bit  expired[NW];               /* ticket expired on this worker's clock */
+byte faults;
+
+/* Messages, by worker. An owner may at any time send a queued start under the
+ * current epoch (it holds the lease, perhaps again) or under an older one (it
+ * was paused). When the lease moves, all current starts become old ones. */
+short queued[NW];               /* KEY bits, batches on their way to a start */
+short current[NW];              /* KEY bits, starts sent under this epoch */
+short old[NW];                  /* KEY bits, starts sent under older epochs */
+short notrun[NW];               /* KEY bits, "not run" answers */
+byte  ran[NW];                  /* task bits, results sent back */
+
+/* The invariants. -DINVARIANT=n checks one of them alone. */
+#ifndef INVARIANT
+#define INVARIANT 0
+#endif
+#define STARTS_ONCE(p)  assert((p) || (INVARIANT != 0 && INVARIANT != 1))
+#define NOT_RUN_TRUE(p) assert((p) || (INVARIANT != 0 && INVARIANT != 2))
+#define ONE_HOLDER(p)   assert((p) || (INVARIANT != 0 && INVARIANT != 3))
+#define COMPLETE(p)     assert((p) || (INVARIANT != 0 && INVARIANT != 4))
+#define PROGRESS(p)     assert((p) || (INVARIANT != 0 && INVARIANT != 5))
+byte begun[NT];                 /* starts per task */
+bit  told_not_run;
+
+inline begin(w, now, t) {
+  begun[t]++;
+  STARTS_ONCE(begun[t] <= 1);
+  NOT_RUN_TRUE(!told_not_run);
+  ONE_HOLDER(now);
+  rec[w] = rec[w] | (1 << t);
+  ran[w] = ran[w] | (1 << t)
+}
+
+inline say_not_run() {
+  told_not_run = 1;
+  for (k : 0 .. NT - 1) { NOT_RUN_TRUE(begun[k] == 0) }
+  k = 0
+}
+
+inline say_complete() {
+  for (k : 0 .. NT - 1) { COMPLETE(begun[k] > 0) }
+  k = 0
+}
+
+#ifdef NO_EPOCH
+#define EPOCH_OK(now) true
+#else
+#define EPOCH_OK(now) (now)
+#endif
+#if defined(NO_SEAL) || defined(EPOCH_ONLY)
+#define SEAL_OK(w, g) true
+#else
+#define SEAL_OK(w, g) (g >= sealed[w] && !closed[w])
+#endif
+#ifdef NO_WORKER_INCARNATION
+#define SAME(w) true
+#else
+#define SAME(w) (!restarted[w])
+#endif
+#ifdef NO_BATCH_ONCE
+#define BATCH_ONCE 0
+#else
+#define BATCH_ONCE 1
+#endif
+#ifdef NO_RECORD
+#define RECORDED(w, t) false
+#else
+#define RECORDED(w, t) HAS(rec[w], 1 << t)
+#endif
+
+/* worker: answers "not run". Epochs and seals only grow, so a copy of a start
+ * that was refused is refused as well: the model drops it. Only the home acts
+ * on the answer. */
+inline refuse(w, g, t) {
+  current[w] = current[w] & ~KEY(g, t);
+  old[w] = old[w] & ~KEY(g, t);
+  notrun[w] = notrun[w] | (BY_HOME(g) * KEY(g, t))
+}
+
+/* worker: one start arrives. The record is looked up before anything is
+ * refused: a doubled start must not be answered "not run". Another incarnation
+ * and an expired ticket prove nothing about an earlier copy: no "not run". */
+inline deliver(w, now, g, t) {
+  if
+  :: !SAME(w) || expired[w] ->
+#ifdef NO_LOST_ANSWER
+     refuse(w, g, t)
+#else
+     skip
+#endif
+  :: else ->
+     if
+     :: RECORDED(w, t) ->
+#ifdef NO_RECORD_ANSWER
+        refuse(w, g, t)
+#else
+        skip
+#endif
+     :: else ->
+        if
+        :: EPOCH_OK(now) && SEAL_OK(w, g) -> begin(w, now, t)
+        :: else -> refuse(w, g, t)
+        fi
+     fi
+  fi
+}
+
+/* worker: the lease gets a new epoch. */
+inline move(w) {
+  old[w] = old[w] | current[w]; current[w] = 0
+}
+
+inline forget(w) {
+  rec[w] = 0; sealed[w] = 0; closed[w] = 0
+}
+
+/* worker: Seal. res: 0 no answer possible, 1 sealed, 2 higher one is here. */
+inline seal(w, g, res) {
+  if
+  :: !SAME(w) -> res = 0
+#ifndef NO_SEAL_EXPIRY
+  :: SAME(w) && expired[w] -> res = 0
+#endif
+  :: else ->
+#ifdef EPOCH_ONLY
+     move(w); res = 1
+#else
+     if
+     :: g >= sealed[w] -> sealed[w] = g; res = 1
+     :: else -> res = 2
+     fi
+#endif
+  fi
+}
+
+/* driver: hands task t to some owner for worker w under generation g. */
+inline place(w, g, t) {
+  queued[w] = queued[w] | KEY(g, t)
+}
+
+/* driver: proves that the submission never starts, then says "not run". */
+inline close_not_run(w, g, res) {
+#ifdef NO_CLOSE
+  say_not_run()
+#else
+  seal(w, g, res);
+  if
+  :: res == 1 -> closed[w] = 1; say_not_run()
+  :: else -> skip               /* superseded or silent: says "unknown" */
+  fi
+#endif
+}
+
+/* For each generation (and task) one option of a loop. */
+#if NT == 2
+#define EACH(STEP) STEP(1, 0) STEP(2, 0) STEP(3, 0) STEP(4, 0) \
+                   STEP(1, 1) STEP(2, 1) STEP(3, 1) STEP(4, 1)
+#else
+#define EACH(STEP) STEP(1, 0) STEP(2, 0) STEP(3, 0) STEP(4, 0)
+#endif
+
+#define DELIVER(g, t) \
+  :: d_step { HAS(current[w], KEY(g, t)) -> deliver(w, true, g, t) } \
+  :: d_step { HAS(old[w], KEY(g, t)) -> deliver(w, false, g, t) } \
+  REFUSE_FULL(g, t)
+
+#ifdef NO_FINAL_REFUSAL         /* a full worker refuses, later copies start */
+#define REFUSE_FULL(g, t) \
+  :: d_step { HAS(current[w], KEY(g, t)) && !HAS(rec[w], 1 << t) -> \
+       notrun[w] = notrun[w] | (BY_HOME(g) * KEY(g, t)) }
+#else
+#define REFUSE_FULL(g, t)
+#endif
+
+proctype Worker(byte w) {
+  do
+  EACH(DELIVER)
+  :: d_step { current[w] != 0 -> move(w) }
+  :: d_step { faults < MAXFAULT && !expired[w] && !restarted[w] ->
+       faults++; restarted[w] = 1; forget(w) }
+  :: d_step { faults < MAXFAULT && !expired[w] && !restarted[w] ->
+       faults++; expired[w] = 1; forget(w) }
+  od
+}
+
+#define SEND(g, t) \
+  :: d_step { HAS(queued[w], KEY(g, t)) -> \
+       current[w] = current[w] | KEY(g, t); \
+       queued[w] = queued[w] & ~KEY(g, t) } \
+  :: d_step { HAS(queued[w], KEY(g, t)) -> \
+       old[w] = old[w] | KEY(g, t); \
+       queued[w] = queued[w] & ~KEY(g, t) } \
+  :: d_step { HAS(queued[w], KEY(g, t)) -> \
+       notrun[w] = notrun[w] | (BY_HOME(g) * KEY(g, t)); \
+       queued[w] = queued[w] & ~(BATCH_ONCE * KEY(g, t)) }
+
+/* owner: sends a queued task once, or refuses it before it was ever sent. */
+proctype Owner(byte w) {
+  do
+  EACH(SEND)
+  od
+}
+
+/* home: one task. idle[t]: proven not started anywhere by this home. */
+bit idle[NT] = 1;
+bit found[NT];
+bit answered;                   /* the home gave its final answer */
+bit ending;                     /* cancelled, refused or past its deadline */
+
+proctype HomeTask(byte t) {
+  byte w, res, tried;
+  byte g = G_HOME;
+next:
+  atomic { !ending && tried != EVERY ->
+    if
+    :: !HAS(tried, 1) -> w = 0
+    :: !HAS(tried, 2) && (t > 0 || g > G_HOME || tried) -> w = 1 /* symmetry */
+    fi;
+    tried = tried | (1 << w);
+    idle[t] = 0;
+    place(w, g, t) }
+  if
+  :: atomic { HAS(ran[w], 1 << t) -> found[t] = 1; w = 0; tried = 0; g = 0 }
+  :: atomic { HAS(notrun[w], KEY(g, t)) -> idle[t] = 1; goto next }
+#ifndef PATIENT_HOME
+  :: atomic { g == G_HOME -> g = G_RAISED; seal(w, g, res);
+       if
+       :: res == 1 && !HAS(rec[w], 1 << t) -> /* proven: never started */
+          idle[t] = 1; tried = 0; res = 0; goto next
+       :: res == 1 && HAS(rec[w], 1 << t) -> found[t] = 1
+       :: res != 1 -> skip      /* superseded, or worker gone: unknown */
+       fi;
+       w = 0; tried = 0; g = 0; res = 0 }
+#endif
+  fi
+}
+
+proctype HomeEnd() {
+  byte k, w, res;
+  if
+  :: atomic { ending = 1 };
+     atomic { idle[0] && idle[NT - 1] ->
+       select(w : 0 .. NW - 1);
+       close_not_run(w, G_RAISED, res); w = 0; res = 0; answered = 1 }
+  :: atomic { found[0] && found[NT - 1] -> say_complete(); answered = 1 }
+  fi
+}
+
+/* An entry VM that is not the home recovers the submission. */
+proctype Recover(byte g) {
+  byte k, w, res, asked, seen, out;
+  bit over;
+  do
+  :: atomic { (asked | out) != EVERY ->
+       if
+       :: !HAS(asked | out, 1) -> w = 0
+       :: !HAS(asked | out, 2) -> w = 1
+       fi;
+       seal(w, g, res);
+       if
+       :: res == 1 -> asked = asked | (1 << w);
+          seen = seen | rec[w]; over = over | closed[w]
+       :: res != 2 -> out = out | (1 << w)  /* silent, or the answer is lost */
+       :: res == 2 -> goto yield
+       fi;
+       res = 0; w = 0 }
+  :: (asked | out) == EVERY -> break
+  od;
+  atomic {
+    if
+    :: over -> say_not_run(); goto yield
+    :: !over && seen == ALL -> say_complete(); goto yield
+    :: else -> skip
+    fi;
+#ifdef NO_UNKNOWN
+    if
+    :: asked != EVERY && seen == 0 -> say_not_run(); goto yield
+    :: else -> skip
+    fi;
+#endif
+#ifndef NO_ASK_ALL
+    if
+    :: asked != EVERY -> goto yield       /* absent tasks are unknown */
+    :: else -> skip
+    fi;
+#endif
+    out = 0 }
+  if
+  :: atomic { seen == 0 -> select(w : 0 .. NW - 1); close_not_run(w, g, res) }
+  :: atomic {
+       for (k : 0 .. NT - 1) {
+         if
+         :: !HAS(seen, 1 << k) -> select(w : 0 .. NW - 1); place(w, g, k)
+         :: else -> skip
+         fi
+       }
+       k = 0; w = 0 }
+     atomic { ((ran[0] | ran[1]) & ALL) == ALL -> say_complete() }
+  fi;
+yield:
+  atomic { k = 0; w = 0; res = 0; asked = 0; seen = 0; out = 0; over = 0 }
+}
+
+/* The home's VM gets the ticket again. It attaches or gives the retained
+ * answer, and another incarnation recovers; without the guard it starts. */
+#if defined(NO_HOME_INCARNATION) || defined(NO_TOMBSTONE)
+proctype StartAgain() {
+  byte w;
+  atomic {
+#ifdef NO_TOMBSTONE
+    answered ->
+#endif
+    select(w : 0 .. NW - 1); place(w, G_HOME, 0); w = 0 }
+}
+#endif
+
+/* Progress: from any state, one more ask that meets no further fault ends
+ * with a final outcome. Messages are delivered at once, silent VMs stay so. */
+#ifdef LAST_ASK
+proctype LastAsk() {
+  byte w, res, seen;
+  bit over, gone;
+  d_step {
+    for (w : 0 .. NW - 1) {
+      seal(w, G_LAST, res);
+      PROGRESS(res != 2);
+      if
+      :: res == 1 -> seen = seen | rec[w]; over = over | closed[w]
+      :: else -> gone = 1
+      fi
+    }
+    w = 0;
+    if
+    :: over || gone || seen == ALL -> skip      /* final as it stands */
+    :: else ->
+       for (res : 0 .. NT - 1) {
+         if
+         :: !HAS(seen, 1 << res) -> deliver(w, true, G_LAST, res);
+            PROGRESS(HAS(rec[w], 1 << res))
+         :: else -> skip
+         fi
+       }
+    fi;
+    w = 0; res = 0; seen = 0; over = 0; gone = 0 }
+}
+#endif
+
+init {
+  atomic {
+    run Worker(0); run Worker(1);
+    run Owner(0); run Owner(1);
+    run HomeTask(0);
+#if NT == 2
+    run HomeTask(1);
+#endif
+    run HomeEnd();
+#if defined(NO_HOME_INCARNATION) || defined(NO_TOMBSTONE)
+    run StartAgain();
+#endif
+#ifdef LAST_ASK
+    run LastAsk();
+#endif
+#ifndef ONE_RECOVERER
+    run Recover(G_REC2);
+#endif
+    run Recover(G_REC1)
+  }
+}
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,92 @@
+#!/usr/bin/env bash
+# Searches the models in this directory with spin, one line per check. Models
+# as designed must hold; each model without one of its guards must fail, or the
+# model no longer shows what the guard is for. Leaves nothing behind.
+set -euo pipefail
+cd "$(dirname "$0")"
+jobs=${SPEC_JOBS:-4}
+temp=$(mktemp -d)
+trap 'rm -rf "$temp"' EXIT
+
+# expectation | model | title | spin flags
+# The whole state space is searched where "holds" is expected. -DINVARIANT:
+# 1 starts once, 2 "not run" is true, 3 one holder, 4 complete, 5 progress.
+cat >"$temp/checks" <<'CHECKS'
+holds|atmostonce|one task, home and two recoverers, a worker fault|-DNT=1
+holds|atmostonce|two tasks, home and one recoverer, a worker fault|-DNT=2 -DPATIENT_HOME -DONE_RECOVERER
+holds|atmostonce|one task, home and one recoverer, two worker faults|-DNT=1 -DONE_RECOVERER -DMAXFAULT=2
+holds|atmostonce|progress: the last ask ends, two recoverers|-DNT=1 -DLAST_ASK -DMAXFAULT=0
+holds|atmostonce|progress: the last ask ends, a worker fault|-DNT=1 -DLAST_ASK -DONE_RECOVERER
+holds|answer|answers are whole and reach their own callers|
+holds|lease|slots are never over-committed|
+fails|atmostonce|epoch only: epochs advance, nothing is sealed: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DEPOCH_ONLY
+fails|atmostonce|no generation check at the worker: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_SEAL
+fails|atmostonce|no epoch check at the worker: two holders start tasks|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=3 -DNO_EPOCH
+fails|atmostonce|recoverer starts after one candidate answered: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_ASK_ALL
+fails|atmostonce|generation without author: starts twice|-DMAXFAULT=0 -DINVARIANT=1 -DNO_AUTHOR
+fails|atmostonce|home outbids a recoverer, sealing a part: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_FLOOR
+fails|atmostonce|restarted VM takes an old ticket as its own: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_HOME_INCARNATION
+fails|atmostonce|home forgets an ended submission: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_TOMBSTONE
+fails|atmostonce|home forgets an ended submission: "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_TOMBSTONE
+fails|atmostonce|no record of tasks at the worker: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD
+fails|atmostonce|doubled start answered "not run": starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD_ANSWER
+fails|atmostonce|restarted or expired answered "not run": starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_LOST_ANSWER
+fails|atmostonce|"not run" for a full worker, not remembered: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_FINAL_REFUSAL
+fails|atmostonce|owner takes a doubled batch: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_BATCH_ONCE
+fails|atmostonce|worker incarnation unchecked: starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_WORKER_INCARNATION
+fails|atmostonce|seal answered after expiry: starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_SEAL_EXPIRY
+fails|atmostonce|no close before "not run": "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_CLOSE
+fails|atmostonce|unknown told as "not run": "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_UNKNOWN
+fails|atmostonce|counter not above any seen: the last ask does not end|-DLAST_ASK -DMAXFAULT=0 -DINVARIANT=5 -DNO_ABOVE_SEEN
+fails|answer|doubled result counted: partial answer|-DNO_INDEX_CHECK
+fails|answer|result of another submission taken: wrong answer|-DNO_SUBMISSION_CHECK
+fails|answer|answer of another ticket taken: wrong caller|-DNO_TICKET_CHECK
+fails|lease|no epoch check: slots over-committed|-DNO_EPOCH
+fails|lease|running tasks not named in the grant: slots over-committed|-DNO_RUNNING_LIST
+fails|lease|lease granted while one is live: two holders|-DNO_SINGLE_HOLDER
+CHECKS
+
+check() { # check NUMBER LINE: writes one line of result, "ok" or "FAIL" first
+  local dir=$temp/$1 expect model title flags found states verdict=FAIL
+  IFS='|' read -r expect model title flags <<<"$2"
+  mkdir "$dir"
+  cp "$model.pml" "$dir/"
+  # Processes of the protocol never end, so only the answer model's end states
+  # say something.
+  local ends=-E
+  [ "$model" = answer ] && ends=
+  # shellcheck disable=SC2086 # flags are several words
+  if (cd "$dir" && spin -a $flags "$model.pml" >spin.log 2>&1 &&
+    gcc -O2 -DSAFETY -DMEMLIM=1000 -o pan pan.c >gcc.log 2>&1 &&
+    ./pan $ends -m100000 -w22 >pan.log 2>&1); then
+    states=$(awk '/states, stored/ {print $1}' "$dir/pan.log")
+    found=broken
+    if grep -q 'errors: 0$' "$dir/pan.log" &&
+      ! grep -qE 'out of memory|max search depth|not completed' "$dir/pan.log"; then
+      found=holds
+    elif grep -q 'assertion violated' "$dir/pan.log"; then
+      found=fails
+    fi
+  else
+    found=broken
+  fi
+  [ "$found" = "$expect" ] && verdict=ok
+  printf '%-4s %-5s %9s states  %s: %s\n' \
+    "$verdict" "$found" "${states:-0}" "$model" "$title" >"$dir/result"
+  rm -f "$dir"/pan*
+}
+export -f check
+export temp
+
+number=0
+while IFS= read -r line; do
+  number=$((number + 1))
+  printf '%03d\0%s\0' "$number" "$line"
+done <"$temp/checks" |
+  xargs -0 -n 2 -P "$jobs" bash -c 'check "$0" "$1"'
+
+cat "$temp"/*/result
+if grep -q '^FAIL' "$temp"/*/result || [ "$(cat "$temp"/*/result | wc -l)" -ne "$(wc -l <"$temp/checks")" ]; then
+  echo "model check failed"
+  exit 1
+fi
