--- a/internal/process/admission/settings.go
+++ b/internal/process/admission/settings.go
@@ -31,8 +31,8 @@
 // Defaults returns settings for an entry VM with about 50 slots.
 func Defaults() Settings {
 	return Settings{
-		MaxQueuedTasks:  50_000,
-		MaxAccountTasks: 10_000,
+		MaxQueuedTasks:  100_000,
+		MaxAccountTasks: 25_000,
 		BrownOut:        [classCount]time.Duration{30 * time.Second, 20 * time.Second, 10 * time.Second},
 		DeadlineMargin:  5 * time.Millisecond,
 		RetryRatio:      0.1,
