Results without the worker's name; answers joined, not encoded anew

Cause: each result carried the worker's name over two hops, and the answer's JSON was compacted output by output.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -217,14 +219,7 @@
 		return // the caller went away
 	}
 	if a.Outcome == reason.Complete {
-		out := Result{Ticket: token, Outcome: a.Outcome, Revision: a.Revision, Outputs: make([]json.RawMessage, len(a.Outputs))}
-		for i, o := range a.Outputs {
-			if len(o) == 0 {
-				o = []byte("null")
-			}
-			out.Outputs[i] = o
-		}
-		writeJSON(w, out)
+		writeResult(w, token, a)
 		return
 	}
 	p := Problem{
@@ -241,6 +236,40 @@
 	writeProblem(w, p)
 }
 
+// writeResult writes a Result. The outputs are JSON already, so they are joined
+// and not encoded anew; one that is not JSON is sent as a string.
+func writeResult(w http.ResponseWriter, token string, a *job.Answer) {
+	size := resultOverhead + len(token)
+	for _, o := range a.Outputs {
+		size += len(o) + 1
+	}
+	b := make([]byte, 0, size)
+	b = fmt.Appendf(b, `{"ticket":%q,"outcome":%q,"revision":%d,"outputs":[`, token, a.Outcome, a.Revision)
+	for i, o := range a.Outputs {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendOutput(b, o)
+	}
+	b = append(b, "]}\n"...)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b)
+}
+
+const resultOverhead = 96
+
+func appendOutput(b, output []byte) []byte {
+	switch {
+	case len(output) == 0:
+		return append(b, "null"...)
+	case json.Valid(output):
+		return append(b, output...)
+	}
+	quoted, _ := json.Marshal(string(output))
+	return append(b, quoted...)
+}
+
 func (s *Server) timeline(w http.ResponseWriter, r *http.Request, account string) {
 	t, err := s.router.Parse(mux.Vars(r)["ticket"], account)
 	if err != nil {
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -269,7 +269,7 @@
 	}
 	id := wire.ID(m.Submission)
 	sub := w.submission(id, m.ExpiryUnixMillis)
-	resp := &pb.SealResponse{Results: sub.results(w.cfg.ID), Closed: sub.closed}
+	resp := &pb.SealResponse{Results: sub.results(), Closed: sub.closed}
 	if want := wire.Generation(m.Generation); !want.Less(sub.sealed) {
 		sub.sealed = want
 		resp.Sealed = true
@@ -281,10 +281,10 @@
 	return connect.NewResponse(resp), nil
 }
 
-func (s *submission) results(worker string) []*pb.TaskResult {
+func (s *submission) results() []*pb.TaskResult {
 	out := make([]*pb.TaskResult, 0, len(s.tasks))
 	for index, t := range s.tasks {
-		out = append(out, t.result(index, worker))
+		out = append(out, t.result(index))
 	}
 	return out
 }
@@ -324,7 +324,7 @@
 	for _, index := range m.Index {
 		t := sub.tasks[index]
 		if t != nil && t.state != pb.TaskState_TASK_STATE_RUNNING {
-			out = append(out, t.result(index, w.cfg.ID))
+			out = append(out, t.result(index))
 		}
 	}
 	return out, sub.changed, nil
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -192,7 +192,7 @@
 func (w *Worker) start(now time.Time, epoch uint64, g *pb.StartGroup, i int) *pb.TaskResult {
 	index := g.Index[i]
 	if code := w.refusal(now, epoch, g, index); code != "" {
-		return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code), Worker: w.cfg.ID}
+		return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code)}
 	}
 	id := wire.ID(g.Submission)
 	out := w.behave(g.Template, g.Input[i])
@@ -208,7 +208,7 @@
 	w.peak = max(w.peak, w.milliwatts+w.cfg.IdleMilliwatts)
 	if out.Run <= 0 {
 		w.end(sub, t, out)
-		return t.result(index, w.cfg.ID)
+		return t.result(index)
 	}
 	run := out.Run * fullSpeed / time.Duration(w.throttle)
 	t.timer = time.AfterFunc(run, func() { w.ended(id, index, out) })
@@ -313,7 +313,7 @@
 		return
 	}
 	w.end(sub, t, out)
-	w.push(id, t.result(index, w.cfg.ID))
+	w.push(id, t.result(index))
 }
 
 // push hands a result to the holder, if one is connected. A holder that is not
@@ -324,7 +324,7 @@
 	}
 }
 
-func (t *task) result(index uint32, worker string) *pb.TaskResult {
+func (t *task) result(index uint32) *pb.TaskResult {
 	return &pb.TaskResult{
 		Index:      index,
 		State:      t.state,
@@ -332,7 +332,6 @@
 		Reason:     t.reason,
 		RunMicros:  uint32(t.run.Microseconds()),
 		Milliwatts: t.draw,
-		Worker:     worker,
 	}
 }
 
@@ -350,7 +349,7 @@
 	t.state = pb.TaskState_TASK_STATE_STOPPED
 	t.reason = string(reason.Stopped)
 	w.leave(sub, t)
-	w.push(id, t.result(index, w.cfg.ID))
+	w.push(id, t.result(index))
 	return true
 }
 
