Submissions with the same candidates share one set

Cause: each submission built a map of up to 96 workers, and looked every worker of an owner up in it for each plan. Change: sets are shared by digest, with the part that each owner holds.

--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -49,7 +49,7 @@
 	}
 	e.waiters = nil
 	e.sub.Inputs = nil
-	e.candidates = nil
+	e.sub.Candidates = nil
 	h.cfg.Observer.Answered(e.sub.Ticket.Account, e.sub.Template, a, e.tasks, h.now.Sub(e.accepted))
 	for _, dropped := range h.kept.add(e, a) {
 		h.forget(dropped)
@@ -78,7 +78,7 @@
 		Generation:        wire.GenerationMessage(s.Gen),
 		ExpiryUnixMillis:  uint64(t.Expiry.UnixMilli()),
 		Closed:            string(s.Closed),
-		WorkerIncarnation: e.candidates[s.Worker],
+		WorkerIncarnation: e.candidates.incarnations[s.Worker],
 	}
 	h.cfg.Workers.Seal(s.Worker, req, func(resp *pb.SealResponse, err error) {
 		h.events.Push(sealedEvent{e, s.Worker, s, resp, err})
@@ -124,7 +124,7 @@
 		return false
 	}
 	h.step(e, "takeover", reason.HomeUnreachable, "an earlier recovery's driver is gone")
-	h.act(e, e.job.TakeOver(highest, e.sub.candidateIDs(), e.sub.Incomplete))
+	h.act(e, e.job.TakeOver(highest, e.candidates.ids, e.sub.Incomplete))
 	h.schedule(e)
 	return true
 }
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -43,7 +43,8 @@
 	jobs   map[ticket.ID]*entry
 	open   int
 	owners *ownerSet
-	due    dueQueue // entries by the time they want attention
+	sets   map[uint64]*candidateSet // by digest
+	due    dueQueue                 // entries by the time they want attention
 	kept   retention
 	out    map[string]*pb.RunRequest // messages of this round, by owner
 	now    time.Time
@@ -51,6 +52,7 @@
 	admission *admission.Controller
 	load      load
 	peers     []spill.Peer // reused
+	stamps    uint64       // of owners' workers
 	away      bool         // the last plan sent tasks to other failure domains
 }
 
@@ -58,8 +60,8 @@
 type entry struct {
 	job        *job.Job
 	sub        Submission
-	hash       uint64            // of the inputs
-	candidates map[string]uint64 // incarnations of the workers, by id
+	hash       uint64 // of the inputs
+	candidates *candidateSet
 	waiters    []Reply
 	accepted   time.Time
 	holdUntil  time.Time
@@ -80,6 +82,7 @@
 		events: ring.New[event](cfg.Settings.Ring),
 		jobs:   make(map[ticket.ID]*entry),
 		owners: newOwnerSet(cfg.Name, cfg.Domain),
+		sets:   make(map[uint64]*candidateSet),
 		kept:   retention{limit: cfg.Settings.RetainBytes},
 		out:    make(map[string]*pb.RunRequest),
 
@@ -205,6 +208,7 @@
 // sent it before is driven to its end at once: another entry VM may have
 // recovered it, and "not run" has to be true.
 func (h *Home) accept(sub Submission, hash uint64, reply Reply, refusal *admission.Refusal) {
+	set := h.candidates(&sub)
 	spec := job.Spec{
 		ID:        sub.Ticket.ID,
 		Account:   sub.Ticket.Account,
@@ -213,20 +217,17 @@
 		Expiry:    sub.Ticket.Expiry,
 		Deadline:  sub.Deadline,
 		Revision:  sub.Revision,
-		Closers:   h.owners.closers(sub.Candidates),
+		Closers:   h.owners.closers(set.ids),
 		SettleFor: h.cfg.Settings.SettleFor,
 	}
 	e := &entry{
 		sub:        sub,
 		hash:       hash,
-		candidates: make(map[string]uint64, len(sub.Candidates)),
+		candidates: set,
 		waiters:    []Reply{reply},
 		accepted:   h.now,
 		tasks:      len(sub.Inputs),
 	}
-	for _, w := range sub.Candidates {
-		e.candidates[w.ID] = w.Incarnation
-	}
 	var used ticket.Generation
 	if old := h.jobs[sub.Ticket.ID]; old != nil {
 		used = old.job.Generation()
@@ -247,21 +248,12 @@
 		return
 	}
 	var a job.Actions
-	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.candidateIDs(), sub.Incomplete, used)
+	e.job, a = job.Recover(spec, h.cfg.Incarnation, e.candidates.ids, sub.Incomplete, used)
 	h.step(e, "recovering", reason.HomeUnreachable, "asking all candidates what has started")
 	h.act(e, a)
 	h.schedule(e)
 }
 
-// candidateIDs names the candidates.
-func (s *Submission) candidateIDs() []string {
-	ids := make([]string, len(s.Candidates))
-	for i, w := range s.Candidates {
-		ids[i] = w.ID
-	}
-	return ids
-}
-
 func hashInputs(inputs [][]byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -8,7 +8,6 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
-	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 	"github.com/pumiceyard/pumiceyard/internal/process/spill"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
@@ -18,7 +17,8 @@
 	name        string
 	incarnation uint64
 	domain      string
-	version     uint64 // of workers
+	version     uint64 // of workers, counted by the owner
+	stamp       uint64 // of workers, unique over all owners and links
 	workers     []string
 	slots       int
 	free        int
@@ -86,23 +86,23 @@
 
 // closers picks candidates to record an end at, those held here first: their
 // connections work.
-func (s *ownerSet) closers(candidates []ownership.WorkerRef) []string {
+func (s *ownerSet) closers(candidates []string) []string {
 	var out []string
 	self := s.byName[s.self]
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			return out
 		}
-		if self != nil && slices.Contains(self.workers, c.ID) {
-			out = append(out, c.ID)
+		if self != nil && slices.Contains(self.workers, c) {
+			out = append(out, c)
 		}
 	}
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			break
 		}
-		if !slices.Contains(out, c.ID) {
-			out = append(out, c.ID)
+		if !slices.Contains(out, c) {
+			out = append(out, c)
 		}
 	}
 	return out
@@ -143,7 +143,7 @@
 		Away:      h.away,
 	}
 	moves := spill.Plan(h.cfg.Settings.Spill, load, h.peerLoads(), e.job.Unassigned(), func(peer string) bool {
-		return len(h.allowed(e, h.owners.get(peer))) > 0
+		return len(e.candidates.heldBy(h.owners.get(peer))) > 0
 	})
 	away := false
 	for _, m := range moves {
@@ -209,7 +209,7 @@
 func (h *Home) giveAnywhere(e *entry) {
 	var best *owner
 	for _, o := range h.owners.all {
-		if o.usable() && len(h.allowed(e, o)) > 0 && (best == nil || o.load() < best.load()) {
+		if o.usable() && len(e.candidates.heldBy(o)) > 0 && (best == nil || o.load() < best.load()) {
 			best = o
 		}
 	}
@@ -220,33 +220,12 @@
 
 func (o *owner) usable() bool { return o.up && !o.draining && len(o.workers) > 0 }
 
-// allowed returns the owner's workers that are candidates of the submission.
-func (h *Home) allowed(e *entry, o *owner) []string {
-	all := true
-	for _, w := range o.workers {
-		if _, ok := e.candidates[w]; !ok {
-			all = false
-			break
-		}
-	}
-	if all {
-		return o.workers
-	}
-	var out []string
-	for _, w := range o.workers {
-		if _, ok := e.candidates[w]; ok {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // give hands up to n tasks of an entry to an owner, and returns how many.
 func (h *Home) give(e *entry, o *owner, n int, why reason.Code) int {
 	if !o.usable() {
 		return 0
 	}
-	allowed := h.allowed(e, o)
+	allowed := e.candidates.heldBy(o)
 	given := 0
 	for given < n {
 		indexes := e.job.Assign(o.name, allowed, min(n-given, h.cfg.Settings.GroupTasks))
@@ -325,6 +304,8 @@
 		return
 	}
 	o.version = ev.m.WorkersVersion
+	h.stamps++
+	o.stamp = h.stamps
 	o.workers = make([]string, len(ev.m.Workers))
 	for i, w := range ev.m.Workers {
 		o.workers[i] = w.Id
