Raising a generation never passes another driver

Cause: generations compared as (counter, author), and both a home that misses an answer and an entry VM that takes over used counter+1. A home's raise could so pass the generation of an entry VM that had asked all candidates and was starting tasks; workers sealed by it accepted the home's starts again.

Change: Generation has a third part, Raise, that compares last. A driver's own raises stay below everyone who took over after it; only TakeOver, which asks all candidates, passes another driver. Ruled out: asking all candidates at each raise, which costs a call per candidate for each lost answer.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -20,10 +20,10 @@
 
 // Generation reads a generation. A missing message is the lowest one.
 func Generation(m *pb.Generation) ticket.Generation {
-	return ticket.Generation{Counter: m.GetCounter(), Author: m.GetAuthor()}
+	return ticket.Generation{Counter: m.GetCounter(), Author: m.GetAuthor(), Raise: m.GetRaise()}
 }
 
 // GenerationMessage writes a generation.
 func GenerationMessage(g ticket.Generation) *pb.Generation {
-	return &pb.Generation{Counter: g.Counter, Author: g.Author}
+	return &pb.Generation{Counter: g.Counter, Author: g.Author, Raise: g.Raise}
 }
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -296,7 +296,7 @@
 }
 
 // raise makes later hand-outs and seals use a new generation.
-func (j *Job) raise() { j.gen = j.gen.Next(j.self) }
+func (j *Job) raise() { j.gen = j.gen.Raised() }
 
 // doubt moves one task into a batch of its own that is sealed at one worker,
 // joining a batch whose seal was decided in the same generation.
--- a/internal/request/ticket/ticket.go
+++ b/internal/request/ticket/ticket.go
@@ -49,9 +49,16 @@
 
 // Generation orders the attempts at driving one submission. Two entry VMs never
 // share one, because Author is an incarnation.
+//
+// Raise compares last: a driver that raises its own generation stays below every
+// other one that is above it. Were it to pass, its starts would be accepted
+// again on workers that the other one has sealed, and one would see a task start
+// under both. Only Next passes another driver, and whoever uses it has to ask
+// all candidates first.
 type Generation struct {
-	Counter uint32
+	Counter uint32 // takeovers before this one
 	Author  uint64
+	Raise   uint32 // within Author's drive
 }
 
 // Less reports whether g is older than other.
@@ -59,14 +66,23 @@
 	if g.Counter != other.Counter {
 		return g.Counter < other.Counter
 	}
-	return g.Author < other.Author
+	if g.Author != other.Author {
+		return g.Author < other.Author
+	}
+	return g.Raise < other.Raise
 }
 
-// Next is the author's first generation above g.
+// Next is the author's first generation above all that g's author can raise to.
 func (g Generation) Next(author uint64) Generation {
 	return Generation{Counter: g.Counter + 1, Author: author}
 }
 
+// Raised is the same author's next generation, below everyone who is above g.
+func (g Generation) Raised() Generation {
+	g.Raise++
+	return g
+}
+
 // Error tells why a token was not accepted. Nothing has run when it is returned.
 type Error struct {
 	Code   reason.Code
