Late and doubled refusals free no task that may start

Cause: (1) a task that came back was handed out again under the same generation, so a doubled "not started" of the first hand-out freed the second. (2) A refusal that points to another driver was followed by a seal under the hand-out's own generation, which lets its late start through: the holder keeps one flight per task and worker, so the refusal of an older start can stand for a newer one.

Change: a hand-out after a return raises the generation (no message); a doubted task is sealed above its hand-out. A "sealed" refusal counts as foreign when no seal of this driver explains it, now told by the highest generation it sealed under instead of the present one.

--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -66,6 +66,7 @@
 	spec    Spec
 	self    uint64 // incarnation of this driver
 	gen     ticket.Generation
+	fenced  ticket.Generation // highest generation that a seal was asked under
 	tasks   []task
 	batches []batch
 	counts  [ended + 1]int
@@ -77,6 +78,8 @@
 	// superseded is the author of a higher generation, 0 while there is none.
 	superseded uint64
 	cursor     int // lowest index that may be unassigned
+	// returned: a task that was handed out came back since the last raise.
+	returned bool
 }
 
 // Actions is what the caller has to carry out after an event.
@@ -171,12 +174,17 @@
 func (j *Job) Superseded() uint64 { return j.superseded }
 
 // Assign hands out up to limit tasks to an owner, which may start them on the
-// given workers only. It returns their indexes.
+// given workers only. It returns their indexes. A task that came back goes out
+// again under a new generation: late word on its earlier hand-out would
+// otherwise pass for word on this one.
 func (j *Job) Assign(owner string, workers []string, limit int) []uint32 {
 	limit = min(limit, j.Unassigned())
 	if limit <= 0 || len(workers) == 0 {
 		return nil
 	}
+	if j.returned {
+		j.raise()
+	}
 	b := int32(len(j.batches))
 	j.batches = append(j.batches, batch{owner: owner, workers: workers, gen: j.gen})
 	out := make([]uint32, 0, limit)
@@ -253,7 +261,7 @@
 		return a
 	}
 	t := &j.tasks[index]
-	foreign := code == reason.Sealed && !gen.Less(j.gen)
+	foreign := code == reason.Sealed && !gen.Less(j.fenced)
 	if (foreign || code == reason.DuplicateTask) && worker != "" {
 		// The worker refused a generation this driver did not seal off, or has
 		// a record this driver does not know: another entry VM drives the
@@ -263,6 +271,7 @@
 		return a
 	}
 	j.move(index, unassigned, t.batch)
+	j.returned = true
 	j.conclude(&a)
 	return a
 }
@@ -281,33 +290,34 @@
 // can be had from there. The worker is asked again, under a new generation.
 func (j *Job) Lost(owner string, gen ticket.Generation, indexes []uint32, worker string) Actions {
 	var a Actions
-	raised := false
 	for _, index := range indexes {
-		if !j.open(index) || !j.handedOut(owner, gen, index) {
-			continue
+		if j.open(index) && j.handedOut(owner, gen, index) {
+			j.doubt(index, worker, &a)
 		}
-		if !raised {
-			j.raise()
-			raised = true
-		}
-		j.doubt(index, worker, &a)
 	}
 	return a
 }
 
 // raise makes later hand-outs and seals use a new generation.
-func (j *Job) raise() { j.gen = j.gen.Raised() }
+func (j *Job) raise() {
+	j.gen = j.gen.Raised()
+	j.returned = false
+}
 
-// doubt moves one task into a batch of its own that is sealed at one worker,
-// joining a batch whose seal was decided in the same generation.
+// doubt moves one task into a batch that is sealed at one worker, above the
+// generation that the task was handed out under: a seal under the same one
+// would still let a late start of it through. It joins the batch whose seal was
+// asked last, when that is above.
 func (j *Job) doubt(index uint32, worker string, a *Actions) {
+	under := j.batches[j.tasks[index].batch].gen
 	for b := range j.batches {
 		at := &j.batches[b]
-		if at.gen == j.gen && len(at.pending) == 1 && at.pending[0] == worker && len(at.workers) == 1 {
+		if under.Less(at.gen) && at.gen == j.gen && len(at.pending) == 1 && at.pending[0] == worker && len(at.workers) == 1 {
 			j.move(index, uncertain, int32(b))
 			return
 		}
 	}
+	j.raise()
 	j.batches = append(j.batches, batch{workers: []string{worker}, gen: j.gen})
 	b := int32(len(j.batches) - 1)
 	j.move(index, uncertain, b)
@@ -342,6 +352,7 @@
 func (j *Job) sealBatch(b int32, a *Actions) {
 	at := &j.batches[b]
 	at.gen = j.gen
+	j.fenced = j.gen
 	at.pending = slices.Clone(at.workers)
 	for i := range j.tasks {
 		t := &j.tasks[i]
--- a/internal/request/job/job_test.go
+++ b/internal/request/job/job_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 )
 
@@ -40,3 +41,38 @@
 		}
 	}
 }
+
+// Symptom: a task runs on two workers. Sequence: an owner's "not started" is
+// delivered twice; the task is handed to the same owner again in between. Cause:
+// both hand-outs had one generation, so the copy passed for word on the second.
+func TestDoubledRefusalDoesNotFreeTheNextHandOut(t *testing.T) {
+	j := New(testSpec(1), 9)
+	j.Assign("owner", []string{"w1"}, 1)
+	first := j.Generation()
+	j.NotStarted("owner", first, 0, reason.WorkerBusy, "w1")
+	if len(j.Assign("owner", []string{"w1"}, 1)) != 1 {
+		t.Fatal("a task that came back was not handed out again")
+	}
+	j.NotStarted("owner", first, 0, reason.WorkerBusy, "w1")
+	if j.Unassigned() != 0 {
+		t.Fatal("a doubled refusal freed a task that is handed out")
+	}
+}
+
+// Symptom: a task runs on two workers. Sequence: an entry VM that recovers hands
+// a task out; the refusal of an older start of it arrives in place of this
+// one's; the worker is asked, knows nothing yet, and the start arrives after
+// that. Cause: the seal was asked under the generation of the hand-out itself,
+// which lets its start pass.
+func TestDoubtIsSealedAboveTheHandOut(t *testing.T) {
+	for _, code := range []reason.Code{reason.Sealed, reason.DuplicateTask} {
+		j, a := Recover(testSpec(1), 5, []string{"w1"}, false, ticket.Generation{})
+		j.Sealed(SealReply{Worker: "w1", Asked: a.Seal[0].Gen, Sealed: true, Highest: a.Seal[0].Gen})
+		j.Assign("owner", []string{"w1"}, 1)
+		handed := j.Generation()
+		a = j.NotStarted("owner", handed, 0, code, "w1")
+		if len(a.Seal) != 1 || !handed.Less(a.Seal[0].Gen) {
+			t.Errorf("%s: seals %+v do not shut out starts under %+v", code, a.Seal, handed)
+		}
+	}
+}
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -283,6 +283,7 @@
 		j.setAnswer(a, end)
 		return
 	}
+	j.fenced = j.gen
 	a.Seal = append(a.Seal, Seal{Worker: j.spec.Closers[j.closing], Gen: j.gen, Closed: closedNotRun})
 	j.closing++
 }
