A take-over ends a closing that is under way

Cause: while a closing was awaited, any worker that could not be asked counted as a failed closing, and any answer to a closing as the present one's. After a take-over that made "not run" out of a candidate that may have run the task, and a late answer to the first closing pointed the caller to this same entry VM for ever ("recovered elsewhere", driver: itself).

Change: TakeOver begins the closing anew; answers count only under the closing's generation; a closing that could not be asked is CloseFailed, apart from Unreachable. home/act.go passes it on.

--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -89,7 +89,11 @@
 	e := ev.e
 	if ev.err != nil || ev.resp.Restarted {
 		h.step(e, "seal", reason.WorkerGone, ev.worker+" can not be asked")
-		h.act(e, e.job.Unreachable(ev.worker, ev.asked.Gen))
+		if ev.asked.Closed != "" {
+			h.act(e, e.job.CloseFailed(ev.asked.Gen))
+		} else {
+			h.act(e, e.job.Unreachable(ev.worker, ev.asked.Gen))
+		}
 		h.schedule(e)
 		return
 	}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -139,6 +139,7 @@
 		above = j.gen
 	}
 	j.gen = above.Next(j.self)
+	j.closing = 0
 	b := int32(len(j.batches))
 	j.batches = append(j.batches, batch{workers: candidates, gone: incomplete})
 	for i := range j.tasks {
--- a/internal/request/job/job_test.go
+++ b/internal/request/job/job_test.go
@@ -76,3 +76,45 @@
 		}
 	}
 }
+
+// Symptom: "not run" for a task that ran on a worker which is gone. Sequence: the
+// home is cut off, a recovering entry VM starts the task on w2 and dies with it;
+// the caller cancels at the home, whose closing is refused on w1; the home takes
+// over and asks all candidates; w2 can not be asked. Cause: the answer of w2 was
+// taken for a failed closing, and the next candidate's closing for the proof.
+func TestClosingEndsWithATakeOver(t *testing.T) {
+	j := New(testSpec(1), 9)
+	a := j.Cancel(start)
+	closing := a.Seal[0]
+	higher := ticket.Generation{Counter: 1, Author: 5}
+	takeover := j.TakeOver(higher, []string{"w1", "w2"}, false)
+	asked := takeover.Seal[0].Gen
+	if a = j.Closed(SealReply{Worker: "w1", Asked: closing.Gen, Highest: asked}); a.Answer != nil {
+		t.Fatalf("the late answer to an earlier closing ended the job: %+v", a.Answer)
+	}
+	j.CloseFailed(closing.Gen)
+	j.Unreachable("w2", asked)
+	a = j.Sealed(SealReply{Worker: "w1", Asked: asked, Sealed: true, Highest: asked})
+	if a.Answer == nil || a.Answer.Outcome != reason.Unknown {
+		t.Fatalf("answer %+v, want unknown: w2 may have run the task", a.Answer)
+	}
+}
+
+// Symptom: a cancelled submission ends as failed although nothing ran. Sequence:
+// as above, with every candidate answering. Cause: a closing that was overtaken
+// was not begun again.
+func TestClosingIsRepeatedAfterATakeOver(t *testing.T) {
+	j := New(testSpec(1), 9)
+	j.Cancel(start)
+	takeover := j.TakeOver(ticket.Generation{Counter: 1, Author: 5}, []string{"w1"}, false)
+	asked := takeover.Seal[0].Gen
+	a := j.Sealed(SealReply{Worker: "w1", Asked: asked, Sealed: true, Highest: asked})
+	if len(a.Seal) != 1 || a.Seal[0].Closed == "" {
+		t.Fatalf("actions %+v, want a closing", a)
+	}
+	a = j.CloseFailed(asked)
+	a = j.Closed(SealReply{Worker: a.Seal[0].Worker, Asked: asked, Sealed: true, Highest: asked})
+	if a.Answer == nil || a.Answer.Outcome != reason.NotRun {
+		t.Fatalf("answer %+v, want not_run", a.Answer)
+	}
+}
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -79,10 +79,6 @@
 	if j.answer != nil {
 		return a
 	}
-	if j.ending != nil && j.closing > 0 {
-		j.close(&a)
-		return a
-	}
 	j.answered(worker, asked, true)
 	j.settleBatches(&a)
 	j.conclude(&a)
@@ -288,10 +284,26 @@
 	j.closing++
 }
 
+// awaits reports whether a closing seal of the given generation is awaited. Since
+// an earlier one the job may have taken over: then other tasks may have started.
+func (j *Job) awaits(asked ticket.Generation) bool {
+	return j.answer == nil && j.closing > 0 && asked == j.gen
+}
+
+// CloseFailed takes the news that a candidate could not be asked to record the
+// end. The next one is tried.
+func (j *Job) CloseFailed(asked ticket.Generation) Actions {
+	var a Actions
+	if j.awaits(asked) {
+		j.close(&a)
+	}
+	return a
+}
+
 // Closed takes a candidate's answer to a closing seal.
 func (j *Job) Closed(r SealReply) Actions {
 	var a Actions
-	if j.answer != nil || j.ending == nil {
+	if !j.awaits(r.Asked) {
 		return a
 	}
 	if !r.Sealed {
