Callers: truthful refusals, a bound on slow bodies, Idempotency-Key

Cause: a refusal by the form of a request said "not run" even when an earlier request under the same ticket may have run (wrong key after a rotation, no configuration yet after a restart, malformed repeat, a home that was cut off asked for the answer). The same ticket with another template was given the first template's answer. A body that dripped in was waited for without end. Callers with keys of their own had no way in.

Change: what the form refuses is "unknown" where a ticket or key was named, unless the body says that it is the first; the template is part of the work's hash; a body has a read deadline of its own connection (body_timeout_millis, 10 s), 408 body_too_slow. POST with Idempotency-Key claims key to ticket by compare-and-set in the store, rate-limited.

Figures: a table of 36 bad requests over HTTP against two real entry VMs.

--- a/internal/connection/caller/decode.go
+++ b/internal/connection/caller/decode.go
@@ -7,23 +7,43 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
 
 // decode reads a JSON body strictly. It returns an empty code when it worked.
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any) (reason.Code, string) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	text, err := s.readBody(w, r)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return reason.BodyTooLarge, fmt.Sprintf("the body is over %d bytes", tooLarge.Limit)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reason.BodyTooSlow, fmt.Sprintf("the body did not come within %s", s.settings.BodyTimeout)
+	case err != nil:
 		return reason.MalformedRequest, "the body ended early"
 	}
 	return parse(text, into)
 }
 
+// readBody reads a body within its bounds of size and time.
+//
+// What goes wrong without the bound of time: a caller that sends a byte now and
+// then, or went away without closing, keeps a goroutine and a connection for
+// ever; one would see both grow. The deadline is on the connection, so it is
+// taken off again: it would otherwise end the wait for the answer.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return text, err
+}
+
 // parse decodes one JSON value and refuses unknown fields and what follows it.
 func parse(text []byte, into any) (reason.Code, string) {
 	d := json.NewDecoder(bytes.NewReader(text))
--- a/internal/connection/caller/doc.go
+++ b/internal/connection/caller/doc.go
@@ -2,7 +2,8 @@
 //
 //	POST   /v1/tickets                        tickets, in batches
 //	PUT    /v1/submissions/{ticket}           submit, or attach when known
-//	POST   /v1/submissions                    submit under a ticket minted on arrival
+//	POST   /v1/submissions                    submit under a ticket minted on arrival, or
+//	                                          under the caller's own Idempotency-Key
 //	GET    /v1/submissions/{ticket}           attach, waits for the answer
 //	DELETE /v1/submissions/{ticket}           cancel
 //	GET    /v1/submissions/{ticket}/timeline  what happened and why
@@ -19,6 +20,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/process/claims"
 	"github.com/pumiceyard/pumiceyard/internal/process/router"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
@@ -33,13 +35,22 @@
 	MaxTasks     int // over all templates
 	MaxDepth     int // of nested JSON in a task
 	MaxTickets   int // in one batch
+	// BodyTimeout bounds the time for which one request's body may take to come.
+	BodyTimeout time.Duration
 	// Wait bounds one GET; the caller asks again afterwards.
 	Wait time.Duration
 }
 
 // Defaults returns bounds that fit a job of 920 tasks of some KB each.
 func Defaults() Settings {
-	return Settings{MaxBodyBytes: 16 << 20, MaxTasks: 4096, MaxDepth: 32, MaxTickets: 256, Wait: 25 * time.Second}
+	return Settings{
+		MaxBodyBytes: 16 << 20,
+		MaxTasks:     4096,
+		MaxDepth:     32,
+		MaxTickets:   256,
+		BodyTimeout:  10 * time.Second,
+		Wait:         25 * time.Second,
+	}
 }
 
 // Router drives submissions.
@@ -132,6 +143,8 @@
 		return http.StatusBadRequest
 	case reason.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case reason.BodyTooSlow:
+		return http.StatusRequestTimeout
 	case reason.WrongKey:
 		return http.StatusUnauthorized
 	case reason.ForeignTicket:
@@ -142,7 +155,7 @@
 		return http.StatusUnprocessableEntity
 	case reason.PayloadMismatch, reason.Cancelled:
 		return http.StatusConflict
-	case reason.QuotaExceeded, reason.QueueFull, reason.BrownOut:
+	case reason.QuotaExceeded, reason.QueueFull, reason.BrownOut, reason.ClaimRateExceeded:
 		return http.StatusTooManyRequests
 	case reason.DeadlineExceeded:
 		return http.StatusGatewayTimeout
@@ -153,5 +166,12 @@
 	return http.StatusServiceUnavailable
 }
 
+// Claims binds callers' own idempotency keys to tickets.
+type Claims interface {
+	// Claim returns the ticket that the account's key is bound to: the given
+	// one, or that of an earlier request.
+	Claim(ctx context.Context, account, key, token string) (bound string, refusal *claims.Refusal)
+}
+
 // Documents gives the configuration in force, nil before there is one.
 type Documents func() *document.Document
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -21,11 +22,12 @@
 	router    Router
 	timelines Timelines
 	document  Documents
+	claims    Claims
 }
 
 // NewServer returns a server.
-func NewServer(s Settings, r Router, t Timelines, d Documents) *Server {
-	return &Server{settings: s, router: r, timelines: t, document: d}
+func NewServer(s Settings, r Router, t Timelines, d Documents, c Claims) *Server {
+	return &Server{settings: s, router: r, timelines: t, document: d, claims: c}
 }
 
 // Handler serves the interface.
@@ -33,21 +35,43 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/v1/tickets", s.authenticated(s.tickets)).Methods(http.MethodPost)
 	m.HandleFunc("/v1/submissions", s.authenticated(s.submitNew)).Methods(http.MethodPost)
-	m.HandleFunc("/v1/submissions/{ticket}", s.authenticated(s.submit)).Methods(http.MethodPut)
-	m.HandleFunc("/v1/submissions/{ticket}", s.authenticated(s.attach)).Methods(http.MethodGet)
-	m.HandleFunc("/v1/submissions/{ticket}", s.authenticated(s.cancel)).Methods(http.MethodDelete)
-	m.HandleFunc("/v1/submissions/{ticket}/timeline", s.authenticated(s.timeline)).Methods(http.MethodGet)
+	m.HandleFunc(submissionPath+"{ticket}", s.authenticated(s.submit)).Methods(http.MethodPut)
+	m.HandleFunc(submissionPath+"{ticket}", s.authenticated(s.attach)).Methods(http.MethodGet)
+	m.HandleFunc(submissionPath+"{ticket}", s.authenticated(s.cancel)).Methods(http.MethodDelete)
+	m.HandleFunc(submissionPath+"{ticket}/timeline", s.authenticated(s.timeline)).Methods(http.MethodGet)
 	m.NotFoundHandler = problemHandler(http.StatusNotFound, "no such path")
 	m.MethodNotAllowedHandler = problemHandler(http.StatusMethodNotAllowed, "method not allowed here")
 	return m
 }
 
 func problemHandler(status int, detail string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		writeProblem(w, Problem{Status: status, Outcome: reason.NotRun, Reason: reason.MalformedRequest, Detail: detail})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, Problem{Status: status, Outcome: refusedOutcome(r), Reason: reason.MalformedRequest, Detail: detail})
 	})
 }
 
+// refusedOutcome is what can be said of a submission whose body was read.
+func (b *SubmitBody) refusedOutcome(r *http.Request) reason.Outcome {
+	if b.First {
+		return reason.NotRun
+	}
+	return refusedOutcome(r)
+}
+
+// submissionPath begins the paths that name a ticket.
+const submissionPath = "/v1/submissions/"
+
+// refusedOutcome is what can be said of a submission when the request is refused
+// by its form. What goes wrong otherwise: a caller repeats a submission whose
+// answer was lost, its key was rotated meanwhile, and "not run" makes it submit
+// the work anew although the first request ran it.
+func refusedOutcome(r *http.Request) reason.Outcome {
+	if strings.HasPrefix(r.URL.Path, submissionPath) || r.Header.Get(idempotencyHeader) != "" {
+		return reason.Unknown
+	}
+	return reason.NotRun
+}
+
 // accountHandler handles a request of a known client account.
 type accountHandler func(w http.ResponseWriter, r *http.Request, account string)
 
@@ -55,33 +79,47 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		doc := s.document()
 		if doc == nil {
-			refuse(w, reason.NoConfiguration, "no configuration revision is known yet")
+			refuse(w, r, reason.NoConfiguration, "no configuration revision is known yet")
 			return
 		}
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok {
-			refuse(w, reason.WrongKey, "send the client account's key as a bearer token")
+			refuse(w, r, reason.WrongKey, "send the client account's key as a bearer token")
 			return
 		}
 		account := doc.AccountOfKey(key)
 		if account == nil {
-			refuse(w, reason.WrongKey, "the key belongs to no client account")
+			refuse(w, r, reason.WrongKey, "the key belongs to no client account")
 			return
 		}
 		next(w, r, account.Name)
 	}
 }
 
-// refuse answers that nothing was run.
-func refuse(w http.ResponseWriter, code reason.Code, detail string) {
+// refuse answers a request that had no effect. It says "not run" only where no
+// earlier request can have run the same submission.
+func refuse(w http.ResponseWriter, r *http.Request, code reason.Code, detail string) {
+	refuseAs(w, refusedOutcome(r), code, detail)
+}
+
+func refuseAs(w http.ResponseWriter, outcome reason.Outcome, code reason.Code, detail string) {
+	if outcome == reason.Unknown {
+		detail += "; this request ran nothing, an earlier one under the same ticket or key may have"
+	}
 	writeProblem(w, Problem{
-		Status:  statusOf(code, reason.NotRun),
-		Outcome: reason.NotRun,
+		Status:  statusOf(code, outcome),
+		Outcome: outcome,
 		Reason:  code,
 		Detail:  detail,
 	})
 }
 
+// refuseTicket answers a token that is not a ticket of this account: nothing of
+// the account's can ever have run under it.
+func refuseTicket(w http.ResponseWriter, err *ticket.Error) {
+	refuseAs(w, reason.NotRun, err.Code, err.Detail)
+}
+
 func writeProblem(w http.ResponseWriter, p Problem) {
 	p.Type = "about:blank"
 	p.Title = strings.ReplaceAll(string(p.Reason), "_", " ")
@@ -98,11 +136,11 @@
 func (s *Server) tickets(w http.ResponseWriter, r *http.Request, account string) {
 	var body TicketsBody
 	if code, detail := s.decode(w, r, &body); code != "" {
-		refuse(w, code, detail)
+		refuse(w, r, code, detail)
 		return
 	}
 	if body.Count < 1 || body.Count > s.settings.MaxTickets {
-		refuse(w, reason.MalformedRequest, "count has to be from 1 to 256")
+		refuse(w, r, reason.MalformedRequest, fmt.Sprintf("count is %d, allowed is 1 to %d", body.Count, s.settings.MaxTickets))
 		return
 	}
 	out := Tickets{Tickets: make([]IssuedTicket, 0, body.Count)}
@@ -113,9 +151,9 @@
 	writeJSON(w, out)
 }
 
-// submitNew takes a submission without a ticket. Only idempotent templates may:
-// were the answer lost, the caller could not ask again without running the work
-// a second time.
+// submitNew takes a submission without a ticket. Only idempotent templates may,
+// unless the caller has a key of its own: were the answer lost, the caller could
+// not ask again without running the work a second time.
 func (s *Server) submitNew(w http.ResponseWriter, r *http.Request, account string) {
 	body, ok := s.submission(w, r)
 	if !ok {
@@ -123,11 +161,15 @@
 	}
 	t := s.document().Template(body.Template)
 	if t == nil {
-		refuse(w, reason.UnknownTemplate, "no template has that name")
+		refuseAs(w, body.refusedOutcome(r), reason.UnknownTemplate, "no template has that name")
+		return
+	}
+	if key := r.Header.Get(idempotencyHeader); key != "" {
+		s.submitClaimed(w, r, account, key, body)
 		return
 	}
 	if !t.Idempotent {
-		refuse(w, reason.TicketRequired, "the template is not idempotent: take a ticket and PUT the submission under it")
+		refuse(w, r, reason.TicketRequired, "the template is not idempotent: PUT it under a ticket, or send an "+idempotencyHeader)
 		return
 	}
 	tk, token := s.router.Mint(account)
@@ -139,7 +181,7 @@
 	token := mux.Vars(r)["ticket"]
 	t, err := s.router.Parse(token, account)
 	if err != nil {
-		refuse(w, err.Code, err.Detail)
+		refuseTicket(w, err)
 		return
 	}
 	body, ok := s.submission(w, r)
@@ -153,11 +195,11 @@
 func (s *Server) submission(w http.ResponseWriter, r *http.Request) (*SubmitBody, bool) {
 	var body SubmitBody
 	if code, detail := s.decode(w, r, &body); code != "" {
-		refuse(w, code, detail)
+		refuse(w, r, code, detail)
 		return nil, false
 	}
 	if code, detail := body.check(&s.settings); code != "" {
-		refuse(w, code, detail)
+		refuseAs(w, body.refusedOutcome(r), code, detail)
 		return nil, false
 	}
 	return &body, true
@@ -178,7 +220,7 @@
 	token := mux.Vars(r)["ticket"]
 	t, err := s.router.Parse(token, account)
 	if err != nil {
-		refuse(w, err.Code, err.Detail)
+		refuseTicket(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.settings.Wait)
@@ -195,7 +237,7 @@
 	token := mux.Vars(r)["ticket"]
 	t, err := s.router.Parse(token, account)
 	if err != nil {
-		refuse(w, err.Code, err.Detail)
+		refuseTicket(w, err)
 		return
 	}
 	if !s.router.Cancel(r.Context(), token, t, false) {
@@ -244,7 +286,7 @@
 func (s *Server) timeline(w http.ResponseWriter, r *http.Request, account string) {
 	t, err := s.router.Parse(mux.Vars(r)["ticket"], account)
 	if err != nil {
-		refuse(w, err.Code, err.Detail)
+		refuseTicket(w, err)
 		return
 	}
 	out := TimelineBody{ID: t.ID.String(), Steps: []TimelineStep{}}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/home"
 	"github.com/pumiceyard/pumiceyard/internal/process/metrics"
 	"github.com/pumiceyard/pumiceyard/internal/process/router"
+	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
@@ -50,6 +51,7 @@
 	local     *localSession
 	platform  *platform.Client
 	platHTTP  *wire.Client
+	store     *storeclient.Client
 
 	listeners listeners
 	servers   []*http.Server
@@ -117,6 +119,7 @@
 	vm.metrics = metrics.New(s.Name)
 	vm.platHTTP = wire.NewClient(nil, nil)
 	vm.platform = platform.Dial(vm.platHTTP, s.Platform)
+	vm.store = vm.newStore()
 	vm.workers = newWorkerSet(vm)
 	vm.peers = newPeerSet(vm)
 
@@ -170,7 +173,8 @@
 
 	callers := caller.Defaults()
 	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
-	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document).Handler())
+	callers.BodyTimeout = millis(vm.settings.BodyTimeoutMillis)
+	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document, vm.newClaims(vm.store)).Handler())
 	self := peer.Identity{Name: vm.settings.Name, Incarnation: vm.incarnation}
 	vm.serve(vm.listeners.peer, peer.NewServer(vm.settings.peer(), vm.settings.PeerToken, self, vm.holder, peerHome{vm}).Handler())
 	vm.serve(vm.listeners.operator, vm.operatorHandler())
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -13,6 +13,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
+	"github.com/pumiceyard/pumiceyard/internal/process/claims"
 	"github.com/pumiceyard/pumiceyard/internal/process/holder"
 	"github.com/pumiceyard/pumiceyard/internal/process/home"
 )
@@ -43,7 +44,9 @@
 	RetainAnswerBytes int    `json:"retain_answer_bytes"` // final answers kept for callers that ask again
 	MaxQueuedTasks    int    `json:"max_queued_tasks"`
 	MaxBodyBytes      int64  `json:"max_body_bytes"`
-	Timelines         int    `json:"timelines"` // submissions that can be explained
+	BodyTimeoutMillis uint32 `json:"body_timeout_millis"` // for a caller's body to come
+	Timelines         int    `json:"timelines"`           // submissions that can be explained
+	ClaimsPerSecond   uint32 `json:"claims_per_second"`   // requests with an Idempotency-Key
 }
 
 // DefaultSettings returns settings without names, addresses and secrets.
@@ -61,7 +64,9 @@
 		RetainAnswerBytes: home.Defaults().RetainBytes,
 		MaxQueuedTasks:    holder.Defaults().MaxQueued,
 		MaxBodyBytes:      caller.Defaults().MaxBodyBytes,
+		BodyTimeoutMillis: uint32(caller.Defaults().BodyTimeout.Milliseconds()),
 		Timelines:         20_000,
+		ClaimsPerSecond:   uint32(claims.Defaults().PerSecond),
 	}
 }
 
@@ -108,6 +113,7 @@
 	minSecret   = 16
 	maxTicketMS = 3_600_000
 	maxNameSize = 64
+	maxClaims   = 1000
 )
 
 // Validate reports all settings that can not be used.
@@ -138,7 +144,9 @@
 	refuse(s.RetainAnswerBytes >= 1<<16, "retain_answer_bytes", s.RetainAnswerBytes, "at least 65536")
 	refuse(s.MaxQueuedTasks >= 1000, "max_queued_tasks", s.MaxQueuedTasks, "at least 1000")
 	refuse(s.MaxBodyBytes >= 1024, "max_body_bytes", s.MaxBodyBytes, "at least 1024")
+	refuse(s.BodyTimeoutMillis >= 100, "body_timeout_millis", s.BodyTimeoutMillis, "at least 100")
 	refuse(s.Timelines >= 16, "timelines", s.Timelines, "at least 16")
+	refuse(s.ClaimsPerSecond <= maxClaims, "claims_per_second", s.ClaimsPerSecond, "0 to 1000")
 	return errors.Join(errs...)
 }
 
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -58,7 +58,7 @@
 type entry struct {
 	job        *job.Job
 	sub        Submission
-	hash       uint64            // of the inputs
+	hash       uint64            // of the template and the inputs
 	candidates map[string]uint64 // incarnations of the workers, by id
 	waiters    []Reply
 	accepted   time.Time
@@ -157,7 +157,7 @@
 
 func (ev submitEvent) apply(h *Home) {
 	id := ev.sub.Ticket.ID
-	hash := hashInputs(ev.sub.Inputs)
+	hash := hashWork(ev.sub.Template, ev.sub.Inputs)
 	if e := h.jobs[id]; e != nil && !h.abandoned(e) {
 		h.attach(e, hash, ev.reply)
 		return
@@ -191,7 +191,7 @@
 
 func (h *Home) attach(e *entry, hash uint64, reply Reply) {
 	if hash != e.hash {
-		reply(&job.Answer{Outcome: reason.Unknown, Reason: reason.PayloadMismatch, Detail: "the ticket was used before with other tasks: this request was not run, the earlier one is not affected"})
+		reply(&job.Answer{Outcome: reason.Unknown, Reason: reason.PayloadMismatch, Detail: "the ticket was used before with another template or other tasks: this request was not run, the earlier one is not affected"})
 		return
 	}
 	if a := e.job.Answer(); a != nil {
@@ -262,12 +262,15 @@
 	return ids
 }
 
-func hashInputs(inputs [][]byte) uint64 {
+// hashWork tells submissions of different work apart: the same tasks under
+// another template are other work.
+func hashWork(template string, inputs [][]byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
+	_, _ = d.WriteString(template)
 	for _, in := range inputs {
-		_, _ = d.Write(in)
 		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(in)
 	}
 	return d.Sum64()
 }
@@ -295,13 +298,20 @@
 // attachEvent waits for the answer of a known submission.
 type attachEvent struct {
 	id    ticket.ID
+	hash  uint64 // 0: whatever its work
 	reply Reply
 }
 
 // Attach waits for a submission's answer without being able to start it. The
 // reply is nil when the submission is not known here.
 func (h *Home) Attach(id ticket.ID, reply Reply) bool {
-	return h.events.TryPush(attachEvent{id, reply})
+	return h.events.TryPush(attachEvent{id: id, reply: reply})
+}
+
+// AttachWork is Attach for a caller that names the work. Other work under the
+// same ticket is told so, and never given the answer.
+func (h *Home) AttachWork(id ticket.ID, template string, inputs [][]byte, reply Reply) bool {
+	return h.events.TryPush(attachEvent{id, hashWork(template, inputs), reply})
 }
 
 func (ev attachEvent) apply(h *Home) {
@@ -310,7 +320,11 @@
 		ev.reply(nil)
 		return
 	}
-	h.attach(e, e.hash, ev.reply)
+	hash := ev.hash
+	if hash == 0 {
+		hash = e.hash
+	}
+	h.attach(e, hash, ev.reply)
 }
 
 type busyEvent struct{ answer chan bool }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -184,11 +184,11 @@
 func (r *Router) drive(ctx context.Context, req Request, recovery bool) *job.Answer {
 	sub, refusal := r.prepare(req, recovery)
 	if refusal != nil {
-		return r.refuse(req, refusal)
+		return r.refuse(ctx, req, refusal)
 	}
 	answer := make(chan *job.Answer, 1)
 	if !r.cfg.Home.Submit(*sub, func(a *job.Answer) { answer <- a }) {
-		return r.refuse(req, notRun(reason.QueueFull, time.Second, "the entry VM is overloaded"))
+		return r.refuse(ctx, req, notRun(reason.QueueFull, time.Second, "the entry VM is overloaded"))
 	}
 	select {
 	case a := <-answer:
@@ -202,8 +202,8 @@
 // already is attached to instead: it was taken before the cause of the refusal.
 // Away from its home, and when it was sent before, it may have run: "not run"
 // would be a guess.
-func (r *Router) refuse(req Request, refusal *job.Answer) *job.Answer {
-	if a, known := r.attached(req); known {
+func (r *Router) refuse(ctx context.Context, req Request, refusal *job.Answer) *job.Answer {
+	if a, known := r.attached(ctx, req); known {
 		return a
 	}
 	if !r.isHome(&req.Ticket) || !req.First {
@@ -265,13 +265,17 @@
 }
 
 // attached waits for a submission that is driven here already.
-func (r *Router) attached(req Request) (*job.Answer, bool) {
+func (r *Router) attached(ctx context.Context, req Request) (*job.Answer, bool) {
 	answer := make(chan *job.Answer, 1)
-	if !r.cfg.Home.Attach(req.Ticket.ID, func(a *job.Answer) { answer <- a }) {
+	if !r.cfg.Home.AttachWork(req.Ticket.ID, req.Template, req.Inputs, func(a *job.Answer) { answer <- a }) {
 		return nil, false
 	}
-	a := <-answer
-	return a, a != nil
+	select {
+	case a := <-answer:
+		return a, a != nil
+	case <-ctx.Done():
+		return nil, true
+	}
 }
 
 func deadline(now time.Time, req Request, t *document.Template) time.Time {
@@ -306,7 +310,9 @@
 		}
 	}
 	if r.isHome(&t) {
-		return notRun(reason.NoSuchSubmission, 0, "the ticket was not used here: submit under it")
+		// Another entry VM may have driven it while this one was cut off.
+		return &job.Answer{Outcome: reason.Unknown, Reason: reason.NoSuchSubmission,
+			Detail: "the ticket was not used here: submit under it, which runs its tasks once at most"}
 	}
 	unknown := &job.Answer{Outcome: reason.Unknown, Reason: reason.HomeUnreachable, RetryAfter: time.Second,
 		Detail: "the entry VM that drives the submission can not be reached: submit again under the same ticket"}
--- a/internal/request/reason/reason.go
+++ b/internal/request/reason/reason.go
@@ -26,6 +26,7 @@
 const (
 	MalformedRequest   Code = "malformed_request"
 	BodyTooLarge       Code = "body_too_large"
+	BodyTooSlow        Code = "body_too_slow"
 	TooManyTasks       Code = "too_many_tasks"
 	UnknownTemplate    Code = "unknown_template"
 	UnknownAccount     Code = "unknown_account"
@@ -43,6 +44,7 @@
 	Draining           Code = "draining"
 	NoConfiguration    Code = "no_configuration"
 	ClaimStoreDown     Code = "claim_store_down"
+	ClaimRateExceeded  Code = "claim_rate_exceeded"
 	PayloadMismatch    Code = "payload_mismatch"
 	HomeUnreachable    Code = "home_unreachable"
 	NoWorkers          Code = "no_workers"
--- /dev/null
+++ b/internal/standin/site/callers_test.go
@@ -0,0 +1,328 @@
+package site_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/deploy"
+	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/process/entry"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/standin/platform"
+	"github.com/pumiceyard/pumiceyard/internal/standin/site"
+	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+const (
+	testTicketKey = "a-ticket-key-of-the-tests"
+	deskKey       = "demo-desk-key"
+	foremenKey    = "demo-foremen-key"
+	bodyLimit     = 16 << 10
+	startBound    = 10 * time.Second
+)
+
+// rig is a small site and an HTTP client of its first entry VM.
+type rig struct {
+	t    *testing.T
+	site *site.Site
+	url  string
+}
+
+func newRig(t *testing.T) *rig {
+	text, err := deploy.Files.ReadFile("tsagaan-shavar/document.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := document.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt := site.Defaults([]string{"ub-bayangol", "ub-khan-uul"})
+	opt.EntryVMs, opt.Workers, opt.ListLag = 2, 4, 0
+	opt.Behaviour = func(_ string, input []byte) worker.Outcome {
+		return worker.Outcome{Run: time.Millisecond, Output: input}
+	}
+	opt.Tune = func(s *entry.Settings) {
+		s.TicketKey = testTicketKey
+		s.MaxBodyBytes = bodyLimit
+		s.BodyTimeoutMillis = 200
+		s.ListPollMillis = 50
+	}
+	s, err := site.Start(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), startBound)
+	defer cancel()
+	if _, err := s.Publish(ctx, doc, "test", "first"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return &rig{t: t, site: s, url: s.Endpoints()[0]}
+}
+
+// reply is an answer of either form.
+type reply struct {
+	status  int
+	kind    string
+	ticket  string
+	problem caller.Problem
+	result  caller.Result
+}
+
+func (r *rig) do(method, path, key, body string, headers ...string) reply {
+	r.t.Helper()
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return r.read(resp)
+}
+
+func (r *rig) read(resp *http.Response) reply {
+	r.t.Helper()
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	out := reply{status: resp.StatusCode, kind: resp.Header.Get("Content-Type")}
+	if out.kind == "application/problem+json" {
+		err = json.Unmarshal(text, &out.problem)
+		out.ticket = out.problem.Ticket
+	} else if len(bytes.TrimSpace(text)) > 0 {
+		err = json.Unmarshal(text, &out.result)
+		out.ticket = out.result.Ticket
+	}
+	if err != nil {
+		r.t.Fatalf("%s: %v in %q", resp.Request.URL, err, text)
+	}
+	return out
+}
+
+func (r *rig) ticket(key string) string {
+	r.t.Helper()
+	req, _ := http.NewRequest(http.MethodPost, r.url+"/v1/tickets", strings.NewReader(`{"count":1}`))
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var got caller.Tickets
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || len(got.Tickets) != 1 {
+		r.t.Fatalf("tickets: %v, %d of them", err, len(got.Tickets))
+	}
+	return got.Tickets[0].Ticket
+}
+
+func (r *rig) starts() int {
+	_, starts, _ := r.site.Starts()
+	return starts
+}
+
+const (
+	oneTask   = `{"template":"crew-assignment","tasks":[1]}`
+	oneCheck  = `{"template":"availability-check","tasks":[1]}`
+	firstTask = `{"template":"crew-assignment","tasks":[1],"first":true}`
+)
+
+// used returns a ticket under which oneTask has run.
+func (r *rig) used() string {
+	r.t.Helper()
+	token := r.ticket(deskKey)
+	if got := r.do(http.MethodPut, "/v1/submissions/"+token, deskKey, oneTask); got.status != http.StatusOK {
+		r.t.Fatalf("a good submission: %+v", got)
+	}
+	return token
+}
+
+func (r *rig) expired() string {
+	vm := r.site.Entries()[0]
+	mint := ticket.NewMint([]byte(testTicketKey), vm.Name, vm.Domain, vm.VM.Incarnation())
+	_, token := mint.Mint("desk", time.Now().Add(-time.Second), 1, 1)
+	return token
+}
+
+func (r *rig) tampered() string {
+	token := []byte(r.ticket(deskKey))
+	token[len(token)/2] ^= 1
+	return string(token)
+}
+
+func (r *rig) fresh() string   { return r.ticket(deskKey) }
+func (r *rig) foreign() string { return r.ticket(foremenKey) }
+
+func nested(levels int) string {
+	return fmt.Sprintf(`{"template":"crew-assignment","tasks":[%s%s],"first":true}`, strings.Repeat("[", levels), strings.Repeat("]", levels))
+}
+
+func many(tasks int) string {
+	return fmt.Sprintf(`{"template":"crew-assignment","tasks":[%s1],"first":true}`, strings.Repeat("1,", tasks-1))
+}
+
+// Whatever a caller sends, it gets a problem with the right status, a stable
+// reason and an outcome that is true; nothing runs, and the daemon goes on.
+func TestBadInputIsRefusedTruthfully(t *testing.T) {
+	r := newRig(t)
+	const (
+		notRun  = reason.NotRun
+		unknown = reason.Unknown
+		put     = http.MethodPut
+		post    = http.MethodPost
+	)
+	for _, c := range []struct {
+		name    string
+		method  string
+		token   func() string // nil: POST without a ticket
+		key     string
+		body    string
+		headers []string
+		status  int
+		outcome reason.Outcome
+		code    reason.Code
+	}{
+		{"malformed JSON", put, r.fresh, deskKey, `{"template":`, nil, 400, unknown, reason.MalformedRequest},
+		{"malformed JSON, no ticket", post, nil, deskKey, `{"template":`, nil, 400, notRun, reason.MalformedRequest},
+		{"empty body", post, nil, deskKey, ``, nil, 400, notRun, reason.MalformedRequest},
+		{"unknown field", post, nil, deskKey, `{"template":"availability-check","tasks":[1],"frist":true}`, nil, 400, notRun, reason.MalformedRequest},
+		{"two values", post, nil, deskKey, oneCheck + oneCheck, nil, 400, notRun, reason.MalformedRequest},
+		{"not an object", post, nil, deskKey, `[1]`, nil, 400, notRun, reason.MalformedRequest},
+		{"negative deadline", post, nil, deskKey, `{"template":"availability-check","tasks":[1],"deadline_millis":-1}`, nil, 400, notRun, reason.MalformedRequest},
+		{"body over the limit", put, r.fresh, deskKey, `"` + strings.Repeat("x", bodyLimit) + `"`, nil, 413, unknown, reason.BodyTooLarge},
+		{"nesting too deep", put, r.fresh, deskKey, nested(33), nil, 400, notRun, reason.MalformedRequest},
+		{"nesting past the parser", post, nil, deskKey, strings.Repeat("[", bodyLimit-1), nil, 400, notRun, reason.MalformedRequest},
+		{"unknown template", put, r.fresh, deskKey, `{"template":"no-such","tasks":[1],"first":true}`, nil, 404, notRun, reason.UnknownTemplate},
+		{"unknown template, perhaps sent before", put, r.fresh, deskKey, `{"template":"no-such","tasks":[1]}`, nil, 404, unknown, reason.UnknownTemplate},
+		{"template missing", post, nil, deskKey, `{"tasks":[1]}`, nil, 400, notRun, reason.MalformedRequest},
+		{"empty tasks", put, r.fresh, deskKey, `{"template":"crew-assignment","tasks":[],"first":true}`, nil, 400, notRun, reason.MalformedRequest},
+		{"too many tasks for the template", put, r.fresh, deskKey, many(9), nil, 400, notRun, reason.TooManyTasks},
+		{"too many tasks for any template", post, nil, deskKey, many(4097), nil, 400, notRun, reason.TooManyTasks},
+		{"wrong key", post, nil, "no-such-key", oneCheck, nil, 401, notRun, reason.WrongKey},
+		{"wrong key, perhaps sent before", put, r.used, "no-such-key", oneTask, nil, 401, unknown, reason.WrongKey},
+		{"missing key", post, nil, "", oneCheck, nil, 401, notRun, reason.WrongKey},
+		{"bad ticket", put, func() string { return "no-ticket" }, deskKey, oneTask, nil, 400, notRun, reason.BadTicket},
+		{"tampered ticket", put, r.tampered, deskKey, oneTask, nil, 400, notRun, reason.BadTicket},
+		{"expired ticket", put, r.expired, deskKey, firstTask, nil, 400, notRun, reason.TicketExpired},
+		{"expired ticket, perhaps sent before", put, r.expired, deskKey, oneTask, nil, 400, unknown, reason.TicketExpired},
+		{"foreign ticket", put, r.foreign, deskKey, oneTask, nil, 403, notRun, reason.ForeignTicket},
+		{"foreign ticket's answer", http.MethodGet, r.foreign, deskKey, "", nil, 403, notRun, reason.ForeignTicket},
+		{"foreign ticket's timeline", http.MethodGet, func() string { return r.foreign() + "/timeline" }, deskKey, "", nil, 403, notRun, reason.ForeignTicket},
+		{"cancel of a foreign ticket", http.MethodDelete, r.foreign, deskKey, "", nil, 403, notRun, reason.ForeignTicket},
+		{"cancel of an unused ticket", http.MethodDelete, r.fresh, deskKey, "", nil, 404, unknown, reason.NoSuchSubmission},
+		{"answer of an unused ticket", http.MethodGet, r.fresh, deskKey, "", nil, 404, unknown, reason.NoSuchSubmission},
+		{"not idempotent, no ticket", post, nil, deskKey, oneTask, nil, 422, notRun, reason.TicketRequired},
+		{"same ticket, other tasks", put, r.used, deskKey, `{"template":"crew-assignment","tasks":[2]}`, nil, 409, unknown, reason.PayloadMismatch},
+		{"same ticket, other template", put, r.used, deskKey, oneCheck, nil, 409, unknown, reason.PayloadMismatch},
+		{"same ticket, template that is not there", put, r.used, deskKey, `{"template":"no-such","tasks":[1]}`, nil, 409, unknown, reason.PayloadMismatch},
+		{"too long a key of the caller's own", post, nil, deskKey, oneTask, []string{"Idempotency-Key", strings.Repeat("k", 256)}, 400, unknown, reason.MalformedRequest},
+		{"no such path", post, func() string { return "x/y/z" }, deskKey, oneTask, nil, 404, unknown, reason.MalformedRequest},
+		{"no such method", http.MethodPatch, nil, deskKey, oneTask, nil, 405, notRun, reason.MalformedRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := "/v1/submissions"
+			if c.token != nil {
+				path += "/" + c.token()
+			}
+			before := r.starts()
+			got := r.do(c.method, path, c.key, c.body, c.headers...)
+			p := got.problem
+			if got.status != c.status || p.Outcome != c.outcome || p.Reason != c.code {
+				t.Errorf("got %d %q %q (%s), want %d %q %q", got.status, p.Outcome, p.Reason, p.Detail, c.status, c.outcome, c.code)
+			}
+			if got.kind != "application/problem+json" || p.Status != got.status || p.Type == "" || p.Title == "" || p.Detail == "" {
+				t.Errorf("not a whole problem: %s %+v", got.kind, p)
+			}
+			if n := r.starts() - before; n != 0 {
+				t.Errorf("%d tasks were started", n)
+			}
+		})
+	}
+	r.used()
+}
+
+// A body that comes a byte at a time ends at the read timeout, with an answer.
+func TestSlowBodyIsRefused(t *testing.T) {
+	r := newRig(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "PUT /v1/submissions/%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n{", r.fresh(), deskKey)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPut})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p caller.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusRequestTimeout || p.Reason != reason.BodyTooSlow || p.Outcome != reason.Unknown {
+		t.Errorf("got %d %+v", resp.StatusCode, p)
+	}
+	r.used()
+}
+
+// A caller with a key of its own repeats a request whose answer was lost: the
+// second attaches to the first, and the work runs once. Other work under the key
+// is told so. While the store is out nothing runs under keys, and "not run" is
+// said only to a caller that never sent the key before.
+func TestIdempotencyKey(t *testing.T) {
+	r := newRig(t)
+	submit := func(key, body string) reply {
+		return r.do(http.MethodPost, "/v1/submissions", deskKey, body, "Idempotency-Key", key)
+	}
+	first, again := submit("k1", firstTask), submit("k1", oneTask)
+	if first.status != http.StatusOK || again.status != http.StatusOK || first.ticket != again.ticket {
+		t.Errorf("first %+v, again %+v", first, again)
+	}
+	r.url = r.site.Endpoints()[1]
+	if elsewhere := submit("k1", oneTask); elsewhere.status != http.StatusOK || elsewhere.ticket != first.ticket {
+		t.Errorf("at another entry VM: %+v", elsewhere)
+	}
+	if n := r.starts(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+	if other := submit("k1", `{"template":"crew-assignment","tasks":[2]}`); other.problem.Reason != reason.PayloadMismatch {
+		t.Errorf("other work: %+v", other)
+	}
+	if second := submit("k2", oneTask); second.status != http.StatusOK || second.ticket == first.ticket {
+		t.Errorf("another key: %+v", second)
+	}
+	r.site.Platform.SetFaults(platform.Faults{Outage: true})
+	for body, outcome := range map[string]reason.Outcome{firstTask: reason.NotRun, oneTask: reason.Unknown} {
+		p := submit("k3", body).problem
+		if p.Status != http.StatusServiceUnavailable || p.Reason != reason.ClaimStoreDown || p.Outcome != outcome || p.RetryAfterMillis == 0 {
+			t.Errorf("store out: %+v", p)
+		}
+	}
+	if n := r.starts(); n != 2 {
+		t.Errorf("%d starts, want 2", n)
+	}
+	r.used() // tickets need no store
+}
