Halve the bucket width of learned quantiles

Cause: a quantile was up to 9% above the samples it stands for, which is charged and not drawn.

Change: 16 buckets to the octave instead of 8, over 18 bits of units that suit each series.

--- a/internal/process/estimate/doc.go
+++ b/internal/process/estimate/doc.go
@@ -20,6 +20,7 @@
 //   - Memory is bounded: [Settings.MaxKeys] pairs of template and account are
 //     kept, and the one that was not used for longest makes room for a new one.
 //
-// Units are tens of microseconds, milliwatts and mebibytes. A quantile is exact to one
-// bucket, 1/8 of an octave (9%), and is never above the greatest sample.
+// Run times are counted in units of 160 microseconds, draw in 16 milliwatts,
+// memory in mebibytes. A quantile is never below the samples it stands for and
+// at most one bucket above them, 1/16 of the value.
 package estimate
--- a/internal/process/estimate/estimate.go
+++ b/internal/process/estimate/estimate.go
@@ -85,11 +85,11 @@
 // entry is what is known of one key.
 type entry struct {
 	key     key
-	used    uint64 // value of the estimator's use counter
-	current int    // index of the window that is being filled
-	seen    int    // samples, up to two windows
-	stale   int    // samples since the quantiles were computed
-	learned [3]uint32
+	used    uint64    // value of the estimator's use counter
+	current int       // index of the window that is being filled
+	seen    int       // samples, up to two windows
+	stale   int       // samples since the quantiles were computed
+	learned [3]uint32 // quantiles in microseconds, milliwatts, mebibytes
 	series  [3][2]window
 	// correction raises the learned draw, in thousandths.
 	correction uint32
@@ -102,6 +102,14 @@
 	seriesMemory
 )
 
+// unitOf is the resolution of each series: the range reaches 41 s, 4 kW and
+// 256 GiB. Greater values share the last bucket and its greatest sample.
+var unitOf = [3]uint32{
+	seriesTime:   160, // microseconds
+	seriesPower:  16,  // milliwatts
+	seriesMemory: 1,   // mebibytes
+}
+
 // Estimator learns what tasks use.
 type Estimator struct {
 	settings Settings
@@ -126,7 +134,7 @@
 	e.touch(n)
 	power := corrected(n.learned[seriesPower], n.correction)
 	estimate := Estimate{
-		Time:       fromUnits(e.blend(n, timeUnits(declared.Time), n.learned[seriesTime])),
+		Time:       micros(e.blend(n, microsOf(declared.Time), n.learned[seriesTime])),
 		Milliwatts: e.blend(n, declared.Milliwatts, power),
 		MemoryMiB:  e.blend(n, declared.MemoryMiB, n.learned[seriesMemory]),
 		Samples:    n.seen,
@@ -141,7 +149,7 @@
 // prior is the estimate without any sample.
 func (e *Estimator) prior(d Declared) Estimate {
 	return Estimate{
-		Time:       fromUnits(e.withMargin(timeUnits(d.Time))),
+		Time:       micros(e.withMargin(microsOf(d.Time))),
 		Milliwatts: e.withMargin(d.Milliwatts),
 		MemoryMiB:  e.withMargin(d.MemoryMiB),
 		Basis:      ByDeclaration,
@@ -170,7 +178,7 @@
 	values := s.values()
 	rises := false
 	for i, v := range values {
-		n.series[i][n.current].add(v)
+		n.series[i][n.current].add(units(v, unitOf[i]))
 		rises = rises || v > n.learned[i]
 	}
 	n.seen = min(n.seen+1, 2*e.settings.Window)
@@ -187,7 +195,7 @@
 		speed = permilleFull
 	}
 	return [3]uint32{
-		seriesTime:   clamp(uint64(timeUnits(s.Time)) * speed / permilleFull),
+		seriesTime:   clamp(uint64(microsOf(s.Time)) * speed / permilleFull),
 		seriesPower:  clamp(uint64(s.Milliwatts) * permilleFull / speed),
 		seriesMemory: s.MemoryMiB,
 	}
@@ -212,7 +220,8 @@
 		seriesMemory: e.settings.MemoryPermille,
 	}
 	for i := range n.series {
-		n.learned[i] = quantileOf(&n.series[i][0], &n.series[i][1], permille[i])
+		learned := quantileOf(&n.series[i][0], &n.series[i][1], permille[i])
+		n.learned[i] = fromUnits(learned, unitOf[i])
 	}
 }
 
@@ -269,15 +278,15 @@
 // clamp limits a value to 32 bits.
 func clamp(v uint64) uint32 { return uint32(min(v, 1<<32-1)) }
 
-// timeUnits gives a duration in tens of microseconds, the unit in which run
-// times are counted, so that the buckets reach 41 s; longer times share the
-// last bucket and its greatest sample.
-func timeUnits(d time.Duration) uint32 {
-	return clamp(uint64(max(0, d) / timeUnit))
-}
+// units rounds a value up to a unit of its series, so that no quantile is below
+// the samples.
+func units(v, unit uint32) uint32 { return clamp((uint64(v) + uint64(unit) - 1) / uint64(unit)) }
+
+// fromUnits is the inverse of units.
+func fromUnits(v, unit uint32) uint32 { return clamp(uint64(v) * uint64(unit)) }
 
-// fromUnits is the inverse of timeUnits.
-func fromUnits(v uint32) time.Duration { return time.Duration(v) * timeUnit }
+// microsOf gives a duration in microseconds, at most 71 minutes.
+func microsOf(d time.Duration) uint32 { return clamp(uint64(max(0, d) / time.Microsecond)) }
 
-// timeUnit is the resolution of run times.
-const timeUnit = 10 * time.Microsecond
+// micros is the inverse of microsOf.
+func micros(v uint32) time.Duration { return time.Duration(v) * time.Microsecond }
--- a/internal/process/estimate/window.go
+++ b/internal/process/estimate/window.go
@@ -3,10 +3,12 @@
 import "math/bits"
 
 const (
-	// subBits gives 8 buckets to the octave.
-	subBits = 3
-	// buckets covers 1 to 2^22 units with values below 8 counted exactly.
-	buckets = (22 - subBits + 1) << subBits
+	// subBits gives 16 buckets to the octave.
+	subBits = 4
+	// rangeBits is the width of the values that are told apart: 262,144 units.
+	rangeBits = 18
+	// buckets covers the range; values below 16 units are counted exactly.
+	buckets = (rangeBits - subBits + 1) << subBits
 	// maxWindow is the most samples that a counter can hold.
 	maxWindow = 255
 )
