--- a/internal/process/power/harness_test.go
+++ b/internal/process/power/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 
@@ -205,7 +206,8 @@
 		h.result.slowed++
 		permille = int64(room * permilleFull / wanted)
 	}
-	for key, task := range w.running {
+	for _, key := range w.keys() {
+		task := w.running[key]
 		task.ran += harnessStep
 		task.left -= harnessStep * time.Duration(permille) / permilleFull
 		if task.left <= 0 {
@@ -215,6 +217,16 @@
 	return modelIdle + wanted*Milliwatts(permille)/permilleFull
 }
 
+// keys lists the running tasks in a fixed order, so that a seed gives one run.
+func (w *harnessWorker) keys() []TaskKey {
+	keys := make([]TaskKey, 0, len(w.running))
+	for key := range w.running {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
+	return keys
+}
+
 // finish reports what a worker measured: mean speed, and draw at that speed.
 func (h *harness) finish(w *harnessWorker, key TaskKey, task *harnessTask) {
 	delete(w.running, key)
--- a/internal/process/power/model_test.go
+++ b/internal/process/power/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 	fault   fault
 	next    uint64
 	moved   Milliwatts // taken from transfers, to show that the runs move watts
+	wanted  int        // plans asked for
 	broken  string
 }
 
@@ -195,6 +197,8 @@
 			m.toWorker(vm, a.Worker, a.Epoch, a)
 		case Stop:
 			m.toWorker(vm, a.Worker, a.Epoch, a)
+		case PlanWanted:
+			m.wanted++
 		case Request:
 			m.send(a.To, a)
 		case Send:
@@ -289,6 +293,23 @@
 	w.toHolder = append(w.toHolder, event)
 }
 
+// endFirst finishes the task with the lowest key, if one runs.
+func (w *modelWorker) endFirst() {
+	if len(w.running) > 0 {
+		w.end(w.keys()[0])
+	}
+}
+
+// keys lists the running tasks in a fixed order, so that a seed gives one run.
+func (w *modelWorker) keys() []TaskKey {
+	keys := make([]TaskKey, 0, len(w.running))
+	for key := range w.running {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
+	return keys
+}
+
 // end finishes a task and tells the holder.
 func (w *modelWorker) end(key TaskKey) {
 	if _, runs := w.running[key]; !runs {
@@ -339,8 +360,8 @@
 		Epoch: w.epoch, Incarnation: w.incarnation, Idle: modelIdle,
 		Record: w.record, Permille: w.permille,
 	}
-	for key, load := range w.running {
-		grant.Running = append(grant.Running, Running{key, Load{Milliwatts: load}})
+	for _, key := range w.keys() {
+		grant.Running = append(grant.Running, Running{key, Load{Milliwatts: w.running[key]}})
 	}
 	m.do(vm, vm.ledger.LeaseAcquired(m.now, w.name, grant))
 }
--- a/internal/process/power/property_test.go
+++ b/internal/process/power/property_test.go
@@ -44,10 +44,7 @@
 		}
 		m.charge(vm, w, Milliwatts(arg%7+1)*30_000)
 	case 3:
-		for key := range w.running {
-			w.end(key)
-			break
-		}
+		w.endFirst()
 	case 4, 5:
 		m.stepWorker(w)
 	case 6, 7:
