Ask for a plan after 10 s of recoverable watts

Cause: stranded watts stayed dark for 33 s, most of it waiting.

Change: StrandedAfter 10 s in place of 30 s; that is still five times the lease of 2 s for which the watts of a dead holder's workers are unheld. The harness cases run in parallel.

Cost: at most one store write every 10 s and domain while watts are recoverable.

--- a/internal/process/power/harness_test.go
+++ b/internal/process/power/harness_test.go
@@ -291,6 +291,7 @@
 		{"under-declared x3, declared figures only", 1.0 / 3, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			h := newHarness(c.learns)
 			r := h.simulate(c.factor, 10*time.Second, 60*time.Second)
 			t.Logf("used %.3f of the part, peak %.4f, %d tasks done, %d stopped, guard slowed in %d of %d worker steps",
--- a/internal/process/power/settings.go
+++ b/internal/process/power/settings.go
@@ -52,6 +52,6 @@
 		KeepPermille:     100,
 		MinTransfer:      5_000,
 		StrandedPermille: 20,
-		StrandedAfter:    30 * time.Second,
+		StrandedAfter:    10 * time.Second,
 	}
 }
