Search two tasks with a home that seals again, and the candidate digest

Cause: with one task only, no seal of one task met another task of the same submission; start and seal checked the worker incarnation under one switch. Change: a search with two tasks and no recoverer; separate switches for the incarnation in starts and in seals; a switch for the candidate digest. Conclusion: each of the two incarnation checks is needed by itself.

--- a/spec/atmostonce.pml
+++ b/spec/atmostonce.pml
@@ -14,6 +14,9 @@
 #ifndef MAXFAULT
 #define MAXFAULT 1              /* worker restarts and early clocks */
 #endif
+#ifndef RECOVERERS
+#define RECOVERERS 2
+#endif
 #define NW    2                 /* candidate workers */
 #define ALL   ((1 << NT) - 1)
 #define EVERY ((1 << NW) - 1)
@@ -101,10 +104,15 @@
 #else
 #define SEAL_OK(w, g) (g >= sealed[w] && !closed[w])
 #endif
-#ifdef NO_WORKER_INCARNATION
-#define SAME(w) true
+#ifdef NO_START_INCARNATION
+#define START_SAME(w) true
+#else
+#define START_SAME(w) (!restarted[w])
+#endif
+#ifdef NO_SEAL_INCARNATION
+#define SEAL_SAME(w) true
 #else
-#define SAME(w) (!restarted[w])
+#define SEAL_SAME(w) (!restarted[w])
 #endif
 #ifdef NO_BATCH_ONCE
 #define BATCH_ONCE 0
@@ -131,7 +139,7 @@
  * and an expired ticket prove nothing about an earlier copy: no "not run". */
 inline deliver(w, now, g, t) {
   if
-  :: !SAME(w) || expired[w] ->
+  :: !START_SAME(w) || expired[w] ->
 #ifdef NO_LOST_ANSWER
      refuse(w, g, t)
 #else
@@ -166,9 +174,9 @@
 /* worker: Seal. res: 0 no answer possible, 1 sealed, 2 higher one is here. */
 inline seal(w, g, res) {
   if
-  :: !SAME(w) -> res = 0
+  :: !SEAL_SAME(w) -> res = 0
 #ifndef NO_SEAL_EXPIRY
-  :: SAME(w) && expired[w] -> res = 0
+  :: SEAL_SAME(w) && expired[w] -> res = 0
 #endif
   :: else ->
 #ifdef EPOCH_ONLY
@@ -271,7 +279,7 @@
   if
   :: atomic { HAS(ran[w], 1 << t) -> found[t] = 1; w = 0; tried = 0; g = 0 }
   :: atomic { HAS(notrun[w], KEY(g, t)) -> idle[t] = 1; goto next }
-#ifndef PATIENT_HOME
+#ifndef PATIENT_HOME            /* a home that never seals by itself */
   :: atomic { g == G_HOME -> g = G_RAISED; seal(w, g, res);
        if
        :: res == 1 && !HAS(rec[w], 1 << t) -> /* proven: never started */
@@ -296,14 +304,20 @@
 }
 
 /* An entry VM that is not the home recovers the submission. */
+#ifdef NO_DIGEST_CHECK          /* its VM list lacks worker 1, it goes on */
+#define KNOWN 1
+#else
+#define KNOWN EVERY
+#endif
+
 proctype Recover(byte g) {
   byte k, w, res, asked, seen, out;
   bit over;
   do
-  :: atomic { (asked | out) != EVERY ->
+  :: atomic { (asked | out) != KNOWN ->
        if
        :: !HAS(asked | out, 1) -> w = 0
-       :: !HAS(asked | out, 2) -> w = 1
+       :: !HAS(asked | out, 2) && KNOWN > 1 -> w = 1
        fi;
        seal(w, g, res);
        if
@@ -313,7 +327,7 @@
        :: res == 2 -> goto yield
        fi;
        res = 0; w = 0 }
-  :: (asked | out) == EVERY -> break
+  :: (asked | out) == KNOWN -> break
   od;
   atomic {
     if
@@ -323,13 +337,13 @@
     fi;
 #ifdef NO_UNKNOWN
     if
-    :: asked != EVERY && seen == 0 -> say_not_run(); goto yield
+    :: asked != KNOWN && seen == 0 -> say_not_run(); goto yield
     :: else -> skip
     fi;
 #endif
 #ifndef NO_ASK_ALL
     if
-    :: asked != EVERY -> goto yield       /* absent tasks are unknown */
+    :: asked != KNOWN -> goto yield       /* absent tasks are unknown */
     :: else -> skip
     fi;
 #endif
@@ -409,9 +423,12 @@
 #ifdef LAST_ASK
     run LastAsk();
 #endif
-#ifndef ONE_RECOVERER
+#if RECOVERERS > 1
     run Recover(G_REC2);
 #endif
-    run Recover(G_REC1)
+#if RECOVERERS > 0
+    run Recover(G_REC1);
+#endif
+    skip
   }
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -13,30 +13,33 @@
 # 1 starts once, 2 "not run" is true, 3 one holder, 4 complete, 5 progress.
 cat >"$temp/checks" <<'CHECKS'
 holds|atmostonce|one task, home and two recoverers, a worker fault|-DNT=1
-holds|atmostonce|two tasks, home and one recoverer, a worker fault|-DNT=2 -DPATIENT_HOME -DONE_RECOVERER
-holds|atmostonce|one task, home and one recoverer, two worker faults|-DNT=1 -DONE_RECOVERER -DMAXFAULT=2
+holds|atmostonce|two tasks, home and one recoverer, a worker fault|-DNT=2 -DPATIENT_HOME -DRECOVERERS=1
+holds|atmostonce|two tasks, home that seals again, a worker fault|-DNT=2 -DRECOVERERS=0
+holds|atmostonce|one task, home and one recoverer, two worker faults|-DNT=1 -DRECOVERERS=1 -DMAXFAULT=2
 holds|atmostonce|progress: the last ask ends, two recoverers|-DNT=1 -DLAST_ASK -DMAXFAULT=0
-holds|atmostonce|progress: the last ask ends, a worker fault|-DNT=1 -DLAST_ASK -DONE_RECOVERER
+holds|atmostonce|progress: the last ask ends, a worker fault|-DNT=1 -DLAST_ASK -DRECOVERERS=1
 holds|answer|answers are whole and reach their own callers|
 holds|lease|slots are never over-committed|
-fails|atmostonce|epoch only: epochs advance, nothing is sealed: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DEPOCH_ONLY
-fails|atmostonce|no generation check at the worker: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_SEAL
-fails|atmostonce|no epoch check at the worker: two holders start tasks|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=3 -DNO_EPOCH
-fails|atmostonce|recoverer starts after one candidate answered: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_ASK_ALL
+fails|atmostonce|epoch only: epochs advance, nothing is sealed: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DEPOCH_ONLY
+fails|atmostonce|no generation check at the worker: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_SEAL
+fails|atmostonce|no epoch check at the worker: two holders start tasks|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=3 -DNO_EPOCH
+fails|atmostonce|recoverer starts after one candidate answered: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_ASK_ALL
+fails|atmostonce|candidate set not wholly known, no digest: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_DIGEST_CHECK
 fails|atmostonce|generation without author: starts twice|-DMAXFAULT=0 -DINVARIANT=1 -DNO_AUTHOR
-fails|atmostonce|home outbids a recoverer, sealing a part: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_FLOOR
-fails|atmostonce|restarted VM takes an old ticket as its own: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_HOME_INCARNATION
-fails|atmostonce|home forgets an ended submission: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_TOMBSTONE
-fails|atmostonce|home forgets an ended submission: "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_TOMBSTONE
-fails|atmostonce|no record of tasks at the worker: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD
-fails|atmostonce|doubled start answered "not run": starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD_ANSWER
-fails|atmostonce|restarted or expired answered "not run": starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_LOST_ANSWER
-fails|atmostonce|"not run" for a full worker, not remembered: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_FINAL_REFUSAL
-fails|atmostonce|owner takes a doubled batch: starts twice|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=1 -DNO_BATCH_ONCE
-fails|atmostonce|worker incarnation unchecked: starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_WORKER_INCARNATION
-fails|atmostonce|seal answered after expiry: starts twice|-DONE_RECOVERER -DINVARIANT=1 -DNO_SEAL_EXPIRY
-fails|atmostonce|no close before "not run": "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_CLOSE
-fails|atmostonce|unknown told as "not run": "not run" is false|-DONE_RECOVERER -DMAXFAULT=0 -DINVARIANT=2 -DNO_UNKNOWN
+fails|atmostonce|home outbids a recoverer, sealing a part: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_FLOOR
+fails|atmostonce|restarted VM takes an old ticket as its own: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_HOME_INCARNATION
+fails|atmostonce|home forgets an ended submission: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_TOMBSTONE
+fails|atmostonce|home forgets an ended submission: "not run" is false|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=2 -DNO_TOMBSTONE
+fails|atmostonce|no record of tasks at the worker: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD
+fails|atmostonce|doubled start answered "not run": starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_RECORD_ANSWER
+fails|atmostonce|restarted or expired answered "not run": starts twice|-DRECOVERERS=1 -DINVARIANT=1 -DNO_LOST_ANSWER
+fails|atmostonce|"not run" for a full worker, not remembered: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_FINAL_REFUSAL
+fails|atmostonce|owner takes a doubled batch: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_BATCH_ONCE
+fails|atmostonce|start taken by a restarted worker: starts twice|-DRECOVERERS=1 -DINVARIANT=1 -DNO_START_INCARNATION
+fails|atmostonce|seal answered by a restarted worker: starts twice|-DRECOVERERS=1 -DINVARIANT=1 -DNO_SEAL_INCARNATION
+fails|atmostonce|seal answered after expiry: starts twice|-DRECOVERERS=1 -DINVARIANT=1 -DNO_SEAL_EXPIRY
+fails|atmostonce|no close before "not run": "not run" is false|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=2 -DNO_CLOSE
+fails|atmostonce|unknown told as "not run": "not run" is false|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=2 -DNO_UNKNOWN
 fails|atmostonce|counter not above any seen: the last ask does not end|-DLAST_ASK -DMAXFAULT=0 -DINVARIANT=5 -DNO_ABOVE_SEEN
 fails|answer|doubled result counted: partial answer|-DNO_INDEX_CHECK
 fails|answer|result of another submission taken: wrong answer|-DNO_SUBMISSION_CHECK
