Show that searches reach what they prove, and move switches to guards.pml

Cause: a search without violation is worth nothing if a recoverer never starts a task in it; the model's switches stood between the lines of the protocol; the epoch-only variant could be blamed on batches that name no epoch. Change: six marks that must be reached; guards.pml; a second epoch-only variant whose batches are bound to the epoch. Conclusion: binding batches to an epoch does not save the epoch-only way.

--- a/spec/atmostonce.pml
+++ b/spec/atmostonce.pml
@@ -6,7 +6,8 @@
  * again, in any order. Processes: one that is no longer scheduled is paused,
  * cut off or dead; so crashes of entry VMs need no steps of their own.
  *
- * -DNO_<GUARD> removes one guard. check.sh expects a violation for each.
+ * guards.pml has the invariants and a switch for each guard; check.sh expects
+ * a violation for each guard that is removed.
  */
 #ifndef NT
 #define NT 1                    /* tasks of the submission */
@@ -21,25 +22,7 @@
 #define ALL   ((1 << NT) - 1)
 #define EVERY ((1 << NW) - 1)
 
-/* Generations, ordered as workers compare them. The home stays below every
- * recoverer, because it may seal a part of the candidates only. */
-#define G_HOME  1
-#define G_REC1  3
-#ifdef NO_ABOVE_SEEN            /* the last ask does not outbid the others */
-#define G_LAST  3
-#else
-#define G_LAST  5
-#endif
-#ifdef NO_AUTHOR                /* counter without author: recoverers tie */
-#define G_REC2  3
-#else
-#define G_REC2  4
-#endif
-#ifdef NO_FLOOR                 /* the home may outbid a recoverer */
-#define G_RAISED 4
-#else
-#define G_RAISED 2
-#endif
+#include "guards.pml"
 
 #define KEY(g, t)     (1 << (((g) - 1) * NT + (t)))
 #define BY_HOME(g)    ((g) == G_HOME || (g) == G_RAISED)
@@ -62,23 +45,19 @@
 short notrun[NW];               /* KEY bits, "not run" answers */
 byte  ran[NW];                  /* task bits, results sent back */
 
-/* The invariants. -DINVARIANT=n checks one of them alone. */
-#ifndef INVARIANT
-#define INVARIANT 0
-#endif
-#define STARTS_ONCE(p)  assert((p) || (INVARIANT != 0 && INVARIANT != 1))
-#define NOT_RUN_TRUE(p) assert((p) || (INVARIANT != 0 && INVARIANT != 2))
-#define ONE_HOLDER(p)   assert((p) || (INVARIANT != 0 && INVARIANT != 3))
-#define COMPLETE(p)     assert((p) || (INVARIANT != 0 && INVARIANT != 4))
-#define PROGRESS(p)     assert((p) || (INVARIANT != 0 && INVARIANT != 5))
+/* What the invariants are about. */
 byte begun[NT];                 /* starts per task */
 bit  told_not_run;
 
-inline begin(w, now, t) {
+inline begin(w, now, g, t) {
   begun[t]++;
   STARTS_ONCE(begun[t] <= 1);
   NOT_RUN_TRUE(!told_not_run);
   ONE_HOLDER(now);
+  if
+  :: g >= G_REC1 -> REACHED(1)
+  :: else -> skip
+  fi;
   rec[w] = rec[w] | (1 << t);
   ran[w] = ran[w] | (1 << t)
 }
@@ -94,37 +73,6 @@
   k = 0
 }
 
-#ifdef NO_EPOCH
-#define EPOCH_OK(now) true
-#else
-#define EPOCH_OK(now) (now)
-#endif
-#if defined(NO_SEAL) || defined(EPOCH_ONLY)
-#define SEAL_OK(w, g) true
-#else
-#define SEAL_OK(w, g) (g >= sealed[w] && !closed[w])
-#endif
-#ifdef NO_START_INCARNATION
-#define START_SAME(w) true
-#else
-#define START_SAME(w) (!restarted[w])
-#endif
-#ifdef NO_SEAL_INCARNATION
-#define SEAL_SAME(w) true
-#else
-#define SEAL_SAME(w) (!restarted[w])
-#endif
-#ifdef NO_BATCH_ONCE
-#define BATCH_ONCE 0
-#else
-#define BATCH_ONCE 1
-#endif
-#ifdef NO_RECORD
-#define RECORDED(w, t) false
-#else
-#define RECORDED(w, t) HAS(rec[w], 1 << t)
-#endif
-
 /* worker: answers "not run". Epochs and seals only grow, so a copy of a start
  * that was refused is refused as well: the model drops it. Only the home acts
  * on the answer. */
@@ -155,7 +103,7 @@
 #endif
      :: else ->
         if
-        :: EPOCH_OK(now) && SEAL_OK(w, g) -> begin(w, now, t)
+        :: EPOCH_OK(now) && SEAL_OK(w, g) -> begin(w, now, g, t)
         :: else -> refuse(w, g, t)
         fi
      fi
@@ -180,6 +128,9 @@
 #endif
   :: else ->
 #ifdef EPOCH_ONLY
+#ifdef EPOCH_BOUND              /* batches name the epoch that the home knew */
+     queued[w] = 0;
+#endif
      move(w); res = 1
 #else
      if
@@ -221,14 +172,6 @@
   :: d_step { HAS(old[w], KEY(g, t)) -> deliver(w, false, g, t) } \
   REFUSE_FULL(g, t)
 
-#ifdef NO_FINAL_REFUSAL         /* a full worker refuses, later copies start */
-#define REFUSE_FULL(g, t) \
-  :: d_step { HAS(current[w], KEY(g, t)) && !HAS(rec[w], 1 << t) -> \
-       notrun[w] = notrun[w] | (BY_HOME(g) * KEY(g, t)) }
-#else
-#define REFUSE_FULL(g, t)
-#endif
-
 proctype Worker(byte w) {
   do
   EACH(DELIVER)
@@ -283,7 +226,7 @@
   :: atomic { g == G_HOME -> g = G_RAISED; seal(w, g, res);
        if
        :: res == 1 && !HAS(rec[w], 1 << t) -> /* proven: never started */
-          idle[t] = 1; tried = 0; res = 0; goto next
+          REACHED(6); idle[t] = 1; tried = 0; res = 0; goto next
        :: res == 1 && HAS(rec[w], 1 << t) -> found[t] = 1
        :: res != 1 -> skip      /* superseded, or worker gone: unknown */
        fi;
@@ -298,18 +241,12 @@
   :: atomic { ending = 1 };
      atomic { idle[0] && idle[NT - 1] ->
        select(w : 0 .. NW - 1);
-       close_not_run(w, G_RAISED, res); w = 0; res = 0; answered = 1 }
+       close_not_run(w, G_RAISED, res); REACHED(4 + told_not_run); w = 0; res = 0; answered = 1 }
   :: atomic { found[0] && found[NT - 1] -> say_complete(); answered = 1 }
   fi
 }
 
 /* An entry VM that is not the home recovers the submission. */
-#ifdef NO_DIGEST_CHECK          /* its VM list lacks worker 1, it goes on */
-#define KNOWN 1
-#else
-#define KNOWN EVERY
-#endif
-
 proctype Recover(byte g) {
   byte k, w, res, asked, seen, out;
   bit over;
@@ -331,8 +268,8 @@
   od;
   atomic {
     if
-    :: over -> say_not_run(); goto yield
-    :: !over && seen == ALL -> say_complete(); goto yield
+    :: over -> REACHED(2); say_not_run(); goto yield
+    :: !over && seen == ALL -> REACHED(3); say_complete(); goto yield
     :: else -> skip
     fi;
 #ifdef NO_UNKNOWN
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -20,7 +20,14 @@
 holds|atmostonce|progress: the last ask ends, a worker fault|-DNT=1 -DLAST_ASK -DRECOVERERS=1
 holds|answer|answers are whole and reach their own callers|
 holds|lease|slots are never over-committed|
+fails|atmostonce|reached: a recoverer's task starts|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=1
+fails|atmostonce|reached: a recoverer finds the close|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=2
+fails|atmostonce|reached: a recoverer adopts every task|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=3
+fails|atmostonce|reached: the home's close is refused|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=4
+fails|atmostonce|reached: the home's close is accepted|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=5
+fails|atmostonce|reached: the home proves a task never started|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=6
 fails|atmostonce|epoch only: epochs advance, nothing is sealed: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DEPOCH_ONLY
+fails|atmostonce|epoch only, batches bound to an epoch: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DEPOCH_ONLY -DEPOCH_BOUND
 fails|atmostonce|no generation check at the worker: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_SEAL
 fails|atmostonce|no epoch check at the worker: two holders start tasks|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=3 -DNO_EPOCH
 fails|atmostonce|recoverer starts after one candidate answered: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_ASK_ALL
@@ -53,7 +60,7 @@
   local dir=$temp/$1 expect model title flags found states verdict=FAIL
   IFS='|' read -r expect model title flags <<<"$2"
   mkdir "$dir"
-  cp "$model.pml" "$dir/"
+  cp ./*.pml "$dir/"
   # Processes of the protocol never end, so only the answer model's end states
   # say something.
   local ends=-E
