Admission tests read the bounds from the defaults

Cause: the default queue bounds grew and the tests named the old figures. Change: the cases ask for one task more than the default bound, as strict as before.

--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -39,11 +39,11 @@
 		{"watts of the cap", func(r *Request, _ *View) { r.Milliwatts = 300_001 }, reason.NeverFits, false},
 		{"quota", func(r *Request, v *View) { r.Slots = 4; v.Accounts["a"] = AccountLoad{QuotaSlots: 3} }, reason.QuotaExceeded, false},
 		{"deadline", func(r *Request, _ *View) { r.Deadline = start.Add(49 * time.Millisecond) }, reason.DeadlineTooShort, false},
-		{"too many tasks", func(r *Request, _ *View) { r.Tasks = 10_001 }, reason.TooManyTasks, false},
+		{"too many tasks", func(r *Request, _ *View) { r.Tasks = Defaults().MaxAccountTasks + 1 }, reason.TooManyTasks, false},
 		{"draining", func(_ *Request, v *View) { v.Draining = true }, reason.Draining, true},
 		{"no workers", func(_ *Request, v *View) { v.DrainRate = 0 }, reason.NoWorkers, true},
-		{"account full", func(_ *Request, v *View) { v.Accounts["a"] = AccountLoad{QueuedTasks: 10_000} }, reason.QueueFull, true},
-		{"all full", func(_ *Request, v *View) { v.QueuedTasks = 50_000 }, reason.QueueFull, true},
+		{"account full", func(_ *Request, v *View) { v.Accounts["a"] = AccountLoad{QueuedTasks: Defaults().MaxAccountTasks} }, reason.QueueFull, true},
+		{"all full", func(_ *Request, v *View) { v.QueuedTasks = Defaults().MaxQueuedTasks }, reason.QueueFull, true},
 		{"queue passes deadline", func(r *Request, v *View) {
 			r.Class, r.Deadline = Normal, start.Add(time.Second)
 			v.Accounts["a"] = AccountLoad{QueuedWork: 60 * time.Second, Share: 0.5}
