Remote usage is charged also before an account has work here

Change: a node knows whether others hang below it, and remote usage is charged to every leaf. The bound on credit is applied in one place, when service is charged, and no longer also on rejoining.

--- a/internal/process/fairness/accounts.go
+++ b/internal/process/fairness/accounts.go
@@ -41,7 +41,7 @@
 	q.remoteAt = q.now
 	for _, name := range q.names() {
 		n := q.nodes[name]
-		if n.lane == nil {
+		if n.inner {
 			continue
 		}
 		use := n.remoteSlots / q.capacity.Slots
@@ -73,7 +73,7 @@
 		if n.index != noIndex {
 			n.parent.heap.fix(n)
 		}
-		if n.lane != nil {
+		if !n.inner {
 			q.unblock(n)
 		}
 	}
@@ -101,7 +101,7 @@
 	if n == nil {
 		n = q.addNode(account, Account{Weight: defaultWeight}, q.root)
 	}
-	if n.lane == nil && q.encloses(account) {
+	if n.inner {
 		own := q.nodes[ownName(account)]
 		if own == nil {
 			own = q.addNode(ownName(account), Account{Weight: defaultWeight}, n)
@@ -111,13 +111,6 @@
 	return n
 }
 
-// encloses reports whether an account is the parent of another.
-func (q *Queue[K]) encloses(account string) bool {
-	return slices.ContainsFunc(q.accounts, func(a Account) bool {
-		return a.Parent == account && a.Name != account
-	})
-}
-
 // addNode hangs a new node below a parent, at the parent's clock.
 func (q *Queue[K]) addNode(name string, a Account, parent *node[K]) *node[K] {
 	n := &node[K]{
@@ -129,6 +122,7 @@
 		index:  noIndex,
 		order:  len(q.nodes),
 	}
+	parent.inner = true
 	q.nodes[name] = n
 	return n
 }
--- a/internal/process/fairness/pass.go
+++ b/internal/process/fairness/pass.go
@@ -17,16 +17,16 @@
 func (q *Queue[K]) addPass(l *lane[K]) {
 	l.pass = &node[K]{name: l.account, parent: q.passes, weight: 1, index: noIndex, order: l.leaf.order}
 	l.pass.vt = q.passes.clock
+	l.pass.key = l.pass.vt
 }
 
 // refreshPass brings a lane's pass into or out of the order, as it has short
 // urgent work or not.
 func (q *Queue[K]) refreshPass(l *lane[K]) {
 	work := l.levels[urgentLevel].head != nil && !l.passBlocked && q.withinDue(l)
-	switch in := l.pass.index != noIndex; {
+	in := l.pass.index != noIndex
+	switch {
 	case work && !in:
-		l.pass.vt = max(l.pass.vt, q.passes.clock-q.settings.Memory.Seconds())
-		l.pass.key = l.pass.vt
 		q.passes.heap.insert(l.pass)
 	case !work && in:
 		q.passes.heap.remove(l.pass)
--- a/internal/process/fairness/queue.go
+++ b/internal/process/fairness/queue.go
@@ -140,7 +140,7 @@
 	}
 	j.lane.add(j, j.levelBy(q.now, &q.settings))
 	q.refreshPass(j.lane)
-	q.rejoin(j.lane.leaf)
+	j.lane.leaf.refresh()
 }
 
 // delist takes a job out of whichever list holds it.
@@ -159,20 +159,6 @@
 	}
 }
 
-// rejoin brings a node with new work back into the order, no further behind
-// than its memory allows.
-func (q *Queue[K]) rejoin(n *node[K]) {
-	for m := n; m.parent != nil; m = m.parent {
-		if m.index != noIndex {
-			break
-		}
-		lag := q.settings.Memory.Seconds() * m.fraction() / float64(m.weight)
-		m.vt = max(m.vt, m.parent.clock-lag)
-		q.setKey(m)
-	}
-	n.refresh()
-}
-
 // Next returns the job whose tasks go next. It reports false when nothing can
 // go: nothing is queued, all of it is parked or over quota, or other work is
 // held back for a job that was parked too long.
@@ -462,7 +448,7 @@
 		if n.blockedNeed > 0 && n.room() >= n.blockedNeed {
 			n.blockedNeed = 0
 			q.unblockPasses(n)
-			q.rejoin(n)
+			n.refresh()
 		}
 	}
 }
@@ -522,7 +508,7 @@
 		j.lane.levels[j.level].pushFront(j)
 		j.lane.ready++
 		q.refreshPass(j.lane)
-		q.rejoin(j.lane.leaf)
+		j.lane.leaf.refresh()
 	}
 }
 
--- a/internal/process/fairness/tree.go
+++ b/internal/process/fairness/tree.go
@@ -13,7 +13,8 @@
 	name   string
 	parent *node[K]
 	passes []*lane[K] // kept out while the node is blocked
-	lane   *lane[K]   // work of a leaf; nil for an inner node
+	inner  bool       // has nodes below it
+	lane   *lane[K]   // work of a leaf; nil before it has any
 	weight int64
 	quota  int64 // slots; 0 is none
 
