Declared power is charged while a task's energy is not known

Cause: usage is reported with a lag, and a finish without energy would have made work free when watts are scarce; one would see the account with the most hungry tasks get the most watts.

Change: an energy of 0 charges the declared power for the time taken. The test of scarce watts runs with and without a reported energy.

--- a/internal/process/fairness/queue.go
+++ b/internal/process/fairness/queue.go
@@ -32,7 +32,9 @@
 	holdUntil float64
 }
 
-// New returns an empty queue. It panics on settings that Validate refuses.
+// New returns an empty queue. It panics on settings that Validate refuses. Until
+// SetCapacity is called, the capacity counts as one slot and one milliwatt, which
+// keeps the shares right and the bounds in time far too tight.
 func New[K comparable](s Settings) *Queue[K] {
 	if err := s.Validate(); err != nil {
 		panic(err)
@@ -389,7 +391,8 @@
 
 // Finish records that n running tasks of a job ended, whatever their outcome.
 // busy is the sum of their run times and milliwattSeconds the sum of their
-// energy; they replace the estimates that Start charged.
+// energy; they replace the estimates that Start charged. An energy of 0 is not
+// known yet, since usage is reported with a lag: the declared power is charged.
 func (q *Queue[K]) Finish(now time.Time, key K, n int, busy time.Duration, milliwattSeconds float64) bool {
 	q.advance(now)
 	j := q.jobs[key]
@@ -429,10 +432,10 @@
 
 // actual is the service given, in share-seconds.
 func (q *Queue[K]) actual(j *job[K], busy time.Duration, milliwattSeconds float64) float64 {
-	if q.scarce == Watts {
+	if q.scarce == Watts && milliwattSeconds > 0 {
 		return milliwattSeconds / q.capacity.Milliwatts
 	}
-	return busy.Seconds() * float64(j.Slots) / q.capacity.Slots
+	return busy.Seconds() * q.share(int64(j.Slots), int64(j.Milliwatts))
 }
 
 // relevelTail prefers a job that became nearly finished.
--- a/internal/process/fairness/queue_test.go
+++ b/internal/process/fairness/queue_test.go
@@ -37,6 +37,7 @@
 	now     time.Duration
 	took    map[int]time.Duration // run time of a job's tasks
 	running []run
+	energy  map[int]float64 // of a task in mWs; 0 is not reported
 	inUse   map[int]int
 }
 
@@ -46,7 +47,7 @@
 }
 
 func newMachine(q *Queue[int]) *machine {
-	return &machine{q: q, free: testSlots, took: map[int]time.Duration{}, inUse: map[int]int{}}
+	return &machine{q: q, free: testSlots, took: map[int]time.Duration{}, energy: map[int]float64{}, inUse: map[int]int{}}
 }
 
 func (m *machine) push(j Job[int], tasks int, took time.Duration) {
@@ -90,7 +91,7 @@
 		m.now = r.end
 		m.free++
 		m.inUse[r.key]--
-		m.q.Finish(at(m.now), r.key, 1, m.took[r.key], m.took[r.key].Seconds()*float64(m.q.jobs[r.key].Milliwatts))
+		m.q.Finish(at(m.now), r.key, 1, m.took[r.key], m.energy[r.key])
 	}
 }
 
@@ -153,15 +154,18 @@
 }
 
 func TestScarceWattsAreSharedByWeight(t *testing.T) {
-	q := newQueue(Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 1})
-	q.SetScarce(start, Watts)
-	m := newMachine(q)
-	hungry := task(1, "a", 100*time.Millisecond)
-	hungry.Milliwatts = 3000
-	m.push(hungry, 1_000_000, 100*time.Millisecond)
-	m.push(task(2, "b", 100*time.Millisecond), 1_000_000, 100*time.Millisecond)
-	m.runUntil(5 * time.Second)
-	within(t, "slots of b per slot of a", float64(m.inUse[2])/float64(m.inUse[1]), 3, 0.15)
+	for _, energy := range []float64{0, 300} { // not reported, and as declared
+		q := newQueue(Account{Name: "a", Weight: 1}, Account{Name: "b", Weight: 1})
+		q.SetScarce(start, Watts)
+		m := newMachine(q)
+		m.energy[1] = energy
+		hungry := task(1, "a", 100*time.Millisecond)
+		hungry.Milliwatts = 3000
+		m.push(hungry, 1_000_000, 100*time.Millisecond)
+		m.push(task(2, "b", 100*time.Millisecond), 1_000_000, 100*time.Millisecond)
+		m.runUntil(5 * time.Second)
+		within(t, "slots of b per slot of a", float64(m.inUse[2])/float64(m.inUse[1]), 3, 0.15)
+	}
 }
 
 func TestRemoteUsageCountsAgainstTheShare(t *testing.T) {
