--- a/internal/process/fairness/queue_test.go
+++ b/internal/process/fairness/queue_test.go
@@ -249,6 +249,24 @@
 	}
 }
 
+// Symptom: an account's urgent work is slow from the day it reached its quota.
+// Sequence: the quota keeps its short urgent jobs back; its running task ends.
+// Cause: the jobs come back into the fair order and not into the urgent one.
+func TestUrgentWorkPassesAgainAfterQuota(t *testing.T) {
+	q := newQueue(Account{Name: "a", QuotaSlots: 1})
+	j := task(1, "a", 50*time.Millisecond)
+	j.Class = Urgent
+	q.Push(start, j, 2)
+	q.Start(start, 1, 1)
+	if pick, found := q.Next(start); found {
+		t.Fatalf("picked %+v over the quota", pick)
+	}
+	q.Finish(start, 1, 1, 50*time.Millisecond, 0)
+	if pick, _ := q.Next(start); pick.Why != Passed {
+		t.Errorf("picked %+v, want it to pass the fair order", pick)
+	}
+}
+
 // Symptom: a job that needs a whole worker never starts.
 // Sequence: it is parked at each attempt, and small tasks take each freed slot.
 // Cause: there is never a moment with enough free slots in one place.
