--- a/spec/check.sh
+++ b/spec/check.sh
@@ -36,8 +36,8 @@
 fails|atmostonce|recoverer starts after one candidate answered: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_ASK_ALL
 fails|atmostonce|candidate set not wholly known, no digest: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_DIGEST_CHECK
 fails|atmostonce|generation without author: starts twice|-DMAXFAULT=0 -DINVARIANT=1 -DNO_AUTHOR
-fails|atmostonce|home seals a part under a higher counter: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_ATTEMPT
-fails|atmostonce|recoverer seals a part under a higher counter: starts twice|-DSEAL_AGAIN -DPATIENT_HOME -DMAXFAULT=0 -DINVARIANT=1 -DNO_ATTEMPT
+fails|atmostonce|home seals a part under a higher counter: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_RAISE
+fails|atmostonce|recoverer seals a part under a higher counter: starts twice|-DSEAL_AGAIN -DPATIENT_HOME -DMAXFAULT=0 -DINVARIANT=1 -DNO_RAISE
 fails|atmostonce|restarted VM takes an old ticket as its own: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_HOME_INCARNATION
 fails|atmostonce|home forgets an ended submission: starts twice|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=1 -DNO_TOMBSTONE
 fails|atmostonce|home forgets an ended submission: "not run" is false|-DRECOVERERS=1 -DMAXFAULT=0 -DINVARIANT=2 -DNO_TOMBSTONE
--- a/spec/guards.pml
+++ b/spec/guards.pml
@@ -16,23 +16,23 @@
 #endif
 #define REACHED(n)      assert(REACH != n)  /* shows that searches get there */
 
-/* Generations (counter, author, attempt) as numbers, in the order in which
+/* Generations (counter, author, raise) as numbers, in the order in which
  * workers compare them. A driver that seals some of the candidates again raises
- * the attempt only; so it stays below every later driver, whose counter is
+ * its last part only; so it stays below every later driver, whose counter is
  * higher or whose author is. */
-#define G_HOME  1               /* (0, home, 0); attempt 1 is 2 */
-#define G_REC1  3               /* (1, first recoverer, 0); attempt 1 is 4 */
+#define G_HOME  1               /* (0, home, 0); raised it is 2 */
+#define G_REC1  3               /* (1, first recoverer, 0); raised 4 */
 #ifdef NO_AUTHOR                /* counter without author: recoverers tie */
 #define G_REC2  3
 #else
-#define G_REC2  5               /* (1, second recoverer, 0); attempt 1 is 6 */
+#define G_REC2  5               /* (1, second recoverer, 0); raised 6 */
 #endif
 #ifdef NO_ABOVE_SEEN            /* the last ask does not outbid the others */
 #define G_LAST  3
 #else
 #define G_LAST  7               /* the last ask, above any seen */
 #endif
-#ifdef NO_ATTEMPT               /* sealing again raises the counter instead */
+#ifdef NO_RAISE               /* sealing again raises the counter instead */
 #define G_RAISED  5             /* (1, home) above (1, first recoverer) */
 #define RAISED(g) ((g) == G_REC1 -> 7 : 6)
 #else
