Run the harness on the model's workers and lower the cap under load

Cause: the harness had workers of its own beside the model's, and nothing measured how long a lowered cap takes under full load.

Change: one kind of simulated worker; a test that lowers the part by 30%. All checks of the harness are kept, with the same bounds.

--- a/internal/process/power/harness_test.go
+++ b/internal/process/power/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"testing"
 	"time"
 
@@ -13,41 +12,29 @@
 // that is never empty. Workers have their guard on: a worker whose tasks would
 // draw more than its allotment slows all of them until they fit.
 type harness struct {
-	now     time.Time
+	*model
 	rng     *rand.Rand
-	ledger  *Ledger
 	learned *estimate.Estimator
 	learns  bool
-	workers []*harnessWorker
-	queue   []harnessTask
-	next    uint64
-	part    Milliwatts
+	factor  float64 // declared figures over actual means
+	queue   []*harnessTask
+	tasks   map[TaskKey]*harnessTask
+	reports map[string][]Milliwatts // of the last report lag, by worker
 	result  harnessResult
 }
 
-type harnessWorker struct {
-	name     string
-	allotted Milliwatts
-	permille int64
-	running  map[TaskKey]*harnessTask
-	reports  []Milliwatts // of the last report lag
-}
-
 type harnessTask struct {
-	kind    int
-	actual  estimate.Sample
-	left    time.Duration // at full speed
-	ran     time.Duration
-	charged Milliwatts
+	kind      string
+	declared  estimate.Declared
+	actual    estimate.Sample
+	left, ran time.Duration // left at full speed
 }
 
 // harnessResult is what a run measures.
 type harnessResult struct {
-	peak, sum Milliwatts
-	steps     int
-	slowed    int // worker steps in which the guard had to slow
-	stopped   int
-	done      int
+	peak, sum    Milliwatts
+	steps        int
+	slowed, done int // worker steps in which the guard slowed, tasks ended
 }
 
 const (
@@ -55,159 +42,96 @@
 	harnessSlots   = 8
 	harnessWorkers = 12
 	harnessKinds   = 8
+	harnessPart    = harnessWorkers * 250_000
 )
 
-// kindOf gives a kind's mean draw and run time.
-func kindOf(kind int) (Milliwatts, time.Duration) {
-	return Milliwatts(18_000 + 4_000*kind), time.Duration(60+110*kind) * time.Millisecond
-}
-
-func newHarness(learns bool) *harness {
+func newHarness(learns bool, factor float64) *harness {
+	site := &Site{Cap: harnessPart, Domains: []DomainPart{{"a", harnessPart, harnessPart}}}
 	h := &harness{
-		now:     time.Unix(1, 0),
+		model:   newModel(site, "a", 1, harnessWorkers, noFault),
 		rng:     rand.New(rand.NewPCG(propertySeed, 1)),
-		ledger:  New(VM{"vm0", 1}, DefaultSettings()),
 		learned: estimate.New(estimate.DefaultSettings()),
 		learns:  learns,
-		part:    harnessWorkers * 250_000,
+		factor:  factor,
+		tasks:   map[TaskKey]*harnessTask{},
+		reports: map[string][]Milliwatts{},
 	}
-	var known []Candidate
-	for i := range harnessWorkers {
-		w := &harnessWorker{name: string(rune('a' + i)), allotted: modelIdle, permille: permilleFull}
-		w.running = map[TaskKey]*harnessTask{}
-		h.workers = append(h.workers, w)
-		known = append(known, Candidate{w.name, 1, modelIdle, modelCeiling})
-		grant := Grant{Epoch: 1, Incarnation: 1, Idle: modelIdle}
-		h.do(h.ledger.LeaseAcquired(h.now, w.name, grant))
-	}
-	plan, _ := Build(1, h.part, known)
-	actions, _ := h.ledger.SetPlan(h.now, plan)
-	h.do(actions)
+	h.leaseAll()
 	return h
 }
 
-// do carries out actions at once, and the events that follow from them.
-func (h *harness) do(actions []Action) {
-	for len(actions) > 0 {
-		var more []Action
-		switch a := actions[0].(type) {
-		case Allot:
-			h.worker(a.Worker).allotted = a.Record.Allotted
-			more = h.ledger.Allotted(h.now, a.Worker, a.Epoch, a.Sequence)
-		case Throttle:
-			h.worker(a.Worker).permille = a.Permille
-			more = h.ledger.Throttled(h.now, a.Worker, a.Epoch, a.Permille)
-		case Checkpoint:
-			h.end(a.Worker, a.Task)
-		case Stop:
-			h.end(a.Worker, a.Task)
-		case EstimateLow:
-			h.underestimated(a)
-		}
-		actions = append(actions[1:], more...)
-	}
-}
-
-// underestimated tells the estimator about everything that runs there.
-func (h *harness) underestimated(a EstimateLow) {
-	permille := uint32((a.Reported - modelIdle) * permilleFull / max(1, a.Charged-modelIdle))
-	for _, task := range h.worker(a.Worker).running {
-		h.learned.Underestimated(kindName(task.kind), "", permille)
-	}
-}
-
-func (h *harness) end(worker string, key TaskKey) {
-	delete(h.worker(worker).running, key)
-	h.ledger.Release(worker, key)
-	h.result.stopped++
-}
-
-func (h *harness) worker(name string) *harnessWorker { return h.workers[name[0]-'a'] }
-
-func kindName(kind int) string { return string(rune('A' + kind)) }
-
-// fill keeps 64 tasks waiting and starts what fits, on the worker with most
-// headroom first.
-func (h *harness) fill(factor float64) {
+// newTask draws a task whose figures vary by a twelfth around its kind's.
+func (h *harness) newTask() *harnessTask {
+	kind := h.rng.IntN(harnessKinds)
+	power := float64(18_000 + 4_000*kind)
+	length := float64(time.Duration(60+110*kind) * time.Millisecond)
+	vary := func() float64 { return max(0.5, 1+h.rng.NormFloat64()/12) }
+	task := &harnessTask{
+		kind: string(rune('A' + kind)),
+		declared: estimate.Declared{
+			Time:       time.Duration(length * h.factor),
+			Milliwatts: uint32(power * h.factor),
+		},
+		actual: estimate.Sample{
+			Time:       time.Duration(length * vary()),
+			Milliwatts: uint32(power * vary()),
+		},
+	}
+	task.left = task.actual.Time
+	return task
+}
+
+// fill keeps 64 tasks waiting and starts those that fit.
+func (h *harness) fill() {
 	for len(h.queue) < 64 {
 		h.queue = append(h.queue, h.newTask())
 	}
-	for i := 0; i < len(h.queue); {
-		if h.start(&h.queue[i], factor) {
-			h.queue = append(h.queue[:i], h.queue[i+1:]...)
-			continue
+	waiting := h.queue[:0]
+	for _, task := range h.queue {
+		if !h.start(task) {
+			waiting = append(waiting, task)
 		}
-		i++
-	}
-}
-
-// newTask draws a task whose figures vary by a sixth around its kind's.
-func (h *harness) newTask() harnessTask {
-	kind := h.rng.IntN(harnessKinds)
-	power, length := kindOf(kind)
-	vary := func() float64 { return max(0.5, 1+h.rng.NormFloat64()/12) }
-	actual := estimate.Sample{
-		Time:       time.Duration(float64(length) * vary()),
-		Milliwatts: uint32(float64(power) * vary()),
-		MemoryMiB:  256,
 	}
-	return harnessTask{kind: kind, actual: actual, left: actual.Time}
+	h.queue = waiting
+	h.drain()
 }
 
-func (h *harness) start(task *harnessTask, factor float64) bool {
-	power, length := kindOf(task.kind)
-	wrong := estimate.Declared{
-		Time:       time.Duration(float64(length) * factor),
-		Milliwatts: uint32(float64(power) * factor),
-		MemoryMiB:  256,
-	}
-	task.charged = Milliwatts(wrong.Milliwatts)
+// start tries the worker with a free slot and most headroom.
+func (h *harness) start(task *harnessTask) bool {
+	charged := Milliwatts(task.declared.Milliwatts)
 	if h.learns {
-		task.charged = Milliwatts(h.learned.Charge(kindName(task.kind), "", wrong).Milliwatts)
-	}
-	best := h.roomiest()
-	if best == nil {
-		return false
+		charged = Milliwatts(h.learned.Charge(task.kind, "", task.declared).Milliwatts)
 	}
-	h.next++
-	key := TaskKey{SubmissionCounter: h.next}
-	load := Load{Milliwatts: task.charged, Ends: h.now.Add(task.left)}
-	if _, ok := h.ledger.Charge(best.name, key, load); !ok {
-		return false
-	}
-	copied := *task
-	best.running[key] = &copied
-	return true
-}
-
-// roomiest is the worker with a free slot and most headroom.
-func (h *harness) roomiest() *harnessWorker {
-	var best *harnessWorker
+	var best *modelWorker
 	for _, w := range h.workers {
-		if len(w.running) >= harnessSlots {
+		if len(w.running)+len(w.toWorker) >= harnessSlots {
 			continue
 		}
-		if best == nil || h.ledger.Headroom(w.name) > h.ledger.Headroom(best.name) {
+		if best == nil || h.vms[0].ledger.Headroom(w.name) > h.vms[0].ledger.Headroom(best.name) {
 			best = w
 		}
 	}
-	return best
+	if best == nil || !h.charge(h.vms[0], best, charged) {
+		return false
+	}
+	h.tasks[TaskKey{SubmissionIncarnation: h.vms[0].id.Incarnation, SubmissionCounter: h.next}] = task
+	return true
 }
 
 // run lets the worker's tasks go on for a step and gives its draw.
-func (h *harness) run(w *harnessWorker) Milliwatts {
+func (h *harness) run(w *modelWorker) Milliwatts {
 	var wanted Milliwatts
-	for _, task := range w.running {
-		wanted += Milliwatts(task.actual.Milliwatts)
+	for key := range w.running {
+		wanted += Milliwatts(h.tasks[key].actual.Milliwatts)
 	}
 	permille := w.permille
-	room := w.allotted - modelIdle
+	room := w.limit() - modelIdle
 	if wanted*Milliwatts(permille)/permilleFull > room {
 		h.result.slowed++
 		permille = int64(room * permilleFull / wanted)
 	}
 	for _, key := range w.keys() {
-		task := w.running[key]
+		task := h.tasks[key]
 		task.ran += harnessStep
 		task.left -= harnessStep * time.Duration(permille) / permilleFull
 		if task.left <= 0 {
@@ -217,51 +141,60 @@
 	return modelIdle + wanted*Milliwatts(permille)/permilleFull
 }
 
-// keys lists the running tasks in a fixed order, so that a seed gives one run.
-func (w *harnessWorker) keys() []TaskKey {
-	keys := make([]TaskKey, 0, len(w.running))
-	for key := range w.running {
-		keys = append(keys, key)
-	}
-	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
-	return keys
-}
-
 // finish reports what a worker measured: mean speed, and draw at that speed.
-func (h *harness) finish(w *harnessWorker, key TaskKey, task *harnessTask) {
-	delete(w.running, key)
-	h.ledger.Release(w.name, key)
+func (h *harness) finish(w *modelWorker, key TaskKey, task *harnessTask) {
+	w.end(key)
 	h.result.done++
 	speed := min(permilleFull, uint32(task.actual.Time*permilleFull/task.ran))
-	seen := task.actual
-	seen.Time = task.ran
-	seen.Milliwatts = seen.Milliwatts * speed / permilleFull
-	seen.Permille = speed
-	h.learned.Observe(kindName(task.kind), "", seen)
+	h.learned.Observe(task.kind, "", estimate.Sample{
+		Time:       task.ran,
+		Milliwatts: task.actual.Milliwatts * speed / permilleFull,
+		Permille:   speed,
+	})
+}
+
+// report hands in the usage of one second ago.
+func (h *harness) report(w *modelWorker, draw Milliwatts) {
+	h.reports[w.name] = append(h.reports[w.name], draw)
+	if len(h.reports[w.name]) <= int(time.Second/harnessStep) {
+		return
+	}
+	old := h.reports[w.name][0]
+	h.reports[w.name] = h.reports[w.name][1:]
+	actions := h.vms[0].ledger.Report(h.now, w.name, old, time.Second)
+	for _, action := range actions {
+		if low, ok := action.(EstimateLow); ok {
+			h.underestimated(w, low)
+		}
+	}
+	h.do(h.vms[0], actions)
+}
+
+// underestimated tells the estimator about everything that runs there.
+func (h *harness) underestimated(w *modelWorker, low EstimateLow) {
+	permille := uint32((low.Reported - modelIdle) * permilleFull / max(1, low.Charged-modelIdle))
+	for key := range w.running {
+		h.learned.Underestimated(h.tasks[key].kind, "", permille)
+	}
 }
 
 // simulate runs for a virtual time; draw is averaged after the warm-up.
-func (h *harness) simulate(factor float64, warm, total time.Duration) harnessResult {
-	lag := int(DefaultSettings().ReportLag / harnessStep / 2)
-	for step := 0; time.Duration(step)*harnessStep < total; step++ {
+func (h *harness) simulate(warm, total time.Duration) harnessResult {
+	for at := time.Duration(0); at < total; at += harnessStep {
 		h.now = h.now.Add(harnessStep)
-		h.fill(factor)
-		if step%4 == 0 {
-			h.do(h.ledger.Tick(h.now))
+		h.fill()
+		if at%(4*harnessStep) == 0 {
+			h.tick(0)
 		}
 		var draw Milliwatts
 		for _, w := range h.workers {
 			now := h.run(w)
 			draw += now
-			w.reports = append(w.reports, now)
-			if len(w.reports) > lag {
-				age := time.Duration(lag) * harnessStep
-				h.do(h.ledger.Report(h.now, w.name, w.reports[0], age))
-				w.reports = w.reports[1:]
-			}
+			h.report(w, now)
 		}
+		h.drain()
 		h.result.peak = max(h.result.peak, draw)
-		if time.Duration(step)*harnessStep >= warm {
+		if at >= warm {
 			h.result.sum += draw
 			h.result.steps++
 		}
@@ -269,11 +202,6 @@
 	return h.result
 }
 
-// used is the share of the part that was drawn after the warm-up.
-func (r harnessResult) used(part Milliwatts) float64 {
-	return float64(r.sum) / float64(r.steps) / float64(part)
-}
-
 // Symptom: a third of the cap lies idle, or draw passes it. Sequence: templates
 // declare three times what their tasks draw, or a third of it. Cause: admission
 // that trusts the declaration.
@@ -292,16 +220,35 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(c.learns)
-			r := h.simulate(c.factor, 10*time.Second, 60*time.Second)
-			t.Logf("used %.3f of the part, peak %.4f, %d tasks done, %d stopped, guard slowed in %d of %d worker steps",
-				r.used(h.part), float64(r.peak)/float64(h.part), r.done, r.stopped, r.slowed, 12_000*harnessWorkers)
-			if r.peak > h.part {
-				t.Errorf("peak draw %d mW, part %d mW", r.peak, h.part)
+			r := newHarness(c.learns, c.factor).simulate(10*time.Second, 60*time.Second)
+			used := float64(r.sum) / float64(r.steps) / harnessPart
+			t.Logf("used %.3f of the part, peak %.4f, %d tasks done, guard slowed in %d of %d worker steps",
+				used, float64(r.peak)/harnessPart, r.done, r.slowed, 12_000*harnessWorkers)
+			if r.peak > harnessPart {
+				t.Errorf("peak draw %d mW, part %d mW", r.peak, harnessPart)
 			}
-			if r.used(h.part) < c.least {
-				t.Errorf("used %.3f of the part, want %.2f", r.used(h.part), c.least)
+			if used < c.least {
+				t.Errorf("used %.3f of the part, want %.2f", used, c.least)
 			}
 		})
 	}
 }
+
+// Symptom: the site goes on drawing above a lowered cap. Sequence: the cap is
+// lowered by 30% under full load. Cause: allotments can be lowered only as far
+// as the running tasks fit, which has to end within the bound of a stop.
+func TestLoweredCapUnderFullLoad(t *testing.T) {
+	h := newHarness(true, 1)
+	h.simulate(0, 10*time.Second)
+	lowered := h.now
+	h.setPart(harnessPart * 7 / 10)
+	h.hear(h.vms[0])
+	for h.inForce() > h.part() && h.now.Sub(lowered) < time.Minute {
+		h.simulate(0, harnessStep)
+	}
+	took := h.now.Sub(lowered)
+	t.Logf("allotments are within the lowered cap after %v", took)
+	if limit := DefaultSettings().StopAfter + 100*time.Millisecond; took > limit {
+		t.Errorf("allotments are within the lowered cap after %v, want at most %v", took, limit)
+	}
+}
--- a/internal/process/power/ledger_test.go
+++ b/internal/process/power/ledger_test.go
@@ -216,19 +216,22 @@
 // while asking.
 func TestWattsFollowLoadWithoutSloshing(t *testing.T) {
 	const phase = 200 * time.Millisecond
-	steady := movedUnder(func(time.Duration) int { return 0 })
-	changing := movedUnder(func(at time.Duration) int { return int(at/phase) % 2 })
-	t.Logf("in 5 s: %d mW moved under steady load, %d mW under changing load", steady, changing)
+	steady, sent := movedUnder(func(time.Duration) int { return 0 })
+	changing, _ := movedUnder(func(at time.Duration) int { return int(at/phase) % 2 })
+	t.Logf("in 5 s: %d mW moved in %d transfers under steady load, %d mW under changing load", steady, sent, changing)
 	if steady < 200_000 {
 		t.Errorf("%d mW moved to the busy side, want at least 200000", steady)
 	}
+	if sent > 20 {
+		t.Errorf("%d transfers were needed, want at most 20", sent)
+	}
 	if changing > 400_000 {
 		t.Errorf("%d mW moved under changing load, want at most 400000", changing)
 	}
 }
 
 // movedUnder loads the side that busy picks and gives what moved in 5 s.
-func movedUnder(busy func(time.Duration) int) Milliwatts {
+func movedUnder(busy func(time.Duration) int) (moved Milliwatts, transfers int) {
 	_, models := twoDomains(noFault)
 	m := models[1]
 	begin := m.now
@@ -243,7 +246,7 @@
 		}
 		m.quiet(1)
 	}
-	return m.moved
+	return m.moved, m.transfers
 }
 
 // Symptom: part of the cap stays dark after an entry VM died. Sequence: it dies
@@ -254,11 +257,7 @@
 	const leaseTTL = 2 * time.Second
 	site := &Site{Cap: 12_500_000, Domains: []DomainPart{{Domain: "a", Part: 12_500_000, Held: 12_500_000}}}
 	m := newModel(site, "a", 4, 50, noFault)
-	for i, w := range m.workers {
-		m.acquire(w, m.vms[i%4])
-	}
-	m.publish(0)
-	m.quiet(6)
+	m.leaseAll()
 	strand(t, m, 400_000)
 	died := m.now
 	m.vms[0].paused = true
@@ -361,13 +360,11 @@
 	site := &Site{Domains: []DomainPart{{Domain: "a", Part: Milliwatts(workers) * 250_000}}}
 	site.Domains[0].Held, site.Cap = site.Domains[0].Part, site.Domains[0].Part
 	m := newModel(site, "a", 1, workers, noFault)
+	m.leaseAll()
 	var names []string
 	for _, w := range m.workers {
-		m.acquire(w, m.vms[0])
 		names = append(names, w.name)
 	}
-	m.publish(0)
-	m.quiet(6)
 	return m.vms[0].ledger, names
 }
 
--- a/internal/process/power/model_test.go
+++ b/internal/process/power/model_test.go
@@ -11,18 +11,19 @@
 // to each other. Streams between a VM and a worker keep their order and end
 // with the lease.
 type model struct {
-	now     time.Time
-	site    *Site
-	domain  string
-	workers []*modelWorker
-	vms     []*modelVM
-	plans   []Plan
-	net     []packet
-	fault   fault
-	next    uint64
-	moved   Milliwatts // taken from transfers, to show that the runs move watts
-	wanted  int        // plans asked for
-	broken  string
+	now       time.Time
+	site      *Site
+	domain    string
+	workers   []*modelWorker
+	vms       []*modelVM
+	plans     []Plan
+	net       []packet
+	fault     fault
+	next      uint64
+	moved     Milliwatts // taken from transfers, to show that the runs move watts
+	transfers int        // taken
+	wanted    int        // plans asked for
+	broken    string
 }
 
 // fault is a deliberate error of the model, to show that the checks see it.
@@ -78,6 +79,15 @@
 	return m
 }
 
+// leaseAll spreads the workers over the VMs and brings a first plan into force.
+func (m *model) leaseAll() {
+	for i, w := range m.workers {
+		m.acquire(w, m.vms[i%len(m.vms)])
+	}
+	m.publish(0)
+	m.quiet(8)
+}
+
 func (m *model) newVM(i int) *modelVM {
 	m.next++
 	id := VM{fmt.Sprintf("vm%d", i), m.next}
@@ -133,12 +143,6 @@
 // publish makes the next plan. Bits of mask pick the workers that could not be
 // asked.
 func (m *model) publish(mask uint) {
-	var part Milliwatts
-	for _, d := range m.site.Domains {
-		if d.Domain == m.domain {
-			part = d.Part
-		}
-	}
 	var known []Candidate
 	for i, w := range m.workers {
 		c := Candidate{Name: w.name, Incarnation: w.incarnation, Idle: modelIdle, Ceiling: modelCeiling}
@@ -147,7 +151,7 @@
 		}
 		known = append(known, c)
 	}
-	plan, err := Build(uint64(len(m.plans)+1), part, known)
+	plan, err := Build(uint64(len(m.plans)+1), m.part(), known)
 	if err == nil {
 		m.plans = append(m.plans, plan)
 	}
@@ -256,7 +260,10 @@
 		if ack, ok := vm.ledger.Receive(m.now, body); ok {
 			m.send(body.From, ack)
 		}
-		m.moved += vm.ledger.pool - before
+		if vm.ledger.pool > before {
+			m.moved += vm.ledger.pool - before
+			m.transfers++
+		}
 	case Ack:
 		vm.ledger.Acked(body)
 	}
--- a/internal/process/power/property_test.go
+++ b/internal/process/power/property_test.go
@@ -24,11 +24,7 @@
 	}}
 	models := []*model{newModel(site, "a", 3, 4, f), newModel(site, "b", 2, 4, f)}
 	for _, m := range models {
-		for i, w := range m.workers {
-			m.acquire(w, m.vms[i%len(m.vms)])
-		}
-		m.publish(0)
-		m.quiet(8)
+		m.leaseAll()
 	}
 	return site, models
 }
