Send promised watts in one transfer

Cause: a promise was sent with the first worker's confirmation; what the other workers confirmed went back onto workers and had to be asked for again.

Change: wait until the pool holds what was promised, or until no worker has a confirmation outstanding.

--- a/internal/process/power/ledger_test.go
+++ b/internal/process/power/ledger_test.go
@@ -222,8 +222,8 @@
 	if steady < 200_000 {
 		t.Errorf("%d mW moved to the busy side, want at least 200000", steady)
 	}
-	if sent > 20 {
-		t.Errorf("%d transfers were needed, want at most 20", sent)
+	if sent > 10 {
+		t.Errorf("%d transfers were needed, want at most 10", sent)
 	}
 	if changing > 400_000 {
 		t.Errorf("%d mW moved under changing load, want at most 400000", changing)
--- a/internal/process/power/transfer.go
+++ b/internal/process/power/transfer.go
@@ -152,21 +152,36 @@
 	return actions
 }
 
-// serve sends promised watts that the pool holds. They have left the pool
-// before the transfer is sent: a lost transfer strands them.
+// serve sends promised watts once the pool holds them, or holds all that will
+// come because no worker has a confirmation outstanding. They have left the
+// pool before the transfer is sent: a lost transfer strands them.
 func (l *Ledger) serve(now time.Time, actions []Action) []Action {
 	for _, to := range sortedVMs(l.moves.promised) {
-		amount := min(l.pool, l.moves.promised[to])
-		if amount <= 0 || l.moves.outgoing[to] != nil {
+		amount := l.moves.promised[to]
+		if l.moves.outgoing[to] != nil || (l.pool < amount && l.waiting()) {
 			continue
 		}
-		l.pool -= amount
 		delete(l.moves.promised, to)
+		amount = min(l.pool, amount)
+		if amount <= 0 {
+			continue
+		}
+		l.pool -= amount
 		actions = append(actions, l.send(now, to, amount))
 	}
 	return actions
 }
 
+// waiting reports whether a worker has yet to confirm an allotment.
+func (l *Ledger) waiting() bool {
+	for _, a := range l.order {
+		if a.pending {
+			return true
+		}
+	}
+	return false
+}
+
 // send makes a transfer.
 func (l *Ledger) send(now time.Time, to VM, amount Milliwatts) Action {
 	l.moves.sequence++
