--- a/client/client.go
+++ b/client/client.go
@@ -121,9 +121,13 @@
 
 // Submit runs a job and waits for its end.
 func (c *Client) Submit(ctx context.Context, j Job) (*Answer, error) {
-	sent := 0
+	sent, moves := 0, 0
+	var last *Answer
 	for retry := 0; ; retry++ {
 		ticket, home, err := c.ticket(ctx)
+		if err != nil && last != nil {
+			return last, nil // it was not run, and can not be submitted anew
+		}
 		if err != nil {
 			// Without a ticket nothing was submitted.
 			return nil, &NoTicketError{Cause: err}
@@ -133,7 +137,13 @@
 			return nil, err
 		}
 		sent += a.Sent
-		a.Sent = sent
+		a.Sent, last = sent, a
+		if a.Outcome == NotRun && a.Reason == draining && moves < len(c.pools) {
+			// A planned stop is no reason to fail: another entry VM takes it.
+			moves++
+			retry--
+			continue
+		}
 		if a.Outcome != NotRun || retry >= c.opt.NotRunRetries || a.RetryAfter == 0 {
 			return a, nil
 		}
@@ -165,6 +175,13 @@
 	backoff := firstBackoff
 	for sent := 1; ; sent++ {
 		a, err := c.put(ctx, c.opt.Endpoints[at], ticket, body)
+		if err == nil && a.Outcome == Complete && len(a.Outputs) != len(j.Tasks) {
+			err = &partialError{outputs: len(a.Outputs), tasks: len(j.Tasks)}
+		}
+		if err == nil && a.Reason == draining {
+			// The other tickets of this endpoint would be refused as well.
+			c.pools[at].discard()
+		}
 		if err == nil && !a.passing() {
 			a.Sent = sent
 			return a, nil
@@ -186,10 +203,20 @@
 	}
 }
 
+// partialError says that an answer claims to be complete and is not.
+type partialError struct{ outputs, tasks int }
+
+func (e *partialError) Error() string {
+	return fmt.Sprintf("client: a complete answer with %d outputs for %d tasks", e.outputs, e.tasks)
+}
+
+// draining is the reason of an entry VM that stops.
+const draining = "draining"
+
 // passing reports whether asking again under the same ticket may tell more.
 func (a *Answer) passing() bool {
 	switch a.Reason {
-	case "recovered_elsewhere", "home_unreachable", "no_configuration", "queue_full":
+	case "recovered_elsewhere", "home_unreachable", "no_configuration", "queue_full", draining:
 		return a.Outcome == Unknown
 	}
 	return false
@@ -274,21 +301,59 @@
 	}
 	var body struct {
 		Steps  []Step `json:"steps"`
+		Reason string `json:"reason"`
 		Detail string `json:"detail"`
 	}
 	if err := json.Unmarshal(text, &body); err != nil {
 		return nil, err
 	}
 	if body.Steps == nil {
-		return nil, fmt.Errorf("client: no timeline: %s", body.Detail)
+		return nil, &RefusedError{Reason: body.Reason, Detail: body.Detail}
 	}
 	return body.Steps, nil
 }
 
-// Cancel gives a job up. Its submitter gets the final answer.
+// RefusedError says that a request other than a submission had no effect.
+type RefusedError struct {
+	Reason string // stable code
+	Detail string
+}
+
+func (e *RefusedError) Error() string { return e.Reason + ": " + e.Detail }
+
+// Cancel gives a job up. Its submitter gets the final answer. The error is a
+// *RefusedError when no entry VM that can be reached drives the job.
 func (c *Client) Cancel(ctx context.Context, ticket string) error {
-	_, err := c.call(ctx, http.MethodDelete, c.opt.Endpoints[c.pick()]+"/v1/submissions/"+ticket, nil)
-	return err
+	text, err := c.call(ctx, http.MethodDelete, c.opt.Endpoints[c.pick()]+"/v1/submissions/"+ticket, nil)
+	if err != nil || len(text) == 0 {
+		return err
+	}
+	var r resultBody
+	if err := json.Unmarshal(text, &r); err != nil {
+		return err
+	}
+	return &RefusedError{Reason: r.Reason, Detail: r.Detail}
+}
+
+// Ticket is the identity of one job. A job put under it twice runs once.
+type Ticket struct {
+	Token  string
+	Expiry time.Time
+}
+
+// Tickets fetches new tickets from the first endpoint that gives any.
+func (c *Client) Tickets(ctx context.Context, count int) ([]Ticket, error) {
+	start := c.pick()
+	var last error
+	for i := range c.pools {
+		p := c.pools[(start+i)%len(c.pools)]
+		tickets, err := p.fetch(ctx, count)
+		if err == nil {
+			return tickets, nil
+		}
+		last = err
+	}
+	return nil, &NoTicketError{Cause: last}
 }
 
 func (c *Client) pick() int { return int(c.next.Add(1) % uint64(len(c.opt.Endpoints))) }
--- a/client/pool.go
+++ b/client/pool.go
@@ -15,16 +15,11 @@
 	endpoint string
 
 	mu        sync.Mutex
-	tickets   []issued
+	tickets   []Ticket
 	filling   bool
 	brokenTil time.Time
 }
 
-type issued struct {
-	token  string
-	expiry time.Time
-}
-
 const (
 	// freshFor is the rest of its life that a ticket must have to be used: a job
 	// has to be asked for again for that long.
@@ -83,14 +78,14 @@
 	for len(p.tickets) > 0 {
 		t := p.tickets[len(p.tickets)-1]
 		p.tickets = p.tickets[:len(p.tickets)-1]
-		if t.expiry.Sub(now) < freshFor/2 {
+		if t.Expiry.Sub(now) < freshFor/2 {
 			continue
 		}
 		if len(p.tickets) < p.client.opt.Prefetch/4 && !p.filling {
 			p.filling = true
 			go p.refill()
 		}
-		return t.token, true
+		return t.Token, true
 	}
 	return "", false
 }
@@ -113,31 +108,47 @@
 		Ticket           string `json:"ticket"`
 		ExpiryUnixMillis int64  `json:"expiry_unix_millis"`
 	} `json:"tickets"`
+	Reason string `json:"reason"`
 	Detail string `json:"detail"`
 }
 
+// fill fetches a batch. An endpoint that gives none is passed over for a while.
 func (p *pool) fill(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, fillTimeout)
-	defer cancel()
-	body, _ := json.Marshal(ticketsBody{p.client.opt.Prefetch})
-	text, err := p.client.call(ctx, http.MethodPost, p.endpoint+"/v1/tickets", body)
-	var got issuedBody
-	if err == nil {
-		err = json.Unmarshal(text, &got)
-	}
-	if err == nil && len(got.Tickets) == 0 {
-		err = errors.New(got.Detail)
-	}
+	tickets, err := p.fetch(ctx, p.client.opt.Prefetch)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		p.brokenTil = time.Now().Add(brokenFor)
 		return err
 	}
+	p.tickets = append(p.tickets, tickets...)
+	return nil
+}
+
+// fetch asks the endpoint for tickets.
+func (p *pool) fetch(ctx context.Context, count int) ([]Ticket, error) {
+	ctx, cancel := context.WithTimeout(ctx, fillTimeout)
+	defer cancel()
+	body, err := json.Marshal(ticketsBody{count})
+	if err != nil {
+		return nil, err
+	}
+	text, err := p.client.call(ctx, http.MethodPost, p.endpoint+"/v1/tickets", body)
+	if err != nil {
+		return nil, err
+	}
+	var got issuedBody
+	if err := json.Unmarshal(text, &got); err != nil {
+		return nil, err
+	}
+	if len(got.Tickets) == 0 {
+		return nil, &RefusedError{Reason: got.Reason, Detail: got.Detail}
+	}
+	tickets := make([]Ticket, 0, len(got.Tickets))
 	for _, t := range got.Tickets {
-		p.tickets = append(p.tickets, issued{t.Ticket, time.UnixMilli(t.ExpiryUnixMillis)})
+		tickets = append(tickets, Ticket{t.Ticket, time.UnixMilli(t.ExpiryUnixMillis)})
 	}
-	return nil
+	return tickets, nil
 }
 
 // discard drops the tickets that are kept ready for an endpoint, after it was
--- a/internal/connection/caller/doc.go
+++ b/internal/connection/caller/doc.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/process/admission"
 	"github.com/pumiceyard/pumiceyard/internal/process/claims"
 	"github.com/pumiceyard/pumiceyard/internal/process/router"
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
@@ -56,6 +57,8 @@
 // Router drives submissions.
 type Router interface {
 	Mint(account string) (ticket.Ticket, string)
+	// Leaving reports that tickets of this entry VM would soon be refused.
+	Leaving() bool
 	Parse(token, account string) (ticket.Ticket, *ticket.Error)
 	Submit(ctx context.Context, req router.Request) *job.Answer
 	Attach(ctx context.Context, token string, t ticket.Ticket, forwarded bool) *job.Answer
@@ -155,7 +158,7 @@
 		return http.StatusUnprocessableEntity
 	case reason.PayloadMismatch, reason.Cancelled:
 		return http.StatusConflict
-	case reason.QuotaExceeded, reason.QueueFull, reason.BrownOut, reason.ClaimRateExceeded:
+	case reason.QuotaExceeded, reason.QueueFull, reason.BrownOut, reason.ClaimRateExceeded, admission.RetryBudgetSpent:
 		return http.StatusTooManyRequests
 	case reason.DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -144,6 +144,10 @@
 		refuse(w, r, reason.MalformedRequest, fmt.Sprintf("count is %d, allowed is 1 to %d", body.Count, s.settings.MaxTickets))
 		return
 	}
+	if s.router.Leaving() {
+		refuse(w, r, reason.Draining, "the entry VM is stopping: ask another one")
+		return
+	}
 	out := Tickets{Tickets: make([]IssuedTicket, 0, body.Count)}
 	for range body.Count {
 		t, token := s.router.Mint(account)
@@ -317,8 +321,13 @@
 		refuseTicket(w, err)
 		return
 	}
-	out := TimelineBody{ID: t.ID.String(), Steps: []TimelineStep{}}
-	for _, step := range s.timelines.Collect(r.Context(), t.ID) {
+	writeJSON(w, NewTimeline(t.ID, s.timelines.Collect(r.Context(), t.ID)))
+}
+
+// NewTimeline writes the steps of a submission.
+func NewTimeline(id ticket.ID, steps []NamedStep) TimelineBody {
+	out := TimelineBody{ID: id.String(), Steps: []TimelineStep{}}
+	for _, step := range steps {
 		out.Steps = append(out.Steps, TimelineStep{
 			UnixMicros: step.At.UnixMicro(),
 			EntryVM:    step.EntryVM,
@@ -327,5 +336,5 @@
 			Detail:     step.Detail,
 		})
 	}
-	writeJSON(w, out)
+	return out
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -251,6 +251,8 @@
 	defer cancel()
 	klog.InfoS(logPrefix+"stopping", "name", vm.settings.Name)
 	vm.draining.Store(true)
+	vm.router.StopTickets()
+	vm.awaitBalancer(ctx)
 	vm.router.Drain()
 	vm.holder.Drain()
 	finished := vm.waitIdle(ctx)
@@ -263,6 +265,17 @@
 	return finished
 }
 
+// awaitBalancer goes on taking requests for a while after the VM turned unready.
+// What goes wrong otherwise: the balancer sends callers here until its next look
+// at readiness, and each of them is refused; one would see refusals with the
+// reason draining at each planned stop.
+func (vm *VM) awaitBalancer(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(millis(vm.settings.UnreadyMillis)):
+	}
+}
+
 // waitIdle waits until no submission is open here and no task runs.
 func (vm *VM) waitIdle(ctx context.Context) bool {
 	for {
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -40,6 +40,7 @@
 	BeatMillis        uint32 `json:"beat_millis"`         // heartbeats, to workers and peers
 	SilenceMillis     uint32 `json:"silence_millis"`      // a connection without a message is left after it
 	ListPollMillis    uint32 `json:"list_poll_millis"`    // between reads of the VM list
+	UnreadyMillis     uint32 `json:"unready_millis"`      // a planned stop takes requests so long after it turned unready
 	ShutdownMillis    uint32 `json:"shutdown_millis"`     // bound on a planned stop
 	RetainAnswerBytes int    `json:"retain_answer_bytes"` // final answers kept for callers that ask again
 	MaxQueuedTasks    int    `json:"max_queued_tasks"`
@@ -60,6 +61,7 @@
 		BeatMillis:        500,
 		SilenceMillis:     1500,
 		ListPollMillis:    1000,
+		UnreadyMillis:     1500,
 		ShutdownMillis:    20_000,
 		RetainAnswerBytes: home.Defaults().RetainBytes,
 		MaxQueuedTasks:    holder.Defaults().MaxQueued,
@@ -141,6 +143,7 @@
 	refuse(s.LeaseTTLMillis >= 2*s.BeatMillis && s.LeaseTTLMillis <= 10_000, "lease_ttl_millis", s.LeaseTTLMillis, "from twice beat_millis to 10000")
 	refuse(s.ListPollMillis >= 50, "list_poll_millis", s.ListPollMillis, "at least 50")
 	refuse(s.ShutdownMillis >= 100, "shutdown_millis", s.ShutdownMillis, "at least 100")
+	refuse(s.UnreadyMillis < s.ShutdownMillis, "unready_millis", s.UnreadyMillis, "less than shutdown_millis")
 	refuse(s.RetainAnswerBytes >= 1<<16, "retain_answer_bytes", s.RetainAnswerBytes, "at least 65536")
 	refuse(s.MaxQueuedTasks >= 1000, "max_queued_tasks", s.MaxQueuedTasks, "at least 1000")
 	refuse(s.MaxBodyBytes >= 1024, "max_body_bytes", s.MaxBodyBytes, "at least 1024")
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -51,6 +51,7 @@
 type Router struct {
 	cfg      Config
 	mint     *ticket.Mint
+	leaving  atomic.Bool
 	draining atomic.Bool
 }
 
@@ -62,6 +63,13 @@
 // Drain refuses new submissions from now on.
 func (r *Router) Drain() { r.draining.Store(true) }
 
+// StopTickets says that no more tickets should be minted: submissions under them
+// would be refused once the router drains.
+func (r *Router) StopTickets() { r.leaving.Store(true) }
+
+// Leaving reports whether StopTickets was called.
+func (r *Router) Leaving() bool { return r.leaving.Load() }
+
 // Request is a caller's submission after its form was checked.
 type Request struct {
 	Token    string
