Command line for callers and operators; stand-ins as a process

Cause: the tool had only the demo; operators had no way to publish, see or explain, and daemons could not be tried by hand.

Errors say what to do, by reason code. The list of VMs may leave incarnations open (0): a home is then found by the incarnation that answers.

--- /dev/null
+++ b/cmd/pumiceyard/trying.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pumiceyard/pumiceyard/internal/tool/demo"
+	"github.com/pumiceyard/pumiceyard/internal/tool/standin"
+)
+
+func tryingCommands() []*cobra.Command {
+	return []*cobra.Command{demoCommand(), standinCommand()}
+}
+
+func demoCommand() *cobra.Command {
+	var opt demo.Options
+	c := &cobra.Command{
+		Use:     "demo",
+		Short:   "Run a small site in this process, break things, and check the promises",
+		GroupID: trying,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			opt.Out = c.OutOrStdout()
+			return demo.Run(c.Context(), opt)
+		},
+	}
+	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
+	c.Flags().DurationVar(&opt.Load, "load", 9*time.Second, "how long jobs are submitted")
+	c.Flags().Uint64Var(&opt.Seed, "seed", 1, "seed of the workload")
+	return c
+}
+
+func standinCommand() *cobra.Command {
+	var opt standin.Options
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run the platform's and the workers' stand-ins, for trying daemons by hand",
+		Long: `Run the platform's and the workers' stand-ins, for trying daemons by hand, until
+it is interrupted. Nothing is written to disk. Each daemon that you start has to
+be listed: --entry e1,ub-bayangol,127.0.0.1:8082 with its peer listener's address.`,
+		GroupID: trying,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			opt.Out = c.OutOrStdout()
+			return standin.Run(c.Context(), opt)
+		},
+	}
+	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
+	c.Flags().IntVar(&opt.Workers, "workers", 16, "how many workers, over all failure domains")
+	c.Flags().StringVar(&opt.Listen, "listen", "127.0.0.1:7000", "address of the platform's service")
+	c.Flags().StringArrayVar(&opt.Entries, "entry", nil, "list an entry VM: name,domain,host:port (repeatable)")
+	return c
+}
--- /dev/null
+++ b/internal/connection/operator/doc.go
@@ -0,0 +1,159 @@
+// Package operator is the HTTP/JSON interface to operators, on a listener of its
+// own that callers do not reach.
+//
+//	GET  /healthz, /readyz, /metrics
+//	GET  /v1/status               this entry VM
+//	GET  /v1/fleet                the platform's list, and which peers answer
+//	GET  /v1/explain/{ticket}     one submission's timeline over all entry VMs
+//	GET  /v1/configuration        the document in force, or ?revision=N
+//	POST /v1/configuration        publish a document
+//	POST /v1/rollback             publish a kept revision again
+//	GET  /v1/history              the publications that are kept
+//	GET  /v1/diff?from=N&to=M     what changed between two kept revisions
+//
+// Refusals are RFC 9457 problem details with a stable reason.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+	"github.com/pumiceyard/pumiceyard/internal/version/publication"
+)
+
+// VM is the entry VM as operators see it.
+type VM interface {
+	Ready() bool
+	Status() Status
+	Fleet() Fleet
+	// ParseTicket reads a ticket of any client account.
+	ParseTicket(token string) (ticket.Ticket, *ticket.Error)
+	// Collect joins the steps of a submission over all entry VMs.
+	Collect(ctx context.Context, id ticket.ID) []caller.NamedStep
+}
+
+// Publisher publishes documents and reads what was published.
+type Publisher interface {
+	Publish(ctx context.Context, change publication.Change) (publication.Receipt, error)
+	Rollback(ctx context.Context, revision uint64, change publication.Change) (publication.Receipt, error)
+	Current(ctx context.Context) (*document.Document, error)
+	Revision(ctx context.Context, revision uint64) (*document.Document, error)
+	History(ctx context.Context) ([]publication.Summary, error)
+	Diff(ctx context.Context, from, to uint64) ([]document.Difference, error)
+}
+
+// Status is what an operator sees of one entry VM.
+type Status struct {
+	Name        string   `json:"name"`
+	Domain      string   `json:"domain"`
+	Incarnation uint64   `json:"incarnation"`
+	Ready       bool     `json:"ready"`
+	Draining    bool     `json:"draining"`
+	StoreUp     bool     `json:"store_up"`     // the last calls to the platform's store were answered
+	Revision    uint64   `json:"revision"`     // in force; 0: none yet
+	ListVersion uint64   `json:"list_version"` // of the platform's list of VMs
+	Workers     []string `json:"workers"`      // whose lease it holds
+	FreeSlots   uint32   `json:"free_slots"`
+	Slots       uint32   `json:"slots"`
+	QueuedTasks uint32   `json:"queued_tasks"`
+	Peers       []string `json:"peers"` // entry VMs that answer
+}
+
+// Fleet is the platform's list as one entry VM knows it.
+type Fleet struct {
+	Version uint64    `json:"version"`
+	Entries []EntryVM `json:"entry_vms"`
+	Workers int       `json:"workers"`
+}
+
+// EntryVM is one listed entry VM.
+type EntryVM struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"` // for its peers
+	Leaving bool   `json:"leaving,omitempty"`
+	Answers bool   `json:"answers"` // to the entry VM that was asked
+}
+
+// PublishBody is a document to be put in force.
+type PublishBody struct {
+	ChangeID string          `json:"change_id"`
+	Author   string          `json:"author"`
+	Base     uint64          `json:"base"` // revision that the author started from
+	Document json.RawMessage `json:"document"`
+}
+
+// RollbackBody names a kept revision to be put in force again.
+type RollbackBody struct {
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+	Base     uint64 `json:"base"`
+	Revision uint64 `json:"revision"`
+}
+
+// History lists publications, newest first.
+type History struct {
+	Publications []publication.Summary `json:"publications"`
+}
+
+// Differences lists what changed.
+type Differences struct {
+	Differences []document.Difference `json:"differences"`
+}
+
+// Reasons for a request of an operator that was refused.
+const (
+	// Conflict: another change came first.
+	Conflict reason.Code = "conflict"
+	// ChangeReused: the change id belongs to another document.
+	ChangeReused reason.Code = "change_reused"
+	// InvalidDocument: the document was refused whole; fields says why.
+	InvalidDocument reason.Code = "invalid_document"
+	// NoRevision: the revision is not kept.
+	NoRevision reason.Code = "no_revision"
+	// StoreDown: the platform's store could not be asked; nothing changed.
+	StoreDown reason.Code = "store_down"
+	// StoreUnresolved: a write was sent and its answer lost; it may be in force.
+	StoreUnresolved reason.Code = "store_unresolved"
+	// DamagedValue: a stored value cannot be read.
+	DamagedValue reason.Code = "damaged_value"
+)
+
+// Problem tells why a request had no effect, or that its effect is not known
+// (RFC 9457).
+type Problem struct {
+	Type   string      `json:"type"`
+	Title  string      `json:"title"`
+	Status int         `json:"status"`
+	Detail string      `json:"detail"`
+	Reason reason.Code `json:"reason"`
+	// Fields name what is not allowed in a document.
+	Fields []Field `json:"fields,omitempty"`
+}
+
+// Field is one field of a document that is not allowed.
+type Field struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// Problem makes Problem an error of the command-line tool.
+func (p *Problem) Error() string { return string(p.Reason) + ": " + p.Detail }
+
+var statuses = map[reason.Code]int{
+	reason.MalformedRequest: http.StatusBadRequest,
+	reason.BadTicket:        http.StatusBadRequest,
+	Conflict:                http.StatusConflict,
+	ChangeReused:            http.StatusConflict,
+	InvalidDocument:         http.StatusUnprocessableEntity,
+	NoRevision:              http.StatusNotFound,
+	StoreDown:               http.StatusServiceUnavailable,
+	StoreUnresolved:         http.StatusServiceUnavailable,
+	DamagedValue:            http.StatusInternalServerError,
+}
--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -1,56 +1,32 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
+	"time"
 
-	"github.com/gorilla/mux"
+	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/version/publication"
 )
 
-// operatorHandler serves operators: health, readiness, metrics, status.
+// operatorHandler serves operators.
 func (vm *VM) operatorHandler() http.Handler {
-	m := mux.NewRouter()
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	m.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !vm.Ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ready\n"))
-	})
-	m.Handle("/metrics", vm.metrics.Handler())
-	m.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(vm.Status())
-	})
-	return m
+	publisher := publication.New(vm.store.Configuration(), time.Now)
+	return operator.NewServer(vm, publisher, vm.metrics.Handler()).Handler()
 }
 
-// Status is what an operator sees of one entry VM.
-type Status struct {
-	Name        string   `json:"name"`
-	Domain      string   `json:"domain"`
-	Incarnation uint64   `json:"incarnation"`
-	Ready       bool     `json:"ready"`
-	Draining    bool     `json:"draining"`
-	Revision    uint64   `json:"revision"`
-	ListVersion uint64   `json:"list_version"`
-	Workers     []string `json:"workers"`
-	FreeSlots   uint32   `json:"free_slots"`
-	Slots       uint32   `json:"slots"`
-	QueuedTasks uint32   `json:"queued_tasks"`
-	Peers       []string `json:"peers"`
-}
-
-// Status returns what an operator sees now.
-func (vm *VM) Status() Status {
+// Status implements operator.VM.
+func (vm *VM) Status() operator.Status {
 	advert := vm.holder.Advert()
-	s := Status{
+	s := operator.Status{
 		Name:        vm.settings.Name,
 		Domain:      vm.settings.Domain,
 		Incarnation: vm.incarnation,
 		Ready:       vm.Ready(),
 		Draining:    vm.draining.Load(),
+		StoreUp:     vm.store.Up(),
 		ListVersion: vm.fleet.Latest().Version,
 		FreeSlots:   advert.FreeSlots,
 		Slots:       advert.Slots,
@@ -65,5 +41,31 @@
 	for name := range vm.peers.addresses() {
 		s.Peers = append(s.Peers, name)
 	}
+	slices.Sort(s.Workers)
+	slices.Sort(s.Peers)
 	return s
 }
+
+// Fleet implements operator.VM.
+func (vm *VM) Fleet() operator.Fleet {
+	snapshot := vm.fleet.Latest()
+	answering := vm.peers.addresses()
+	f := operator.Fleet{Version: snapshot.Version, Workers: len(snapshot.Workers)}
+	for name, e := range snapshot.Entries {
+		_, answers := answering[name]
+		f.Entries = append(f.Entries, operator.EntryVM{
+			Name:    name,
+			Domain:  e.Domain,
+			Address: e.Address,
+			Leaving: e.Leaving,
+			Answers: answers || name == vm.settings.Name,
+		})
+	}
+	slices.SortFunc(f.Entries, func(a, b operator.EntryVM) int { return strings.Compare(a.Name, b.Name) })
+	return f
+}
+
+// ParseTicket implements operator.VM.
+func (vm *VM) ParseTicket(token string) (ticket.Ticket, *ticket.Error) {
+	return ticket.Parse([]byte(vm.settings.TicketKey), token)
+}
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -29,6 +29,9 @@
 	link  *peer.Link
 	up    bool
 	since time.Time // the link was opened
+	// answering is the incarnation that answered last. The list may leave it
+	// open with a 0, when VMs take their incarnation themselves.
+	answering uint64
 }
 
 func newPeerSet(vm *VM) *peerSet {
@@ -83,10 +86,10 @@
 	p.calls.Close()
 }
 
-func (p *peerSet) setUp(name string, up bool) {
+func (p *peerSet) setUp(name string, up bool, incarnation uint64) {
 	p.mu.Lock()
 	if l := p.links[name]; l != nil {
-		l.up = up
+		l.up, l.answering = up, incarnation
 	}
 	p.mu.Unlock()
 	p.vm.workers.reconcile()
@@ -140,7 +143,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[name]
-	if l == nil || !l.up || l.vm.Incarnation != incarnation {
+	if l == nil || !l.up || l.answering != incarnation {
 		return "", false
 	}
 	return l.vm.Address, true
@@ -151,7 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.links {
-		if l.up && l.vm.Incarnation == incarnation {
+		if l.up && l.answering == incarnation {
 			return l.vm.Address, true
 		}
 	}
@@ -186,7 +189,7 @@
 
 func (e peerEvents) OwnerUp(owner string, incarnation uint64) {
 	e.p.vm.home.OwnerUp(owner, incarnation)
-	e.p.setUp(owner, true)
+	e.p.setUp(owner, true, incarnation)
 }
 
 func (e peerEvents) Advert(owner string, m *pb.Advert) { e.p.vm.home.Advert(owner, m) }
@@ -197,7 +200,7 @@
 
 func (e peerEvents) OwnerLost(owner, why string) {
 	e.p.vm.home.OwnerLost(owner, why)
-	e.p.setUp(owner, false)
+	e.p.setUp(owner, false, 0)
 }
 
 // peerHome serves forwarded requests.
--- a/internal/standin/site/callers_test.go
+++ b/internal/standin/site/callers_test.go
@@ -9,10 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/deploy"
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
@@ -58,6 +60,7 @@
 		s.MaxBodyBytes = bodyLimit
 		s.BodyTimeoutMillis = 200
 		s.ListPollMillis = 50
+		s.UnreadyMillis, s.ShutdownMillis = 60_000, 61_000
 	}
 	s, err := site.Start(opt)
 	if err != nil {
@@ -314,6 +317,12 @@
 	if second := submit("k2", oneTask); second.status != http.StatusOK || second.ticket == first.ticket {
 		t.Errorf("another key: %+v", second)
 	}
+	tooMany := many(9)
+	for body, outcome := range map[string]reason.Outcome{tooMany: reason.NotRun, strings.Replace(tooMany, "true", "false", 1): reason.Unknown} {
+		if p := submit("k-"+string(outcome), body).problem; p.Reason != reason.TooManyTasks || p.Outcome != outcome {
+			t.Errorf("refused under a new key: %+v, want %s", p, outcome)
+		}
+	}
 	r.site.Platform.SetFaults(platform.Faults{Outage: true})
 	for body, outcome := range map[string]reason.Outcome{firstTask: reason.NotRun, oneTask: reason.Unknown} {
 		p := submit("k3", body).problem
@@ -326,3 +335,62 @@
 	}
 	r.used() // tickets need no store
 }
+
+// Symptom: callers are refused at each planned stop. Sequence: the entry VM turns
+// unready; until its next look the balancer goes on sending callers to it. Cause:
+// it refuses at once. It has to go on with submissions meanwhile, and give out no
+// tickets that it would refuse afterwards.
+func TestPlannedStopTakesRequestsUntilBalancerSees(t *testing.T) {
+	r := newRig(t)
+	token, vm := r.fresh(), r.site.Entries()[0]
+	ctx, seen := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.site.StopEntry(ctx, vm)
+	}()
+	for ready := true; ready; {
+		resp, err := http.Get("http://" + vm.VM.OperatorAddress() + "/readyz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		ready = resp.StatusCode == http.StatusOK
+	}
+	if got := r.do(http.MethodPut, "/v1/submissions/"+token, deskKey, oneTask); got.status != http.StatusOK {
+		t.Errorf("a submission before the balancer sees: %+v", got)
+	}
+	if p := r.do(http.MethodPost, "/v1/tickets", deskKey, `{"count":1}`).problem; p.Reason != reason.Draining || p.Outcome != reason.NotRun {
+		t.Errorf("tickets: %+v", p)
+	}
+	seen()
+	<-stopped
+}
+
+// The platform's list may leave incarnations open, where daemons are started by
+// hand and take their own. Entry VMs then find a ticket's home by the incarnation
+// that answers.
+func TestListWithoutIncarnations(t *testing.T) {
+	r := newRig(t)
+	entries := r.site.Entries()
+	var listed []*pb.VM
+	for _, e := range entries {
+		listed = append(listed, &pb.VM{Id: e.Name, Role: pb.VMRole_VM_ROLE_ENTRY, Domain: e.Domain, Address: e.VM.PeerAddress()})
+	}
+	before := entries[1].VM.Status().ListVersion
+	r.site.Platform.SetVMs(listed)
+	ctx, cancel := context.WithTimeout(t.Context(), startBound)
+	defer cancel()
+	for st := entries[1].VM.Status(); st.ListVersion == before || len(st.Peers) == 0; st = entries[1].VM.Status() {
+		if ctx.Err() != nil {
+			t.Fatalf("no peer answers: %+v", st)
+		}
+		runtime.Gosched()
+	}
+	token := r.fresh()
+	r.url = r.site.Endpoints()[1]
+	got := r.do(http.MethodPut, "/v1/submissions/"+token, deskKey, `{"template":"no-such","tasks":[1],"first":true}`)
+	if got.problem.Outcome != reason.NotRun || got.problem.Reason != reason.UnknownTemplate {
+		t.Errorf("not the home's answer: %+v", got)
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -33,6 +34,8 @@
 	IdleMilliwatts uint32
 	Behaviour      worker.Behaviour
 	ListLag        time.Duration
+	PlatformListen string                // address of the platform's service; empty: any on loopback
+	Listed         []*pb.VM              // entry VMs that run elsewhere
 	Tune           func(*entry.Settings) // changes the settings of each entry VM; may be nil
 }
 
@@ -96,7 +99,7 @@
 // Start brings a site up.
 func Start(opt Options) (*Site, error) {
 	s := &Site{opt: opt, Platform: platformstandin.New(platformstandin.Options{ListLag: opt.ListLag})}
-	url, server, err := listen(platform.Handler(s.Platform))
+	url, server, err := listen(opt.PlatformListen, platform.Handler(s.Platform))
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +111,7 @@
 			return nil, err
 		}
 	}
+	s.relist()
 	for i := range opt.EntryVMs {
 		if _, err := s.AddEntry(opt.Domains[i%len(opt.Domains)]); err != nil {
 			s.Stop()
@@ -117,8 +121,11 @@
 	return s, nil
 }
 
-func listen(handler http.Handler) (string, *http.Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// anyLoopback lets the system pick a port.
+const anyLoopback = "127.0.0.1:0"
+
+func listen(address string, handler http.Handler) (string, *http.Server, error) {
+	l, err := net.Listen("tcp", cmp.Or(address, anyLoopback))
 	if err != nil {
 		return "", nil, err
 	}
@@ -138,7 +145,7 @@
 		Behaviour:      s.opt.Behaviour,
 		UsageLag:       time.Second,
 	})
-	address, server, err := listen(w.Handler())
+	address, server, err := listen(anyLoopback, w.Handler())
 	if err != nil {
 		return err
 	}
@@ -190,7 +197,7 @@
 // relist tells the platform's list which VMs there are.
 func (s *Site) relist() {
 	s.mu.Lock()
-	var vms []*pb.VM
+	vms := slices.Clone(s.opt.Listed)
 	for _, w := range s.workers {
 		if w.alive {
 			vms = append(vms, w.vm)
@@ -213,6 +220,9 @@
 	s.Platform.SetVMs(vms)
 }
 
+// PlatformURL is where entry VMs find the platform.
+func (s *Site) PlatformURL() string { return s.platformURL }
+
 // Entries returns the entry VMs that live.
 func (s *Site) Entries() []*Entry {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/tool/advice/advice.go
@@ -0,0 +1,68 @@
+// Package advice says what each stable reason code means and what to do about
+// it. The command-line tool prints it beside errors, and docs/OPERATIONS.md
+// holds it as tables.
+package advice
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+)
+
+// Group says who meets a code.
+type Group string
+
+// The groups, in the order in which they are printed.
+const (
+	Refused  Group = "Refused before it was taken"
+	Ended    Group = "Taken, and did not complete"
+	Step     Group = "Steps of a timeline, between the system's processes"
+	Operator Group = "Requests of operators"
+	Placing  Group = "Why tasks wait for a worker"
+	Order    Group = "Whose turn it is"
+	Spill    Group = "Which entry VM gets tasks"
+	Health   Group = "Why a worker has its tier"
+	Power    Group = "Why watts move"
+)
+
+// Groups lists the groups in the order in which they are printed.
+func Groups() []Group {
+	return []Group{Refused, Ended, Step, Operator, Placing, Order, Spill, Health, Power}
+}
+
+// Entry explains one code.
+type Entry struct {
+	Group   Group
+	Code    reason.Code
+	Meaning string
+	Action  string
+}
+
+// For returns what is known of a code; false when nothing is.
+func For(code reason.Code) (Entry, bool) {
+	for _, e := range entries {
+		if e.Code == code {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// All returns all entries, in the order of their groups.
+func All() []Entry { return entries }
+
+// Markdown renders one table for each group.
+func Markdown() string {
+	var b strings.Builder
+	for _, g := range Groups() {
+		fmt.Fprintf(&b, "### %s\n\n| Code | Meaning | What to do |\n|---|---|---|\n", g)
+		for _, e := range entries {
+			if e.Group == g {
+				fmt.Fprintf(&b, "| `%s` | %s | %s |\n", e.Code, e.Meaning, e.Action)
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- a/internal/tool/demo/workload.go
+++ b/internal/tool/demo/workload.go
@@ -79,6 +79,8 @@
 type taskInput struct {
 	RunMicros int64 `json:"run_micros"`
 	Echo      int   `json:"echo"`
+	// Fail makes the task fail after its run time, with this text.
+	Fail string `json:"fail,omitempty"`
 }
 
 // Behaviour runs a task for the time its input names and returns its number, so
@@ -89,7 +91,7 @@
 		return worker.Outcome{Failure: "not a demo task"}
 	}
 	out, _ := json.Marshal(in.Echo)
-	return worker.Outcome{Run: time.Duration(in.RunMicros) * time.Microsecond, Output: out}
+	return worker.Outcome{Run: time.Duration(in.RunMicros) * time.Microsecond, Output: out, Failure: in.Fail}
 }
 
 // tasks draws the tasks of one job and returns the run time of the longest.
@@ -99,7 +101,7 @@
 	for i := range out {
 		run := time.Duration(float64(s.Run) * (0.6 + 0.8*rng.Float64()))
 		longest = max(longest, run)
-		out[i], _ = json.Marshal(taskInput{run.Microseconds(), base + i})
+		out[i], _ = json.Marshal(taskInput{RunMicros: run.Microseconds(), Echo: base + i})
 	}
 	return out, longest
 }
--- /dev/null
+++ b/internal/tool/keys/keys.go
@@ -0,0 +1,48 @@
+// Package keys makes client accounts' keys and the hashes that go into the
+// configuration.
+package keys
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+const (
+	prefix      = "py_"
+	randomBytes = 32
+)
+
+// New prints a new key and its hash.
+func New(w io.Writer) error {
+	var random [randomBytes]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return err
+	}
+	key := prefix + base64.RawURLEncoding.EncodeToString(random[:])
+	_, err := fmt.Fprintf(w, "key       %s\nkey_hash  %s\n", key, document.KeyHash(key))
+	return err
+}
+
+var errNoKey = errors.New("no key on standard input")
+
+// Hash reads a key from a line and prints its hash. The key is not an argument:
+// other users of the machine could read it there.
+func Hash(r io.Reader, w io.Writer) error {
+	line, err := bufio.NewReader(r).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	key := strings.TrimSpace(line)
+	if key == "" {
+		return errNoKey
+	}
+	_, err = fmt.Fprintln(w, document.KeyHash(key))
+	return err
+}
--- /dev/null
+++ b/internal/tool/operate/publish.go
@@ -0,0 +1,213 @@
+package operate
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
+	"github.com/pumiceyard/pumiceyard/internal/tool/exit"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+	"github.com/pumiceyard/pumiceyard/internal/version/publication"
+)
+
+// Change is a publication that an operator asks for.
+type Change struct {
+	Author string
+	ID     string // empty: made of the base and the document
+	Base   uint64
+	// Wait is how long to wait until the revision is in force; 0: not at all.
+	Wait time.Duration
+}
+
+// Publish puts a document in force.
+func (s *Site) Publish(ctx context.Context, text []byte, c Change, w io.Writer) error {
+	if _, err := document.Parse(text); err != nil {
+		return err
+	}
+	if c.ID == "" {
+		c.ID = changeID(text, c.Base)
+	}
+	body := operator.PublishBody{ChangeID: c.ID, Author: c.Author, Base: c.Base, Document: text}
+	return s.change(ctx, "/v1/configuration", body, c, w)
+}
+
+// Rollback puts a kept revision in force again, as a new one.
+func (s *Site) Rollback(ctx context.Context, revision uint64, c Change, w io.Writer) error {
+	if c.ID == "" {
+		c.ID = changeID(strconv.AppendUint([]byte("rollback to "), revision, 10), c.Base)
+	}
+	body := operator.RollbackBody{ChangeID: c.ID, Author: c.Author, Base: c.Base, Revision: revision}
+	return s.change(ctx, "/v1/rollback", body, c, w)
+}
+
+// changeID names a change by what it does, so that asking for it again, after an
+// answer was lost, finds it done.
+func changeID(text []byte, base uint64) string {
+	sum := sha256.Sum256(strconv.AppendUint(text, base, 10))
+	return "auto-" + hex.EncodeToString(sum[:8])
+}
+
+func (s *Site) change(ctx context.Context, path string, body any, c Change, w io.Writer) error {
+	var receipt publication.Receipt
+	if err := s.ask(ctx, http.MethodPost, path, body, &receipt); err != nil {
+		return Explain(err)
+	}
+	earlier := ""
+	if receipt.Earlier {
+		earlier = " (by an earlier request of the same change)"
+	}
+	fmt.Fprintf(w, "published as revision %d, change %s by %s%s\n", receipt.Revision, receipt.ChangeID, receipt.Author, earlier)
+	if c.Wait == 0 {
+		return nil
+	}
+	return s.await(ctx, receipt.Revision, c.Wait, w)
+}
+
+const awaitPoll = 100 * time.Millisecond
+
+// await waits until every entry VM has a revision in force, and tells of each
+// when it has, or why it has not.
+func (s *Site) await(ctx context.Context, revision uint64, limit time.Duration, w io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	start := time.Now()
+	told := make(map[string]bool)
+	for {
+		all := s.Statuses(ctx)
+		waiting := 0
+		for _, v := range all {
+			if v.Status == nil || v.Status.Revision < revision {
+				waiting++
+			} else if !told[v.Name] {
+				told[v.Name] = true
+				fmt.Fprintf(w, "  %-12s in force after %.1fs\n", v.Name, time.Since(start).Seconds())
+			}
+		}
+		if waiting == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return s.notInForce(revision, w)
+		case <-time.After(awaitPoll):
+		}
+	}
+}
+
+// notInForce names the entry VMs that do not have a revision.
+func (s *Site) notInForce(revision uint64, w io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	missing := 0
+	for _, v := range s.Statuses(ctx) {
+		switch {
+		case v.Status == nil:
+			missing++
+			fmt.Fprintf(w, "  %-12s can not be reached at %s: %s\n", v.Name, v.URL, v.Error)
+		case v.Status.Revision < revision:
+			missing++
+			fmt.Fprintf(w, "  %-12s still at revision %d\n", v.Name, v.Status.Revision)
+		}
+	}
+	if missing == 0 {
+		return nil
+	}
+	return fmt.Errorf("published, but revision %d is not known to be in force on %d entry VMs\n  what to do: nothing, if they are stopped; they take it before they serve again. Otherwise look at their log", revision, missing)
+}
+
+// Explain adds to an error of an entry VM what to do about it.
+func Explain(err error) error {
+	var problem *operator.Problem
+	if !errors.As(err, &problem) {
+		return fmt.Errorf("no entry VM could be asked: %w\n  what to do: are the addresses those of operators' listeners? Nothing is known to have changed; asking again is safe", err)
+	}
+	message := problem.Error()
+	for _, f := range problem.Fields {
+		message += fmt.Sprintf("\n  %s: %q, allowed is %s", f.Path, f.Value, f.Allowed)
+	}
+	return errors.New(exit.WithAdvice(message, string(problem.Reason)))
+}
+
+// Get prints the document in force, or that of a kept revision.
+func (s *Site) Get(ctx context.Context, revision uint64, w io.Writer) error {
+	doc, err := s.document(ctx, revision)
+	if err != nil {
+		return Explain(err)
+	}
+	text, err := doc.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", text)
+	return err
+}
+
+func (s *Site) document(ctx context.Context, revision uint64) (*document.Document, error) {
+	path := "/v1/configuration"
+	if revision != 0 {
+		path += "?revision=" + strconv.FormatUint(revision, 10)
+	}
+	doc := new(document.Document)
+	return doc, s.ask(ctx, http.MethodGet, path, nil, doc)
+}
+
+// Revision is the revision in force, 0 before the first.
+func (s *Site) Revision(ctx context.Context) (uint64, error) {
+	doc, err := s.document(ctx, 0)
+	var problem *operator.Problem
+	if errors.As(err, &problem) && problem.Reason == operator.NoRevision {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, Explain(err)
+	}
+	return doc.Revision, nil
+}
+
+// Diff prints what changed between two kept revisions.
+func (s *Site) Diff(ctx context.Context, from, to uint64, w io.Writer) error {
+	query := url.Values{"from": {strconv.FormatUint(from, 10)}, "to": {strconv.FormatUint(to, 10)}}
+	var out operator.Differences
+	if err := s.ask(ctx, http.MethodGet, "/v1/diff?"+query.Encode(), nil, &out); err != nil {
+		return Explain(err)
+	}
+	for _, d := range out.Differences {
+		fmt.Fprintf(w, "%s: %s -> %s\n", d.Path, orNone(d.Old), orNone(d.New))
+	}
+	return nil
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return text
+}
+
+// History prints the publications that are kept, newest first.
+func (s *Site) History(ctx context.Context, asJSON bool, w io.Writer) error {
+	var out operator.History
+	if err := s.ask(ctx, http.MethodGet, "/v1/history", nil, &out); err != nil {
+		return Explain(err)
+	}
+	if asJSON {
+		return json.NewEncoder(w).Encode(out)
+	}
+	table := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "REVISION\tPUBLISHED\tAUTHOR\tCHANGE")
+	for _, p := range out.Publications {
+		at := time.UnixMilli(p.PublishedUnixMillis).Format(time.DateTime)
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", p.Revision, at, p.Author, p.ChangeID)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/tool/operate/show.go
@@ -0,0 +1,119 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/tool/advice"
+)
+
+// Status prints what all entry VMs say of themselves.
+func (s *Site) Status(ctx context.Context, asJSON bool, w io.Writer) error {
+	all := s.Statuses(ctx)
+	if asJSON {
+		return json.NewEncoder(w).Encode(all)
+	}
+	table := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "ENTRY VM\tDOMAIN\tREADY\tSTORE\tREVISION\tLEASES\tFREE/SLOTS\tQUEUED\tPEERS")
+	for _, v := range all {
+		st := v.Status
+		if st == nil {
+			fmt.Fprintf(table, "%s\t-\tcan not be reached at %s: %s\n", orNone(v.Name), v.URL, v.Error)
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%d/%d\t%d\t%d\n",
+			st.Name, st.Domain, readiness(st.Ready, st.Draining), upOrDown(st.StoreUp), st.Revision,
+			len(st.Workers), st.FreeSlots, st.Slots, st.QueuedTasks, len(st.Peers))
+	}
+	return table.Flush()
+}
+
+func readiness(ready, draining bool) string {
+	switch {
+	case draining:
+		return "stopping"
+	case ready:
+		return "yes"
+	}
+	return "no"
+}
+
+func upOrDown(up bool) string {
+	if up {
+		return "up"
+	}
+	return "down"
+}
+
+// clearScreen moves the cursor home and clears what was there.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// Watch prints the status again and again until ctx ends.
+func (s *Site) Watch(ctx context.Context, every time.Duration, w io.Writer) error {
+	ticks := time.NewTicker(every)
+	defer ticks.Stop()
+	for {
+		fmt.Fprint(w, clearScreen)
+		if err := s.Status(ctx, false, w); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		}
+	}
+}
+
+// Explain prints one submission's timeline over all entry VMs.
+func (s *Site) Explain(ctx context.Context, ticket string, asJSON bool, w io.Writer) error {
+	var out caller.TimelineBody
+	if err := s.ask(ctx, http.MethodGet, "/v1/explain/"+url.PathEscape(ticket), nil, &out); err != nil {
+		return Explain(err)
+	}
+	if asJSON {
+		return json.NewEncoder(w).Encode(out)
+	}
+	PrintTimeline(w, out.ID, out.Steps)
+	return nil
+}
+
+// screen is how many steps are printed; the middle of a longer timeline is left
+// out.
+const screen = 18
+
+// PrintTimeline prints steps for people, within one screen, and what the last
+// reason means.
+func PrintTimeline(w io.Writer, id string, steps []caller.TimelineStep) {
+	if len(steps) == 0 {
+		fmt.Fprintf(w, "submission %s: no entry VM that can be reached knows it\n", id)
+		return
+	}
+	start := time.UnixMicro(steps[0].UnixMicros)
+	fmt.Fprintf(w, "submission %s, first seen %s\n", id, start.Format(time.DateTime))
+	for i, st := range steps {
+		if left := len(steps) - screen; left > 0 && i >= screen/2 && i < screen/2+left {
+			if i == screen/2 {
+				fmt.Fprintf(w, "  ... %d more steps, all with --json\n", left)
+			}
+			continue
+		}
+		after := float64(st.UnixMicros-steps[0].UnixMicros) / float64(time.Millisecond/time.Microsecond)
+		fmt.Fprintf(w, "%9.1fms  %-8s %-11s %s %s\n", after, st.EntryVM, st.Step, st.Reason, st.Detail)
+	}
+	if e, ok := advice.For(lastReason(steps)); ok {
+		fmt.Fprintf(w, "%s: %s\n  what to do: %s\n", e.Code, e.Meaning, e.Action)
+	}
+}
+
+func lastReason(steps []caller.TimelineStep) reason.Code {
+	return steps[len(steps)-1].Reason
+}
--- /dev/null
+++ b/internal/tool/standin/standin.go
@@ -0,0 +1,80 @@
+// Package standin runs the platform's and the workers' stand-ins for trying
+// daemons by hand.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/standin/site"
+	"github.com/pumiceyard/pumiceyard/internal/tool/demo"
+)
+
+// Options of the stand-ins.
+type Options struct {
+	Deployment string
+	Workers    int
+	Listen     string   // address of the platform's service
+	Entries    []string // entry VMs to list, each name,domain,host:port
+	Out        io.Writer
+}
+
+// Run runs the stand-ins until ctx ends.
+func Run(ctx context.Context, opt Options) error {
+	dep, err := demo.Load(opt.Deployment)
+	if err != nil {
+		return err
+	}
+	slices.Sort(dep.Domains)
+	listed, err := parseEntries(opt.Entries, dep.Domains)
+	if err != nil {
+		return err
+	}
+	s := site.Defaults(dep.Domains)
+	s.EntryVMs, s.Workers, s.PerRack = 0, opt.Workers, dep.PerRack
+	s.Behaviour = demo.Behaviour
+	s.PlatformListen = opt.Listen
+	s.Listed = listed
+	running, err := site.Start(s)
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	fmt.Fprintf(opt.Out, "platform  %s\n", running.PlatformURL())
+	for _, vm := range listed {
+		fmt.Fprintf(opt.Out, "entry VM  %s in %s, peers dial %s\n", vm.Id, vm.Domain, vm.Address)
+	}
+	fmt.Fprintf(opt.Out, "workers   %d in %s\n", opt.Workers, strings.Join(dep.Domains, ", "))
+	<-ctx.Done()
+	return nil
+}
+
+// EntryError says that an entry VM was not given as it has to be.
+type EntryError struct {
+	Given, Allowed string
+}
+
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("--entry %q: allowed is %s", e.Given, e.Allowed)
+}
+
+// parseEntries reads name,domain,host:port. The incarnation is left open: a
+// daemon takes its own at each start.
+func parseEntries(entries, domains []string) ([]*pb.VM, error) {
+	var vms []*pb.VM
+	for _, entry := range entries {
+		parts := strings.Split(entry, ",")
+		if len(parts) != 3 || slices.Contains(parts, "") {
+			return nil, &EntryError{entry, "name,domain,host:port with the peer listener's address"}
+		}
+		if !slices.Contains(domains, parts[1]) {
+			return nil, &EntryError{entry, "a domain out of " + strings.Join(domains, ", ")}
+		}
+		vms = append(vms, &pb.VM{Id: parts[0], Role: pb.VMRole_VM_ROLE_ENTRY, Domain: parts[1], Address: parts[2]})
+	}
+	return vms, nil
+}
