--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -34,6 +34,9 @@
 	defer cancel()
 	klog.InfoS(logPrefix+"stopping", "name", vm.settings.Name)
 	vm.leaving.Store(true)
+	vm.router.StopTickets()
+	// Without this wait the balancer would send callers here until its next
+	// look at readiness, and each would be refused as draining.
 	pause(ctx, millis(vm.settings.UnreadyMillis))
 	vm.draining.Store(true)
 	vm.router.Drain()
--- a/internal/process/membership/core_test.go
+++ b/internal/process/membership/core_test.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	bytesAllowed  = 5000 // a second, sent and received, on any node
-	noWorkWithin  = 3 * time.Second
-	settleTime    = 20 * time.Second
+	bytesAllowed = 5000 // a second, sent and received, on any node
+	noWorkWithin = 3 * time.Second
+	settleTime   = 20 * time.Second
 )
 
 type shape struct{ nodes, domains, workers int }
