Property: no task starts twice, answers whole, refusals true

Cause: the promises of package job were argued, not tried; its package comment says that they hold whatever the order of events.

Change: a small deterministic world (3 entry VMs, 2 owners, 2 to 4 workers with the acceptance rules of standin/worker, messages lost, late, doubled and crossed) drives the real job machine over event sequences of gopter. Checked after each event: starts per task, not_run, outputs; after the faults end: a final answer for each submission. For each of six guards a world without it has to fail the same property with the same seed. -scale N runs N times as many sequences.

The world already assumes two rules that the stand-in worker lacks: a start for an earlier incarnation is refused, and a record is told before a stale epoch.

--- /dev/null
+++ b/internal/request/job/property_test.go
@@ -0,0 +1,254 @@
+package job
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const (
+	propertySeed  = 20261203
+	propertyRuns  = 9000
+	propertySteps = 240
+	minAttempts   = 100_000
+)
+
+var scale = flag.Int("scale", 1, "times as many event sequences for the property of the job machine")
+
+// step applies one event, chosen by code.
+func (w *world) step(code uint32) {
+	op, arg := int(code%200), int(code/200)
+	v := w.vms[arg%len(w.vms)]
+	s := w.subs[arg/3%len(w.subs)]
+	o := w.owners[arg/6%len(w.owners)]
+	k := w.workers[arg/12%len(w.workers)]
+	switch {
+	case op < 85:
+		w.deliver(arg, false)
+	case op < 95:
+		w.deliver(arg, true)
+	case op < 125:
+		v.assign(s, o)
+	case op < 150:
+		o.place(arg)
+	case op < 165:
+		k.end(arg, arg%40 == 0)
+	case op < 175:
+		w.submit(v, s)
+	case op < 180:
+		o.acquire(k)
+	default:
+		w.fault(op-180, arg, v, s, o, k)
+	}
+}
+
+// fault applies one of the rarer events.
+func (w *world) fault(op, arg int, v *vm, s *submission, o *owner, k *worker) {
+	switch op {
+	case 0, 1, 2:
+		w.lose(arg)
+	case 3, 4, 5:
+		v.cut = !v.cut
+	case 6:
+		v.start() // crash and restart under a new incarnation
+	case 7:
+		o.crash()
+	case 8:
+		if arg%4 == 0 {
+			k.dead = true
+			k.restart()
+		}
+	case 9:
+		if arg%4 == 0 {
+			k.restart()
+		}
+	case 10, 11:
+		k.lease = nil // lapsed: its holder was paused and does not know
+	case 12, 13:
+		o.lose(k)
+	case 14, 15:
+		if ss := v.sessions[o]; ss != nil {
+			v.leave(ss)
+		}
+	case 16:
+		if e := v.jobs[s.id]; e != nil && arg%3 == 0 {
+			v.act(e, e.job.Cancel(w.now))
+		}
+	default:
+		w.pass(time.Duration(arg%60) * time.Millisecond)
+	}
+}
+
+// pass lets time go on.
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, v := range w.vms {
+		for _, s := range w.subs {
+			if e := v.jobs[s.id]; e != nil {
+				v.act(e, e.job.Tick(w.now))
+			}
+		}
+	}
+}
+
+const settleRounds = 60
+
+// settle ends the faults and asks for both submissions until they have final
+// answers. Everything that is under way arrives.
+func (w *world) settle(code uint32) {
+	for _, v := range w.vms {
+		v.cut = false
+	}
+	for _, s := range w.subs {
+		s.final = false
+	}
+	for round := range settleRounds {
+		w.quietRound(int(code) + round)
+	}
+	for _, s := range w.subs {
+		if !s.final {
+			w.violate("no final answer for %v after the faults ended", s.id)
+		}
+	}
+}
+
+func (w *world) quietRound(round int) {
+	for _, s := range w.subs {
+		if !s.final {
+			w.submit(w.vms[round%len(w.vms)], s)
+		}
+	}
+	for _, o := range w.owners {
+		for _, k := range w.workers {
+			if o.leases[k] != nil && k.lease != o.leases[k] {
+				o.lose(k)
+			}
+			if k.lease != nil && k.lease.owner.life != k.lease.life {
+				k.lease = nil
+			}
+			if k.lease == nil {
+				o.acquire(k)
+			}
+		}
+	}
+	for _, v := range w.vms {
+		for _, o := range w.owners {
+			if ss := v.sessions[o]; ss != nil && (ss.life != o.life || ss.left) {
+				v.leave(ss)
+			}
+			for _, s := range w.subs {
+				v.assign(s, o)
+			}
+		}
+	}
+	for range 2 {
+		w.drain(round)
+		for _, o := range w.owners {
+			for len(o.queue) > 0 {
+				o.place(round)
+			}
+		}
+		w.drain(round)
+		for _, k := range w.workers {
+			for len(k.order) > 0 {
+				k.end(0, false)
+			}
+		}
+	}
+	w.drain(round)
+	w.pass(20 * time.Millisecond)
+}
+
+// maxDrain bounds the messages of one round: more would be an endless exchange.
+const maxDrain = 5000
+
+func (w *world) drain(round int) {
+	for i := 0; len(w.net) > 0; i++ {
+		w.deliver(round*7919+i*31, false)
+		if i > maxDrain {
+			w.violate("messages go on without end")
+			w.net = nil
+		}
+	}
+}
+
+// run applies a sequence of events to a new world and reports a violation.
+func run(removed guard, codes []uint32, total *tally) error {
+	w := newWorld(removed, 2+int(codes[0]%3))
+	for _, s := range w.subs {
+		for _, k := range w.workers {
+			k.life(s)
+		}
+		w.submit(w.vms[0], s)
+	}
+	for _, code := range codes {
+		if w.step(code); w.violated != nil {
+			break
+		}
+	}
+	if w.violated == nil {
+		w.settle(codes[0])
+	}
+	total.add(w.tally)
+	return w.violated
+}
+
+func parameters(runs int) *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(propertySeed)
+	p.MinSuccessfulTests = runs
+	p.MaxShrinkCount = 0
+	return p
+}
+
+func sequences() gopter.Gen { return gen.SliceOfN(propertySteps, gen.UInt32()) }
+
+// Symptom: a crew is booked twice, an order lands on a bench twice, or a caller
+// is told "not run" of what ran. Sequence: any order of starts, results, seals
+// and submissions with messages lost, late, doubled and crossed, and deaths,
+// pauses and restarts of every part. Cause would be a driver that takes for
+// never started what another one, or a message under way, has started or starts.
+func TestNoTaskStartsTwice(t *testing.T) {
+	var total tally
+	properties := gopter.NewProperties(parameters(propertyRuns * *scale))
+	properties.Property("at most one start, whole answers, true refusals, an answer in the end", prop.ForAll(
+		func(codes []uint32) (bool, error) {
+			err := run(nothing, codes, &total)
+			return err == nil, err
+		}, sequences()))
+	properties.TestingRun(t)
+	t.Logf("%d sequences, seed %d: %+v", propertyRuns**scale, propertySeed, total)
+	if total.attempts < minAttempts || total.recoveries == 0 || total.unknowns == 0 || total.notRuns == 0 {
+		t.Errorf("the sequences did not try enough: %+v", total)
+	}
+}
+
+// Symptom: a check that passes whatever the code does. Each guard of the
+// protocol is removed from the world in turn; the same property has to notice.
+func TestPropertySeesRemovedGuards(t *testing.T) {
+	guards := map[string]guard{
+		"a worker that ignores generations":           workerGeneration,
+		"a restarted worker that takes old tickets":   workerRestart,
+		"a worker that ignores its records":           workerDuplicate,
+		"a recovery that asks one candidate":          askAll,
+		"a restarted home that takes its old tickets": homeIncarnation,
+		"not run without recording it at a candidate": closeFirst,
+	}
+	for name, removed := range guards {
+		t.Run(name, func(t *testing.T) {
+			var total tally
+			var found error
+			property := prop.ForAll(func(codes []uint32) bool {
+				found = run(removed, codes, &total)
+				return found == nil
+			}, sequences())
+			if property.Check(parameters(propertyRuns)).Passed() {
+				t.Fatal("the property passes although the guard is removed")
+			}
+			t.Logf("after %d attempts: %v", total.attempts, found)
+		})
+	}
+}
