A restarted worker refuses starts that were meant for its earlier life

Cause: a seal lives in a worker's memory. A recovering entry VM sealed a worker, the worker restarted, a new lease was taken on it, and the home, which was only cut off, had tasks started there: nothing compared the worker's incarnation with the ticket's candidate. Also: a copy of an accepted start under an ended epoch was refused as stale, which reads as "not run"; and following a task at a restarted worker waited until the deadline, leaving a record with a short expiry that a later start would have shared.

Change: batches and starts name the worker's incarnation (0: any); the stand-in refuses others as worker_restarted and tells a record before anything else; a home offers a worker that refused so no task of that submission again; Follow of an unknown task is an error. Ruled out: incarnations in adverts, which tasks already waiting at the owner would pass by.

--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
@@ -211,6 +212,8 @@
 		Each:             g.m.Each,
 		Index:            g.m.Index[g.next:until],
 		Input:            g.m.Input[g.next:until],
+
+		WorkerIncarnation: incarnation(g.m, a.Worker),
 	})
 	for _, index := range g.m.Index[g.next:until] {
 		w.flights[taskKey{key.id, index}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
@@ -219,6 +222,15 @@
 	g.next = until
 }
 
+// incarnation is the one that the home knows of a worker, 0 when it does not say.
+func incarnation(m *pb.RunGroup, worker string) uint64 {
+	i := slices.Index(m.Workers, worker)
+	if i < 0 || i >= len(m.WorkerIncarnation) {
+		return 0
+	}
+	return m.WorkerIncarnation[i]
+}
+
 // expire returns what waits past its deadline.
 func (h *Holder) expire() {
 	for _, key := range h.order.Expire(h.now) {
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -241,11 +241,23 @@
 	case pb.TaskState_TASK_STATE_DISCARDED:
 		h.act(e, e.job.Failed(r.Index, reason.AnswerDiscarded, "the task ran, its output is no longer kept"))
 	case pb.TaskState_TASK_STATE_NOT_RUN:
+		e.noteRestart(r)
 		h.act(e, e.job.NotStarted(owner, gen, r.Index, reason.Code(r.Reason), r.Worker))
 		h.holdBack(e)
 	}
 }
 
+// noteRestart keeps tasks from being offered to a restarted worker again.
+func (e *entry) noteRestart(r *pb.TaskResult) {
+	if reason.Code(r.Reason) != reason.WorkerRestarted {
+		return
+	}
+	if e.restarted == nil {
+		e.restarted = make(map[string]bool)
+	}
+	e.restarted[r.Worker] = true
+}
+
 // lost passes the tasks whose worker gave no answer to their job, in one event
 // per worker: each event costs a generation and a seal.
 func (h *Home) lost(e *entry, owner string, gen ticket.Generation, results []*pb.TaskResult) {
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -60,6 +60,7 @@
 	sub        Submission
 	hash       uint64            // of the inputs
 	candidates map[string]uint64 // incarnations of the workers, by id
+	restarted  map[string]bool   // candidates that refused because of a new one
 	waiters    []Reply
 	accepted   time.Time
 	holdUntil  time.Time
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -224,7 +224,7 @@
 func (h *Home) allowed(e *entry, o *owner) []string {
 	all := true
 	for _, w := range o.workers {
-		if _, ok := e.candidates[w]; !ok {
+		if !e.mayUse(w) {
 			all = false
 			break
 		}
@@ -234,13 +234,19 @@
 	}
 	var out []string
 	for _, w := range o.workers {
-		if _, ok := e.candidates[w]; ok {
+		if e.mayUse(w) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
+// mayUse reports whether a worker is a candidate that was not restarted since.
+func (e *entry) mayUse(worker string) bool {
+	_, ok := e.candidates[worker]
+	return ok && !e.restarted[worker]
+}
+
 // give hands up to n tasks of an entry to an owner, and returns how many.
 func (h *Home) give(e *entry, o *owner, n int, why reason.Code) int {
 	if !o.usable() {
@@ -283,9 +289,20 @@
 		Index:            indexes,
 		Input:            inputs,
 		Workers:          workers,
+
+		WorkerIncarnation: e.incarnations(workers),
 	}
 }
 
+// incarnations returns those that the ticket's candidates had.
+func (e *entry) incarnations(workers []string) []uint64 {
+	out := make([]uint64, len(workers))
+	for i, w := range workers {
+		out[i] = e.candidates[w]
+	}
+	return out
+}
+
 // advertEvent describes an owner.
 type advertEvent struct {
 	owner string
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -312,18 +312,28 @@
 	}
 }
 
-// endedOf returns those of the named tasks that have ended.
+var errNoRecord = connect.NewError(connect.CodeNotFound, errors.New("no record of the task: the worker was restarted or the ticket has expired"))
+
+// endedOf returns those of the named tasks that have ended. A task that is not
+// known is an error: nobody follows what did not start, so the worker was
+// restarted, and its caller would wait for the end of the task for ever.
 func (w *Worker) endedOf(m *pb.FollowRequest) ([]*pb.TaskResult, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead {
 		return nil, nil, errDead
 	}
-	sub := w.submission(wire.ID(m.Submission), uint64(time.Now().Add(maxFollow).UnixMilli()))
+	sub := w.submissions[wire.ID(m.Submission)]
+	if sub == nil {
+		return nil, nil, errNoRecord
+	}
 	var out []*pb.TaskResult
 	for _, index := range m.Index {
 		t := sub.tasks[index]
-		if t != nil && t.state != pb.TaskState_TASK_STATE_RUNNING {
+		if t == nil {
+			return nil, nil, errNoRecord
+		}
+		if t.state != pb.TaskState_TASK_STATE_RUNNING {
 			out = append(out, t.result(index, w.cfg.ID))
 		}
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -3,8 +3,9 @@
 // be made to die, fall silent, straggle or fail everything.
 //
 // It is the arbiter the at-most-once protocol relies on. A start is accepted
-// only under the current lease epoch, under a generation that is not sealed
-// off, before the ticket's expiry, and when no record of the task exists.
+// only when no record of the task exists, for this incarnation of the worker,
+// under the current lease epoch, before the ticket's expiry, and under a
+// generation that is not sealed off.
 package worker
 
 import (
@@ -216,20 +217,27 @@
 }
 
 // refusal returns why a start is not accepted, or "".
+//
+// A record comes first: any other refusal tells the home that the task did not
+// start here. The incarnation is checked because a restarted worker has
+// forgotten its seals; without the check it would start what a recovering entry
+// VM has sealed off here and started elsewhere.
 func (w *Worker) refusal(now time.Time, epoch uint64, g *pb.StartGroup, index uint32) reason.Code {
+	sub := w.submissions[wire.ID(g.Submission)]
+	if sub != nil && sub.tasks[index] != nil {
+		return reason.DuplicateTask
+	}
+	if g.WorkerIncarnation != 0 && g.WorkerIncarnation != w.cfg.Incarnation {
+		return reason.WorkerRestarted
+	}
 	if epoch != w.epoch || w.holder == 0 || now.After(w.leaseUntil) {
 		return reason.StaleEpoch
 	}
 	if now.UnixMilli() >= int64(g.ExpiryUnixMillis) {
 		return reason.TicketExpired
 	}
-	if sub := w.submissions[wire.ID(g.Submission)]; sub != nil {
-		if sub.closed != "" || wire.Generation(g.Generation).Less(sub.sealed) {
-			return reason.Sealed
-		}
-		if sub.tasks[index] != nil {
-			return reason.DuplicateTask
-		}
+	if sub != nil && (sub.closed != "" || wire.Generation(g.Generation).Less(sub.sealed)) {
+		return reason.Sealed
 	}
 	if w.running >= int(w.cfg.Capacity.GetSlots()) {
 		return reason.WorkerBusy
