Home keeps submissions that another entry VM drives

Cause: a submission that was found to be driven elsewhere was dropped at once. Asked again, the home took it for a new one and handed its tasks out under the generation it had used before, which workers that the other entry VM had not sealed yet accepted: a second start. A cancellation was likewise reported as passed on although the driver never got it.

Change: it is kept until its ticket has expired, as every other one, and answers with a pointer to the driver; a cancellation is told as unknown here. Ruled out: the job machine, whose Recover takes the generation used before; it was not asked because the entry was gone.

Conclusion: keep; a superseded entry costs its maps until the ticket expires.

--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -290,7 +290,7 @@
 			return
 		}
 		if e.job.Answer() != nil {
-			if e.job.Superseded() == 0 && h.now.Before(e.sub.Ticket.Expiry.Add(expiryMargin)) {
+			if h.now.Before(e.sub.Ticket.Expiry.Add(expiryMargin)) {
 				h.due.push(e, e.sub.Ticket.Expiry.Add(expiryMargin))
 				continue
 			}
@@ -303,7 +303,9 @@
 }
 
 // expiryMargin keeps a submission known past its ticket's expiry, as long as a
-// worker may still accept starts by its own clock.
+// worker may still accept starts by its own clock. One that another entry VM
+// drives is kept too: forgotten, it would look new when its caller asks again,
+// and its tasks would be handed out under the generation that was used before.
 const expiryMargin = 10 * time.Second
 
 func (h *Home) drop(e *entry) {
--- /dev/null
+++ b/internal/process/home/failure_test.go
@@ -0,0 +1,209 @@
+package home
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+)
+
+var recovered = ticket.Generation{Counter: 1, Author: recoverer}
+
+// Symptom: tasks run twice after an owner's death. Sequence: an owner dies with
+// tasks of which nothing is known; its link ends. Cause would be handing them to
+// the next owner before its workers were asked, or under the same generation.
+func TestOwnerDies(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 2))
+	first := f.takeBatch()
+	f.h.OwnerLost("a", "silent")
+	f.noBatch()
+	seal := f.takeSeals("w1")["w1"]
+	if !below(first.Generation, seal.req.Generation) {
+		t.Fatalf("seal %v lets starts under %v pass", seal.req.Generation, first.Generation)
+	}
+	f.accepts(seal, done(0))
+	f.pass(f.h.cfg.Settings.HoldBack)
+	second := f.takeBatch()
+	if second.owner != "b" || !slices.Equal(second.Index, []uint32{1}) {
+		t.Fatalf("to %s: tasks %v, want task 1 to b", second.owner, second.Index)
+	}
+	f.reports(second, done(1))
+	f.takeAnswers(reason.Complete)
+}
+
+// Symptom: an answer of the wrong length, or a task that runs again. Sequence:
+// the owner is paused, its link counts as lost, its worker is asked; then it
+// wakes, and its results and refusals arrive late and doubled. Cause would be
+// taking old word for word on the present hand-out.
+func TestOwnerPausedAndItsResultsDoubled(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 2))
+	first := f.takeBatch()
+	f.h.OwnerLost("a", "silent")
+	f.pass(0)
+	f.reports(first, done(1), refusedBy(reason.StaleEpoch))
+	f.reports(first, done(1), refusedBy(reason.StaleEpoch))
+	f.noBatch()
+	f.accepts(f.takeSeals("w1")["w1"], done(1))
+	f.pass(f.h.cfg.Settings.HoldBack)
+	second := f.takeBatch()
+	f.reports(first, refusedBy(reason.StaleEpoch))
+	f.noBatch()
+	f.reports(second, done(0), done(0))
+	if a := f.takeAnswers(reason.Complete)[0]; len(a.Outputs) != 2 || a.Outputs[0][0] != 0 || a.Outputs[1][0] != 1 {
+		t.Fatalf("outputs %v", a.Outputs)
+	}
+}
+
+// Symptom: a caller gets another caller's answer. Sequence: two submissions run
+// at one owner, results come crossed in one message, and doubled. Cause would be
+// matching results by order.
+func TestAnswersCrossed(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 1))
+	f.ask(f.submission(2, 1))
+	one, two := f.batches[0], f.batches[1]
+	mine := func(b batch, out byte) *pb.RunResult {
+		return &pb.RunResult{Submission: b.Submission, Generation: b.Generation, Results: []*pb.TaskResult{{State: pb.TaskState_TASK_STATE_DONE, Output: []byte{out}}}}
+	}
+	f.h.RunResults("a", []*pb.RunResult{mine(two, 2), mine(two, 2), mine(one, 1)})
+	f.pass(0)
+	f.ask(f.submission(1, 1))
+	f.ask(f.submission(2, 1))
+	for i, a := range f.takeAnswers(reason.Complete, reason.Complete, reason.Complete, reason.Complete) {
+		if want := []byte{2, 1, 1, 2}[i]; a.Outputs[0][0] != want {
+			t.Errorf("answer %d holds output %d, want %d", i, a.Outputs[0][0], want)
+		}
+	}
+}
+
+// Symptom: "not run" for a task that ran. Sequence: the connection to the worker
+// breaks after a start, the caller cancels before the worker was asked. Cause
+// would be concluding from what the home has heard.
+func TestAnswerLostAndCancelled(t *testing.T) {
+	f := newFixture(t)
+	s := f.submission(1, 1)
+	f.ask(s)
+	f.reports(f.takeBatch(), result(0, pb.TaskState_TASK_STATE_LOST, reason.LeaseLost))
+	f.h.Cancel(s.Ticket.ID, func(bool) {})
+	f.pass(0)
+	f.takeAnswers()
+	f.accepts(f.takeSeals("w1")["w1"], result(0, pb.TaskState_TASK_STATE_RUNNING, ""))
+	f.takeAnswers(reason.Failed)
+}
+
+// Symptom: tasks run twice. Sequence: the home is cut off and a recovering entry
+// VM starts its tasks; the home learns so and points its caller there; the caller
+// asks the home again. Cause: the home forgot the submission at once, took it for
+// a new one, and handed its tasks out under the generation it had used before.
+func TestResubmittedAfterRecoveryElsewhere(t *testing.T) {
+	f := newFixture(t)
+	f.live[recoverer] = true
+	s := f.submission(1, 1)
+	f.ask(s)
+	f.reports(f.takeBatch(), refusedBy(reason.Sealed))
+	f.refuses(f.takeSeals("w1")["w1"], recovered)
+	if a := f.takeAnswers(reason.Unknown)[0]; a.Driver != recoverer {
+		t.Fatalf("answer %+v, want a pointer to the other driver", a)
+	}
+	f.pass(time.Second)
+	f.ask(s)
+	f.noBatch()
+	if a := f.takeAnswers(reason.Unknown)[0]; a.Driver != recoverer {
+		t.Fatalf("answer %+v, want a pointer to the other driver", a)
+	}
+	f.h.Cancel(s.Ticket.ID, func(known bool) {
+		if known {
+			t.Error("a cancellation was taken for a submission that is driven elsewhere")
+		}
+	})
+	f.pass(0)
+}
+
+// Symptom: a caller is pointed to a dead entry VM for ever, or a task runs
+// twice. Sequence: an entry VM recovers, seals some workers and dies; the home
+// comes back and its caller asks again. Cause would be a home that goes on with
+// what it knew, or never passes the dead one's generation.
+func TestRecovererDiesAndTheHomeComesBack(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 1))
+	f.reports(f.takeBatch(), refusedBy(reason.Sealed))
+	f.refuses(f.takeSeals("w1")["w1"], recovered)
+	f.noBatch()
+	seals := f.takeSeals("w1", "w2")
+	f.accepts(seals["w1"])
+	f.noBatch()
+	f.accepts(seals["w2"], done(0))
+	f.takeAnswers(reason.Complete)
+}
+
+// recovery has the fixture recover a submission of a home that died.
+func recovery(f *fixture) map[string]*sealCall {
+	s := f.submission(1, 1)
+	s.Ticket.ID.Incarnation = 3
+	s.Recover = true
+	f.ask(s)
+	f.noBatch()
+	return f.takeSeals("w1", "w2")
+}
+
+// Symptom: an order is placed twice. Sequence: the home dies, its caller asks
+// elsewhere, and a worker that may have started the task does not answer. Cause
+// would be taking silence for "not started".
+func TestHomeDiesAndAWorkerIsSilent(t *testing.T) {
+	f := newFixture(t)
+	seals := recovery(f)
+	f.accepts(seals["w1"])
+	f.silent(seals["w2"])
+	f.noBatch()
+	f.takeAnswers(reason.Unknown)
+}
+
+// Symptom and cause as above. Sequence: the home dies, and the worker that ran
+// the task is restarted and knows nothing of it.
+func TestHomeDiesAndAWorkerRestarts(t *testing.T) {
+	f := newFixture(t)
+	seals := recovery(f)
+	if got := seals["w2"].req.WorkerIncarnation; got != 12 {
+		t.Fatalf("the seal names incarnation %d, want the candidate's", got)
+	}
+	f.accepts(seals["w1"])
+	seals["w2"].done(&pb.SealResponse{Restarted: true}, nil)
+	f.noBatch()
+	f.takeAnswers(reason.Unknown)
+}
+
+// Symptom: tasks run twice after the home's death. Sequence: the home dies, the
+// caller asks at two entry VMs or twice at one; all workers answer. Cause would
+// be a second recovery beside the first.
+func TestHomeDiesAndTheCallerAsksTwice(t *testing.T) {
+	f := newFixture(t)
+	seals := recovery(f)
+	f.accepts(seals["w1"])
+	s := f.submission(1, 1)
+	s.Ticket.ID.Incarnation, s.Recover = 3, true
+	f.ask(s)
+	f.accepts(seals["w2"])
+	b := f.takeBatch()
+	f.ask(s)
+	f.noBatch()
+	f.takeSeals()
+	f.reports(b, done(0))
+	f.takeAnswers(reason.Complete, reason.Complete, reason.Complete)
+}
+
+// Symptom: a cut-off failure domain serves nobody. Sequence: every link to other
+// entry VMs is lost; a fresh ticket is used. Cause would be waiting for someone
+// outside.
+func TestDomainCutOff(t *testing.T) {
+	f := newFixture(t)
+	f.h.OwnerLost("b", "cut off")
+	f.ask(f.submission(1, 1))
+	f.reports(f.takeBatch(), done(0))
+	f.takeSeals()
+	f.takeAnswers(reason.Complete)
+}
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -286,8 +286,9 @@
 
 func (ev cancelEvent) apply(h *Home) {
 	e := h.jobs[ev.id]
-	ev.reply(e != nil)
-	if e != nil {
+	known := e != nil && e.job.Superseded() == 0
+	ev.reply(known)
+	if known {
 		h.act(e, e.job.Cancel(h.now))
 		h.schedule(e)
 	}
