A cancelled submission ends within the settling bound

Cause: after a cancellation the home looked after the submission again at its deadline. With a silent owner the caller waited for that instead of SettleFor (250 ms).

Change: the job says when its next Tick is due.

Before/after: TestCancelledWhileTheOwnerIsSilent: no answer after 250 ms, now failed/cancelled.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -96,6 +96,19 @@
 	f.takeAnswers(reason.Failed)
 }
 
+// Symptom: a cancelled submission is answered only at its deadline. Sequence:
+// the owner is silent, the caller cancels. Cause: the home looked after the
+// submission again at its deadline, not at the bound on settling an end.
+func TestCancelledWhileTheOwnerIsSilent(t *testing.T) {
+	f := newFixture(t)
+	s := f.submission(1, 1)
+	f.ask(s)
+	f.h.Cancel(s.Ticket.ID, func(bool) {})
+	f.pass(0)
+	f.pass(f.h.cfg.Settings.SettleFor)
+	f.takeAnswers(reason.Failed)
+}
+
 // Symptom: tasks run twice. Sequence: the home is cut off and a recovering entry
 // VM starts its tasks; the home learns so and points its caller there; the caller
 // asks the home again. Cause: the home forgot the submission at once, took it for
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -122,7 +122,7 @@
 			h.due.push(e, h.now.Add(h.cfg.Settings.HoldBack))
 		}
 	}
-	next := e.sub.Deadline
+	next := e.job.Due()
 	if !h.now.Before(next) {
 		next = h.now.Add(h.cfg.Settings.Tick)
 	}
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -236,6 +236,14 @@
 	return a
 }
 
+// Due is when Tick has to be called next.
+func (j *Job) Due() time.Time {
+	if j.ending != nil {
+		return j.settle
+	}
+	return j.spec.Deadline
+}
+
 // owners lists those that hold tasks which may not have started.
 func (j *Job) owners() []string {
 	var out []string
