A submission ends with its ticket

Cause: the deadline could lie after the ticket's expiry. Workers drop their records 5 s after the expiry, so an owner's death after that made a task that had run look never started, and the end was "not run".

Change: the home cuts the deadline to the expiry. Ruled out: longer records at the workers, since no margin covers a deadline that has no bound against it.

Before/after: TestSubmissionEndsWithItsTicket: open after the expiry, now ended.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -109,6 +109,20 @@
 	f.takeAnswers(reason.Failed)
 }
 
+// Symptom: "not run" for a task that ran long ago. Sequence: a ticket is used
+// shortly before it expires, with a late deadline; the owner dies after the
+// expiry, when the worker has dropped its record. Cause: the submission outlived
+// what proves its starts.
+func TestSubmissionEndsWithItsTicket(t *testing.T) {
+	f := newFixture(t)
+	s := f.submission(1, 1)
+	s.Ticket.Expiry = f.now.Add(time.Second)
+	f.ask(s)
+	f.pass(time.Second)
+	f.pass(f.h.cfg.Settings.SettleFor)
+	f.takeAnswers(reason.Failed)
+}
+
 // Symptom: tasks run twice. Sequence: the home is cut off and a recovering entry
 // VM starts its tasks; the home learns so and points its caller there; the caller
 // asks the home again. Cause: the home forgot the submission at once, took it for
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -202,10 +202,15 @@
 	e.waiters = append(e.waiters, reply)
 }
 
-// accept drives a submission. One that is refused although its caller may have
+// accept drives a submission, until its ticket expires at the latest: workers
+// forget their records soon after, and an unanswered start could not be told
+// from one that never came. One that is refused although its caller may have
 // sent it before is driven to its end at once: another entry VM may have
 // recovered it, and "not run" has to be true.
 func (h *Home) accept(sub Submission, hash uint64, reply Reply, refusal *admission.Refusal) {
+	if sub.Ticket.Expiry.Before(sub.Deadline) {
+		sub.Deadline = sub.Ticket.Expiry
+	}
 	spec := job.Spec{
 		ID:        sub.Ticket.ID,
 		Account:   sub.Ticket.Account,
