Tasks leave a home whose own workers may not run them

Cause: the plan counts the own holder's free slots whether or not its workers are candidates of the submission. When all of them were restarted since the ticket was minted, the tasks waited at the home until the deadline although others could run them.

Change: what the plan leaves then goes to the least loaded owner that may run it, as it does when the home holds no workers.

Before/after: TestRestartedWorkerGetsNoMoreTasks: no batch, now one for the other owner.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -223,6 +223,23 @@
 	f.takeAnswers(reason.Complete, reason.Complete, reason.Complete)
 }
 
+// Symptom: tasks go back and forth until the deadline. Sequence: a candidate is
+// restarted while its old lease's tasks wait. Cause would be offering it the
+// tasks again, which it refuses for good.
+func TestRestartedWorkerGetsNoMoreTasks(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 1))
+	first := f.takeBatch()
+	if !slices.Equal(first.WorkerIncarnation, []uint64{11}) {
+		t.Fatalf("the batch names incarnations %v", first.WorkerIncarnation)
+	}
+	f.reports(first, refusedBy(reason.WorkerRestarted))
+	f.pass(f.h.cfg.Settings.HoldBack)
+	if second := f.takeBatch(); second.owner != "b" {
+		t.Fatalf("handed to %s again", second.owner)
+	}
+}
+
 // Symptom: a cut-off failure domain serves nobody. Sequence: every link to other
 // entry VMs is lost; a fresh ticket is used. Cause would be waiting for someone
 // outside.
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -155,7 +155,7 @@
 		away = away || m.Reason == spill.FreeAway
 	}
 	h.away = away
-	if e.job.Unassigned() > 0 && !own.usable() {
+	if e.job.Unassigned() > 0 && (!own.usable() || len(h.allowed(e, own)) == 0) {
 		h.giveAnywhere(e)
 	}
 	return e.job.Unassigned() == 0
@@ -205,7 +205,8 @@
 }
 
 // giveAnywhere hands tasks to the least loaded owner, when this entry VM holds
-// no workers: it just started, or its workers are all gone.
+// no workers that may run them: it just started, or its workers are all gone or
+// restarted. One would otherwise see the tasks wait here until their deadline.
 func (h *Home) giveAnywhere(e *entry) {
 	var best *owner
 	for _, o := range h.owners.all {
