--- a/internal/connection/upstream/control.go
+++ b/internal/connection/upstream/control.go
@@ -111,6 +111,11 @@
 		if err == nil {
 			return m, nil
 		}
+		if connect.CodeOf(err) == connect.CodeNotFound {
+			// The worker's word. Leaving the connection would break the calls
+			// of other submissions that wait on it.
+			return nil, err
+		}
 		last = err
 		c.leave(address, cl)
 		if ctx.Err() != nil {
