Failure tests: silent peer links, forwarded requests, a paused holder

Cause: nothing tried the links between entry VMs, nor a holder that wakes after its lease.

Change: over in-memory pipes in synctest bubbles: a silent link is left, its batch is not repeated on the new one, the owner ends the session; a forwarded request waits while heartbeats come and no longer. On the stand-in worker: late and doubled starts, and a heartbeat, under a lapsed lease.

--- /dev/null
+++ b/internal/connection/peer/silence_test.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
+	"github.com/pumiceyard/pumiceyard/internal/standin/pipe"
+)
+
+// entryVM is the other end: an owner that reports each task as done, and a home
+// that answers after a time.
+type entryVM struct {
+	joined, left int
+	offered      []uint64 // counters of submissions
+	answerAfter  time.Duration
+}
+
+func (o *entryVM) Join(holder.Session) bool                          { o.joined++; return true }
+func (o *entryVM) Leave(holder.Session)                              { o.left++ }
+func (o *entryVM) Withdraw(holder.Session, []*pb.SubmissionID)       {}
+func (o *entryVM) Advert() *pb.Advert                                { return &pb.Advert{Incarnation: 2} }
+func (o *entryVM) Cancel(*pb.CancelRequest) *pb.CancelResponse       { return &pb.CancelResponse{} }
+func (o *entryVM) Timeline(*pb.TimelineRequest) *pb.TimelineResponse { return &pb.TimelineResponse{} }
+func (o *entryVM) Offer(s holder.Session, groups []*pb.RunGroup) {
+	for _, g := range groups {
+		o.offered = append(o.offered, g.Submission.Counter)
+		s.Report(&pb.RunResponse{Results: []*pb.RunResult{{Submission: g.Submission, Generation: g.Generation}}})
+	}
+}
+
+func (o *entryVM) Submit(_ <-chan struct{}, m *pb.SubmitRequest) *pb.Answer {
+	time.Sleep(o.answerAfter)
+	return &pb.Answer{Outcome: "complete", Detail: m.Ticket}
+}
+
+// events keeps what a link reported, in order.
+type events struct{ seen []string }
+
+func (e *events) OwnerUp(string, uint64)             { e.seen = append(e.seen, "up") }
+func (e *events) Advert(string, *pb.Advert)          {}
+func (e *events) RunResults(string, []*pb.RunResult) { e.seen = append(e.seen, "results") }
+func (e *events) OwnerLost(_, why string)            { e.seen = append(e.seen, "lost: "+why) }
+
+func serve(t *testing.T) (*entryVM, *pipe.Network, Dial) {
+	o, n := &entryVM{}, pipe.New()
+	server := wire.NewServer(NewServer(Defaults(), "secret", Identity{Name: "b", Incarnation: 2}, o, o).Handler(), nil)
+	go func() { _ = server.Serve(n) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return o, n, Dial{Dialer: n.Dial, Token: "secret"}
+}
+
+func batchOf(counter uint64) *pb.RunRequest {
+	return &pb.RunRequest{Groups: []*pb.RunGroup{{Submission: &pb.SubmissionID{Counter: counter}}}}
+}
+
+// Symptom: tasks wait at an owner that nobody hears, or run twice. Sequence: the
+// link falls silent for good with a batch under way; new connections work. Cause
+// would be waiting on the old link, sending its batch again on the new one, or an
+// owner that keeps the session.
+func TestSilentLinkIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, n, dial := serve(t)
+		e, s := &events{}, Defaults()
+		l := StartLink(s, Target{Name: "b", Address: "b:1", Incarnation: 2}, Identity{Name: "a", Incarnation: 1}, dial, e)
+		defer l.Stop()
+		synctest.Wait()
+		l.Send(batchOf(1))
+		synctest.Wait()
+		n.Silence()
+		l.Send(batchOf(2))
+		time.Sleep(2 * s.Silence)
+		l.Send(batchOf(3))
+		synctest.Wait()
+		want := []string{"up", "results", "lost: silent", "up", "results"}
+		if len(e.seen) != len(want) {
+			t.Fatalf("events %v, want %v", e.seen, want)
+		}
+		for i := range want {
+			if e.seen[i] != want[i] {
+				t.Fatalf("events %v, want %v", e.seen, want)
+			}
+		}
+		if len(o.offered) != 2 || o.offered[1] != 3 || o.joined != 2 || o.left != 1 {
+			t.Fatalf("offered %v, %d sessions, %d ended", o.offered, o.joined, o.left)
+		}
+	})
+}
+
+// Symptom: a caller hangs, or a slow answer is taken for a dead home. Sequence: a
+// forwarded request takes long; the connection of the next one falls silent.
+// Cause would be a bound on the whole wait, or none on the silence.
+func TestForwardedRequestWaitsWhileHeartbeatsCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, n, dial := serve(t)
+		s := Defaults()
+		o.answerAfter = 10 * s.Silence
+		c := NewCalls(s, dial)
+		defer c.Close()
+		if a, err := c.Submit(context.Background(), "b:1", &pb.SubmitRequest{Ticket: "one"}); err != nil || a.Detail != "one" {
+			t.Fatalf("answer %v, %v", a, err)
+		}
+		time.AfterFunc(s.Beat, n.Silence)
+		if _, err := c.Submit(context.Background(), "b:1", &pb.SubmitRequest{Ticket: "two"}); err == nil {
+			t.Fatal("an answer came over a silent connection")
+		}
+		if a, err := c.Submit(context.Background(), "b:1", &pb.SubmitRequest{Ticket: "two"}); err != nil || a.Detail != "two" || n.Dials() != 2 {
+			t.Fatalf("answer %v, %v after %d connections", a, err, n.Dials())
+		}
+	})
+}
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -76,3 +76,26 @@
 		t.Fatal("the question left a record")
 	}
 }
+
+// Symptom: a task runs under a holder that lost the worker. Sequence: a holder is
+// paused past its lease, another one gets the lease, the first wakes and sends
+// starts, doubled, and a heartbeat. Cause would be judging the lease on the
+// holder's clock, or renewing a lapsed one.
+func TestPausedHolderWakesAndSends(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		w, old := held(t)
+		later := now.Add(2 * time.Second)
+		if taken {
+			w.acquire(later, &pb.Acquire{EntryVm: "vm2", Incarnation: 2, TtlMillis: 1000})
+		}
+		late := &pb.HoldRequest{Epoch: old.epoch, Starts: []*pb.StartGroup{startOf(7)}}
+		w.take(later, old, late)
+		w.take(later, old, late)
+		if w.take(later, old, &pb.HoldRequest{Epoch: old.epoch, Beat: 1}) {
+			t.Error("a lapsed lease was renewed")
+		}
+		if _, starts, _ := w.Starts(); starts != 0 {
+			t.Errorf("%d starts under a lapsed lease, taken by another: %v", starts, taken)
+		}
+	}
+}
