--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -43,7 +43,8 @@
 	jobs   map[ticket.ID]*entry
 	open   int
 	owners *ownerSet
-	due    dueQueue // entries by the time they want attention
+	sets   map[uint64]*candidateSet // by digest
+	due    dueQueue                 // entries by the time they want attention
 	kept   retention
 	out    map[string]*pb.RunRequest // messages of this round, by owner
 	now    time.Time
@@ -51,6 +52,7 @@
 	admission *admission.Controller
 	load      load
 	peers     []spill.Peer // reused
+	stamps    uint64       // of owners' workers
 	away      bool         // the last plan sent tasks to other failure domains
 }
 
@@ -58,9 +60,9 @@
 type entry struct {
 	job        *job.Job
 	sub        Submission
-	hash       uint64            // of the inputs
-	candidates map[string]uint64 // incarnations of the workers, by id
-	restarted  map[string]bool   // candidates that refused because of a new one
+	hash       uint64 // of the template and the inputs
+	candidates *candidateSet
+	restarted  map[string]bool // candidates that refused because of a new incarnation
 	waiters    []Reply
 	accepted   time.Time
 	holdUntil  time.Time
@@ -81,6 +83,7 @@
 		events: ring.New[event](cfg.Settings.Ring),
 		jobs:   make(map[ticket.ID]*entry),
 		owners: newOwnerSet(cfg.Name, cfg.Domain),
+		sets:   make(map[uint64]*candidateSet),
 		kept:   retention{limit: cfg.Settings.RetainBytes},
 		out:    make(map[string]*pb.RunRequest),
 
@@ -158,7 +161,7 @@
 
 func (ev submitEvent) apply(h *Home) {
 	id := ev.sub.Ticket.ID
-	hash := hashInputs(ev.sub.Inputs)
+	hash := hashWork(ev.sub.Template, ev.sub.Inputs)
 	if e := h.jobs[id]; e != nil && !h.abandoned(e) {
 		h.attach(e, hash, ev.reply)
 		return
@@ -192,7 +195,7 @@
 
 func (h *Home) attach(e *entry, hash uint64, reply Reply) {
 	if hash != e.hash {
-		reply(&job.Answer{Outcome: reason.Unknown, Reason: reason.PayloadMismatch, Detail: "the ticket was used before with other tasks: this request was not run, the earlier one is not affected"})
+		reply(&job.Answer{Outcome: reason.Unknown, Reason: reason.PayloadMismatch, Detail: "the ticket was used before with another template or other tasks: this request was not run, the earlier one is not affected"})
 		return
 	}
 	if a := e.job.Answer(); a != nil {
@@ -211,6 +214,7 @@
 	if sub.Ticket.Expiry.Before(sub.Deadline) {
 		sub.Deadline = sub.Ticket.Expiry
 	}
+	set := h.candidates(&sub)
 	spec := job.Spec{
 		ID:        sub.Ticket.ID,
 		Account:   sub.Ticket.Account,
@@ -219,20 +223,17 @@
 		Expiry:    sub.Ticket.Expiry,
 		Deadline:  sub.Deadline,
 		Revision:  sub.Revision,
-		Closers:   h.owners.closers(sub.Candidates),
+		Closers:   h.owners.closers(set.ids),
 		SettleFor: h.cfg.Settings.SettleFor,
 	}
 	e := &entry{
 		sub:        sub,
 		hash:       hash,
-		candidates: make(map[string]uint64, len(sub.Candidates)),
+		candidates: set,
 		waiters:    []Reply{reply},
 		accepted:   h.now,
 		tasks:      len(sub.Inputs),
 	}
-	for _, w := range sub.Candidates {
-		e.candidates[w.ID] = w.Incarnation
-	}
 	var used ticket.Generation
 	if old := h.jobs[sub.Ticket.ID]; old != nil {
 		used = old.job.Generation()
@@ -253,27 +254,21 @@
 		return
 	}
 	var a job.Actions
-	e.job, a = job.Recover(spec, h.cfg.Incarnation, sub.candidateIDs(), sub.Incomplete, used)
+	e.job, a = job.Recover(spec, h.cfg.Incarnation, e.candidates.ids, sub.Incomplete, used)
 	h.step(e, "recovering", reason.HomeUnreachable, "asking all candidates what has started")
 	h.act(e, a)
 	h.schedule(e)
 }
 
-// candidateIDs names the candidates.
-func (s *Submission) candidateIDs() []string {
-	ids := make([]string, len(s.Candidates))
-	for i, w := range s.Candidates {
-		ids[i] = w.ID
-	}
-	return ids
-}
-
-func hashInputs(inputs [][]byte) uint64 {
+// hashWork tells submissions of different work apart: the same tasks under
+// another template are other work.
+func hashWork(template string, inputs [][]byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
+	_, _ = d.WriteString(template)
 	for _, in := range inputs {
-		_, _ = d.Write(in)
 		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(in)
 	}
 	return d.Sum64()
 }
@@ -302,13 +297,20 @@
 // attachEvent waits for the answer of a known submission.
 type attachEvent struct {
 	id    ticket.ID
+	hash  uint64 // 0: whatever its work
 	reply Reply
 }
 
 // Attach waits for a submission's answer without being able to start it. The
 // reply is nil when the submission is not known here.
 func (h *Home) Attach(id ticket.ID, reply Reply) bool {
-	return h.events.TryPush(attachEvent{id, reply})
+	return h.events.TryPush(attachEvent{id: id, reply: reply})
+}
+
+// AttachWork is Attach for a caller that names the work. Other work under the
+// same ticket is told so, and never given the answer.
+func (h *Home) AttachWork(id ticket.ID, template string, inputs [][]byte, reply Reply) bool {
+	return h.events.TryPush(attachEvent{id, hashWork(template, inputs), reply})
 }
 
 func (ev attachEvent) apply(h *Home) {
@@ -317,7 +319,11 @@
 		ev.reply(nil)
 		return
 	}
-	h.attach(e, e.hash, ev.reply)
+	hash := ev.hash
+	if hash == 0 {
+		hash = e.hash
+	}
+	h.attach(e, hash, ev.reply)
 }
 
 type busyEvent struct{ answer chan bool }
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -8,7 +8,6 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
-	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 	"github.com/pumiceyard/pumiceyard/internal/process/spill"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 )
@@ -18,7 +17,8 @@
 	name        string
 	incarnation uint64
 	domain      string
-	version     uint64 // of workers
+	version     uint64 // of workers, counted by the owner
+	stamp       uint64 // of workers, unique over all owners and links
 	workers     []string
 	slots       int
 	free        int
@@ -86,23 +86,23 @@
 
 // closers picks candidates to record an end at, those held here first: their
 // connections work.
-func (s *ownerSet) closers(candidates []ownership.WorkerRef) []string {
+func (s *ownerSet) closers(candidates []string) []string {
 	var out []string
 	self := s.byName[s.self]
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			return out
 		}
-		if self != nil && slices.Contains(self.workers, c.ID) {
-			out = append(out, c.ID)
+		if self != nil && slices.Contains(self.workers, c) {
+			out = append(out, c)
 		}
 	}
 	for _, c := range candidates {
 		if len(out) == maxClosers {
 			break
 		}
-		if !slices.Contains(out, c.ID) {
-			out = append(out, c.ID)
+		if !slices.Contains(out, c) {
+			out = append(out, c)
 		}
 	}
 	return out
@@ -143,7 +143,7 @@
 		Away:      h.away,
 	}
 	moves := spill.Plan(h.cfg.Settings.Spill, load, h.peerLoads(), e.job.Unassigned(), func(peer string) bool {
-		return len(h.allowed(e, h.owners.get(peer))) > 0
+		return len(e.allowed(h.owners.get(peer))) > 0
 	})
 	away := false
 	for _, m := range moves {
@@ -155,7 +155,7 @@
 		away = away || m.Reason == spill.FreeAway
 	}
 	h.away = away
-	if e.job.Unassigned() > 0 && (!own.usable() || len(h.allowed(e, own)) == 0) {
+	if e.job.Unassigned() > 0 && (!own.usable() || len(e.allowed(own)) == 0) {
 		h.giveAnywhere(e)
 	}
 	return e.job.Unassigned() == 0
@@ -210,7 +210,7 @@
 func (h *Home) giveAnywhere(e *entry) {
 	var best *owner
 	for _, o := range h.owners.all {
-		if o.usable() && len(h.allowed(e, o)) > 0 && (best == nil || o.load() < best.load()) {
+		if o.usable() && len(e.allowed(o)) > 0 && (best == nil || o.load() < best.load()) {
 			best = o
 		}
 	}
@@ -221,31 +221,14 @@
 
 func (o *owner) usable() bool { return o.up && !o.draining && len(o.workers) > 0 }
 
-// allowed returns the owner's workers that are candidates of the submission.
-func (h *Home) allowed(e *entry, o *owner) []string {
-	all := true
-	for _, w := range o.workers {
-		if !e.mayUse(w) {
-			all = false
-			break
-		}
-	}
-	if all {
-		return o.workers
+// allowed returns the owner's workers that are candidates of the submission and
+// were not restarted since.
+func (e *entry) allowed(o *owner) []string {
+	held := e.candidates.heldBy(o)
+	if len(e.restarted) == 0 {
+		return held
 	}
-	var out []string
-	for _, w := range o.workers {
-		if e.mayUse(w) {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
-// mayUse reports whether a worker is a candidate that was not restarted since.
-func (e *entry) mayUse(worker string) bool {
-	_, ok := e.candidates[worker]
-	return ok && !e.restarted[worker]
+	return slices.DeleteFunc(slices.Clone(held), func(w string) bool { return e.restarted[w] })
 }
 
 // give hands up to n tasks of an entry to an owner, and returns how many.
@@ -253,7 +236,7 @@
 	if !o.usable() {
 		return 0
 	}
-	allowed := h.allowed(e, o)
+	allowed := e.allowed(o)
 	given := 0
 	for given < n {
 		indexes := e.job.Assign(o.name, allowed, min(n-given, h.cfg.Settings.GroupTasks))
@@ -299,7 +282,7 @@
 func (e *entry) incarnations(workers []string) []uint64 {
 	out := make([]uint64, len(workers))
 	for i, w := range workers {
-		out[i] = e.candidates[w]
+		out[i] = e.candidates.incarnations[w]
 	}
 	return out
 }
@@ -343,6 +326,8 @@
 		return
 	}
 	o.version = ev.m.WorkersVersion
+	h.stamps++
+	o.stamp = h.stamps
 	o.workers = make([]string, len(ev.m.Workers))
 	for i, w := range ev.m.Workers {
 		o.workers[i] = w.Id
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -41,7 +41,7 @@
 // Handler serves the worker's interface.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
-	path, handler := pumiceyardv1connect.NewWorkerServiceHandler(w)
+	path, handler := pumiceyardv1connect.NewWorkerServiceHandler(w, wire.HandlerOptions()...)
 	mux.Handle(path, handler)
 	return mux
 }
@@ -269,7 +269,7 @@
 	}
 	id := wire.ID(m.Submission)
 	sub := w.submission(id, m.ExpiryUnixMillis)
-	resp := &pb.SealResponse{Results: sub.results(w.cfg.ID), Closed: sub.closed}
+	resp := &pb.SealResponse{Results: sub.results(), Closed: sub.closed}
 	if want := wire.Generation(m.Generation); !want.Less(sub.sealed) {
 		sub.sealed = want
 		resp.Sealed = true
@@ -281,10 +281,10 @@
 	return connect.NewResponse(resp), nil
 }
 
-func (s *submission) results(worker string) []*pb.TaskResult {
+func (s *submission) results() []*pb.TaskResult {
 	out := make([]*pb.TaskResult, 0, len(s.tasks))
 	for index, t := range s.tasks {
-		out = append(out, t.result(index, worker))
+		out = append(out, t.result(index))
 	}
 	return out
 }
@@ -334,7 +334,7 @@
 			return nil, nil, errNoRecord
 		}
 		if t.state != pb.TaskState_TASK_STATE_RUNNING {
-			out = append(out, t.result(index, w.cfg.ID))
+			out = append(out, t.result(index))
 		}
 	}
 	return out, sub.changed, nil
