One start of a task under way to a worker at a time

Cause: the holder knows a start by submission, index and worker, and results name no more. With two starts of a task under way to one worker (the home's, and that of an entry VM that recovers) the refusal of the first passed for that of the second. A "busy" refusal then let the second home place the task elsewhere while its start could still be accepted: a second start. It also freed the wrong slot.

Change: the second start is held back, told as duplicate_task of that worker, so that its home asks the worker above both generations. Ruled out: generations in results, which every result of every task would carry.

Before/after: TestSecondStartOfATaskUnderWayIsHeldBack: 2 starts under way, now 1.

--- /dev/null
+++ b/internal/process/holder/holder_test.go
@@ -0,0 +1,114 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
+)
+
+var now = time.Unix(1000, 0)
+
+// home is a session that keeps its results.
+type home struct{ results []*pb.TaskResult }
+
+func (s *home) Took(int)         {}
+func (s *home) HomeName() string { return "home" }
+func (s *home) Report(m *pb.RunResponse) {
+	for _, r := range m.Results {
+		s.results = append(s.results, r.Results...)
+	}
+}
+
+// workers keeps what is sent, and hears of starts.
+type workers struct{ sent []*pb.HoldRequest }
+
+func (w *workers) Send(_ string, m *pb.HoldRequest) bool {
+	w.sent = append(w.sent, m)
+	return true
+}
+func (w *workers) Started(string, string, int, time.Duration)   {}
+func (w *workers) Ended(string, string, string, *pb.TaskResult) {}
+
+// starts is the number of tasks sent to workers.
+func (w *workers) starts() (n int) {
+	for _, m := range w.sent {
+		for _, g := range m.Starts {
+			n += len(g.Index)
+		}
+	}
+	return n
+}
+
+func newHolder() (*Holder, *workers) {
+	w := &workers{}
+	h := New(Config{
+		Settings: Defaults(), Domain: "brno", Workers: w, Observer: w, Timelines: timeline.NewStore(10),
+		Rack:  func(string) string { return "r1" },
+		Class: func(string) fairness.Class { return 0 },
+	})
+	h.Granted("w1", &pb.Granted{Epoch: 1, Capacity: &pb.Resources{Slots: 8}})
+	h.round(now)
+	h.placer.SetTier("w1", placement.Healthy)
+	return h, w
+}
+
+func group(author uint64) []*pb.RunGroup {
+	return []*pb.RunGroup{{
+		Submission: &pb.SubmissionID{Counter: 1}, Generation: &pb.Generation{Author: author},
+		Template: "check", DeadlineMillis: 10_000, Index: []uint32{0}, Input: [][]byte{nil},
+		Workers: []string{"w1"}, Each: &pb.Resources{Slots: 1}, ExpectedMicros: 1000,
+	}}
+}
+
+// Symptom: a task runs on two workers. Sequence: the home's start is under way to
+// a worker when the home dies; the entry VM that recovers hands the same task to
+// the same owner, whose stream is slower than the recovery's call; the worker
+// refuses the first start as busy. Cause: the owner took that for the refusal of
+// the second start, which was still under way and could begin.
+func TestSecondStartOfATaskUnderWayIsHeldBack(t *testing.T) {
+	h, w := newHolder()
+	first, second := &home{}, &home{}
+	h.Offer(first, group(1))
+	h.round(now)
+	h.Offer(second, group(2))
+	h.round(now)
+	if w.starts() != 1 {
+		t.Fatalf("%d starts of one task are under way to one worker", w.starts())
+	}
+	if len(second.results) != 1 || second.results[0].Reason != string(reason.DuplicateTask) || second.results[0].Worker != "w1" {
+		t.Fatalf("the second home got %v", second.results)
+	}
+	h.Results("w1", []*pb.ResultGroup{{Submission: &pb.SubmissionID{Counter: 1}, Results: []*pb.TaskResult{notRun(0, reason.WorkerBusy, "")}}})
+	h.round(now)
+	if len(first.results) != 1 || len(second.results) != 1 {
+		t.Fatalf("results %v and %v, want one each", first.results, second.results)
+	}
+	if free := h.placer.FreeSlots(); free != 8 {
+		t.Fatalf("%d free slots, want all 8", free)
+	}
+}
+
+// Symptom: tasks wait or run that nobody asks for. Sequence: a home dies with a
+// task waiting and one running; its session ends. Cause would be an owner that
+// starts what waits, or reports to a session that ended.
+func TestHomeLeaves(t *testing.T) {
+	h, w := newHolder()
+	s := &home{}
+	h.Offer(s, group(1))
+	h.round(now)
+	late := group(1)
+	late[0].Index[0] = 1
+	h.Offer(s, late)
+	h.Leave(s)
+	h.round(now)
+	h.Results("w1", []*pb.ResultGroup{{Submission: late[0].Submission, Results: []*pb.TaskResult{{State: pb.TaskState_TASK_STATE_DONE}}}})
+	h.round(now)
+	if w.starts() != 1 || len(s.results) != 0 || h.placer.FreeSlots() != 8 {
+		t.Fatalf("%d starts, results %v, %d free slots", w.starts(), s.results, h.placer.FreeSlots())
+	}
+}
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -168,11 +168,13 @@
 		return
 	}
 	started := 0
+	var held []heldBack
 	for _, a := range placed {
-		h.start(pick.Key, g, a)
+		held = append(held, h.start(pick.Key, g, a)...)
 		started += a.Count
 	}
 	h.order.Start(h.now, pick.Key, started)
+	h.giveBack(pick.Key, g, held)
 	h.took(pick.Key, w, started)
 	h.cfg.Observer.Started(g.m.Account, g.m.Template, started, h.now.Sub(g.received))
 	h.cfg.Timelines.Add(pick.Key.id, timeline.Step{
@@ -195,31 +197,81 @@
 	}
 }
 
-// start adds the next tasks of a batch to this round's message to a worker.
-func (h *Holder) start(key workKey, g *waitingGroup, a placement.Assignment) {
+// heldBack is a task that was placed on a worker where another start of it is
+// under way.
+type heldBack struct {
+	worker *worker
+	index  uint32
+}
+
+// start adds the next tasks of a batch to this round's message to a worker, and
+// returns those that it holds back: a result names its task only, so of two
+// starts at one worker the refusal of the first would pass for that of the
+// second, and the task could start there after its home gave it to another.
+func (h *Holder) start(key workKey, g *waitingGroup, a placement.Assignment) []heldBack {
 	w := h.workers[a.Worker]
+	until := g.next + a.Count
+	index, input := g.m.Index[g.next:until], g.m.Input[g.next:until]
+	g.next = until
+	held := underWay(w, key, index)
+	if len(held) > 0 {
+		index, input = without(held, index, input)
+	}
+	if len(index) == 0 {
+		return held
+	}
 	m := h.starts[a.Worker]
 	if m == nil {
 		m = &pb.HoldRequest{Epoch: w.epoch}
 		h.starts[a.Worker] = m
 	}
-	until := g.next + a.Count
 	m.Starts = append(m.Starts, &pb.StartGroup{
 		Submission:       g.m.Submission,
 		Generation:       g.m.Generation,
 		ExpiryUnixMillis: g.m.ExpiryUnixMillis,
 		Template:         g.m.Template,
 		Each:             g.m.Each,
-		Index:            g.m.Index[g.next:until],
-		Input:            g.m.Input[g.next:until],
+		Index:            index,
+		Input:            input,
 
 		WorkerIncarnation: incarnation(g.m, a.Worker),
 	})
-	for _, index := range g.m.Index[g.next:until] {
-		w.flights[taskKey{key.id, index}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
+	for _, i := range index {
+		w.flights[taskKey{key.id, i}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
 		h.health.Started(h.now, w.id, g.m.Template, g.expected)
 	}
-	g.next = until
+	return held
+}
+
+// underWay returns the tasks of which a start at the worker has no end yet.
+func underWay(w *worker, key workKey, index []uint32) []heldBack {
+	var held []heldBack
+	for _, i := range index {
+		if _, ok := w.flights[taskKey{key.id, i}]; ok {
+			held = append(held, heldBack{w, i})
+		}
+	}
+	return held
+}
+
+func without(held []heldBack, index []uint32, input [][]byte) (restIndex []uint32, restInput [][]byte) {
+	for n, i := range index {
+		if !slices.ContainsFunc(held, func(b heldBack) bool { return b.index == i }) {
+			restIndex = append(restIndex, i)
+			restInput = append(restInput, input[n])
+		}
+	}
+	return restIndex, restInput
+}
+
+// giveBack frees the places of tasks that were held back. Their home is told as
+// the worker would: it asks the worker above the generation of both starts.
+func (h *Holder) giveBack(key workKey, g *waitingGroup, held []heldBack) {
+	for _, b := range held {
+		h.placer.Free(b.worker.id, g.each, 1)
+		h.order.Finish(h.now, key, 1, 0, 0)
+		h.report(key.session, key.id, g.m.Generation, notRun(b.index, reason.DuplicateTask, b.worker.id))
+	}
 }
 
 // incarnation is the one that the home knows of a worker, 0 when it does not say.
