--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -62,6 +62,7 @@
 	sub        Submission
 	hash       uint64 // of the template and the inputs
 	candidates *candidateSet
+	restarted  map[string]bool // candidates that refused because of a new incarnation
 	waiters    []Reply
 	accepted   time.Time
 	holdUntil  time.Time
@@ -204,10 +205,15 @@
 	e.waiters = append(e.waiters, reply)
 }
 
-// accept drives a submission. One that is refused although its caller may have
+// accept drives a submission, until its ticket expires at the latest: workers
+// forget their records soon after, and an unanswered start could not be told
+// from one that never came. One that is refused although its caller may have
 // sent it before is driven to its end at once: another entry VM may have
 // recovered it, and "not run" has to be true.
 func (h *Home) accept(sub Submission, hash uint64, reply Reply, refusal *admission.Refusal) {
+	if sub.Ticket.Expiry.Before(sub.Deadline) {
+		sub.Deadline = sub.Ticket.Expiry
+	}
 	set := h.candidates(&sub)
 	spec := job.Spec{
 		ID:        sub.Ticket.ID,
@@ -280,8 +286,9 @@
 
 func (ev cancelEvent) apply(h *Home) {
 	e := h.jobs[ev.id]
-	ev.reply(e != nil)
-	if e != nil {
+	known := e != nil && e.job.Superseded() == 0
+	ev.reply(known)
+	if known {
 		h.act(e, e.job.Cancel(h.now))
 		h.schedule(e)
 	}
--- a/internal/process/home/schedule.go
+++ b/internal/process/home/schedule.go
@@ -122,7 +122,7 @@
 			h.due.push(e, h.now.Add(h.cfg.Settings.HoldBack))
 		}
 	}
-	next := e.sub.Deadline
+	next := e.job.Due()
 	if !h.now.Before(next) {
 		next = h.now.Add(h.cfg.Settings.Tick)
 	}
@@ -144,7 +144,7 @@
 		Away:      h.away,
 	}
 	moves := spill.Plan(h.cfg.Settings.Spill, load, h.peerLoads(each), e.job.Unassigned(), func(peer string) bool {
-		return len(e.candidates.heldBy(h.owners.get(peer))) > 0
+		return len(e.allowed(h.owners.get(peer))) > 0
 	})
 	away := false
 	for _, m := range moves {
@@ -156,7 +156,7 @@
 		away = away || m.Reason == spill.FreeAway
 	}
 	h.away = away
-	if e.job.Unassigned() > 0 && !own.usable() {
+	if e.job.Unassigned() > 0 && (!own.usable() || len(e.allowed(own)) == 0) {
 		h.giveAnywhere(e)
 	}
 	return e.job.Unassigned() == 0
@@ -206,11 +206,12 @@
 }
 
 // giveAnywhere hands tasks to the least loaded owner, when this entry VM holds
-// no workers: it just started, or its workers are all gone.
+// no workers that may run them: it just started, or its workers are all gone or
+// restarted. One would otherwise see the tasks wait here until their deadline.
 func (h *Home) giveAnywhere(e *entry) {
 	var best *owner
 	for _, o := range h.owners.all {
-		if o.usable() && len(e.candidates.heldBy(o)) > 0 && (best == nil || o.load() < best.load()) {
+		if o.usable() && len(e.allowed(o)) > 0 && (best == nil || o.load() < best.load()) {
 			best = o
 		}
 	}
@@ -221,12 +222,22 @@
 
 func (o *owner) usable() bool { return o.up && !o.draining && len(o.workers) > 0 }
 
+// allowed returns the owner's workers that are candidates of the submission and
+// were not restarted since.
+func (e *entry) allowed(o *owner) []string {
+	held := e.candidates.heldBy(o)
+	if len(e.restarted) == 0 {
+		return held
+	}
+	return slices.DeleteFunc(slices.Clone(held), func(w string) bool { return e.restarted[w] })
+}
+
 // give hands up to n tasks of an entry to an owner, and returns how many.
 func (h *Home) give(e *entry, o *owner, n int, why reason.Code) int {
 	if !o.usable() {
 		return 0
 	}
-	allowed := e.candidates.heldBy(o)
+	allowed := e.allowed(o)
 	given := 0
 	for given < n {
 		indexes := e.job.Assign(o.name, allowed, min(n-given, h.cfg.Settings.GroupTasks))
@@ -263,9 +274,20 @@
 		Index:            indexes,
 		Input:            inputs,
 		Workers:          workers,
+
+		WorkerIncarnation: e.incarnations(workers),
 	}
 }
 
+// incarnations returns those that the ticket's candidates had.
+func (e *entry) incarnations(workers []string) []uint64 {
+	out := make([]uint64, len(workers))
+	for i, w := range workers {
+		out[i] = e.candidates.incarnations[w]
+	}
+	return out
+}
+
 // advertEvent describes an owner.
 type advertEvent struct {
 	owner string
