Callers that do not read their answer are left

Cause: a caller that stopped reading in the middle of a large answer kept a goroutine and the answer until the kernel gave up.

Change: a write deadline of 30 s that starts with the first write of an answer, so that the wait for it does not count.

Conclusion: bounded in both directions, body and answer.

--- a/internal/connection/caller/doc.go
+++ b/internal/connection/caller/doc.go
@@ -38,6 +38,8 @@
 	MaxTickets   int // in one batch
 	// BodyTimeout bounds the time for which one request's body may take to come.
 	BodyTimeout time.Duration
+	// WriteTimeout bounds the time for which a caller may take to read an answer.
+	WriteTimeout time.Duration
 	// Wait bounds one GET; the caller asks again afterwards.
 	Wait time.Duration
 }
@@ -50,6 +52,7 @@
 		MaxDepth:     32,
 		MaxTickets:   256,
 		BodyTimeout:  10 * time.Second,
+		WriteTimeout: 30 * time.Second,
 		Wait:         25 * time.Second,
 	}
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -42,7 +42,7 @@
 	m.HandleFunc(submissionPath+"{ticket}/timeline", s.authenticated(s.timeline)).Methods(http.MethodGet)
 	m.NotFoundHandler = problemHandler(http.StatusNotFound, "no such path")
 	m.MethodNotAllowedHandler = problemHandler(http.StatusMethodNotAllowed, "method not allowed here")
-	return m
+	return s.boundWrites(m)
 }
 
 func problemHandler(status int, detail string) http.Handler {
--- /dev/null
+++ b/internal/connection/caller/write.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+)
+
+// boundWrites bounds the time for which a caller may take to read an answer.
+//
+// What goes wrong otherwise: a caller stops reading, or its connection goes
+// silent, in the middle of a large answer; its goroutine and the answer stay
+// until the kernel gives up after many minutes, and one would see both grow. The
+// wait for the answer does not count: the time starts with the first write.
+func (s *Server) boundWrites(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A connection that is used again still has the last answer's deadline.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		next.ServeHTTP(&boundedWriter{ResponseWriter: w, timeout: s.settings.WriteTimeout}, r)
+	})
+}
+
+// boundedWriter starts the write deadline with the first write.
+type boundedWriter struct {
+	http.ResponseWriter
+	timeout time.Duration
+	started bool
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *boundedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *boundedWriter) WriteHeader(status int) {
+	w.start()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *boundedWriter) Write(b []byte) (int, error) {
+	w.start()
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *boundedWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.timeout))
+}
