--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -368,8 +369,8 @@
 // Tickets fetches new tickets from the first endpoint that gives any.
 func (c *Client) Tickets(ctx context.Context, count int) ([]Ticket, error) {
 	var last error
-	for range *c.pools.Load() {
-		tickets, err := c.next(nil).fetch(ctx, count)
+	for _, p := range c.inTurn() {
+		tickets, err := p.fetch(ctx, count)
 		if err == nil {
 			return tickets, nil
 		}
@@ -378,6 +379,15 @@
 	return nil, &NoTicketError{Cause: last}
 }
 
+// inTurn returns all endpoints once, beginning with the next in turn. Taking
+// turns one by one instead could give a caller the same broken endpoint each
+// time, when others take turns in between.
+func (c *Client) inTurn() []*pool {
+	pools := *c.pools.Load()
+	start := int(c.turn.Add(1) % uint64(len(pools)))
+	return append(slices.Clone(pools[start:]), pools[:start]...)
+}
+
 // next takes turns over the endpoints, passing over the one that is given.
 func (c *Client) next(but *pool) *pool {
 	pools := *c.pools.Load()
--- a/client/pool.go
+++ b/client/pool.go
@@ -36,8 +36,7 @@
 // ticket takes one from the next endpoint that has any, and returns which.
 func (c *Client) ticket(ctx context.Context) (string, *pool, error) {
 	var last error
-	for range *c.pools.Load() {
-		p := c.next(nil)
+	for _, p := range c.inTurn() {
 		token, err := p.take(ctx)
 		if err == nil {
 			return token, p, nil
