--- a/internal/tool/advice/advice.go
+++ b/internal/tool/advice/advice.go
@@ -24,11 +24,12 @@
 	Spill    Group = "Which entry VM gets tasks"
 	Health   Group = "Why a worker has its tier"
 	Power    Group = "Why watts move"
+	Member   Group = "Why an entry VM is in doubt"
 )
 
 // Groups lists the groups in the order in which they are printed.
 func Groups() []Group {
-	return []Group{Refused, Ended, Step, Operator, Placing, Order, Spill, Health, Power}
+	return []Group{Refused, Ended, Step, Operator, Placing, Order, Spill, Health, Power, Member}
 }
 
 // Entry explains one code.
--- a/internal/tool/advice/entries.go
+++ b/internal/tool/advice/entries.go
@@ -106,4 +106,12 @@
 	{Power, "lease_lapsed", "a worker's lease was lost with its watts", "nothing: they come back with the lease"},
 	{Power, "lease_given", "a lease was handed over with its watts", "nothing"},
 	{Power, "lease_taken", "a lease was acquired with its watts", "nothing"},
+	{Member, "never_heard", "listed by the platform, and no sign of it yet", "wait; if it lasts, look at its start"},
+	{Member, "silent_to_several", "another member of its failure domain does not hear it either", "nothing: its workers are taken over; replace the VM if it does not come back"},
+	{Member, "silent_here_only", "another member hears it", "look at the network between the two VMs"},
+	{Member, "silent_no_witness", "silent for long, and nobody to ask", "look at the VM and at the network of the failure domain"},
+	{Member, "silent_and_unlisted", "silent, and the platform's list dropped it", "nothing: it is gone"},
+	{Member, "suspected_by_its_domain", "its own failure domain does not hear it", "nothing: as silent_to_several"},
+	{Member, "domain_unreachable", "nothing is heard of its whole failure domain", "see the page on a domain that is cut off"},
+	{Member, "missing_from_its_domain", "its failure domain no longer names it", "nothing: it is gone"},
 }
