Benchmark what one killed entry VM or worker does to the jobs under way

Cause: recovery was seen in the demo only. Change: BenchmarkKillEntryVM and BenchmarkKillWorker at Tsagaan Shavar's size; worker stand-ins count control calls.

--- /dev/null
+++ b/internal/standin/site/kill_bench_test.go
@@ -0,0 +1,234 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+const killKey = "kill-key-for-tests"
+
+// killSite is a site of Tsagaan Shavar's size whose tasks run as long as their
+// input says, in microseconds.
+func killSite(b *testing.B) (*Site, *client.Client) {
+	b.Helper()
+	opt := Defaults([]string{"d1", "d2", "d3", "d4"})
+	opt.Behaviour = func(_ string, input []byte) worker.Outcome {
+		var micros int64
+		_ = json.Unmarshal(input, &micros)
+		return worker.Outcome{Run: time.Duration(micros) * time.Microsecond, Output: input}
+	}
+	s, err := Start(opt)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	doc := &document.Document{
+		Templates: []document.Template{{
+			Name: "t", Class: document.Normal, Idempotent: true,
+			Declared:       document.Declared{Slots: 1, MilliCPU: 100, MemoryMiB: 16, Milliwatts: 1000, RunMillis: 100},
+			DeadlineMillis: 30_000, MaxTasks: 920,
+		}},
+		Accounts: []document.Account{{Name: "a", Weight: 1, KeyHashes: []string{document.KeyHash(killKey)}}},
+		Site:     document.Site{PowerCapMilliwatts: 40_000_000, Domains: map[string]uint64{"d1": 10_000_000, "d2": 10_000_000, "d3": 10_000_000, "d4": 10_000_000}},
+	}
+	if _, err := s.Publish(ctx, doc, "bench", "bench-1"); err != nil {
+		b.Fatal(err)
+	}
+	if err := s.AwaitReady(ctx); err != nil {
+		b.Fatal(err)
+	}
+	c, err := client.New(client.Options{Endpoints: s.Endpoints(), Key: killKey, Prefetch: 8})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s, c
+}
+
+// killRun is what became of the jobs of one run.
+type killRun struct {
+	mu                          sync.Mutex
+	killed                      time.Time
+	affected, complete, unknown int
+	failed, notRun, unresolved  int
+	delays                      []float64 // ms past the ideal, of jobs that were under way
+	sent                        int
+	worst                       float64 // delay of the job whose ticket follows
+	worstTicket                 string
+}
+
+// ended counts a job that was under way at the kill and that the kill can have
+// touched.
+func (r *killRun) ended(began time.Time, longest time.Duration, a *client.Answer, err error, touched func(home string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.killed.IsZero() || now.Before(r.killed) || began.After(r.killed) {
+		return
+	}
+	if err != nil {
+		r.affected++
+		r.unresolved++
+		return
+	}
+	t, _ := ticket.Parse([]byte(ticketKey), a.Ticket)
+	if !touched(t.Home) {
+		return
+	}
+	r.affected++
+	r.sent += a.Sent - 1
+	switch a.Outcome {
+	case client.Complete:
+		r.complete++
+		delay := float64((now.Sub(began) - longest).Microseconds()) / 1000
+		r.delays = append(r.delays, delay)
+		if delay > r.worst {
+			r.worst, r.worstTicket = delay, a.Ticket
+		}
+	case client.Unknown:
+		r.unknown++
+	case client.NotRun:
+		r.notRun++
+	default:
+		r.failed++
+	}
+}
+
+// load keeps a mix of jobs under way until stop is closed: mostly 2 tasks of
+// 50 ms, some of 8 tasks of 300 ms, few of 60 tasks of one second.
+func (r *killRun) load(c *client.Client, stop <-chan struct{}, touched func(home string) bool) {
+	var jobs sync.WaitGroup
+	for i := range 60 {
+		jobs.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				tasks, run := 2, 50*time.Millisecond
+				switch n := rng.IntN(50); {
+				case n == 0:
+					tasks, run = 60, time.Second
+				case n < 8:
+					tasks, run = 8, 300*time.Millisecond
+				}
+				j := client.Job{Template: "t"}
+				var longest time.Duration
+				for range tasks {
+					d := time.Duration(float64(run) * (0.6 + 0.8*rng.Float64()))
+					longest = max(longest, d)
+					text, _ := json.Marshal(d.Microseconds())
+					j.Tasks = append(j.Tasks, text)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+				began := time.Now()
+				a, err := c.Submit(ctx, j)
+				cancel()
+				r.ended(began, longest, a, err, touched)
+			}
+		})
+	}
+	jobs.Wait()
+}
+
+// benchKill measures what one kill does to the jobs that were under way.
+func benchKill(b *testing.B, kill func(s *Site) (touched func(home string) bool)) {
+	total := &killRun{}
+	var seals, follows int
+	for range b.N {
+		s, c := killSite(b)
+		r := &killRun{}
+		var touched func(string) bool
+		stop := make(chan struct{})
+		done := make(chan struct{})
+		go func() {
+			r.load(c, stop, func(home string) bool { return touched(home) })
+			close(done)
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		before := s.ControlCalls()
+		r.mu.Lock()
+		r.killed = time.Now()
+		touched = kill(s)
+		r.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		close(stop)
+		<-done
+		after := s.ControlCalls()
+		seals += after.Seals - before.Seals
+		follows += after.Follows - before.Follows
+		if testing.Verbose() {
+			explain(b, c, r)
+		}
+		if _, _, highest := s.Starts(); highest > 1 {
+			b.Errorf("a task was started %d times", highest)
+		}
+		s.Stop()
+		total.affected += r.affected
+		total.complete += r.complete
+		total.unknown += r.unknown
+		total.failed += r.failed
+		total.notRun += r.notRun
+		total.unresolved += r.unresolved
+		total.sent += r.sent
+		total.delays = append(total.delays, r.delays...)
+	}
+	per := func(n int, unit string) { b.ReportMetric(float64(n)/float64(b.N), unit) }
+	per(total.affected, "affected")
+	per(total.complete, "complete")
+	per(total.unknown, "unknown")
+	per(total.failed, "failed")
+	per(total.notRun, "not-run")
+	per(total.unresolved, "no-answer")
+	per(total.sent, "repeats")
+	per(seals, "seals")
+	per(follows, "follows")
+	slices.Sort(total.delays)
+	if n := len(total.delays); n > 0 {
+		b.ReportMetric(total.delays[n/2], "delay-p50-ms")
+		b.ReportMetric(total.delays[n-1], "delay-max-ms")
+	}
+}
+
+// explain prints the timeline of the job with the longest delay.
+func explain(b *testing.B, c *client.Client, r *killRun) {
+	steps, err := c.Timeline(context.Background(), r.worstTicket)
+	if err != nil || len(steps) == 0 {
+		return
+	}
+	b.Logf("delay %.0f ms:", r.worst)
+	for _, s := range steps {
+		b.Logf("%9.1f ms  %s %s %s %s", float64(s.UnixMicros-steps[0].UnixMicros)/1000, s.EntryVM, s.Step, s.Reason, s.Detail)
+	}
+}
+
+// BenchmarkKillEntryVM kills one of eight entry VMs. Affected are the jobs under
+// way whose home it was.
+func BenchmarkKillEntryVM(b *testing.B) {
+	benchKill(b, func(s *Site) func(string) bool {
+		victim := s.Entries()[2]
+		s.KillEntry(victim)
+		return func(home string) bool { return home == victim.Name }
+	})
+}
+
+// BenchmarkKillWorker kills one of fifty workers. Affected are all jobs under
+// way: any may have had a task there.
+func BenchmarkKillWorker(b *testing.B) {
+	benchKill(b, func(s *Site) func(string) bool {
+		s.KillWorker(s.Workers()[7])
+		return func(string) bool { return true }
+	})
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -373,6 +373,18 @@
 	return tasks, starts, highest
 }
 
+// ControlCalls sums the control calls that were made to all workers.
+func (s *Site) ControlCalls() worker.Calls {
+	var sum worker.Calls
+	for _, w := range s.Workers() {
+		c := w.Calls()
+		sum.Seals += c.Seals
+		sum.Follows += c.Follows
+		sum.Stops += c.Stops
+	}
+	return sum
+}
+
 // Stop ends everything.
 func (s *Site) Stop() {
 	var stops sync.WaitGroup
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -263,6 +263,7 @@
 	if w.dead {
 		return nil, errDead
 	}
+	w.calls.Seals++
 	m := req.Msg
 	if m.WorkerIncarnation != 0 && m.WorkerIncarnation != w.cfg.Incarnation {
 		return connect.NewResponse(&pb.SealResponse{Restarted: true}), nil
@@ -320,6 +321,7 @@
 func (w *Worker) endedOf(m *pb.FollowRequest) ([]*pb.TaskResult, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.calls.Follows++
 	if w.dead {
 		return nil, nil, errDead
 	}
@@ -347,6 +349,7 @@
 	if w.dead {
 		return nil, errDead
 	}
+	w.calls.Stops++
 	id := wire.ID(req.Msg.Submission)
 	resp := &pb.StopSubmissionResponse{}
 	if sub := w.submissions[id]; sub != nil {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -74,6 +74,7 @@
 	dead        bool
 	faults      Faults
 	starts      map[taskKey]int
+	calls       Calls
 	nextSweep   time.Time
 }
 
@@ -152,6 +153,16 @@
 	w.endStream()
 }
 
+// Calls counts the control calls that were made to a worker.
+type Calls struct{ Seals, Follows, Stops int }
+
+// Calls returns how many control calls were made so far.
+func (w *Worker) Calls() Calls {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
 // Starts returns how often each task was started: the number of tasks, of
 // starts, and the highest count of one task.
 func (w *Worker) Starts() (tasks, starts, highest int) {
