A refusal is explained only by a seal at that same worker

Cause: a "sealed" refusal counted as this driver's own doing when it had sealed any worker above the hand-out. Found by the property at -scale 20 (1.8 million attempts): two drivers' starts of one task at one worker, the doubled refusal of the first taken for the second's, and the driver's seal at another worker taken for its reason; the task was freed although its start had been accepted.

Change: the job keeps its highest seal for each worker it asked. A refusal that this does not explain has the worker asked. Ruled out: not doubling starts in the world, which would leave the workers' record check untried.

TestOwnSealElsewhereDoesNotExplainARefusal failed before. A test of the home: the owner dies and the caller asks again.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -35,6 +35,25 @@
 	f.takeAnswers(reason.Complete)
 }
 
+// Symptom: tasks run twice after an owner's death. Sequence: the owner dies, its
+// worker is being asked, and the caller asks again, by way of another entry VM
+// and with other inputs too. Cause would be a second job beside the first.
+func TestOwnerDiesAndTheCallerAsksAgain(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.submission(1, 1))
+	f.takeBatch()
+	f.h.OwnerLost("a", "silent")
+	f.ask(f.submission(1, 1))
+	f.ask(f.submission(1, 2))
+	f.noBatch()
+	if a := f.takeAnswers(reason.Unknown)[0]; a.Reason != reason.PayloadMismatch {
+		t.Fatalf("other inputs under the ticket gave %+v", a)
+	}
+	f.accepts(f.takeSeals("w1")["w1"], done(0))
+	f.takeAnswers(reason.Complete, reason.Complete)
+	f.noBatch()
+}
+
 // Symptom: an answer of the wrong length, or a task that runs again. Sequence:
 // the owner is paused, its link counts as lost, its worker is asked; then it
 // wakes, and its results and refusals arrive late and doubled. Cause would be
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -66,7 +66,7 @@
 	spec    Spec
 	self    uint64 // incarnation of this driver
 	gen     ticket.Generation
-	fenced  ticket.Generation // highest generation that a seal was asked under
+	fences  map[string]ticket.Generation // highest seal asked, by worker
 	tasks   []task
 	batches []batch
 	counts  [ended + 1]int
@@ -262,7 +262,7 @@
 		return a
 	}
 	t := &j.tasks[index]
-	foreign := code == reason.Sealed && !gen.Less(j.fenced)
+	foreign := code == reason.Sealed && !gen.Less(j.fences[worker])
 	if (foreign || code == reason.DuplicateTask) && worker != "" {
 		// The worker refused a generation this driver did not seal off, or has
 		// a record this driver does not know: another entry VM drives the
@@ -349,11 +349,19 @@
 	return a
 }
 
+// fence notes that a worker is asked to refuse generations below the present
+// one, so that such a refusal is told from one that another driver asked for.
+func (j *Job) fence(worker string) {
+	if j.fences == nil {
+		j.fences = make(map[string]ticket.Generation)
+	}
+	j.fences[worker] = j.gen
+}
+
 // sealBatch turns a batch uncertain and asks its workers.
 func (j *Job) sealBatch(b int32, a *Actions) {
 	at := &j.batches[b]
 	at.gen = j.gen
-	j.fenced = j.gen
 	at.pending = slices.Clone(at.workers)
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -362,6 +370,7 @@
 		}
 	}
 	for _, w := range at.workers {
+		j.fence(w)
 		a.Seal = append(a.Seal, Seal{Worker: w, Gen: j.gen})
 	}
 	if len(at.workers) == 0 {
--- a/internal/request/job/job_test.go
+++ b/internal/request/job/job_test.go
@@ -118,3 +118,20 @@
 		t.Fatalf("answer %+v, want not_run", a.Answer)
 	}
 }
+
+// Symptom: a task runs on two workers. Sequence: a driver asks w1 under a new
+// generation; a refusal from w2, which it did not ask, says that a task handed
+// out before is sealed off. Cause: its own seal at w1 was taken for the reason,
+// and the task was handed out again although w2 was not asked.
+func TestOwnSealElsewhereDoesNotExplainARefusal(t *testing.T) {
+	j := New(testSpec(2), 9)
+	j.Assign("owner", []string{"w1", "w2"}, 2)
+	first := j.Generation()
+	j.Lost("owner", first, []uint32{0}, "w1")
+	if a := j.NotStarted("owner", first, 1, reason.Sealed, "w2"); len(a.Seal) != 1 || a.Seal[0].Worker != "w2" {
+		t.Fatalf("actions %+v, want w2 to be asked", a)
+	}
+	if j.Unassigned() != 0 {
+		t.Fatal("the task is free to hand out")
+	}
+}
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -287,7 +287,7 @@
 		j.setAnswer(a, end)
 		return
 	}
-	j.fenced = j.gen
+	j.fence(j.spec.Closers[j.closing])
 	a.Seal = append(a.Seal, Seal{Worker: j.spec.Closers[j.closing], Gen: j.gen, Closed: closedNotRun})
 	j.closing++
 }
@@ -375,4 +375,5 @@
 	j.spec.Inputs = nil
 	j.tasks = nil
 	j.batches = nil
+	j.fences = nil
 }
--- a/internal/request/job/world_test.go
+++ b/internal/request/job/world_test.go
@@ -582,7 +582,7 @@
 	}
 	l, key := fits[arg%len(fits)], taskKey{x.sub, x.index}
 	if _, taken := l.flights[key]; taken {
-		o.report(x, "", nil, reason.WorkerBusy)
+		o.report(x, l.worker.name, nil, reason.DuplicateTask)
 		return
 	}
 	l.flights[key] = x
