Small jobs have 24 candidates; spill begins at four free slots

Cause: a recovery asked all 50 candidates of a ticket for a job of two tasks, and tasks queued in a full failure domain while others had up to 15 free slots. Change: candidates are narrowed to 24, or 4 a task if more, home domain and others in turn; spill to other domains from 4 free slots on, until 1. Found on the way: sets were shared by the ticket's digest, which narrowed sets do not differ in; BenchmarkKillEntryVM saw a task started twice. Ruled out: the order of candidates, list versions. Sets are now shared by their own digest, and TestNarrowedCandidatesAreNotMixedUp failed before.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -113,6 +113,33 @@
 	return pool.Candidates(id.Incarnation^id.Counter*goldenRatio, domain, CandidatesAtHome, CandidatesElsewhere)
 }
 
+// leastNarrow is how many candidates even the smallest job has.
+const leastNarrow = 24
+
+// perTask is how many candidates a job has for each of its tasks.
+const perTask = 4
+
+// Narrow cuts a ticket's candidates to what a job of that many tasks can use, so
+// that a recovery asks that many workers only. Home and recoverer cut the same
+// way: it depends on the ticket's own candidates and on the number of tasks. The
+// home's failure domain and the others take turns, so that a job whose domain is
+// full can still go elsewhere.
+func Narrow(refs []ownership.WorkerRef, homeDomain string, tasks int) []ownership.WorkerRef {
+	limit := max(leastNarrow, perTask*tasks)
+	if len(refs) <= limit {
+		return refs
+	}
+	elsewhere := slices.IndexFunc(refs, func(r ownership.WorkerRef) bool { return r.Domain != homeDomain })
+	if elsewhere < 0 {
+		return refs[:limit]
+	}
+	near, far := refs[:elsewhere], refs[elsewhere:]
+	fromFar := min(len(far), limit/2)
+	fromNear := min(len(near), limit-fromFar)
+	fromFar = min(len(far), limit-fromNear)
+	return append(slices.Clone(near[:fromNear]), far[:fromFar]...)
+}
+
 // goldenRatio spreads consecutive counters over the whole range.
 const goldenRatio = 0x9E3779B97F4A7C15
 
--- a/internal/process/home/candidates.go
+++ b/internal/process/home/candidates.go
@@ -6,8 +6,8 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 )
 
-// candidateSet is the workers that a submission's tasks may run on. At small
-// sites all tickets have the same set, so sets are shared.
+// candidateSet is the workers that a submission's tasks may run on. Wide jobs of
+// a small site all have the same set, so sets are shared.
 type candidateSet struct {
 	ids          []string
 	incarnations map[string]uint64   // by worker
@@ -24,20 +24,18 @@
 // submission lives on without it.
 const maxSets = 256
 
-// candidates returns the set of a submission, shared by the digest that its
-// ticket carries. A set that is not known to be whole has another digest than
-// the ticket says, and is not shared.
+// candidates returns the set of a submission, shared by what is in it. The digest
+// that the ticket carries does not do as a key: it stands for all candidates,
+// and tickets with the same digest are narrowed to different ones.
 func (h *Home) candidates(s *Submission) *candidateSet {
-	if s.Incomplete {
-		return newCandidateSet(s.Candidates)
-	}
-	set := h.sets[s.Ticket.Digest]
+	key := ownership.Digest(s.Candidates)
+	set := h.sets[key]
 	if set == nil {
 		if len(h.sets) >= maxSets {
 			clear(h.sets)
 		}
 		set = newCandidateSet(s.Candidates)
-		h.sets[s.Ticket.Digest] = set
+		h.sets[key] = set
 	}
 	return set
 }
--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/ownership"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 )
@@ -270,3 +271,24 @@
 	f.takeSeals()
 	f.takeAnswers(reason.Complete)
 }
+
+// Symptom: a task is started twice after the death of a home, seen by
+// BenchmarkKillEntryVM.
+// Sequence: two tickets have the same candidates, and so the same digest; their
+// jobs are small and are narrowed to different ones of them. The home handed the
+// second job's tasks to the first job's workers; a recovery asked the second
+// job's, found nothing there and started the tasks anew.
+// Cause: candidate sets were shared by the digest of the ticket.
+func TestNarrowedCandidatesAreNotMixedUp(t *testing.T) {
+	h := New(Config{Settings: Defaults()})
+	one := Submission{Candidates: []ownership.WorkerRef{{ID: "w1", Incarnation: 1}}}
+	other := Submission{Candidates: []ownership.WorkerRef{{ID: "w2", Incarnation: 1}}}
+	one.Ticket.Digest, other.Ticket.Digest = 7, 7
+	o := &owner{name: "e1", workers: []string{"w1", "w2"}, stamp: 1}
+	if got := h.candidates(&one).heldBy(o); !slices.Equal(got, []string{"w1"}) {
+		t.Errorf("first job may run on %v, want w1", got)
+	}
+	if got := h.candidates(&other).heldBy(o); !slices.Equal(got, []string{"w2"}) {
+		t.Errorf("second job may run on %v, want w2", got)
+	}
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -260,7 +260,7 @@
 		Each:       each(&t.Declared),
 		Expected:   time.Duration(t.Declared.RunMillis) * time.Millisecond,
 		Revision:   doc.Revision,
-		Candidates: refs,
+		Candidates: fleet.Narrow(refs, req.Ticket.Domain, len(req.Inputs)),
 		Incomplete: !complete,
 		Recover:    recovery,
 	}, nil
--- a/internal/process/spill/settings.go
+++ b/internal/process/spill/settings.go
@@ -34,8 +34,8 @@
 	defaultBatch          = 64
 	defaultPeers          = 8
 	defaultQueuePerWorker = 4
-	defaultStartAway      = 16
-	defaultStopAway       = 4
+	defaultStartAway      = 4
+	defaultStopAway       = 1
 )
 
 // Defaults returns the settings in use when none are given.
--- a/internal/process/spill/spill_test.go
+++ b/internal/process/spill/spill_test.go
@@ -53,9 +53,10 @@
 			[]Move{{"p1", 6, FreeNear}}},
 		{"nothing wanted", idle, nil, 0, nil},
 	}
-	// The cases are worked out for a share of one half.
+	// The cases are worked out for these settings.
 	settings := Defaults()
 	settings.Share = 0.5
+	settings.StartAway, settings.StopAway = 16, 4
 	for _, c := range cases {
 		if got := Plan(settings, c.own, c.peers, c.want, nil); !slices.Equal(got, c.moves) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.moves)
