The demo's workload moves to a package that other tools share

Cause: the load tool needs the demo's streams, task behaviour, echo check, open-loop submission, watch on the draw and verdict. Standing in package demo they would have been written twice.

Change: internal/tool/workload holds a profile read strictly from JSON, the seeded Poisson schedule with bursts, the open-loop driver with a bound on jobs under way, and the tasks. internal/tool/verdict holds the promises' check and the watch on the draw. The demo reads its streams from deploy/*/load.json, with bursts, repeats and faults left out. Task numbers are now unique over all streams, so an answer that crossed from another stream is noticed too.

Arrivals are drawn otherwise, so the number of jobs differs.

--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -7,14 +7,15 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
+	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
+	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
 )
 
 // Options of a run.
@@ -26,40 +27,42 @@
 	Out        io.Writer
 }
 
-const (
-	entryVMs     = 8
-	workers      = 50
-	startTimeout = 10 * time.Second
-	answerBound  = 15 * time.Second // for one job, with its repeats
-)
+const startTimeout = 10 * time.Second
 
 // run is one demo under way.
 type run struct {
-	opt   Options
-	dep   *Deployment
-	site  *site.Site
-	began time.Time
+	opt     Options
+	profile *workload.Profile
+	doc     *document.Document
+	site    *site.Site
+	began   time.Time
 
 	mu      sync.Mutex
 	tally   tally
-	watch   powerWatch
+	draw    verdict.Draw
 	slowest slowest
 	clients map[string]*client.Client
 }
 
 // Run runs the demo and returns an error when a promise was broken.
 func Run(ctx context.Context, opt Options) error {
-	dep, err := Load(opt.Deployment)
+	profile, err := workload.Load(opt.Deployment)
+	if err != nil {
+		return err
+	}
+	doc, err := profile.Configuration()
 	if err != nil {
 		return err
 	}
-	slices.Sort(dep.Domains)
-	r := &run{opt: opt, dep: dep, began: time.Now(), clients: make(map[string]*client.Client)}
+	profile = profile.Steady()
+	profile.Seed = opt.Seed
+	profile.DurationMillis = uint32(opt.Load.Milliseconds())
+	r := &run{opt: opt, profile: profile, doc: doc, began: time.Now(), clients: make(map[string]*client.Client)}
 	if err := r.start(ctx); err != nil {
 		return err
 	}
 	defer r.site.Stop()
-	stopWatch := r.watchPower()
+	stopWatch := verdict.WatchDraw(r.site, r.draw.Add)
 	r.load(ctx)
 	stopWatch()
 	return r.report()
@@ -73,23 +76,24 @@
 func (r *run) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	opt := site.Defaults(r.dep.Domains)
-	opt.EntryVMs = entryVMs
-	opt.Workers = workers
-	opt.PerRack = r.dep.PerRack
-	opt.Behaviour = Behaviour
+	domains := workload.Domains(r.doc)
+	opt := site.Defaults(domains)
+	opt.EntryVMs = int(r.profile.Site.EntryVMs)
+	opt.Workers = int(r.profile.Site.Workers)
+	opt.PerRack = int(r.profile.Site.PerRack)
+	opt.Behaviour = workload.Behaviour
 	opt.Tune = func(s *entry.Settings) { s.ShutdownMillis = 10_000 }
-	r.say("starting %s: %d failure domains, %d entry VMs, %d workers with 8 slots, stand-in platform", r.dep.Name, len(r.dep.Domains), entryVMs, workers)
+	r.say("starting %s: %d failure domains, %d entry VMs, %d workers with 8 slots, stand-in platform", r.profile.Name, len(domains), opt.EntryVMs, opt.Workers)
 	s, err := site.Start(opt)
 	if err != nil {
 		return err
 	}
 	r.site = s
-	revision, err := s.Publish(ctx, r.dep.Document, "demo", "demo-first")
+	revision, err := s.Publish(ctx, r.doc, "demo", "demo-first")
 	if err != nil {
 		return fmt.Errorf("publishing: %w", err)
 	}
-	r.say("configuration revision %d is in force on all entry VMs: %d templates, %d client accounts", revision, len(r.dep.Document.Templates), len(r.dep.Document.Accounts))
+	r.say("configuration revision %d is in force on all entry VMs: %d templates, %d client accounts", revision, len(r.doc.Templates), len(r.doc.Accounts))
 	if err := s.AwaitReady(ctx); err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
@@ -99,7 +103,7 @@
 
 // connect makes one SDK client per account.
 func (r *run) connect() error {
-	for _, s := range r.dep.Streams {
+	for _, s := range r.profile.Streams {
 		if r.clients[s.Account] != nil {
 			continue
 		}
@@ -112,69 +116,35 @@
 	return nil
 }
 
-// load submits every stream's jobs and breaks things meanwhile.
+// load submits the jobs at their times, whatever the site does, and breaks
+// things meanwhile.
 func (r *run) load(ctx context.Context) {
-	var streams sync.WaitGroup
-	for i := range r.dep.Streams {
-		streams.Go(func() { r.stream(ctx, i) })
-	}
-	faults := make(chan struct{})
-	go func() {
-		defer close(faults)
-		r.faults(ctx)
-	}()
-	streams.Wait()
-	<-faults
+	var faults sync.WaitGroup
+	faults.Go(func() { r.faults(ctx) })
+	arrivals := workload.Schedule(r.profile)
+	workload.Drive(ctx, arrivals, int(r.profile.MaxUnderWay), func(a *workload.Arrival, due time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, r.profile.AnswerTimeout())
+		defer cancel()
+		job := client.Job{Template: a.Stream.Template, Tasks: a.Tasks()}
+		answer, err := r.clients[a.Stream.Account].Submit(ctx, job)
+		r.record(a, time.Since(due), answer, err)
+	})
+	faults.Wait()
 }
 
 // faults kills one entry VM and one worker, a third of the load apart.
 func (r *run) faults(ctx context.Context) {
 	third := r.opt.Load / 3
-	if !pause(ctx, third) {
+	if !workload.Pause(ctx, third) {
 		return
 	}
 	victim := r.site.Entries()[2]
 	r.say("killing entry VM %s (%s): its jobs lose their home, its workers their lease holder", victim.Name, victim.Domain)
 	r.site.KillEntry(victim)
-	if !pause(ctx, third) {
+	if !workload.Pause(ctx, third) {
 		return
 	}
 	w := r.site.Workers()[7]
 	r.say("killing worker %s (%s, rack %s): tasks that run there can not be proven to have ended", w.ID(), w.Domain, w.Rack)
 	r.site.KillWorker(w)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// stream submits one stream's jobs at its rate, whatever the site does: a slow
-// site must not lower the load it is measured under.
-func (r *run) stream(ctx context.Context, i int) {
-	s := &r.dep.Streams[i]
-	rng := rand.New(rand.NewPCG(r.opt.Seed, uint64(i)))
-	var jobs sync.WaitGroup
-	end := time.Now().Add(r.opt.Load)
-	next := time.Now().Add(s.After)
-	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
-		if !pause(ctx, time.Until(next)) {
-			break
-		}
-		base := n * s.Tasks
-		tasks, longest := s.tasks(rng, base)
-		due := next
-		jobs.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, answerBound)
-			defer cancel()
-			a, err := r.clients[s.Account].Submit(ctx, client.Job{Template: s.Template, Tasks: tasks})
-			r.record(s, base, longest, time.Since(due), a, err)
-		})
-		next = next.Add(time.Duration(rng.ExpFloat64() / s.PerSecond * float64(time.Second)))
-	}
-	jobs.Wait()
-}
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
+	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // tally counts how jobs ended.
@@ -22,11 +23,8 @@
 	responses  map[string][]float64 // response over ideal, by template
 }
 
-// roundTrip is the caller's own round trip, part of the ideal.
-const roundTrip = time.Millisecond
-
 // record counts one job's end.
-func (r *run) record(s *Stream, base int, longest, took time.Duration, a *client.Answer, err error) {
+func (r *run) record(job *workload.Arrival, took time.Duration, a *client.Answer, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := &r.tally
@@ -47,42 +45,17 @@
 		t.reasons[string(a.Outcome)+" "+a.Reason+": "+a.Detail]++
 		return
 	}
-	if !checkEcho(a.Outputs, s.Tasks, base) {
+	if !job.Answered(a.Outputs) {
 		t.wrong++
 	}
-	ideal := longest + roundTrip
+	ideal := job.Longest() + r.profile.RoundTrip()
+	s := job.Stream
 	if ratio := float64(took) / float64(ideal); ratio > r.slowest.ratio && (r.opt.Explain == "" || r.opt.Explain == s.Template) {
 		r.slowest = slowest{ratio, s.Account, s.Template, a.Ticket}
 	}
 	t.responses[s.Template] = append(t.responses[s.Template], float64(took)/float64(ideal))
 }
 
-// powerWatch follows the site's draw.
-type powerWatch struct{ peak uint64 }
-
-const powerSample = 5 * time.Millisecond
-
-// watchPower samples the site's draw until the returned function is called.
-func (r *run) watchPower() func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for pause(ctx, powerSample) {
-			var sum uint64
-			for _, w := range r.site.Workers() {
-				now, _ := w.Draw()
-				sum += uint64(now)
-			}
-			r.watch.peak = max(r.watch.peak, sum)
-		}
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
-}
-
 func quantile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
@@ -124,15 +97,11 @@
 // maxExplained bounds the steps that are printed.
 const maxExplained = 16
 
-// errBroken says that a promise did not hold.
-var errBroken = errors.New("a promise was broken")
-
 // report prints the table and says whether the promises held.
 func (r *run) report() error {
 	t := &r.tally
 	tasks, starts, highest := r.site.Starts()
-	capMilliwatts := r.dep.Document.Site.PowerCapMilliwatts
-	overCap := float64(r.watch.peak) / float64(capMilliwatts)
+	overCap := float64(r.draw.Peak) / float64(r.doc.Site.PowerCapMilliwatts)
 	r.say("done, results:")
 	w := tabwriter.NewWriter(r.opt.Out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(w, "\njobs\t%d\n", t.jobs)
@@ -153,10 +122,12 @@
 		fmt.Fprintf(r.opt.Out, "  %4d x %s\n", n, reason)
 	}
 	r.explainSlowest()
-	if highest > 1 || t.wrong > 0 || overCap > 1 || t.unresolved > 0 {
-		return errBroken
-	}
-	return nil
+	return verdict.Counts{
+		HighestStarts: highest,
+		Wrong:         t.wrong,
+		Unresolved:    t.unresolved,
+		PeakOverCap:   overCap,
+	}.Check()
 }
 
 // sortedTemplates yields the templates by name, their values sorted.
--- /dev/null
+++ b/internal/tool/verdict/draw.go
@@ -0,0 +1,61 @@
+package verdict
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/standin/site"
+)
+
+// DrawInterval is the time between two samples of a site's draw.
+const DrawInterval = 5 * time.Millisecond
+
+// Draw is the highest and the mean draw of a span of samples, in milliwatts.
+type Draw struct {
+	Peak uint64
+	Sum  uint64 // over the samples
+	N    int    // samples
+}
+
+// Add takes in one sample.
+func (d *Draw) Add(milliwatts uint64) {
+	d.Peak = max(d.Peak, milliwatts)
+	d.Sum += milliwatts
+	d.N++
+}
+
+// Mean is the mean draw in milliwatts.
+func (d *Draw) Mean() float64 { return float64(d.Sum) / float64(max(d.N, 1)) }
+
+// WatchDraw gives a sample of the site's draw to add, until the function that
+// it returns is called. Add is called from one goroutine.
+func WatchDraw(s *site.Site, add func(milliwatts uint64)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	ticker := time.NewTicker(DrawInterval)
+	go func() {
+		defer close(done)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				add(sumDraw(s))
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func sumDraw(s *site.Site) uint64 {
+	var sum uint64
+	for _, w := range s.Workers() {
+		now, _ := w.Draw()
+		sum += uint64(now)
+	}
+	return sum
+}
