Hooks for the load tool: tickets of running jobs, traffic, starts by ticket

Cause: a caller that waits in Submit did not know its job's ticket, so it could neither Cancel nor Resume it meanwhile. Nothing counted bytes between the processes of a site, nor messages and refused starts at workers, and starts could not be looked up by ticket, so a false 'not run' went unnoticed.

Change: client.Job.OnTicket gives ticket and endpoint before the job is sent. entry.Settings.Wrapper and site.Options.Wrapper replace listeners before use.

Conclusion: no path of a job changes when the hooks are unused.

--- a/client/client.go
+++ b/client/client.go
@@ -40,6 +40,11 @@
 	Template string
 	Tasks    []json.RawMessage
 	Deadline time.Duration // 0: the template's
+	// OnTicket is called by Submit with the ticket that the job is about to be
+	// sent under, and the endpoint it is sent to. With the ticket another
+	// goroutine may Cancel or Resume the job while Submit waits. It is called
+	// once more for each time that a job which was not run is submitted anew.
+	OnTicket func(ticket, endpoint string)
 }
 
 // Answer is the end of a job.
@@ -152,6 +157,9 @@
 			// Without a ticket nothing was submitted.
 			return nil, &NoTicketError{Cause: err}
 		}
+		if j.OnTicket != nil {
+			j.OnTicket(ticket, home.endpoint)
+		}
 		a, err := c.drive(ctx, ticket, home, j, true)
 		if err != nil {
 			return nil, err
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -88,18 +88,22 @@
 
 func (vm *VM) listen() error {
 	for _, l := range []struct {
+		role    string
 		address string
 		into    *net.Listener
 	}{
-		{vm.settings.CallerListen, &vm.listeners.caller},
-		{vm.settings.OperatorListen, &vm.listeners.operator},
-		{vm.settings.PeerListen, &vm.listeners.peer},
+		{"caller", vm.settings.CallerListen, &vm.listeners.caller},
+		{"operator", vm.settings.OperatorListen, &vm.listeners.operator},
+		{"peer", vm.settings.PeerListen, &vm.listeners.peer},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			vm.closeListeners()
 			return err
 		}
+		if wrapper := vm.settings.Wrapper; wrapper != nil {
+			listener = wrapper.WrapListener(l.role, listener)
+		}
 		*l.into = listener
 	}
 	return nil
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -48,6 +48,15 @@
 	BodyTimeoutMillis uint32 `json:"body_timeout_millis"` // for a caller's body to come
 	Timelines         int    `json:"timelines"`           // submissions that can be explained
 	ClaimsPerSecond   uint32 `json:"claims_per_second"`   // requests with an Idempotency-Key
+
+	// Wrapper replaces each listener before it is used; nil: none is replaced.
+	Wrapper ListenerWrapper `json:"-"`
+}
+
+// ListenerWrapper lets a tool count traffic at a VM's listeners. The role is
+// "caller", "operator" or "peer".
+type ListenerWrapper interface {
+	WrapListener(role string, l net.Listener) net.Listener
 }
 
 // DefaultSettings returns settings without names, addresses and secrets.
--- a/internal/standin/site/ids.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package site
-
-import "github.com/pumiceyard/pumiceyard/internal/request/ticket"
-
-type ticketID = ticket.ID
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -34,6 +34,9 @@
 	Behaviour      worker.Behaviour
 	ListLag        time.Duration
 	Tune           func(*entry.Settings) // changes the settings of each entry VM; may be nil
+	// Wrapper replaces each listener before it is used, those of the roles
+	// "worker" and "platform" too; nil: none is replaced.
+	Wrapper entry.ListenerWrapper
 }
 
 // Defaults returns a site of the users' present size.
@@ -96,7 +99,7 @@
 // Start brings a site up.
 func Start(opt Options) (*Site, error) {
 	s := &Site{opt: opt, Platform: platformstandin.New(platformstandin.Options{ListLag: opt.ListLag})}
-	url, server, err := listen(platform.Handler(s.Platform))
+	url, server, err := s.listen("platform", platform.Handler(s.Platform))
 	if err != nil {
 		return nil, err
 	}
@@ -117,11 +120,14 @@
 	return s, nil
 }
 
-func listen(handler http.Handler) (string, *http.Server, error) {
+func (s *Site) listen(role string, handler http.Handler) (string, *http.Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
 	}
+	if s.opt.Wrapper != nil {
+		l = s.opt.Wrapper.WrapListener(role, l)
+	}
 	server := wire.NewServer(handler, nil)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), server, nil
@@ -138,7 +144,7 @@
 		Behaviour:      s.opt.Behaviour,
 		UsageLag:       time.Second,
 	})
-	address, server, err := listen(w.Handler())
+	address, server, err := s.listen("worker", w.Handler())
 	if err != nil {
 		return err
 	}
@@ -172,6 +178,7 @@
 	settings.TicketKey = ticketKey
 	settings.PeerToken = peerToken
 	settings.ListPollMillis = 250
+	settings.Wrapper = s.opt.Wrapper
 	if s.opt.Tune != nil {
 		s.opt.Tune(&settings)
 	}
@@ -344,24 +351,7 @@
 
 // Starts counts tasks and starts over all workers, dead ones too, and how often
 // the task with the most starts was started.
-func (s *Site) Starts() (tasks, starts, highest int) {
-	type key struct {
-		incarnation, counter uint64
-		index                uint32
-	}
-	counts := make(map[key]int)
-	for _, w := range s.Workers() {
-		w.EachStart(func(id ticketID, index uint32, n int) {
-			counts[key{id.Incarnation, id.Counter, index}] += n
-		})
-	}
-	for _, n := range counts {
-		tasks++
-		starts += n
-		highest = max(highest, n)
-	}
-	return tasks, starts, highest
-}
+func (s *Site) Starts() (tasks, starts, highest int) { return s.Records().Starts() }
 
 // Stop ends everything.
 func (s *Site) Stop() {
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		if m != nil {
+			w.countSent()
 			if m.Beat != 0 {
 				m.Usage = w.usage()
 			}
@@ -129,6 +130,12 @@
 	return m
 }
 
+func (w *Worker) countSent() {
+	w.mu.Lock()
+	w.traffic.Sent++
+	w.mu.Unlock()
+}
+
 func (w *Worker) silent() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -206,6 +213,7 @@
 	if w.dead {
 		return false
 	}
+	w.traffic.Received++
 	if w.faults.Silent {
 		return true
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -74,6 +74,22 @@
 	faults      Faults
 	starts      map[taskKey]int
 	nextSweep   time.Time
+	traffic     Traffic
+}
+
+// Traffic counts what passed over the streams of a worker's lease holders.
+type Traffic struct {
+	Received   int // messages, heartbeats among them
+	Sent       int // messages, answers to heartbeats among them
+	Refused    int // starts that were not accepted
+	Duplicates int // of them, starts of tasks that were started before
+}
+
+// Traffic returns the counts since the worker's start.
+func (w *Worker) Traffic() Traffic {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.traffic
 }
 
 // Faults are switched by tests and the demo.
@@ -192,6 +208,10 @@
 func (w *Worker) start(now time.Time, epoch uint64, g *pb.StartGroup, i int) *pb.TaskResult {
 	index := g.Index[i]
 	if code := w.refusal(now, epoch, g, index); code != "" {
+		w.traffic.Refused++
+		if code == reason.DuplicateTask {
+			w.traffic.Duplicates++
+		}
 		return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code)}
 	}
 	id := wire.ID(g.Submission)
