pumiceyard load: an open-loop load tool

Cause: the demo breaks things but gives no percentiles by class and account, no bytes, no dues, no plots and nothing to compare a change by.

Change: internal/tool/load drives a site through the SDK from a profile. Output: a table, JSON, one HTML page with SVG plots, ratios against an older JSON report.

--- /dev/null
+++ b/cmd/pumiceyard/load.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pumiceyard/pumiceyard/internal/tool/load"
+	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
+)
+
+func loadCommand() *cobra.Command {
+	var opt load.Options
+	var profile, site string
+	var seed uint64
+	var duration time.Duration
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Drive a site with an open-loop load and report how it answered",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if site != "" && site != "demo" {
+				return &workload.FieldError{Path: "--site", Value: site, Allowed: "demo, or give --endpoints"}
+			}
+			p, err := workload.Load(profile)
+			if err != nil {
+				return err
+			}
+			if c.Flags().Changed("seed") {
+				p.Seed = seed
+			}
+			if duration > 0 {
+				p.DurationMillis = uint32(duration.Milliseconds())
+			}
+			opt.Profile = p
+			opt.Out = c.OutOrStdout()
+			return load.Run(c.Context(), opt)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&profile, "profile", "tsagaan-shavar", "tsagaan-shavar, ventilsvaz, burst, or a JSON file")
+	f.StringVar(&site, "site", "", "demo: start a site of the profile's size in this process")
+	f.StringSliceVar(&opt.Endpoints, "endpoints", nil, "base URLs of the entry VMs of a site that runs elsewhere")
+	f.Uint64Var(&seed, "seed", 0, "seed in place of the profile's")
+	f.DurationVar(&duration, "duration", 0, "how long jobs arrive, in place of the profile's")
+	f.StringVar(&opt.JSON, "json", "", "file for the report as JSON")
+	f.StringVar(&opt.HTML, "html", "", "file for the report as one HTML page with plots")
+	f.StringVar(&opt.Compare, "compare", "", "JSON report of an older run to print ratios against")
+	c.MarkFlagsMutuallyExclusive("site", "endpoints")
+	c.MarkFlagsOneRequired("site", "endpoints")
+	return c
+}
--- a/cmd/pumiceyard/main.go
+++ b/cmd/pumiceyard/main.go
@@ -14,7 +14,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand())
+	root.AddCommand(demoCommand(), loadCommand())
 	if err := root.Execute(); err != nil {
 		root.PrintErrln("pumiceyard:", err)
 		os.Exit(1)
