The load tool measures slots in use against quotas

Nothing measured the quota itself.

Before: not measured.

Each entry VM grants the whole quota, since nothing outside of tests calls fairness.Queue.SetRemoteUsage.

--- a/cmd/pumiceyard/load.go
+++ b/cmd/pumiceyard/load.go
@@ -29,8 +29,10 @@
 			if c.Flags().Changed("seed") {
 				p.Seed = seed
 			}
-			if duration > 0 {
-				p.DurationMillis = uint32(duration.Milliseconds())
+			if c.Flags().Changed("duration") {
+				if err := p.SetDuration(duration); err != nil {
+					return err
+				}
 			}
 			opt.Profile = p
 			opt.Out = c.OutOrStdout()
--- a/internal/standin/site/records.go
+++ b/internal/standin/site/records.go
@@ -35,10 +35,13 @@
 func (r *Records) Starts() (tasks, starts, highest int) { return r.tasks, r.starts, r.highest }
 
 // StartsOf returns how many starts there were under a ticket of the site.
-func (r *Records) StartsOf(token string) int {
+func (r *Records) StartsOf(token string) int { return r.bySubmission[SubmissionID(token)] }
+
+// SubmissionID returns the identity in a ticket of the site.
+func SubmissionID(token string) ticket.ID {
 	t, err := ticket.Parse([]byte(ticketKey), token)
 	if err != nil {
 		panic("not a ticket of this site: " + err.Error())
 	}
-	return r.bySubmission[t.ID]
+	return t.ID
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -75,6 +75,9 @@
 	starts      map[taskKey]int
 	nextSweep   time.Time
 	traffic     Traffic
+	slots       map[ticket.ID]uint32 // in use, by submission
+	slotsInUse  uint32
+	slotsPeak   uint32
 }
 
 // Traffic counts what passed over the streams of a worker's lease holders.
@@ -105,6 +108,7 @@
 }
 
 type submission struct {
+	id      ticket.ID
 	sealed  ticket.Generation
 	closed  string
 	expiry  time.Time
@@ -138,6 +142,7 @@
 		throttle:    fullSpeed,
 		submissions: make(map[ticket.ID]*submission),
 		starts:      make(map[taskKey]int),
+		slots:       make(map[ticket.ID]uint32),
 	}
 }
 
@@ -163,7 +168,8 @@
 			}
 		}
 	}
-	w.milliwatts, w.running = 0, 0
+	w.milliwatts, w.running, w.slotsInUse = 0, 0, 0
+	clear(w.slots)
 	w.endStream()
 }
 
@@ -200,6 +206,37 @@
 	return w.milliwatts + w.cfg.IdleMilliwatts, w.peak
 }
 
+// EachInUse calls f with the slots that each submission occupies here now.
+func (w *Worker) EachInUse(f func(id ticket.ID, slots uint32)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, slots := range w.slots {
+		f(id, slots)
+	}
+}
+
+// PeakSlots returns the most slots that were ever in use at a time.
+func (w *Worker) PeakSlots() uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.slotsPeak
+}
+
+// occupy counts the slots of a task that starts. The caller holds mu.
+func (w *Worker) occupy(id ticket.ID, slots uint32) {
+	w.slots[id] += slots
+	w.slotsInUse += slots
+	w.slotsPeak = max(w.slotsPeak, w.slotsInUse)
+}
+
+// vacate counts the slots of a task that leaves. The caller holds mu.
+func (w *Worker) vacate(id ticket.ID, slots uint32) {
+	w.slotsInUse -= slots
+	if w.slots[id] -= slots; w.slots[id] == 0 {
+		delete(w.slots, id)
+	}
+}
+
 // ID is the worker's name.
 func (w *Worker) ID() string { return w.cfg.ID }
 
@@ -224,6 +261,7 @@
 	sub.tasks[index] = t
 	w.starts[taskKey{id, index}]++
 	w.running++
+	w.occupy(id, g.Each.GetSlots())
 	w.milliwatts += t.draw
 	w.peak = max(w.peak, w.milliwatts+w.cfg.IdleMilliwatts)
 	if out.Run <= 0 {
@@ -275,6 +313,7 @@
 	sub := w.submissions[id]
 	if sub == nil {
 		sub = &submission{
+			id:      id,
 			expiry:  time.UnixMilli(int64(expiryMillis)),
 			tasks:   make(map[uint32]*task),
 			changed: make(chan struct{}),
@@ -300,6 +339,7 @@
 func (w *Worker) leave(sub *submission, t *task) {
 	t.run = time.Since(t.started)
 	w.running--
+	w.vacate(sub.id, t.each.GetSlots())
 	w.milliwatts -= t.draw
 	close(sub.changed)
 	sub.changed = make(chan struct{})
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -56,7 +56,9 @@
 	}
 	profile = profile.Steady()
 	profile.Seed = opt.Seed
-	profile.DurationMillis = uint32(opt.Load.Milliseconds())
+	if err := profile.SetDuration(opt.Load); err != nil {
+		return err
+	}
 	r := &run{opt: opt, profile: profile, doc: doc, began: time.Now(), clients: make(map[string]*client.Client)}
 	if err := r.start(ctx); err != nil {
 		return err
--- a/internal/tool/load/job.go
+++ b/internal/tool/load/job.go
@@ -44,14 +44,24 @@
 // End is when the job was answered, after the start of the load.
 func (r *Result) End() time.Duration { return r.Arrival.At + r.Took }
 
+// callers is what one client account submits through.
+type callers struct {
+	own caller
+	// elsewhere gives a caller of the same account that uses other endpoints
+	// than the given one.
+	elsewhere func(endpoint string) caller
+	// submitted is told of each ticket that a job is sent under. It may be nil.
+	submitted func(token, account string)
+}
+
 // player drives one job.
 type player struct {
-	ctx       context.Context
-	arrival   *workload.Arrival
-	elsewhere func(endpoint string) caller
-	job       client.Job
-	ended     chan struct{}
-	side      sync.WaitGroup
+	callers
+	ctx     context.Context
+	arrival *workload.Arrival
+	job     client.Job
+	ended   chan struct{}
+	side    sync.WaitGroup
 
 	// tickets is used by the submitting goroutine, the rest by the side one
 	// until it is waited for.
@@ -62,14 +72,13 @@
 }
 
 // play submits the job, and submits it again or cancels it while it runs when
-// its arrival says so. Elsewhere gives a caller of the same account that uses
-// other endpoints than the given one.
-func play(ctx context.Context, a *workload.Arrival, due time.Time, own caller, elsewhere func(endpoint string) caller) Result {
-	p := &player{ctx: ctx, arrival: a, elsewhere: elsewhere, ended: make(chan struct{})}
+// its arrival says so.
+func play(ctx context.Context, a *workload.Arrival, due time.Time, by callers) Result {
+	p := &player{ctx: ctx, arrival: a, callers: by, ended: make(chan struct{})}
 	p.job = client.Job{Template: a.Stream.Template, Tasks: a.Tasks()}
 	job := p.job
 	job.OnTicket = p.ticketed
-	answer, err := own.Submit(ctx, job)
+	answer, err := by.own.Submit(ctx, job)
 	r := Result{Arrival: a, Took: time.Since(due)}
 	close(p.ended)
 	p.side.Wait()
@@ -91,6 +100,9 @@
 // ticketed follows the first ticket of the job.
 func (p *player) ticketed(ticket, endpoint string) {
 	p.tickets = append(p.tickets, ticket)
+	if p.submitted != nil {
+		p.submitted(ticket, p.arrival.Stream.Account)
+	}
 	if len(p.tickets) > 1 {
 		return
 	}
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -156,7 +156,11 @@
 	r.collector.begin()
 	own := r.accounts[a.Stream.Account]
 	late := time.Since(due)
-	result := play(ctx, a, due, own.client, own.elsewhere)
+	by := callers{own: own.client, elsewhere: own.elsewhere}
+	if r.local != nil {
+		by.submitted = r.local.submitted
+	}
+	result := play(ctx, a, due, by)
 	result.Late = late
 	r.collector.end(result)
 }
--- a/internal/tool/load/load_test.go
+++ b/internal/tool/load/load_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
@@ -131,7 +132,7 @@
 				}
 				c.again.Ticket = own.tickets[0]
 				other := &fakeCaller{answer: c.again}
-				r := play(t.Context(), a, time.Now(), own, func(string) caller { return other })
+				r := play(t.Context(), a, time.Now(), callers{own: own, elsewhere: func(string) caller { return other }})
 				if got := judge([]Result{r}, c.records); got != c.want {
 					t.Errorf("counted %+v, want %+v", got, c.want)
 				}
@@ -167,7 +168,7 @@
 				}
 				a := twoTasks()
 				a.ResubmitAfter, a.CancelAfter = c.resubmit, c.cancel
-				r := play(t.Context(), a, time.Now().Add(-time.Minute), own, elsewhere)
+				r := play(t.Context(), a, time.Now().Add(-time.Minute), callers{own: own, elsewhere: elsewhere})
 				if r.Took != time.Minute+2*time.Second {
 					t.Errorf("took %v", r.Took)
 				}
@@ -214,6 +215,23 @@
 	}
 }
 
+// Slots count for the account and all that enclose it; the highest stays.
+func TestQuotaWatch(t *testing.T) {
+	q := newQuotaWatch(&document.Document{Accounts: []document.Account{
+		{Name: "a", QuotaSlots: 10},
+		{Name: "b", QuotaSlots: 4, Parent: "a"},
+		{Name: "c", Parent: "a"},
+	}})
+	one, two := ticket.ID{Counter: 1}, ticket.ID{Counter: 2}
+	q.submitted(one, "b")
+	q.submitted(two, "c")
+	q.sample(map[ticket.ID]uint32{one: 6, two: 5})
+	q.sample(map[ticket.ID]uint32{one: 1})
+	if got, want := q.overQuota(), map[string]float64{"a": 1.1, "b": 1.5}; !maps.Equal(got, want) {
+		t.Errorf("over quota %v, want %v", got, want)
+	}
+}
+
 func TestCompare(t *testing.T) {
 	older := &Report{Figures: []Figure{{"slower", 2, "x"}, {"same", 0, "x"}, {"gone", 1, "x"}, {"grown from nothing", 0, "x"}}}
 	newer := &Report{Figures: []Figure{{"slower", 3, "x"}, {"new", 5, "x"}, {"same", 0, "x"}, {"grown from nothing", 1, "x"}}}
--- a/internal/tool/load/local.go
+++ b/internal/tool/load/local.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
 	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
 	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
@@ -27,6 +28,7 @@
 	draw     verdict.Draw
 	drawBins []verdict.Draw // one per drawBin
 	unwatch  func()
+	quotas   *quotaWatch
 
 	mu    sync.Mutex
 	marks []mark
@@ -88,7 +90,7 @@
 func startLocal(ctx context.Context, p *workload.Profile, doc *document.Document) (*localSite, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	l := &localSite{meters: newMeters()}
+	l := &localSite{meters: newMeters(), quotas: newQuotaWatch(doc)}
 	l.options = site.Defaults(workload.Domains(doc))
 	l.options.EntryVMs = int(p.Site.EntryVMs)
 	l.options.Workers = int(p.Site.Workers)
@@ -130,9 +132,35 @@
 			l.drawBins = append(l.drawBins, verdict.Draw{})
 		}
 		l.drawBins[bin].Add(milliwatts)
+		l.quotas.sample(l.inUse())
 	})
 }
 
+// inUse returns the slots that each submission occupies now. The workers are
+// asked one after another, so a task that ends on one while another starts
+// elsewhere may be counted beside it.
+func (l *localSite) inUse() map[ticket.ID]uint32 {
+	out := make(map[ticket.ID]uint32)
+	for _, w := range l.site.Workers() {
+		w.EachInUse(func(id ticket.ID, slots uint32) { out[id] += slots })
+	}
+	return out
+}
+
+// submitted notes whose submission a ticket is.
+func (l *localSite) submitted(token, account string) {
+	l.quotas.submitted(site.SubmissionID(token), account)
+}
+
+// peakSlotsOfWorker is the most slots in use at a time on any worker.
+func (l *localSite) peakSlotsOfWorker() uint32 {
+	var peak uint32
+	for _, w := range l.site.Workers() {
+		peak = max(peak, w.PeakSlots())
+	}
+	return peak
+}
+
 func (l *localSite) endLoad() { l.unwatch() }
 
 // inject brings about the faults at their times and returns when all are over.
--- a/internal/tool/load/measurement.go
+++ b/internal/tool/load/measurement.go
@@ -131,6 +131,7 @@
 		m.addSiteTraffic(r)
 		counts.PeakOverCap = m.addDraw(r)
 		m.addDues(r)
+		m.addSlots(r)
 	}
 	m.addPromises(r, counts)
 	m.addTool(r)
@@ -283,6 +284,17 @@
 	}
 }
 
+// addSlots adds what accounts occupied of their quotas, sampled, and the most
+// that a worker had to run at a time, by its own count.
+func (m *measurement) addSlots(r *Report) {
+	over := m.local.quotas.overQuota()
+	for _, account := range slices.Sorted(maps.Keys(over)) {
+		r.add("of quota", over[account], "highest slots in use over quota, account %s", account)
+	}
+	most := float64(m.local.peakSlotsOfWorker()) / float64(m.local.options.Capacity.Slots)
+	r.add("of slots", most, "highest slots in use over slots, any worker")
+}
+
 func (m *measurement) slotSeconds(a *workload.Arrival) float64 {
 	var run time.Duration
 	for _, d := range a.Runs {
--- a/internal/tool/load/overhead.go
+++ b/internal/tool/load/overhead.go
@@ -68,14 +68,14 @@
 	o := &overhead{jobs: len(arrivals)}
 	var next atomic.Int64
 	var mu sync.Mutex
-	var callers sync.WaitGroup
+	var group sync.WaitGroup
 	cpu := cpuTime()
 	for range overheadCallers {
-		callers.Go(func() {
+		group.Go(func() {
 			for i := next.Add(1) - 1; int(i) < len(arrivals); i = next.Add(1) - 1 {
 				a := &arrivals[i]
 				own := accounts[a.Stream.Account]
-				r := play(ctx, a, time.Now(), own.client, own.elsewhere)
+				r := play(ctx, a, time.Now(), callers{own: own.client, elsewhere: own.elsewhere})
 				mu.Lock()
 				_ = times.RecordValue(r.Took.Microseconds())
 				if r.Wrong || r.Outcome == noAnswer {
@@ -85,7 +85,7 @@
 			}
 		})
 	}
-	callers.Wait()
+	group.Wait()
 	o.cpuPerJob = (cpuTime() - cpu) / time.Duration(max(o.jobs, 1))
 	o.responseP50 = time.Duration(times.ValueAtPercentile(50)) * time.Microsecond
 	o.responseP99 = time.Duration(times.ValueAtPercentile(99)) * time.Microsecond
--- a/internal/tool/workload/profile.go
+++ b/internal/tool/workload/profile.go
@@ -108,6 +108,16 @@
 // Duration is how long jobs arrive.
 func (p *Profile) Duration() time.Duration { return millis(p.DurationMillis) }
 
+// SetDuration replaces how long jobs arrive. What the profile has planned for
+// later does not come about.
+func (p *Profile) SetDuration(d time.Duration) error {
+	if d < time.Millisecond || d > maxDurationMillis*time.Millisecond {
+		return &FieldError{Path: "duration", Value: d, Allowed: "1ms to 24h"}
+	}
+	p.DurationMillis = uint32(d.Milliseconds())
+	return nil
+}
+
 // AnswerTimeout bounds one job with its repeats.
 func (p *Profile) AnswerTimeout() time.Duration { return millis(p.AnswerTimeoutMillis) }
 
--- a/internal/tool/workload/workload_test.go
+++ b/internal/tool/workload/workload_test.go
@@ -166,6 +166,12 @@
 			t.Errorf("%s: got %v, want a refusal of %s", c.to, err, c.path)
 		}
 	}
+	p := sample(t, "burst")
+	for d, valid := range map[time.Duration]bool{0: false, -time.Second: false, time.Minute: true, 25 * time.Hour: false} {
+		if err := p.SetDuration(d); (err == nil) != valid {
+			t.Errorf("duration %v: %v", d, err)
+		}
+	}
 	for _, wrong := range []string{
 		strings.Replace(string(text), `"seed"`, `"sead"`, 1),
 		string(text) + "{}",
