--- a/internal/tool/load/overhead.go
+++ b/internal/tool/load/overhead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,11 +21,19 @@
 // process that answers at once. The server's own work is in it, so it is an
 // upper bound.
 type overhead struct {
-	jobs         int
-	cpuPerJob    time.Duration
-	responseP50  time.Duration
-	responseP99  time.Duration
-	wrongAnswers int
+	jobs        int
+	cpuPerJob   time.Duration
+	responseP50 time.Duration
+	responseP99 time.Duration
+	wrong       int // answers that were not what the server sends
+}
+
+// overheadError says that the tool did not get or misread the instant server's
+// answers. Its figures of any site would be worth nothing.
+type overheadError struct{ wrong, jobs int }
+
+func (e *overheadError) Error() string {
+	return fmt.Sprintf("%d of %d answers of the tool's own server were missing or wrong", e.wrong, e.jobs)
 }
 
 const (
@@ -59,7 +68,11 @@
 			return nil, err
 		}
 	}
-	return drain(ctx, arrivals, accounts), nil
+	o := drain(ctx, arrivals, accounts)
+	if o.wrong > 0 {
+		return nil, &overheadError{o.wrong, o.jobs}
+	}
+	return o, nil
 }
 
 // drain submits the jobs one after another in each of a few goroutines.
@@ -79,7 +92,7 @@
 				mu.Lock()
 				_ = times.RecordValue(r.Took.Microseconds())
 				if r.Wrong || r.Outcome == noAnswer {
-					o.wrongAnswers++
+					o.wrong++
 				}
 				mu.Unlock()
 			}
--- a/internal/tool/load/report.go
+++ b/internal/tool/load/report.go
@@ -40,7 +40,6 @@
 	r.add("us", micros(o.cpuPerJob), about+"CPU per job")
 	r.add("us", micros(o.responseP50), about+"response p50")
 	r.add("us", micros(o.responseP99), about+"response p99")
-	r.add("jobs", float64(o.wrongAnswers), about+"wrong answers")
 }
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
