--- a/cmd/pumiceyard/trying.go
+++ b/cmd/pumiceyard/trying.go
@@ -10,7 +10,7 @@
 )
 
 func tryingCommands() []*cobra.Command {
-	return []*cobra.Command{demoCommand(), standinCommand()}
+	return []*cobra.Command{demoCommand(), loadCommand(), standinCommand()}
 }
 
 func demoCommand() *cobra.Command {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -37,6 +37,9 @@
 	PlatformListen string                // address of the platform's service; empty: any on loopback
 	Listed         []*pb.VM              // entry VMs that run elsewhere
 	Tune           func(*entry.Settings) // changes the settings of each entry VM; may be nil
+	// Wrapper replaces each listener before it is used, those of the roles
+	// "worker" and "platform" too; nil: none is replaced.
+	Wrapper entry.ListenerWrapper
 }
 
 // Defaults returns a site of the users' present size.
@@ -99,7 +102,7 @@
 // Start brings a site up.
 func Start(opt Options) (*Site, error) {
 	s := &Site{opt: opt, Platform: platformstandin.New(platformstandin.Options{ListLag: opt.ListLag})}
-	url, server, err := listen(opt.PlatformListen, platform.Handler(s.Platform))
+	url, server, err := s.listen("platform", opt.PlatformListen, platform.Handler(s.Platform))
 	if err != nil {
 		return nil, err
 	}
@@ -124,11 +127,14 @@
 // anyLoopback lets the system pick a port.
 const anyLoopback = "127.0.0.1:0"
 
-func listen(address string, handler http.Handler) (string, *http.Server, error) {
+func (s *Site) listen(role, address string, handler http.Handler) (string, *http.Server, error) {
 	l, err := net.Listen("tcp", cmp.Or(address, anyLoopback))
 	if err != nil {
 		return "", nil, err
 	}
+	if s.opt.Wrapper != nil {
+		l = s.opt.Wrapper.WrapListener(role, l)
+	}
 	server := wire.NewServer(handler, nil)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), server, nil
@@ -145,7 +151,7 @@
 		Behaviour:      s.opt.Behaviour,
 		UsageLag:       time.Second,
 	})
-	address, server, err := listen(anyLoopback, w.Handler())
+	address, server, err := s.listen("worker", anyLoopback, w.Handler())
 	if err != nil {
 		return err
 	}
@@ -179,6 +185,7 @@
 	settings.TicketKey = ticketKey
 	settings.PeerToken = peerToken
 	settings.ListPollMillis = 250
+	settings.Wrapper = s.opt.Wrapper
 	if s.opt.Tune != nil {
 		s.opt.Tune(&settings)
 	}
@@ -354,24 +361,7 @@
 
 // Starts counts tasks and starts over all workers, dead ones too, and how often
 // the task with the most starts was started.
-func (s *Site) Starts() (tasks, starts, highest int) {
-	type key struct {
-		incarnation, counter uint64
-		index                uint32
-	}
-	counts := make(map[key]int)
-	for _, w := range s.Workers() {
-		w.EachStart(func(id ticketID, index uint32, n int) {
-			counts[key{id.Incarnation, id.Counter, index}] += n
-		})
-	}
-	for _, n := range counts {
-		tasks++
-		starts += n
-		highest = max(highest, n)
-	}
-	return tasks, starts, highest
-}
+func (s *Site) Starts() (tasks, starts, highest int) { return s.Records().Starts() }
 
 // ControlCalls sums the control calls that were made to all workers.
 func (s *Site) ControlCalls() worker.Calls {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -76,6 +76,25 @@
 	starts      map[taskKey]int
 	calls       Calls
 	nextSweep   time.Time
+	traffic     Traffic
+	slots       map[ticket.ID]uint32 // in use, by submission
+	slotsInUse  uint32
+	slotsPeak   uint32
+}
+
+// Traffic counts what passed over the streams of a worker's lease holders.
+type Traffic struct {
+	Received   int // messages, heartbeats among them
+	Sent       int // messages, answers to heartbeats among them
+	Refused    int // starts that were not accepted
+	Duplicates int // of them, starts of tasks that were started before
+}
+
+// Traffic returns the counts since the worker's start.
+func (w *Worker) Traffic() Traffic {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.traffic
 }
 
 // Faults are switched by tests and the demo.
@@ -91,6 +110,7 @@
 }
 
 type submission struct {
+	id      ticket.ID
 	sealed  ticket.Generation
 	closed  string
 	expiry  time.Time
@@ -124,6 +144,7 @@
 		throttle:    fullSpeed,
 		submissions: make(map[ticket.ID]*submission),
 		starts:      make(map[taskKey]int),
+		slots:       make(map[ticket.ID]uint32),
 	}
 }
 
@@ -149,7 +170,8 @@
 			}
 		}
 	}
-	w.milliwatts, w.running = 0, 0
+	w.milliwatts, w.running, w.slotsInUse = 0, 0, 0
+	clear(w.slots)
 	w.endStream()
 }
 
@@ -196,6 +218,37 @@
 	return w.milliwatts + w.cfg.IdleMilliwatts, w.peak
 }
 
+// EachInUse calls f with the slots that each submission occupies here now.
+func (w *Worker) EachInUse(f func(id ticket.ID, slots uint32)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, slots := range w.slots {
+		f(id, slots)
+	}
+}
+
+// PeakSlots returns the most slots that were ever in use at a time.
+func (w *Worker) PeakSlots() uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.slotsPeak
+}
+
+// occupy counts the slots of a task that starts. The caller holds mu.
+func (w *Worker) occupy(id ticket.ID, slots uint32) {
+	w.slots[id] += slots
+	w.slotsInUse += slots
+	w.slotsPeak = max(w.slotsPeak, w.slotsInUse)
+}
+
+// vacate counts the slots of a task that leaves. The caller holds mu.
+func (w *Worker) vacate(id ticket.ID, slots uint32) {
+	w.slotsInUse -= slots
+	if w.slots[id] -= slots; w.slots[id] == 0 {
+		delete(w.slots, id)
+	}
+}
+
 // ID is the worker's name.
 func (w *Worker) ID() string { return w.cfg.ID }
 
@@ -204,6 +257,10 @@
 func (w *Worker) start(now time.Time, epoch uint64, g *pb.StartGroup, i int) *pb.TaskResult {
 	index := g.Index[i]
 	if code := w.refusal(now, epoch, g, index); code != "" {
+		w.traffic.Refused++
+		if code == reason.DuplicateTask {
+			w.traffic.Duplicates++
+		}
 		return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code)}
 	}
 	id := wire.ID(g.Submission)
@@ -216,6 +273,7 @@
 	sub.tasks[index] = t
 	w.starts[taskKey{id, index}]++
 	w.running++
+	w.occupy(id, g.Each.GetSlots())
 	w.milliwatts += t.draw
 	w.peak = max(w.peak, w.milliwatts+w.cfg.IdleMilliwatts)
 	if out.Run <= 0 {
@@ -274,6 +332,7 @@
 	sub := w.submissions[id]
 	if sub == nil {
 		sub = &submission{
+			id:      id,
 			expiry:  time.UnixMilli(int64(expiryMillis)),
 			tasks:   make(map[uint32]*task),
 			changed: make(chan struct{}),
@@ -299,6 +358,7 @@
 func (w *Worker) leave(sub *submission, t *task) {
 	t.run = time.Since(t.started)
 	w.running--
+	w.vacate(sub.id, t.each.GetSlots())
 	w.milliwatts -= t.draw
 	close(sub.changed)
 	sub.changed = make(chan struct{})
--- a/internal/tool/standin/standin.go
+++ b/internal/tool/standin/standin.go
@@ -6,12 +6,11 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
-	"github.com/pumiceyard/pumiceyard/internal/tool/demo"
+	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // Options of the stand-ins.
@@ -25,18 +24,22 @@
 
 // Run runs the stand-ins until ctx ends.
 func Run(ctx context.Context, opt Options) error {
-	dep, err := demo.Load(opt.Deployment)
+	profile, err := workload.Load(opt.Deployment)
 	if err != nil {
 		return err
 	}
-	slices.Sort(dep.Domains)
-	listed, err := parseEntries(opt.Entries, dep.Domains)
+	doc, err := profile.Configuration()
 	if err != nil {
 		return err
 	}
-	s := site.Defaults(dep.Domains)
-	s.EntryVMs, s.Workers, s.PerRack = 0, opt.Workers, dep.PerRack
-	s.Behaviour = demo.Behaviour
+	domains := workload.Domains(doc)
+	listed, err := parseEntries(opt.Entries, domains)
+	if err != nil {
+		return err
+	}
+	s := site.Defaults(domains)
+	s.EntryVMs, s.Workers, s.PerRack = 0, opt.Workers, int(profile.Site.PerRack)
+	s.Behaviour = workload.Behaviour
 	s.PlatformListen = opt.Listen
 	s.Listed = listed
 	running, err := site.Start(s)
@@ -48,7 +51,7 @@
 	for _, vm := range listed {
 		fmt.Fprintf(opt.Out, "entry VM  %s in %s, peers dial %s\n", vm.Id, vm.Domain, vm.Address)
 	}
-	fmt.Fprintf(opt.Out, "workers   %d in %s\n", opt.Workers, strings.Join(dep.Domains, ", "))
+	fmt.Fprintf(opt.Out, "workers   %d in %s\n", opt.Workers, strings.Join(domains, ", "))
 	<-ctx.Done()
 	return nil
 }
