--- a/internal/process/distribution/node.go
+++ b/internal/process/distribution/node.go
@@ -29,6 +29,9 @@
 	watchWait = 2 * time.Second
 	// watchGrace is how much later a watch counts as silent.
 	watchGrace = time.Second
+	// callInterval is the least time from one call of the store to the next.
+	// Without it a store that does not wait would be called in a tight loop.
+	callInterval = TickInterval
 	// summaryInterval is how often a watcher tells its domain its revision.
 	summaryInterval = time.Second
 	// resendInterval is how often a revision is offered to a peer of the domain
--- a/internal/process/distribution/sources.go
+++ b/internal/process/distribution/sources.go
@@ -44,6 +44,7 @@
 	}
 	n.store.number++
 	n.store.waiting = true
+	n.store.notYet = n.now.Add(callInterval)
 	n.store.deadline = n.now.Add(wait + watchGrace)
 	call := CallStore{Call: n.store.number, After: n.held.Version, Wait: wait}
 	n.actions = append(n.actions, call)
--- a/internal/process/distribution/ways_test.go
+++ b/internal/process/distribution/ways_test.go
@@ -202,6 +202,7 @@
 const (
 	changes     = 20
 	changeEvery = 10 * time.Second
+	changeDrift = 137 * time.Millisecond // so that changes meet watches at all phases
 	spreadLimit = 30 * time.Second
 	idleSpan    = time.Minute
 )
@@ -219,11 +220,11 @@
 	m.idleMost = float64(most) / idleSpan.Seconds()
 	f.reset()
 	start := f.net.Now
-	for range changes {
+	for i := range time.Duration(changes) {
 		f.publish(size)
 		took := f.spread(spreadLimit, anyPeer)
 		m.last = max(m.last, took)
-		f.net.Run(max(changeEvery-took, 0))
+		f.net.Run(max(changeEvery+i*changeDrift-took, 0))
 	}
 	span := f.net.Now.Sub(start).Seconds()
 	total, _ = f.bytes()
--- a/internal/process/membership/core_test.go
+++ b/internal/process/membership/core_test.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	bytesAllowed  = 5000 // a second, sent and received, on any node
-	noWorkWithin  = 3 * time.Second
-	settleTime    = 20 * time.Second
+	bytesAllowed = 5000 // a second, sent and received, on any node
+	noWorkWithin = 3 * time.Second
+	settleTime   = 20 * time.Second
 )
 
 type shape struct{ nodes, domains, workers int }
@@ -201,6 +201,9 @@
 	replaced.Incarnation = 2
 	f.start(replaced, 77)
 	f.version++ // newer, and as old in what it shows
+	late := f.selves["vm-011"]
+	late.Incarnation, late.State = 1, Gone
+	f.step("vm-000", f.nodes["vm-000"], Received{From: "vm-001", Message: Notice{Facts: []Fact{late}}})
 	f.net.Run(10 * time.Minute)
 	if f.givesWork("d03", "worker-0007") {
 		t.Error("the leaving worker gets work again")
