Membership: doubt a list that drops most workers, plainer names

Cause: one empty or cut-off list from the platform would have marked all workers as gone for good; some names were figures of speech. Change: a list that drops more than half of the workers at once is not believed in that, and the view says so. Names follow the terms of the field.

--- a/internal/process/membership/core.go
+++ b/internal/process/membership/core.go
@@ -30,10 +30,10 @@
 	aloneAfter = 5 * time.Second
 	// summaryInterval is how often a node compares with another domain.
 	summaryInterval = time.Second
-	// vouchFor is how long the word of a domain that a member lives outlasts
+	// suspicionDelay is how long the word of a domain that a member lives outlasts
 	// its word that the member is suspect. Two halves of a split domain say
 	// both in turn.
-	vouchFor = 4 * time.Second
+	suspicionDelay = 4 * time.Second
 	// remoteAfter is the silence after which another domain, or one of its
 	// members, counts as not heard.
 	remoteAfter = 15 * time.Second
@@ -46,13 +46,13 @@
 	listRetry = 5 * time.Second
 	// pauseLimit is the gap between two steps that counts as a pause.
 	pauseLimit = time.Second
-	// probeLimit is how long a node that was paused waits for verdicts.
+	// probeLimit is how long a node that was paused waits for replies.
 	probeLimit = time.Second
 	// mismatchLimit is how long two members may differ in what they know of
 	// the domain's workers before one asks for all of it.
 	mismatchLimit = time.Second
-	// newsRepeats is how many heartbeats repeat a piece of news.
-	newsRepeats = 5
+	// updateRepeats is how many heartbeats repeat a piece of news.
+	updateRepeats = 5
 	// tombstoneFor is how long a VM that is gone is remembered at least.
 	tombstoneFor = 10 * time.Minute
 	// forgetInterval is how often the tables are searched for such VMs.
@@ -77,10 +77,10 @@
 
 	members map[string]*member // other entry VMs
 	workers map[string]*worker
-	near    []string // members of the own domain, by ID
-	far     []string // members of other domains, by ID
+	local   []string // members of the own domain, by ID
+	remote  []string // members of other domains, by ID
 	rows    map[string]*heldRow
-	news    []repeated
+	updates []repeated
 
 	listVersion uint64
 	listWaiting bool
@@ -94,11 +94,12 @@
 	nextForget    time.Time
 	listSlot      int64 // last turn that this node looked at
 	listBytes     int   // length of the newest list
+	listDoubted   bool  // the newest list drops most workers
 
 	standing   Standing
 	pauses     uint64
 	probeEnds  time.Time
-	verdicts   int
+	replies    int
 	changed    bool
 	view       View
 	lastWantAt time.Time
@@ -106,15 +107,15 @@
 
 // member is another entry VM.
 type member struct {
-	fact      Fact
-	wasListed bool      // some list named this incarnation
-	listed    bool      // the newest list names it
-	heardAt   time.Time // last heartbeat; of the own domain
-	silent    []string  // whom it does not hear
-	vouchedAt time.Time // last named as live by its row; of another domain
-	accused   bool      // its row names it as suspect
-	differs   time.Time // since when its workers' hash differs; zero when not
-	goneAt    time.Time
+	fact        Fact
+	wasListed   bool      // some list named this incarnation
+	listed      bool      // the newest list names it
+	heardAt     time.Time // last heartbeat; of the own domain
+	silent      []string  // whom it does not hear
+	namedLiveAt time.Time // last named as live by its row; of another domain
+	rowSuspects bool      // its row names it as suspect
+	differs     time.Time // since when its workers' hash differs; zero when not
+	goneAt      time.Time
 
 	reason   Reason
 	since    time.Time
@@ -183,7 +184,7 @@
 
 // tick does what is due by time.
 func (c *Core) tick() {
-	c.judge()
+	c.evaluate()
 	c.forgetGone()
 	if c.standing == Superseded {
 		return
@@ -200,14 +201,14 @@
 	case Summary:
 		c.compare(message)
 	case Notice:
-		c.spread(c.learnAll(message.Facts, SignPeer), c.isNear(from))
+		c.spread(c.learnAll(message.Facts, SignPeer), c.isLocal(from))
 	case Want:
 		c.send(from, Notice{Facts: c.domainWorkers()})
 	case Probe:
 		c.learn(message.Sender)
 		c.probed(message.Sender)
-	case Verdict:
-		c.judged(message)
+	case ProbeReply:
+		c.probeReply(message)
 	}
 }
 
@@ -219,7 +220,7 @@
 	c.actions = append(c.actions, Send{To: to, Address: address, Message: message})
 }
 
-func (c *Core) isNear(id string) bool {
+func (c *Core) isLocal(id string) bool {
 	m := c.members[id]
 	return m != nil && m.fact.Domain == c.self.Domain
 }
@@ -309,15 +310,15 @@
 // sortMembers keeps the members that are not gone in a fixed order, on which
 // the random choices are made.
 func (c *Core) sortMembers() {
-	c.near, c.far = nil, nil
+	c.local, c.remote = nil, nil
 	for _, id := range slices.Sorted(maps.Keys(c.members)) {
 		m := c.members[id]
 		switch {
 		case m.fact.State == Gone:
 		case m.fact.Domain == c.self.Domain:
-			c.near = append(c.near, id)
+			c.local = append(c.local, id)
 		default:
-			c.far = append(c.far, id)
+			c.remote = append(c.remote, id)
 		}
 	}
 }
--- a/internal/process/membership/core_test.go
+++ b/internal/process/membership/core_test.go
@@ -76,11 +76,11 @@
 func TestDeadVMIsFound(t *testing.T) {
 	f := settled(t, 2, design)
 	f.paused["vm-007"] = true
-	near := f.until(time.Minute, func() bool { return f.wrong(inDomain("d07")) == 0 })
-	far := near + f.until(time.Minute, func() bool { return f.wrong(everyone) == 0 })
-	t.Logf("found by its domain after %v, by all after %v", near, far)
-	if near > 4*time.Second || far > 15*time.Second {
-		t.Errorf("found by its domain after %v, by all after %v", near, far)
+	local := f.until(time.Minute, func() bool { return f.wrong(inDomain("d07")) == 0 })
+	remote := local + f.until(time.Minute, func() bool { return f.wrong(everyone) == 0 })
+	t.Logf("found by its domain after %v, by all after %v", local, remote)
+	if local > 4*time.Second || remote > 15*time.Second {
+		t.Errorf("found by its domain after %v, by all after %v", local, remote)
 	}
 }
 
@@ -213,6 +213,19 @@
 	}
 }
 
+// Symptom: the whole site stands still. Sequence: the platform hands out a list
+// without workers. Cause: the list taken as the truth.
+func TestListWithoutWorkersIsDoubted(t *testing.T) {
+	f := settled(t, 10, small)
+	before := len(f.nodes["vm-007"].View().Workers)
+	f.setList(func(fact Fact) (Fact, bool) { return fact, fact.Role == Entry })
+	f.net.Run(5 * time.Minute)
+	view := f.nodes["vm-007"].View()
+	if before != small.workers || len(view.Workers) != before || !view.ListDoubted {
+		t.Errorf("%d workers, %d before; doubted %v", len(view.Workers), before, view.ListDoubted)
+	}
+}
+
 // Symptom: two VMs act under one identity. Sequence: a VM is paused; it is
 // replaced under the same id; it wakes. Cause: it acts on what it knew. The
 // step that wakes it must already keep it from acting.
--- a/internal/process/membership/domain.go
+++ b/internal/process/membership/domain.go
@@ -16,8 +16,8 @@
 		Workers: c.hashWorkers(),
 		Facts:   c.repeats(),
 	}
-	c.tellConcerned(heartbeat.Facts)
-	for _, id := range c.near {
+	c.sendToOwnDomains(heartbeat.Facts)
+	for _, id := range c.local {
 		c.send(id, heartbeat)
 	}
 }
@@ -26,7 +26,7 @@
 // that has just started is no witness yet against those it never heard.
 func (c *Core) silent() (ids []string) {
 	isNew := c.now.Sub(c.started) <= suspectAfter
-	for _, id := range c.near {
+	for _, id := range c.local {
 		m := c.members[id]
 		if !c.hears(m) && !(isNew && m.heardAt.IsZero()) {
 			ids = append(ids, id)
@@ -43,7 +43,7 @@
 	sender := h.Sender
 	sender.Sign = SignOwnWord
 	if c.learn(sender) {
-		c.welcome(sender)
+		c.introduce(sender)
 	}
 	m := c.members[sender.ID]
 	if m == nil {
@@ -59,23 +59,23 @@
 	c.compareWorkers(m, h.Workers)
 }
 
-// welcome makes a VM that has just come known, and makes the fleet known to it.
+// introduce makes a VM that has just come known, and makes the fleet known to it.
 // What goes wrong otherwise: the platform's list is out, the VM was told of one
 // member only, and neither it nor the others of the domain ever hear of each
 // other.
-func (c *Core) welcome(newcomer Fact) {
+func (c *Core) introduce(newcomer Fact) {
 	c.spread([]Fact{newcomer}, false)
 	c.send(newcomer.ID, Summary{Sender: c.self, Digests: c.digests()})
 }
 
-// judgeNear says why a member of the own domain is in doubt, if it is, and
+// evaluateLocal says why a member of the own domain is in doubt, if it is, and
 // whether it no longer counts as live.
 //
 // What goes wrong otherwise: one connection goes silent, one node takes the
 // other for dead and takes over its work, and both act. So another member has
 // to say the same; only where none is there to ask, and after longer, a node
 // decides alone.
-func (c *Core) judgeNear(m *member) (reason Reason, excluded bool) {
+func (c *Core) evaluateLocal(m *member) (reason Reason, excluded bool) {
 	if m.heardAt.IsZero() {
 		return NeverHeard, true
 	}
@@ -99,7 +99,7 @@
 // witnesses counts the members that this node hears by whether they hear the
 // other.
 func (c *Core) witnesses(m *member) (agree, disagree int) {
-	for _, id := range c.near {
+	for _, id := range c.local {
 		witness := c.members[id]
 		switch {
 		case witness == m || !c.hears(witness):
--- a/internal/process/membership/facts.go
+++ b/internal/process/membership/facts.go
@@ -38,35 +38,35 @@
 // about, and, where it arose here, to one node of each other domain. It does not
 // wait for the next heartbeat, since a leaving worker must get no work within
 // seconds; the next heartbeats repeat it, in case it is lost.
-func (c *Core) spread(news []Fact, fromNear bool) {
-	if len(news) == 0 || fromNear {
+func (c *Core) spread(news []Fact, fromLocal bool) {
+	if len(news) == 0 || fromLocal {
 		return
 	}
-	for _, id := range c.near {
+	for _, id := range c.local {
 		c.send(id, Notice{Facts: news})
 	}
 	for _, fact := range news {
-		c.news = append(c.news, repeated{fact: fact, left: newsRepeats})
+		c.updates = append(c.updates, repeated{fact: fact, left: updateRepeats})
 	}
 	if news[0].Sign == SignPeer {
 		return // the domain where it arose tells the others
 	}
-	c.tellConcerned(news)
+	c.sendToOwnDomains(news)
 	for _, id := range c.oneOfEachDomain() {
 		c.send(id, Notice{Facts: news})
 	}
 }
 
-// tellConcerned sends each fact to the live members of the domain that it is
+// sendToOwnDomains sends each fact to the live members of the domain that it is
 // about, which give the VM work.
-func (c *Core) tellConcerned(facts []Fact) {
+func (c *Core) sendToOwnDomains(facts []Fact) {
 	byDomain := make(map[string][]Fact)
 	for _, fact := range facts {
 		if fact.Sign != SignPeer {
 			byDomain[fact.Domain] = append(byDomain[fact.Domain], fact)
 		}
 	}
-	for _, id := range c.far {
+	for _, id := range c.remote {
 		m := c.members[id]
 		if concerned := byDomain[m.fact.Domain]; concerned != nil && !m.excluded {
 			c.send(id, Notice{Facts: concerned})
@@ -78,7 +78,7 @@
 func (c *Core) oneOfEachDomain() (drawn []string) {
 	byDomain := make(map[string][]string)
 	var domains []string
-	for _, id := range c.far {
+	for _, id := range c.remote {
 		m := c.members[id]
 		if m.excluded {
 			continue
@@ -97,14 +97,14 @@
 
 // repeats takes the news that the next heartbeat repeats.
 func (c *Core) repeats() (facts []Fact) {
-	kept := c.news[:0]
-	for _, r := range c.news {
+	kept := c.updates[:0]
+	for _, r := range c.updates {
 		facts = append(facts, r.fact)
 		if r.left--; r.left > 0 {
 			kept = append(kept, r)
 		}
 	}
-	c.news = kept
+	c.updates = kept
 	return facts
 }
 
--- a/internal/process/membership/list.go
+++ b/internal/process/membership/list.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// fewDropped is how many workers a list may always drop.
+const fewDropped = 8
+
 // The platform's list of VMs: whose turn it is to read it, and what it changes.
 
 // readList asks for the list when it is this node's turn, or when it has never
@@ -59,26 +62,50 @@
 		m.listed = names[id]
 		m.wasListed = m.wasListed || m.listed
 	}
+	dropped := c.droppedWorkers(names)
+	c.setListDoubted(2*len(dropped) > len(c.workers) && len(dropped) > fewDropped)
+	if c.listDoubted {
+		return nil
+	}
+	for _, fact := range dropped {
+		if c.learn(fact) {
+			news = append(news, fact)
+		}
+	}
+	return news
+}
+
+// droppedWorkers are those that a list named before and this one does not, as
+// gone, by ID. A worker that the list is too old to know is not among them.
+func (c *Core) droppedWorkers(names map[string]bool) (dropped []Fact) {
 	for id, w := range c.workers {
 		w.wasListed = w.wasListed || names[id]
-		if names[id] || !w.wasListed {
-			continue // a worker that this list is too old to know stays
+		if names[id] || !w.wasListed || w.fact.State == Gone {
+			continue
 		}
 		gone := w.fact
 		gone.State, gone.Sign = Gone, SignList
-		if c.learn(gone) {
-			news = append(news, gone)
-		}
+		dropped = append(dropped, gone)
 	}
-	slices.SortFunc(news, byID)
-	return news
+	slices.SortFunc(dropped, byID)
+	return dropped
+}
+
+// setListDoubted notes whether the newest list drops most workers at once.
+//
+// What goes wrong otherwise: the platform hands out an empty or cut-off list,
+// all workers count as gone, and the site stands still. Even a whole failure
+// domain is less than half of the workers. The workers' own word still counts.
+func (c *Core) setListDoubted(doubted bool) {
+	c.changed = c.changed || doubted != c.listDoubted
+	c.listDoubted = doubted
 }
 
 // turn is how long one reading of the list is to last. A domain that is cut off
 // is few, and reads more seldom.
 func (c *Core) turn() time.Duration {
 	live := 1
-	for _, id := range slices.Concat(c.near, c.far) {
+	for _, id := range slices.Concat(c.local, c.remote) {
 		if !c.members[id].excluded {
 			live++
 		}
@@ -91,7 +118,7 @@
 // none reads twice while another has not read.
 func (c *Core) isMyTurn(slot int64) bool {
 	live, before := 1, 0
-	for _, id := range slices.Concat(c.near, c.far) {
+	for _, id := range slices.Concat(c.local, c.remote) {
 		if c.members[id].excluded {
 			continue
 		}
--- a/internal/process/membership/pause.go
+++ b/internal/process/membership/pause.go
@@ -7,8 +7,8 @@
 // probeOthers is how many nodes outside the domain are asked after a pause.
 const probeOthers = 2
 
-// enoughVerdicts settle a probe.
-const enoughVerdicts = 2
+// enoughReplies settle a probe.
+const enoughReplies = 2
 
 // noticePause finds that the node was paused, before it does anything else.
 //
@@ -29,10 +29,10 @@
 		c.standing = Probing
 	}
 	c.probeEnds = now.Add(probeLimit)
-	c.verdicts = 0
-	asked := append([]string(nil), c.near...)
-	for range min(probeOthers, len(c.far)) {
-		asked = append(asked, c.far[c.random.IntN(len(c.far))])
+	c.replies = 0
+	asked := append([]string(nil), c.local...)
+	for range min(probeOthers, len(c.remote)) {
+		asked = append(asked, c.remote[c.random.IntN(len(c.remote))])
 	}
 	for _, id := range asked {
 		c.send(id, Probe{Sender: c.self})
@@ -47,29 +47,29 @@
 		if !m.heardAt.IsZero() {
 			m.heardAt = now
 		}
-		if !m.vouchedAt.IsZero() {
-			m.vouchedAt = now
+		if !m.namedLiveAt.IsZero() {
+			m.namedLiveAt = now
 		}
 	}
 }
 
 // probed tells a node that was paused how it stands here.
 func (c *Core) probed(sender Fact) {
-	verdict := Verdict{Incarnation: sender.Incarnation}
+	reply := ProbeReply{Incarnation: sender.Incarnation}
 	if m := c.members[sender.ID]; m != nil {
-		verdict.Gone = m.fact.Incarnation > sender.Incarnation ||
+		reply.Gone = m.fact.Incarnation > sender.Incarnation ||
 			m.fact.Incarnation == sender.Incarnation && m.fact.State == Gone
-		verdict.Suspected = m.excluded
+		reply.Suspected = m.excluded
 	}
-	c.send(sender.ID, verdict)
+	c.send(sender.ID, reply)
 }
 
-// judged takes in how this node stands with another.
-func (c *Core) judged(v Verdict) {
+// probeReply takes in how this node stands with another.
+func (c *Core) probeReply(v ProbeReply) {
 	if v.Incarnation != c.self.Incarnation {
 		return
 	}
-	c.verdicts++
+	c.replies++
 	if v.Gone {
 		c.standing = Superseded
 		c.changed = true
@@ -83,7 +83,7 @@
 	if c.standing != Probing {
 		return
 	}
-	enough := c.verdicts >= min(enoughVerdicts, len(c.near)+len(c.far))
+	enough := c.replies >= min(enoughReplies, len(c.local)+len(c.remote))
 	if enough || !c.now.Before(c.probeEnds) {
 		c.standing = Acting
 		c.changed = true
--- a/internal/process/membership/summary.go
+++ b/internal/process/membership/summary.go
@@ -31,17 +31,17 @@
 	if c.writesRow() {
 		c.writeRow()
 	}
-	if len(c.far) == 0 {
+	if len(c.remote) == 0 {
 		return
 	}
-	to := c.far[c.random.IntN(len(c.far))]
+	to := c.remote[c.random.IntN(len(c.remote))]
 	c.send(to, Summary{Sender: c.self, Digests: c.digests()})
 }
 
 // writesRow reports whether this node is the first live one of its domain.
-// Two writers at once, in a split domain, write in turn; vouchFor covers it.
+// Two writers at once, in a split domain, write in turn; suspicionDelay covers it.
 func (c *Core) writesRow() bool {
-	for _, id := range c.near {
+	for _, id := range c.local {
 		if id < c.self.ID && !c.members[id].excluded {
 			return false
 		}
@@ -51,7 +51,7 @@
 
 func (c *Core) writeRow() {
 	members := []RowMember{c.rowMember(c.self, false)}
-	for _, id := range c.near {
+	for _, id := range c.local {
 		m := c.members[id]
 		if m.reason != NeverHeard {
 			members = append(members, c.rowMember(m.fact, m.excluded))
@@ -132,7 +132,7 @@
 		answer.Need = append(answer.Need, theirs.Domain)
 	case theirs.Beat > mine.Beat:
 		mine.Beat = theirs.Beat
-		c.vouch(mine)
+		c.confirm(mine)
 	case theirs.Beat == mine.Beat || isReply:
 	case theirs.Hash == mine.Hash:
 		answer.Digests = append(answer.Digests, mine.Digest)
@@ -160,7 +160,7 @@
 	for _, m := range row.Members {
 		c.learn(factOf(row.Domain, m))
 	}
-	c.vouch(held)
+	c.confirm(held)
 }
 
 func factOf(domain string, m RowMember) Fact {
@@ -174,8 +174,8 @@
 	return fact
 }
 
-// vouch notes whom a row that has just proved fresh names as live.
-func (c *Core) vouch(row *heldRow) {
+// confirm notes whom a row that has just proved fresh names as live.
+func (c *Core) confirm(row *heldRow) {
 	row.adopted = c.now
 	if row.Domain == c.self.Domain {
 		return // heartbeats say more
@@ -185,23 +185,23 @@
 		if m == nil || m.fact.Incarnation != named.Incarnation {
 			continue
 		}
-		m.accused = named.Suspect
+		m.rowSuspects = named.Suspect
 		if !named.Suspect {
-			m.vouchedAt = c.now
+			m.namedLiveAt = c.now
 		}
 	}
 }
 
-// judgeFar says why a member of another domain is in doubt, if it is, and
+// evaluateRemote says why a member of another domain is in doubt, if it is, and
 // whether it no longer counts as live.
-func (c *Core) judgeFar(m *member) (reason Reason, excluded bool) {
-	if m.vouchedAt.IsZero() && !m.accused {
+func (c *Core) evaluateRemote(m *member) (reason Reason, excluded bool) {
+	if m.namedLiveAt.IsZero() && !m.rowSuspects {
 		return NeverHeard, true
 	}
-	quiet := c.now.Sub(m.vouchedAt)
+	quiet := c.now.Sub(m.namedLiveAt)
 	row := c.rows[m.fact.Domain]
 	switch {
-	case m.accused && quiet > vouchFor:
+	case m.rowSuspects && quiet > suspicionDelay:
 		return SuspectedByItsDomain, true
 	case quiet <= remoteAfter:
 		return "", false
--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -46,7 +46,7 @@
 }
 
 // Message is what entry VMs send each other: a Heartbeat, Summary, Notice, Want,
-// Probe or Verdict.
+// Probe or ProbeReply.
 type Message interface {
 	// Size is the length on the wire in bytes, with the framing of a call.
 	Size() int
@@ -115,8 +115,8 @@
 	Sender Fact
 }
 
-// Verdict answers a Probe.
-type Verdict struct {
+// ProbeReply answers a Probe.
+type ProbeReply struct {
 	Incarnation uint64 // the one that was asked about
 	Gone        bool
 	Suspected   bool
@@ -161,7 +161,7 @@
 func (p Probe) Size() int { return framingBytes + factSize(p.Sender) }
 
 // Size is the length on the wire in bytes.
-func (Verdict) Size() int { return framingBytes + numberBytes + 2*flagBytes }
+func (ProbeReply) Size() int { return framingBytes + numberBytes + 2*flagBytes }
 
 func factSize(f Fact) int {
 	texts := len(f.ID) + len(f.Domain) + len(f.Rack) + len(f.Address)
@@ -249,6 +249,9 @@
 	Leaving bool
 	// Isolated says that no other entry VM is heard, though some are known.
 	Isolated bool
+	// ListDoubted says that the platform's newest list drops most workers at
+	// once, and is not believed in that.
+	ListDoubted bool
 	// Live maps each failure domain to its live entry VMs by ID, this node
 	// included.
 	Live map[string][]Fact
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -2,17 +2,17 @@
 
 import "slices"
 
-// judge brings the doubts about all members up to date.
-func (c *Core) judge() {
+// evaluate brings the doubts about all members up to date.
+func (c *Core) evaluate() {
 	for _, m := range c.members {
 		if m.fact.State == Gone {
 			continue
 		}
-		judgement := c.judgeFar
+		evaluate := c.evaluateRemote
 		if m.fact.Domain == c.self.Domain {
-			judgement = c.judgeNear
+			evaluate = c.evaluateLocal
 		}
-		reason, excluded := judgement(m)
+		reason, excluded := evaluate(m)
 		if reason != m.reason {
 			m.since = c.now
 		}
@@ -28,7 +28,7 @@
 // Silence alone never does: a cut that heals would leave every VM of the other
 // side to start again.
 func (c *Core) dropUnlisted() {
-	for _, id := range slices.Concat(c.near, c.far) {
+	for _, id := range slices.Concat(c.local, c.remote) {
 		m := c.members[id]
 		if !m.excluded || !m.wasListed || m.listed {
 			continue
@@ -53,10 +53,11 @@
 		Leaving:  c.self.State == Leaving,
 		Live:     map[string][]Fact{c.self.Domain: {c.self}},
 	}
+	c.view.ListDoubted = c.listDoubted
 	heard := 0
-	for _, id := range slices.Concat(c.near, c.far) {
+	for _, id := range slices.Concat(c.local, c.remote) {
 		m := c.members[id]
-		if !m.excluded && m.judged() {
+		if !m.excluded && m.seen() {
 			heard++
 			c.view.Live[m.fact.Domain] = append(c.view.Live[m.fact.Domain], m.fact)
 		}
@@ -65,7 +66,7 @@
 			c.view.Suspects = append(c.view.Suspects, suspect)
 		}
 	}
-	c.view.Isolated = heard == 0 && len(c.near)+len(c.far) > 0
+	c.view.Isolated = heard == 0 && len(c.local)+len(c.remote) > 0
 	for _, w := range c.workers {
 		if w.fact.State != Gone {
 			c.view.Workers = append(c.view.Workers, w.fact)
@@ -75,8 +76,8 @@
 	return c.view
 }
 
-// judged reports whether some sign of the member has been had at all.
-func (m *member) judged() bool { return !m.heardAt.IsZero() || !m.vouchedAt.IsZero() }
+// seen reports whether some sign of the member has been had at all.
+func (m *member) seen() bool { return !m.heardAt.IsZero() || !m.namedLiveAt.IsZero() }
 
 func (c *Core) sortView() {
 	slices.SortFunc(c.view.Workers, byID)
