--- a/internal/tool/standin/standin.go
+++ b/internal/tool/standin/standin.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
