A test site is ready once its entry VMs reach each other; refusals are explained

Cause: TestOperate failed in most runs since startup got faster: it asked one entry VM to explain a job of the other before their link was up. Ruled out: timelines lost, calls failing. Change: AwaitReady waits for the links; a refusal on admission is noted in the timeline. Conclusion: the site's readiness was incomplete, not the test.

--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -172,6 +172,7 @@
 	}
 	refusal := h.admit(&ev.sub)
 	if refusal != nil && ev.sub.First {
+		h.cfg.Timelines.Add(id, timeline.Step{At: h.now, What: "refused", Reason: refusal.Reason, Detail: refusal.Detail})
 		ev.reply(&job.Answer{Outcome: reason.NotRun, Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
 		return
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -314,9 +314,11 @@
 
 const awaitPoll = 20 * time.Millisecond
 
-// AwaitReady waits until every entry VM is ready and every worker is held.
+// AwaitReady waits until every entry VM is ready and reaches every other, and
+// every worker is held.
 func (s *Site) AwaitReady(ctx context.Context) error {
-	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() }); err != nil {
+	others := len(s.Entries()) - 1
+	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others }); err != nil {
 		return err
 	}
 	for {
