Quotas hold over the site; a cancelled job says so; found tasks are stopped

Cause: nothing called fairness.SetRemoteUsage, so each entry VM granted an account its whole quota (load tool: 2.5 times in a burst). A cancelled job of which no news had come was answered with the end of its stopped task. Tasks that a recovery had found running ran on after their job failed. Change: adverts on heartbeats name what accounts use and whether they wait; what is left of a quota is divided in rounds among the entry VMs at which the account waits. job keeps the reason a job was given up for, and stops found tasks.

--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -92,7 +92,7 @@
 		return connect.NewError(connect.CodeUnavailable, errors.New("not taking sessions"))
 	}
 	defer s.owner.Leave(session)
-	if err := conn.Send(&pb.RunResponse{Advert: session.brief(s.owner.Advert())}); err != nil {
+	if err := conn.Send(&pb.RunResponse{Advert: session.brief(s.owner.Advert(), true)}); err != nil {
 		return err
 	}
 	heard := make(chan struct{}, 1)
@@ -152,16 +152,17 @@
 		if m == nil {
 			continue
 		}
-		m.Advert = session.brief(s.owner.Advert())
+		m.Advert = session.brief(s.owner.Advert(), m.Beat != 0)
 		if err := conn.Send(m); err != nil {
 			return err
 		}
 	}
 }
 
-// brief is the advert for this home. It leaves the list of workers out of an advert that the home has already:
+// brief is the advert for this home. What accounts use goes with heartbeats
+// only, which bounds its cost. It leaves the list of workers out of an advert that the home has already:
 // the list is long and changes seldom.
-func (s *session) brief(m *pb.Advert) *pb.Advert {
+func (s *session) brief(m *pb.Advert, beat bool) *pb.Advert {
 	brief := &pb.Advert{
 		Incarnation:    m.Incarnation,
 		Domain:         m.Domain,
@@ -173,6 +174,9 @@
 		Largest:        m.Largest,
 		TakenTasks:     s.taken.Load(),
 	}
+	if beat {
+		brief.Usage, brief.Periodic = m.Usage, true
+	}
 	if m.WorkersVersion != s.version {
 		s.version = m.WorkersVersion
 		brief.Workers = m.Workers
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -49,6 +49,7 @@
 	peers     *peerSet
 	workers   *workerSet
 	local     *localSession
+	shares    *shares
 	platform  *platform.Client
 	platHTTP  *wire.Client
 	store     *storeclient.Client
@@ -154,6 +155,7 @@
 		Timelines:   vm.timelines,
 		Observer:    vm.metrics,
 	})
+	vm.shares = newShares(vm.holder)
 	vm.local = newLocalSession(vm)
 	vm.router = router.New(router.Config{
 		Name:        s.Name,
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -209,6 +209,7 @@
 func (e peerEvents) Advert(owner string, m *pb.Advert) {
 	e.p.vm.home.Advert(owner, m)
 	e.p.setDrain(owner, m.Draining)
+	e.p.vm.shares.heard(owner, m)
 }
 
 func (e peerEvents) RunResults(owner string, results []*pb.RunResult) {
@@ -217,6 +218,7 @@
 
 func (e peerEvents) OwnerLost(owner, why string) {
 	e.p.vm.home.OwnerLost(owner, why)
+	e.p.vm.shares.lost(owner)
 	e.p.setUp(owner, false, 0)
 }
 
--- /dev/null
+++ b/internal/process/entry/shares.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
+)
+
+// shares adds up what the other entry VMs offer and what client accounts occupy
+// there, from their heartbeats, and tells the holder.
+type shares struct {
+	holder *holder.Holder
+
+	mu     sync.Mutex
+	owners map[string]*ownerShare
+	told   time.Time
+}
+
+// tellEvery bounds how often the holder shares the quotas out anew.
+const tellEvery = 200 * time.Millisecond
+
+// ownerShare is one other entry VM's part.
+type ownerShare struct {
+	slots uint32
+	usage []*pb.AccountUsage
+}
+
+func newShares(h *holder.Holder) *shares {
+	return &shares{holder: h, owners: make(map[string]*ownerShare)}
+}
+
+// heard takes an advert. Only those on heartbeats name what accounts use.
+func (s *shares) heard(owner string, m *pb.Advert) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.owners[owner]
+	if o == nil {
+		o = &ownerShare{}
+		s.owners[owner] = o
+	}
+	if !m.Periodic {
+		return
+	}
+	o.slots, o.usage = m.Slots, m.Usage
+	if now := time.Now(); now.Sub(s.told) >= tellEvery {
+		s.told = now
+		s.tell()
+	}
+}
+
+// lost drops an entry VM that can not be heard: what was used there is not known
+// any more, and its workers count where they are held next.
+func (s *shares) lost(owner string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.owners, owner)
+	s.tell()
+}
+
+// tell passes the sums on. The caller holds mu.
+func (s *shares) tell() {
+	r := holder.Remote{Waiting: make(map[string]int)}
+	sums := make(map[string]fairness.Usage)
+	for _, o := range s.owners {
+		r.Slots += float64(o.slots)
+		for _, u := range o.usage {
+			sum := sums[u.Account]
+			sum.Account = u.Account
+			sum.Slots += float64(u.Slots)
+			sum.Milliwatts += float64(u.Milliwatts)
+			sums[u.Account] = sum
+			if u.Waiting {
+				r.Waiting[u.Account]++
+			}
+		}
+	}
+	for _, sum := range sums {
+		r.Usage = append(r.Usage, sum)
+	}
+	slices.SortFunc(r.Usage, func(a, b fairness.Usage) int { return cmp.Compare(a.Account, b.Account) })
+	s.holder.SetRemote(r)
+}
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -34,22 +34,26 @@
 	Ring      int           // events waiting for the loop
 	Tick      time.Duration // deadlines and statistics
 	MaxQueued int           // tasks waiting for a slot
-	Order     fairness.Settings
-	Placement placement.Settings
-	Health    health.Settings
-	Estimate  estimate.Settings
+	// QuotaRound is how often quotas are divided among the entry VMs. It has to
+	// be longer than two heartbeats between them.
+	QuotaRound time.Duration
+	Order      fairness.Settings
+	Placement  placement.Settings
+	Health     health.Settings
+	Estimate   estimate.Settings
 }
 
 // Defaults returns settings for an entry VM of 2 cores.
 func Defaults() Settings {
 	return Settings{
-		Ring:      1 << 14,
-		Tick:      10 * time.Millisecond,
-		MaxQueued: 100_000,
-		Order:     fairness.Defaults(),
-		Placement: placement.Defaults(),
-		Health:    health.Defaults(),
-		Estimate:  estimate.DefaultSettings(),
+		Ring:       1 << 14,
+		Tick:       10 * time.Millisecond,
+		MaxQueued:  100_000,
+		QuotaRound: 1100 * time.Millisecond,
+		Order:      fairness.Defaults(),
+		Placement:  placement.Defaults(),
+		Health:     health.Defaults(),
+		Estimate:   estimate.DefaultSettings(),
 	}
 }
 
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -95,6 +95,15 @@
 	dirty   bool      // the held workers changed
 	judged  time.Time // health's last tick
 
+	usage     map[string]*usage // by client account
+	remote    Remote
+	usageList []*pb.AccountUsage // of the adverts
+	listed    time.Time          // usageList was made
+	split     time.Time          // quotas were divided last
+	limits    map[string]float64 // slots an account may occupy here
+	accounts  []fairness.Account // as configured
+	parents   map[string]string  // of accounts
+
 	starts  map[string]*pb.HoldRequest  // of this round, by worker
 	reports map[Session]*pb.RunResponse // of this round
 	buf     []placement.Assignment
@@ -117,6 +126,8 @@
 		learned: estimate.New(cfg.Settings.Estimate),
 		works:   make(map[workKey]*work),
 		workers: make(map[string]*worker),
+		usage:   make(map[string]*usage),
+		limits:  make(map[string]float64),
 		starts:  make(map[string]*pb.HoldRequest),
 		reports: make(map[Session]*pb.RunResponse),
 	}
@@ -162,6 +173,7 @@
 		FreeSlots:   uint32(h.placer.FreeSlots()),
 		QueuedTasks: uint32(h.queued),
 		Draining:    h.draining.Load(),
+		Usage:       h.usageMessage(),
 	}
 	if old != nil && !h.dirty {
 		m.WorkersVersion, m.Workers, m.Slots, m.Largest = old.WorkersVersion, old.Workers, old.Slots, old.Largest
--- a/internal/process/holder/holder_test.go
+++ b/internal/process/holder/holder_test.go
@@ -112,3 +112,29 @@
 		t.Fatalf("%d starts, results %v, %d free slots", w.starts(), s.results, h.placer.FreeSlots())
 	}
 }
+
+// Symptom: an account occupies its quota many times over, seen by the load tool as
+// 2.5 times the quota in a burst. Sequence: a burst of one account reaches two
+// entry VMs at once, before either hears what the other started. Cause: each took
+// the whole rest of the quota for itself.
+func TestQuotaIsDividedAmongEntryVMs(t *testing.T) {
+	h, w := newHolder()
+	h.SetAccounts([]fairness.Account{{Name: "planning", Weight: 1, QuotaSlots: 4}})
+	burst := group(1)
+	burst[0].Account = "planning"
+	burst[0].Index, burst[0].Input = make([]uint32, 8), make([][]byte, 8)
+	for i := range burst[0].Index {
+		burst[0].Index[i] = uint32(i)
+	}
+	h.Offer(&home{}, burst)
+	h.SetRemote(Remote{Slots: 8, Waiting: map[string]int{"planning": 1}})
+	h.round(now.Add(2 * time.Second))
+	if got := w.starts(); got != 2 {
+		t.Errorf("%d tasks started, want half of the quota of 4", got)
+	}
+	h.SetRemote(Remote{Slots: 8, Usage: []fairness.Usage{{Account: "planning", Slots: 1}}})
+	h.round(now.Add(4 * time.Second))
+	if got := w.starts(); got != 3 {
+		t.Errorf("%d tasks started, want what the other entry VM left of the quota", got)
+	}
+}
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -177,6 +177,7 @@
 	if f.group == nil {
 		return
 	}
+	h.uses(f.group.Account, f.each, -1)
 	busy := h.now.Sub(f.started)
 	h.order.Finish(h.now, workKey{f.session, t.id}, 1, busy, float64(r.Milliwatts)*busy.Seconds())
 	h.cfg.Observer.Ended(f.group.Account, f.group.Template, w.id, r)
@@ -193,6 +194,8 @@
 		c.Slots += float64(w.capacity.Slots)
 		c.Milliwatts += float64(w.capacity.Milliwatts)
 	}
+	c.Slots += h.remote.Slots
+	c.Milliwatts += h.remote.Milliwatts
 	h.order.SetCapacity(h.now, c)
 }
 
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -238,6 +238,7 @@
 	})
 	for _, i := range index {
 		w.flights[taskKey{key.id, i}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
+		h.uses(g.m.Account, g.each, 1)
 		h.health.Started(h.now, w.id, g.m.Template, g.expected)
 	}
 	return held
@@ -399,4 +400,12 @@
 	h.events.Push(accountsEvent{accounts})
 }
 
-func (ev accountsEvent) apply(h *Holder) { h.order.SetAccounts(h.now, ev.accounts) }
+func (ev accountsEvent) apply(h *Holder) {
+	h.accounts = ev.accounts
+	h.parents = make(map[string]string, len(ev.accounts))
+	for _, a := range ev.accounts {
+		h.parents[a.Name] = a.Parent
+	}
+	h.splitQuotas()
+	h.applyQuotas()
+}
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -24,6 +24,9 @@
 		m := h.message(owner)
 		m.Withdraw = append(m.Withdraw, wire.IDMessage(e.sub.Ticket.ID))
 	}
+	for _, worker := range a.Stop {
+		h.cfg.Workers.StopSubmission(worker, &pb.StopSubmissionRequest{Submission: wire.IDMessage(e.sub.Ticket.ID)})
+	}
 	if a.Answer != nil {
 		h.answer(e, a.Answer)
 	}
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -71,10 +71,12 @@
 	batches []batch
 	counts  [ended + 1]int
 	started bool // at least one task is known to have started
-	ending  *Answer
-	settle  time.Time
-	closing int // candidates tried for closing
-	answer  *Answer
+	// followed are the workers on which tasks were found running.
+	followed []string
+	ending   *Answer
+	settle   time.Time
+	closing  int // candidates tried for closing
+	answer   *Answer
 	// superseded is the author of a higher generation, 0 while there is none.
 	superseded uint64
 	cursor     int // lowest index that may be unassigned
--- a/internal/request/job/job_test.go
+++ b/internal/request/job/job_test.go
@@ -135,3 +135,29 @@
 		t.Fatal("the task is free to hand out")
 	}
 }
+
+// Symptom: the caller of a cancelled job is told that a task was stopped.
+// Sequence: the job is cancelled while a task runs of which the home has no news;
+// the owner has it stopped, and its end is the first news. Cause: the end of the
+// task was taken for the reason, not the cancellation that led to it.
+func TestCancellationIsTheReason(t *testing.T) {
+	j := New(testSpec(1), 9)
+	j.Assign("owner", []string{"w1"}, 1)
+	j.Cancel(start)
+	a := j.Failed(0, reason.Stopped, "").Answer
+	if a == nil || a.Reason != reason.Cancelled || a.Outcome != reason.Failed {
+		t.Errorf("answer %+v, want failed, cancelled", a)
+	}
+}
+
+// Symptom: tasks of a failed job run on. Sequence: a recovery finds one task
+// running and one failed; the job fails. Cause: no owner of this driver knows the
+// running task, so only the worker itself can be told to stop it.
+func TestFoundTasksAreStoppedWithTheJob(t *testing.T) {
+	j, _ := Recover(testSpec(2), 5, []string{"w1", "w2"}, false, ticket.Generation{})
+	j.Sealed(SealReply{Worker: "w1", Asked: j.Generation(), Sealed: true, Highest: j.Generation(), Records: []Record{{Index: 0, State: RecordRunning}}})
+	a := j.Sealed(SealReply{Worker: "w2", Asked: j.Generation(), Sealed: true, Highest: j.Generation(), Records: []Record{{Index: 1, State: RecordFailed}}})
+	if a.Answer == nil || len(a.Stop) != 1 || a.Stop[0] != "w1" {
+		t.Errorf("actions %+v, want an answer and a stop at w1", a)
+	}
+}
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -139,6 +139,9 @@
 	case RecordRunning:
 		if j.tasks[rec.Index].state != running {
 			j.move(rec.Index, running, 0)
+			if !slices.Contains(j.followed, follow.Worker) {
+				j.followed = append(j.followed, follow.Worker)
+			}
 			follow.Indexes = append(follow.Indexes, rec.Index)
 		}
 	case RecordDone:
@@ -342,7 +345,13 @@
 	if j.answer != nil {
 		return
 	}
+	if j.ending != nil && ans.Reason == reason.Stopped {
+		// The task was stopped because the job had been given up; that is what
+		// the caller has to be told.
+		ans = *j.ending
+	}
 	a.Withdraw = j.owners()
+	a.Stop = j.followed
 	if len(j.spec.Closers) > 0 {
 		a.Seal = append(a.Seal, Seal{Worker: j.spec.Closers[0], Gen: j.gen, Closed: ans.Reason})
 	}
