--- a/internal/process/holder/holder_test.go
+++ b/internal/process/holder/holder_test.go
@@ -120,6 +120,7 @@
 func TestQuotaIsDividedAmongEntryVMs(t *testing.T) {
 	h, w := newHolder()
 	h.SetAccounts([]fairness.Account{{Name: "planning", Weight: 1, QuotaSlots: 4}})
+	h.round(now)
 	burst := group(1)
 	burst[0].Account = "planning"
 	burst[0].Index, burst[0].Input = make([]uint32, 8), make([][]byte, 8)
