Messages for the power cap on the way to workers and peers

Cause: the power core keeps its watts in records at workers, and no message could put a record in force, confirm it or hand it to the next holder. The upstream link carries and joins them. Conclusion: nothing sends them yet.

--- a/internal/connection/upstream/doc.go
+++ b/internal/connection/upstream/doc.go
@@ -52,4 +52,7 @@
 	Results(worker string, groups []*pb.ResultGroup)
 	// Usage measured on the worker.
 	Usage(worker string, m *pb.Usage)
+	// Confirmed: the worker answered the allotment or the throttle that was sent
+	// under this epoch. Either may be nil.
+	Confirmed(worker string, epoch uint64, allotment *pb.AllotmentAnswer, throttled *pb.Throttle)
 }
--- a/internal/connection/upstream/link.go
+++ b/internal/connection/upstream/link.go
@@ -179,7 +179,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() {
 		defer cancel()
-		l.read(conn, w)
+		l.read(conn, granted.Epoch, w)
 	})
 	why := l.write(ctx, conn, granted.Epoch, w)
 	client.Leave()
@@ -196,7 +196,7 @@
 	return time.Duration(time.Now().UnixNano() - w.last.Load())
 }
 
-func (l *Link) read(conn *holdStream, w *watchdog) {
+func (l *Link) read(conn *holdStream, epoch uint64, w *watchdog) {
 	for {
 		m, err := conn.Receive()
 		if err != nil {
@@ -209,6 +209,9 @@
 		if m.Usage != nil {
 			l.events.Usage(l.target.ID, m.Usage)
 		}
+		if m.Allotment != nil || m.Throttled != nil {
+			l.events.Confirmed(l.target.ID, epoch, m.Allotment, m.Throttled)
+		}
 	}
 }
 
@@ -255,11 +258,7 @@
 		case joined == nil:
 			joined = m
 		default:
-			joined.Starts = append(joined.Starts, m.Starts...)
-			joined.Stops = append(joined.Stops, m.Stops...)
-			if m.Throttle != nil {
-				joined.Throttle = m.Throttle
-			}
+			join(joined, m)
 		}
 	}
 	if joined == nil {
@@ -268,6 +267,20 @@
 	return conn.Send(joined)
 }
 
+// join adds a later message to an earlier one. The later allotment and throttle
+// replace the earlier: the worker confirms those that are in force.
+func join(into, m *pb.HoldRequest) {
+	into.Starts = append(into.Starts, m.Starts...)
+	into.Stops = append(into.Stops, m.Stops...)
+	into.Checkpoints = append(into.Checkpoints, m.Checkpoints...)
+	if m.Throttle != nil {
+		into.Throttle = m.Throttle
+	}
+	if m.Allotment != nil {
+		into.Allotment = m.Allotment
+	}
+}
+
 func errText(err error) string {
 	var ce *connect.Error
 	if errors.As(err, &ce) {
--- a/internal/connection/upstream/silence_test.go
+++ b/internal/connection/upstream/silence_test.go
@@ -24,6 +24,8 @@
 func (e *events) Granted(_ string, m *pb.Granted) { e.granted = append(e.granted, m.Epoch) }
 func (e *events) Lost(_, why string)              { e.lost = append(e.lost, why) }
 func (e *events) Usage(string, *pb.Usage)         {}
+
+func (e *events) Confirmed(string, uint64, *pb.AllotmentAnswer, *pb.Throttle) {}
 func (e *events) Results(_ string, groups []*pb.ResultGroup) {
 	for _, g := range groups {
 		e.results = append(e.results, g.Results...)
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -165,6 +165,9 @@
 // Usage takes a measurement.
 func (h *Holder) Usage(string, *pb.Usage) {}
 
+// Confirmed takes a worker's answer about its part of the cap.
+func (h *Holder) Confirmed(string, uint64, *pb.AllotmentAnswer, *pb.Throttle) {}
+
 // endFlight frees what a task occupied and reports its result.
 func (h *Holder) endFlight(w *worker, t taskKey, r *pb.TaskResult) {
 	f, ok := w.flights[t]
