--- a/cmd/pumiceyard/trying.go
+++ b/cmd/pumiceyard/trying.go
@@ -28,6 +28,9 @@
 	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
 	c.Flags().DurationVar(&opt.Load, "load", 9*time.Second, "how long jobs are submitted")
 	c.Flags().Uint64Var(&opt.Seed, "seed", 1, "seed of the workload")
+	c.Flags().Uint64Var(&opt.CapWatts, "cap-watts", 0, "lower the site's cap to this half way, in watts (default it stays)")
+	c.Flags().Float64Var(&opt.Draw, "draw", 1, "what tasks draw, over what their template declares")
+	c.Flags().Float64Var(&opt.Rate, "rate", 1, "jobs submitted, over the deployment's usual rate")
 	c.Flags().StringVar(&opt.Explain, "explain", "", "template whose slowest job is explained at the end (default any)")
 	return c
 }
--- a/internal/connection/operator/doc.go
+++ b/internal/connection/operator/doc.go
@@ -18,6 +18,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
@@ -62,6 +63,29 @@
 	Slots       uint32   `json:"slots"`
 	QueuedTasks uint32   `json:"queued_tasks"`
 	Peers       []string `json:"peers"` // entry VMs that answer
+	Power       Power    `json:"power"`
+}
+
+// Power is one entry VM's part of the cap. Watts are in thousandths and include
+// the workers' idle draw.
+type Power struct {
+	Revision  uint64 `json:"revision"` // of the failure domain's plan; 0: none yet
+	Complete  bool   `json:"complete"` // every worker of the domain is under it
+	Part      int64  `json:"part_milliwatts"`
+	Allotted  int64  `json:"allotted_milliwatts"`  // of the workers held here
+	Committed int64  `json:"committed_milliwatts"` // idle draw and running tasks
+	Free      int64  `json:"free_milliwatts"`      // tasks can be charged now
+	Stranded  int64  `json:"stranded_milliwatts"`  // a new plan would bring back
+	// Last is the last decision about watts.
+	Last PowerDecision `json:"last"`
+}
+
+// PowerDecision is one decision about watts and why it was made.
+type PowerDecision struct {
+	At         time.Time `json:"at"`
+	Reason     string    `json:"reason"`
+	Concerns   string    `json:"concerns,omitempty"` // worker or entry VM
+	Milliwatts int64     `json:"milliwatts"`
 }
 
 // Fleet is the platform's list as one entry VM knows it.
--- a/internal/connection/peer/doc.go
+++ b/internal/connection/peer/doc.go
@@ -59,6 +59,8 @@
 	Leave(s holder.Session)
 	// Advert describes the owner now.
 	Advert() *pb.Advert
+	// Power takes what an entry VM of the failure domain says about watts.
+	Power(m *pb.Power)
 }
 
 // Home answers requests that other entry VMs forward.
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,6 +185,21 @@
 	for _, next := range waiting[1:] {
 		m.Groups = append(m.Groups, next.Groups...)
 		m.Withdraw = append(m.Withdraw, next.Withdraw...)
+		m.Power = joinPower(m.Power, next.Power)
 	}
 	return m
 }
+
+// joinPower merges what is said about watts into a message of its own: the parts
+// may be on their way to other peers too. The later summary replaces the earlier.
+func joinPower(a, b *pb.Power) *pb.Power {
+	if a == nil || b == nil {
+		return cmp.Or(a, b)
+	}
+	return &pb.Power{
+		Summary:   cmp.Or(b.Summary, a.Summary),
+		Requests:  slices.Concat(a.Requests, b.Requests),
+		Transfers: slices.Concat(a.Transfers, b.Transfers),
+		Acks:      slices.Concat(a.Acks, b.Acks),
+	}
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -118,6 +118,9 @@
 		if len(m.Withdraw) > 0 {
 			s.owner.Withdraw(session, m.Withdraw)
 		}
+		if m.Power != nil {
+			s.owner.Power(m.Power)
+		}
 	}
 }
 
--- a/internal/connection/peer/silence_test.go
+++ b/internal/connection/peer/silence_test.go
@@ -23,6 +23,7 @@
 func (o *entryVM) Join(holder.Session) bool                          { o.joined++; return true }
 func (o *entryVM) Leave(holder.Session)                              { o.left++ }
 func (o *entryVM) Withdraw(holder.Session, []*pb.SubmissionID)       {}
+func (o *entryVM) Power(*pb.Power)                                   {}
 func (o *entryVM) Advert() *pb.Advert                                { return &pb.Advert{Incarnation: 2} }
 func (o *entryVM) Cancel(*pb.CancelRequest) *pb.CancelResponse       { return &pb.CancelResponse{} }
 func (o *entryVM) Timeline(*pb.TimelineRequest) *pb.TimelineResponse { return &pb.TimelineResponse{} }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -52,6 +52,7 @@
 	platform  *platform.Client
 	platHTTP  *wire.Client
 	store     *storeclient.Client
+	planner   *planner
 
 	listeners listeners
 	servers   []*http.Server
@@ -127,11 +128,15 @@
 
 	holderSettings := holder.Defaults()
 	holderSettings.MaxQueued = s.MaxQueuedTasks
+	vm.planner = newPlanner(vm)
 	vm.holder = holder.New(holder.Config{
 		Settings:    holderSettings,
+		Name:        s.Name,
 		Domain:      s.Domain,
 		Incarnation: vm.incarnation,
 		Workers:     vm.workers,
+		Peers:       vm.peers,
+		PlanWanted:  vm.planner.wanted,
 		Observer:    vm.metrics,
 		Timelines:   vm.timelines,
 		Rack:        func(worker string) string { return vm.fleet.Latest().Workers[worker].Rack },
@@ -172,6 +177,8 @@
 	vm.duties.Go(func() { vm.local.run(ctx) })
 	vm.duties.Go(func() { vm.watchDocument(ctx) })
 	vm.duties.Go(func() { vm.pollList(ctx) })
+	vm.duties.Go(func() { vm.planner.follow(ctx) })
+	vm.duties.Go(func() { vm.planner.run(ctx) })
 
 	callers := caller.Defaults()
 	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/version/publication"
 )
@@ -31,6 +32,7 @@
 		FreeSlots:   advert.FreeSlots,
 		Slots:       advert.Slots,
 		QueuedTasks: advert.QueuedTasks,
+		Power:       powerStatus(vm.holder.PowerStatus()),
 	}
 	if d := vm.Document(); d != nil {
 		s.Revision = d.Revision
@@ -46,6 +48,28 @@
 	return s
 }
 
+// powerStatus sums up a ledger's state.
+func powerStatus(s *power.Status) operator.Power {
+	out := operator.Power{
+		Revision: s.Revision,
+		Complete: s.Complete,
+		Part:     int64(s.Part),
+		Free:     int64(s.Free),
+		Stranded: int64(s.Stranded),
+		Last: operator.PowerDecision{
+			At:         s.Last.At,
+			Reason:     string(s.Last.Reason),
+			Concerns:   s.Last.Worker,
+			Milliwatts: int64(s.Last.Milliwatts),
+		},
+	}
+	for _, w := range s.Workers {
+		out.Allotted += int64(w.Allotted)
+		out.Committed += int64(w.Idle + w.Committed)
+	}
+	return out
+}
+
 // Fleet implements operator.VM.
 func (vm *VM) Fleet() operator.Fleet {
 	snapshot := vm.fleet.Latest()
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -208,6 +208,7 @@
 
 func (e peerEvents) Advert(owner string, m *pb.Advert) {
 	e.p.vm.home.Advert(owner, m)
+	e.p.vm.planner.heard(owner, m)
 	e.p.setDrain(owner, m.Draining)
 }
 
--- /dev/null
+++ b/internal/process/entry/plan.go
@@ -0,0 +1,369 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
+	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
+)
+
+const (
+	planLook    = 100 * time.Millisecond // between looks whether a plan is due
+	planEvery   = time.Second            // between plans, but for a changed part
+	planSettle  = 500 * time.Millisecond // for which a change of the workers has to last
+	unheldGrace = 3 * time.Second        // in which a worker changes hands
+	coldStart   = 2 * time.Second        // for the first plan to wait for workers
+	planTimeout = 2 * time.Second        // for the calls of one plan
+)
+
+// planner makes and follows the plans of this VM's failure domain.
+//
+// The first plan. A worker without a record may draw no more than when idle, so
+// nothing that draws power starts before there is a plan. The entry VM of the
+// lowest name makes it once the document is known and every listed worker of the
+// domain is leased, or after coldStart with the ceilings of the others set
+// aside. Later ones follow a changed part of the document, a changed set of
+// workers, or watts that a plan would bring back. Two makers race on the key's
+// version, so one of them wins. While the store is out, the plan in force stays.
+type planner struct {
+	vm *VM
+
+	mu           sync.Mutex
+	facts        map[string]workerFacts // by worker
+	holds        map[string]heldWorkers // by peer
+	plan         power.Plan
+	recoverAfter uint64 // revision after which a plan was asked for
+
+	// Of run's goroutine only.
+	began     time.Time // this VM became the maker
+	changed   time.Time // the workers began to differ from the plan
+	lastTry   time.Time
+	confirmed uint64 // revision of which the store knows that it is complete
+}
+
+// workerFacts is what is known of a worker that was leased in this domain.
+type workerFacts struct {
+	incarnation   uint64
+	idle, ceiling power.Milliwatts
+	held          time.Time // last seen leased
+}
+
+// heldWorkers is what a peer holds, at a version of its list.
+type heldWorkers struct {
+	version uint64
+	workers []*pb.HeldWorker
+}
+
+func newPlanner(vm *VM) *planner {
+	return &planner{
+		vm:    vm,
+		facts: make(map[string]workerFacts),
+		holds: make(map[string]heldWorkers),
+	}
+}
+
+// wanted takes the ledger's wish for a plan.
+func (p *planner) wanted(w power.PlanWanted) {
+	p.mu.Lock()
+	p.recoverAfter = w.After
+	p.mu.Unlock()
+}
+
+// heard takes a peer's list of held workers. Adverts leave it out when it has
+// not changed.
+func (p *planner) heard(owner string, m *pb.Advert) {
+	if m.Domain != p.vm.settings.Domain {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.WorkersVersion != p.holds[owner].version {
+		p.holds[owner] = heldWorkers{m.WorkersVersion, m.Workers}
+	}
+}
+
+// follow puts each newer plan of the domain in force.
+func (p *planner) follow(ctx context.Context) {
+	version := uint64(0)
+	for ctx.Err() == nil {
+		m, err := p.vm.store.Watch(ctx, storeclient.ForPower, planKeyPrefix+p.vm.settings.Domain, version, watchWait)
+		if err != nil {
+			pause(ctx, watchRetry)
+			continue
+		}
+		if m.Changed {
+			version = max(version, m.Version)
+			p.applyText(m.Value)
+		}
+	}
+}
+
+func (p *planner) applyText(text []byte) {
+	plan, err := decodePlan(text)
+	if err != nil {
+		klog.ErrorS(err, logPrefix+"plan refused")
+		return
+	}
+	p.apply(plan)
+}
+
+// apply puts a plan in force if it is newer: a stale read never brings an
+// earlier one back.
+func (p *planner) apply(plan power.Plan) {
+	p.mu.Lock()
+	newer := plan.Revision > p.plan.Revision
+	if newer {
+		p.plan = plan
+	}
+	p.mu.Unlock()
+	if newer {
+		p.vm.holder.SetPlan(plan)
+		klog.InfoS(logPrefix+"power plan in force", "name", p.vm.settings.Name, "domain", p.vm.settings.Domain,
+			"revision", plan.Revision, "part", plan.Part, "workers", len(plan.Workers))
+	}
+}
+
+// run looks again and again whether this VM has to make a plan.
+func (p *planner) run(ctx context.Context) {
+	ticks := time.NewTicker(planLook)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticks.C:
+			p.look(ctx, now)
+		}
+	}
+}
+
+// look makes a plan if one is due and this VM is the maker.
+func (p *planner) look(ctx context.Context, now time.Time) {
+	snapshot := p.vm.fleet.Latest()
+	p.refresh(now, snapshot)
+	doc := p.vm.Document()
+	if doc == nil || !p.maker(snapshot) {
+		p.began, p.changed = time.Time{}, time.Time{}
+		return
+	}
+	if p.began.IsZero() {
+		p.began = now
+	}
+	part := power.Milliwatts(doc.Site.Domains[p.vm.settings.Domain])
+	candidates := p.candidates(now, snapshot)
+	ctx, cancel := context.WithTimeout(ctx, planTimeout)
+	defer cancel()
+	if !p.due(now, part, candidates) {
+		p.confirm(ctx)
+		return
+	}
+	p.lastTry = now
+	if err := p.make(ctx, part, power.Milliwatts(doc.Site.PowerCapMilliwatts), candidates); err != nil {
+		klog.ErrorS(err, logPrefix+"no new power plan", "domain", p.vm.settings.Domain)
+	}
+}
+
+// maker reports whether this VM makes the domain's plans.
+func (p *planner) maker(s *fleet.Snapshot) bool {
+	live := p.vm.peers.liveInDomain(s)
+	return len(live) > 0 && slices.Min(live) == p.vm.settings.Name
+}
+
+// refresh notes what holders know of their workers.
+func (p *planner) refresh(now time.Time, s *fleet.Snapshot) {
+	live := p.vm.peers.addresses()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(now, p.vm.holder.Advert().Workers)
+	for owner, holds := range p.holds {
+		if _, ok := live[owner]; !ok {
+			delete(p.holds, owner)
+			continue
+		}
+		p.note(now, holds.workers)
+	}
+	maps.DeleteFunc(p.facts, func(id string, f workerFacts) bool {
+		_, listed := s.Workers[id]
+		return !listed && now.Sub(f.held) > unheldGrace
+	})
+}
+
+func (p *planner) note(now time.Time, workers []*pb.HeldWorker) {
+	for _, w := range workers {
+		if p.facts[w.Id].incarnation > w.Incarnation {
+			continue
+		}
+		p.facts[w.Id] = workerFacts{
+			incarnation: w.Incarnation,
+			idle:        power.Milliwatts(w.IdleMilliwatts),
+			ceiling:     power.Milliwatts(w.CeilingMilliwatts),
+			held:        now,
+		}
+	}
+}
+
+// candidates are the listed workers of the domain. One that nobody leases for
+// longer than a lease takes to change hands counts as unreachable: its ceiling is
+// set aside. Of a worker that was never leased the ceiling is not known; it is
+// taken to be the greatest of the others.
+func (p *planner) candidates(now time.Time, s *fleet.Snapshot) []power.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]power.Milliwatts)
+	var most power.Milliwatts
+	for _, w := range p.plan.Workers {
+		known[w.Name] = w.Ceiling
+		most = max(most, w.Ceiling)
+	}
+	for id, f := range p.facts {
+		known[id] = f.ceiling
+		most = max(most, f.ceiling)
+	}
+	var out []power.Candidate
+	for id, w := range s.Workers {
+		if w.Domain != p.vm.settings.Domain {
+			continue
+		}
+		c := power.Candidate{Name: id, Ceiling: known[id]}
+		if c.Ceiling == 0 {
+			c.Ceiling = most
+		}
+		if f, ok := p.facts[id]; ok && now.Sub(f.held) <= unheldGrace {
+			c.Incarnation, c.Idle = f.incarnation, f.idle
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// due reports whether a plan has to be made now.
+func (p *planner) due(now time.Time, part power.Milliwatts, candidates []power.Candidate) bool {
+	p.mu.Lock()
+	plan, recoverAfter := p.plan, p.recoverAfter
+	p.mu.Unlock()
+	if len(candidates) == 0 || part == 0 {
+		return false
+	}
+	waited := now.Sub(p.lastTry) >= planEvery
+	if plan.Revision == 0 {
+		return waited && (allLeased(candidates) || now.Sub(p.began) >= coldStart)
+	}
+	if part < plan.Part && now.Sub(p.lastTry) >= planLook {
+		return true // the site is above its cap until this is done
+	}
+	if part > plan.Part || recoverAfter == plan.Revision {
+		return waited
+	}
+	if !differs(plan, candidates) {
+		p.changed = time.Time{}
+		return false
+	}
+	if p.changed.IsZero() {
+		p.changed = now
+	}
+	return waited && now.Sub(p.changed) >= planSettle
+}
+
+func allLeased(candidates []power.Candidate) bool {
+	return !slices.ContainsFunc(candidates, func(c power.Candidate) bool { return c.Incarnation == 0 })
+}
+
+// differs reports whether workers came, went, or are leased that the plan does
+// not reach. A worker that nobody leases any more is no reason for a plan: it
+// would lose its share, and most come back.
+func differs(plan power.Plan, candidates []power.Candidate) bool {
+	planned := make(map[string]uint64, len(plan.Workers))
+	for _, w := range plan.Workers {
+		planned[w.Name] = w.Incarnation
+	}
+	for _, c := range candidates {
+		incarnation, ok := planned[c.Name]
+		if !ok || c.Incarnation > incarnation {
+			return true
+		}
+	}
+	return len(planned) != len(candidates)
+}
+
+// make publishes the next plan. The plan's key is read before the site's: a plan
+// that another maker publishes in between changes the key's version, so that
+// this one, made from an older division of the cap, is not stored.
+func (p *planner) make(ctx context.Context, wanted, siteCap power.Milliwatts, candidates []power.Candidate) error {
+	domain := p.vm.settings.Domain
+	stored, version, err := readPlan(ctx, p.vm.store, domain)
+	if err != nil {
+		return err
+	}
+	if stored.Revision > p.revision() {
+		p.apply(stored)
+		return nil
+	}
+	var revision uint64
+	var part power.Milliwatts
+	reserved, err := changeSite(ctx, p.vm.store, func(s *storedSite) bool {
+		revision = max(stored.Revision, s.Domains[domain].Revision) + 1
+		part = s.reserve(domain, revision, wanted, siteCap)
+		return true
+	})
+	if err != nil || !reserved {
+		return err
+	}
+	plan, err := power.Build(revision, part, candidates)
+	if err != nil {
+		return err
+	}
+	swapped, err := swap(ctx, p.vm.store, planKeyPrefix+domain, plan, version)
+	if swapped {
+		p.apply(plan)
+	}
+	return err
+}
+
+func (p *planner) revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.plan.Revision
+}
+
+// confirm tells the store once that the domain is under its plan, so that other
+// domains may use what this one gave up.
+func (p *planner) confirm(ctx context.Context) {
+	status := p.vm.holder.PowerStatus()
+	if !status.Complete || status.Revision == p.confirmed {
+		return
+	}
+	done, err := changeSite(ctx, p.vm.store, func(s *storedSite) bool {
+		return s.confirm(p.vm.settings.Domain, status.Revision)
+	})
+	if err == nil && done {
+		p.confirmed = status.Revision
+	}
+}
+
+// Broadcast implements holder.PowerPeers.
+func (p *peerSet) Broadcast(m *pb.Power) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if l.up && l.vm.Domain == p.vm.settings.Domain {
+			l.link.Send(&pb.RunRequest{Power: m})
+		}
+	}
+}
+
+// SendTo implements holder.PowerPeers.
+func (p *peerSet) SendTo(name string, m *pb.Power) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[name]; l != nil && l.up {
+		l.link.Send(&pb.RunRequest{Power: m})
+	}
+}
--- /dev/null
+++ b/internal/process/entry/plan_store.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
+	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
+)
+
+// Keys of the power cap in the platform's store.
+const (
+	// siteKey holds what each failure domain may have in force.
+	siteKey = "pumiceyard/power/site"
+	// planKeyPrefix and a failure domain's name hold the domain's plan.
+	planKeyPrefix = "pumiceyard/power/plan/"
+)
+
+// storedSite is the division of the cap. A plan is published only after its
+// revision and part were reserved here, so that two makers of plans in two
+// domains cannot count the same watts.
+type storedSite struct {
+	Domains map[string]domainPart `json:"domains"`
+}
+
+// domainPart is one failure domain's entry of a storedSite.
+type domainPart struct {
+	Revision uint64           `json:"revision"`        // the plan that was reserved last
+	Part     power.Milliwatts `json:"part_milliwatts"` // of that plan
+	// Held is the greatest part of any plan that workers of the domain may
+	// still be under. It is lowered to Part only when every present worker is
+	// known to be under the plan of Revision.
+	Held power.Milliwatts `json:"held_milliwatts"`
+}
+
+// reserve notes the next plan of a domain and returns the part that it may
+// divide: what the document says, or less while other domains hold watts that
+// they have to give up first. Watts that the domain holds now stay free to use.
+func (s *storedSite) reserve(domain string, revision uint64, wanted, siteCap power.Milliwatts) power.Milliwatts {
+	entry := s.Domains[domain]
+	part := wanted
+	if part > entry.Held {
+		free := siteCap
+		for name, d := range s.Domains {
+			if name != domain {
+				free -= d.Held
+			}
+		}
+		part = min(part, max(entry.Held, free))
+	}
+	entry.Revision, entry.Part, entry.Held = revision, part, max(entry.Held, part)
+	if s.Domains == nil {
+		s.Domains = make(map[string]domainPart)
+	}
+	s.Domains[domain] = entry
+	return part
+}
+
+// confirm notes that every present worker of the domain is under a plan, and
+// reports whether that gives anything up.
+func (s *storedSite) confirm(domain string, revision uint64) bool {
+	entry := s.Domains[domain]
+	if entry.Revision != revision || entry.Held <= entry.Part {
+		return false
+	}
+	entry.Held = entry.Part
+	s.Domains[domain] = entry
+	return true
+}
+
+// siteTries bounds how often a change of the site's division is tried when the
+// makers of other domains come first, as they do at a cold start.
+const siteTries = 8
+
+// changeSite applies a change by compare-and-set. It reports false when others
+// came first each time; the caller looks again later.
+func changeSite(ctx context.Context, store *storeclient.Client, apply func(*storedSite) bool) (bool, error) {
+	for range siteTries {
+		found, err := store.Get(ctx, storeclient.ForPower, siteKey, 0)
+		if err != nil {
+			return false, err
+		}
+		var site storedSite
+		if found.Found {
+			if err := json.Unmarshal(found.Value, &site); err != nil {
+				return false, fmt.Errorf("%s: %w", siteKey, err)
+			}
+		}
+		if !apply(&site) {
+			return true, nil
+		}
+		swapped, err := swap(ctx, store, siteKey, site, found.Version)
+		if swapped || err != nil {
+			return swapped, err
+		}
+	}
+	return false, nil
+}
+
+// swap writes a value as JSON if the key is at the expected version. A write
+// whose answer was lost counts as made only if exactly it is read back.
+func swap(ctx context.Context, store *storeclient.Client, key string, value any, expected uint64) (bool, error) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return false, err
+	}
+	result, err := store.CompareAndSet(ctx, storeclient.ForPower, storeclient.Write{
+		Key:      key,
+		Value:    text,
+		Expected: expected,
+		Mine:     func(found []byte) bool { return bytes.Equal(found, text) },
+	})
+	return result.Swapped, err
+}
+
+// readPlan reads a domain's plan and the version of its key.
+func readPlan(ctx context.Context, store *storeclient.Client, domain string) (power.Plan, uint64, error) {
+	found, err := store.Get(ctx, storeclient.ForPower, planKeyPrefix+domain, 0)
+	if err != nil || !found.Found {
+		return power.Plan{}, found.GetVersion(), err
+	}
+	plan, err := decodePlan(found.Value)
+	return plan, found.Version, err
+}
+
+func decodePlan(text []byte) (power.Plan, error) {
+	var plan power.Plan
+	if err := json.Unmarshal(text, &plan); err != nil {
+		return power.Plan{}, err
+	}
+	return plan, plan.Validate()
+}
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -15,6 +15,10 @@
 // A session that ends takes its waiting tasks with it. Tasks that run go on;
 // nobody is told of their end, since homes ask the worker.
 //
+// Power. A task is charged at the ledger of watts before its start is sent, and
+// released when its end is known, see power.go. Nothing that draws power starts
+// on a worker before it has an allotment under a plan.
+//
 // One goroutine, Holder.Run, owns the state. Each round handles all waiting
 // events, then places, then sends one message per worker and per session.
 package holder
@@ -27,6 +31,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
 )
 
 // Settings bound a Holder.
@@ -38,6 +43,7 @@
 	Placement placement.Settings
 	Health    health.Settings
 	Estimate  estimate.Settings
+	Power     power.Settings
 }
 
 // Defaults returns settings for an entry VM of 2 cores.
@@ -50,6 +56,7 @@
 		Placement: placement.Defaults(),
 		Health:    health.Defaults(),
 		Estimate:  estimate.DefaultSettings(),
+		Power:     power.DefaultSettings(),
 	}
 }
 
@@ -71,6 +78,15 @@
 	Send(worker string, m *pb.HoldRequest) bool
 }
 
+// PowerPeers sends to entry VMs of the same failure domain. Messages may be
+// lost.
+type PowerPeers interface {
+	// Broadcast sends to each of them.
+	Broadcast(m *pb.Power)
+	// SendTo sends to one.
+	SendTo(name string, m *pb.Power)
+}
+
 // Observer is told of starts and ends, for metrics.
 type Observer interface {
 	Started(account, template string, tasks int, waited time.Duration)
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -11,6 +11,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
@@ -20,11 +21,15 @@
 // Config wires a Holder.
 type Config struct {
 	Settings    Settings
+	Name        string // of this entry VM
 	Domain      string
 	Incarnation uint64
 	Workers     Workers
-	Observer    Observer
-	Timelines   *timeline.Store
+	Peers       PowerPeers
+	// PlanWanted is told, from the loop, that a new plan would bring back watts.
+	PlanWanted func(power.PlanWanted)
+	Observer   Observer
+	Timelines  *timeline.Store
 	// Rack names the rack of a worker, for spreading.
 	Rack func(worker string) string
 	// Class is the urgency of a template's work.
@@ -71,10 +76,14 @@
 
 // worker is one whose lease is held.
 type worker struct {
-	id       string
-	epoch    uint64
-	capacity placement.Resources
-	flights  map[taskKey]flight
+	id          string
+	epoch       uint64
+	incarnation uint64
+	idle        uint32 // milliwatts
+	capacity    placement.Resources
+	// capped: no watts were left when placement was told last.
+	capped  bool
+	flights map[taskKey]flight
 	// retired is called once nothing runs here any more; no task is placed on
 	// the worker while it is set.
 	retired func()
@@ -95,6 +104,7 @@
 	dirty   bool      // the held workers changed
 	judged  time.Time // health's last tick
 
+	watts   watts
 	starts  map[string]*pb.HoldRequest  // of this round, by worker
 	reports map[Session]*pb.RunResponse // of this round
 	buf     []placement.Assignment
@@ -120,6 +130,8 @@
 		starts:  make(map[string]*pb.HoldRequest),
 		reports: make(map[Session]*pb.RunResponse),
 	}
+	h.watts.ledger = power.New(power.VM{Name: cfg.Name, Incarnation: cfg.Incarnation}, cfg.Settings.Power)
+	h.watts.status.Store(&power.Status{})
 	h.publish()
 	return h
 }
@@ -148,7 +160,10 @@
 	}
 	h.expire()
 	h.judge()
+	h.watts.due = h.now.Sub(h.watts.ticked) >= powerTick
+	h.tellPlacement()
 	h.place()
+	h.tickPower()
 	h.publish()
 	h.flush()
 }
@@ -175,10 +190,11 @@
 		if w.retired != nil {
 			continue
 		}
-		m.Workers = append(m.Workers, &pb.HeldWorker{Id: w.id})
+		m.Workers = append(m.Workers, w.held())
 		m.Slots += w.capacity.Slots
 	}
 	m.Largest = resourcesMessage(h.placer.Largest())
+	m.Largest.Milliwatts = h.largestDraw()
 	h.advert.Store(m)
 }
 
@@ -203,9 +219,13 @@
 // flush sends this round's messages.
 func (h *Holder) flush() {
 	for id, m := range h.starts {
-		delete(h.starts, id)
-		if !h.cfg.Workers.Send(id, m) {
-			h.unsent(h.workers[id], m)
+		if h.cfg.Workers.Send(id, m) {
+			delete(h.starts, id)
+			continue
+		}
+		h.unsent(h.workers[id], m)
+		if h.starts[id] = unsentOrders(m); h.starts[id] == nil {
+			delete(h.starts, id)
 		}
 	}
 	for s, m := range h.reports {
@@ -228,6 +248,27 @@
 	}
 }
 
+// unsentOrders is what of a message goes out with the next round, or nil. What
+// goes wrong if an allotment is dropped: the ledger waits for its answer for
+// ever, and the worker's watts stay where they are.
+func unsentOrders(m *pb.HoldRequest) *pb.HoldRequest {
+	if m.Allotment == nil && m.Throttle == nil && len(m.Stops)+len(m.Checkpoints) == 0 {
+		return nil
+	}
+	m.Starts = nil
+	return m
+}
+
+// message is this round's message to a worker.
+func (h *Holder) message(w *worker) *pb.HoldRequest {
+	m := h.starts[w.id]
+	if m == nil {
+		m = &pb.HoldRequest{Epoch: w.epoch}
+		h.starts[w.id] = m
+	}
+	return m
+}
+
 func notRun(index uint32, code reason.Code, worker string) *pb.TaskResult {
 	return &pb.TaskResult{Index: index, State: pb.TaskState_TASK_STATE_NOT_RUN, Reason: string(code), Worker: worker}
 }
--- a/internal/process/holder/holder_test.go
+++ b/internal/process/holder/holder_test.go
@@ -34,6 +34,10 @@
 func (w *workers) Started(string, string, int, time.Duration)   {}
 func (w *workers) Ended(string, string, string, *pb.TaskResult) {}
 
+// workers is an entry VM without peers, too.
+func (w *workers) Broadcast(*pb.Power)      {}
+func (w *workers) SendTo(string, *pb.Power) {}
+
 // starts is the number of tasks sent to workers.
 func (w *workers) starts() (n int) {
 	for _, m := range w.sent {
@@ -48,6 +52,7 @@
 	w := &workers{}
 	h := New(Config{
 		Settings: Defaults(), Domain: "brno", Workers: w, Observer: w, Timelines: timeline.NewStore(10),
+		Peers: w,
 		Rack:  func(string) string { return "r1" },
 		Class: func(string) fairness.Class { return 0 },
 	})
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -25,10 +25,12 @@
 
 func (ev grantedEvent) apply(h *Holder) {
 	w := &worker{
-		id:       ev.worker,
-		epoch:    ev.m.Epoch,
-		capacity: resources(ev.m.Capacity),
-		flights:  make(map[taskKey]flight),
+		id:          ev.worker,
+		epoch:       ev.m.Epoch,
+		incarnation: ev.m.Incarnation,
+		idle:        ev.m.IdleMilliwatts,
+		capacity:    resources(ev.m.Capacity),
+		flights:     make(map[taskKey]flight),
 	}
 	h.workers[ev.worker] = w
 	h.dirty = true
@@ -44,9 +46,11 @@
 	// draw.
 	for _, load := range ev.m.Running {
 		each := resources(load.Each)
+		each.Milliwatts = charged(load)
 		h.placer.Occupy(ev.worker, each, 1)
 		w.flights[taskKey{wire.ID(load.Task.GetSubmission()), load.Task.GetIndex()}] = flight{each: each, started: h.now}
 	}
+	h.acquired(w, ev.m)
 	h.updateCapacity()
 }
 
@@ -61,6 +65,7 @@
 	if w == nil {
 		return
 	}
+	h.leaseGone(w)
 	for t := range w.flights {
 		h.endFlight(w, t, &pb.TaskResult{
 			Index:  t.index,
@@ -162,12 +167,6 @@
 	}
 }
 
-// Usage takes a measurement.
-func (h *Holder) Usage(string, *pb.Usage) {}
-
-// Confirmed takes a worker's answer about its part of the cap.
-func (h *Holder) Confirmed(string, uint64, *pb.AllotmentAnswer, *pb.Throttle) {}
-
 // endFlight frees what a task occupied and reports its result.
 func (h *Holder) endFlight(w *worker, t taskKey, r *pb.TaskResult) {
 	f, ok := w.flights[t]
@@ -176,6 +175,7 @@
 	}
 	delete(w.flights, t)
 	h.placer.Free(w.id, f.each, 1)
+	h.release(w, t)
 	w.finishRetiring()
 	if f.group == nil {
 		return
@@ -208,6 +208,7 @@
 		h.learned.Observe(f.group.Template, f.group.Account, estimate.Sample{
 			Time:       time.Duration(r.RunMicros) * time.Microsecond,
 			Milliwatts: r.Milliwatts,
+			Permille:   r.Permille,
 		})
 	case pb.TaskState_TASK_STATE_FAILED:
 		outcome = health.Failed
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -165,6 +165,7 @@
 	h.buf = placed
 	if len(placed) == 0 {
 		h.order.Park(pick.Key, refusal.Reason)
+		h.noteDemand(g, n, refusal.Reason)
 		return
 	}
 	started := 0
@@ -197,11 +198,12 @@
 	}
 }
 
-// heldBack is a task that was placed on a worker where another start of it is
-// under way.
+// heldBack is a task that was placed on a worker and is not started there:
+// another start of it is under way, or the worker has no watts for it.
 type heldBack struct {
 	worker *worker
 	index  uint32
+	code   reason.Code
 }
 
 // start adds the next tasks of a batch to this round's message to a worker, and
@@ -220,11 +222,11 @@
 	if len(index) == 0 {
 		return held
 	}
-	m := h.starts[a.Worker]
-	if m == nil {
-		m = &pb.HoldRequest{Epoch: w.epoch}
-		h.starts[a.Worker] = m
+	index, input, held = h.charge(key, w, g, chargeable{index, input}, held)
+	if len(index) == 0 {
+		return held
 	}
+	m := h.message(w)
 	m.Starts = append(m.Starts, &pb.StartGroup{
 		Submission:       g.m.Submission,
 		Generation:       g.m.Generation,
@@ -235,6 +237,7 @@
 		Input:            input,
 
 		WorkerIncarnation: incarnation(g.m, a.Worker),
+		ChargedMilliwatts: g.each.Milliwatts,
 	})
 	for _, i := range index {
 		w.flights[taskKey{key.id, i}] = flight{session: key.session, group: g.m, each: g.each, expected: g.expected, started: h.now}
@@ -248,7 +251,7 @@
 	var held []heldBack
 	for _, i := range index {
 		if _, ok := w.flights[taskKey{key.id, i}]; ok {
-			held = append(held, heldBack{w, i})
+			held = append(held, heldBack{w, i, reason.DuplicateTask})
 		}
 	}
 	return held
@@ -264,13 +267,18 @@
 	return restIndex, restInput
 }
 
-// giveBack frees the places of tasks that were held back. Their home is told as
-// the worker would: it asks the worker above the generation of both starts.
+// giveBack frees the places of tasks that were held back. Of a second start their
+// home is told as the worker would: it asks the worker above the generation of
+// both starts. A task without watts is placed again by its home.
 func (h *Holder) giveBack(key workKey, g *waitingGroup, held []heldBack) {
 	for _, b := range held {
 		h.placer.Free(b.worker.id, g.each, 1)
 		h.order.Finish(h.now, key, 1, 0, 0)
-		h.report(key.session, key.id, g.m.Generation, notRun(b.index, reason.DuplicateTask, b.worker.id))
+		named := b.worker.id
+		if b.code == reason.PowerRefused {
+			named = "" // the worker was not asked and has nothing to say
+		}
+		h.report(key.session, key.id, g.m.Generation, notRun(b.index, b.code, named))
 	}
 }
 
@@ -336,11 +344,7 @@
 			if t.id != key.id || f.session != key.session {
 				continue
 			}
-			m := h.starts[w.id]
-			if m == nil {
-				m = &pb.HoldRequest{Epoch: w.epoch}
-				h.starts[w.id] = m
-			}
+			m := h.message(w)
 			m.Stops = append(m.Stops, &pb.TaskRef{Submission: wire.IDMessage(t.id), Index: t.index})
 		}
 	}
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -99,6 +99,17 @@
 	p.change(w, func() { w.Tier = tier })
 }
 
+// SetMilliwatts changes what the tasks of a worker may draw together, with its
+// part of the power cap. Unknown workers are ignored.
+func (p *Placer) SetMilliwatts(id string, milliwatts uint32) {
+	w := p.byID[id]
+	if w == nil || w.Capacity.Milliwatts == milliwatts {
+		return
+	}
+	p.change(w, func() { w.Capacity.Milliwatts = milliwatts })
+	p.measured = false
+}
+
 // Free gives back count tasks of size each. It must be called only when the
 // worker reported that they ended. It reports false when they were not
 // accounted for here; what was accounted for is freed all the same.
--- a/internal/process/power/ledger.go
+++ b/internal/process/power/ledger.go
@@ -95,6 +95,24 @@
 	return max(0, a.headroom())
 }
 
+// Chargeable is what the tasks of a worker may be charged together: what they
+// are charged now, and the headroom.
+func (l *Ledger) Chargeable(worker string) Milliwatts {
+	a := l.accounts[worker]
+	if a == nil {
+		return 0
+	}
+	return a.committed + l.Headroom(worker)
+}
+
+// Want notes demand at a worker that was not tried with a charge, because its
+// headroom was known to be too small.
+func (l *Ledger) Want(worker string, amount Milliwatts) {
+	if a := l.accounts[worker]; a != nil && !a.shed.active {
+		a.wanted += amount
+	}
+}
+
 // LeaseAcquired takes over a worker with the record and the running tasks that
 // it reports. The tasks that still run there are charged, so that the watts of
 // the earlier holder are used only as far as the worker's own report proves
--- a/internal/process/storeclient/client.go
+++ b/internal/process/storeclient/client.go
@@ -40,6 +40,7 @@
 	ForPublication   Purpose = "publication"
 	ForMembership    Purpose = "membership"
 	ForClaims        Purpose = "claims"
+	ForPower         Purpose = "power"
 )
 
 // Method names an operation, in the accounts and in errors.
--- a/internal/request/reason/reason.go
+++ b/internal/request/reason/reason.go
@@ -68,4 +68,5 @@
 	NotAllowedHere   Code = "not_allowed_here"
 	WorkerBusy       Code = "worker_busy"
 	WorkerRestarted  Code = "worker_restarted"
+	PowerRefused     Code = "power_refused"
 )
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -307,7 +307,8 @@
 
 const awaitPoll = 20 * time.Millisecond
 
-// AwaitReady waits until every entry VM is ready and every worker is held.
+// AwaitReady waits until every entry VM is ready, every worker is held, and watts
+// are allotted for tasks.
 func (s *Site) AwaitReady(ctx context.Context) error {
 	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() }); err != nil {
 		return err
@@ -323,7 +324,7 @@
 			}
 		}
 		if held >= alive {
-			return nil
+			return s.awaitPower(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -333,6 +334,14 @@
 	}
 }
 
+// awaitPower waits until every entry VM that holds workers has watts for tasks.
+func (s *Site) awaitPower(ctx context.Context) error {
+	return s.await(ctx, func(e *Entry) bool {
+		status := e.VM.Status()
+		return len(status.Workers) == 0 || (status.Power.Complete && status.Power.Free > 0)
+	})
+}
+
 func (s *Site) await(ctx context.Context, done func(*Entry) bool) error {
 	for {
 		waiting := ""
--- a/internal/standin/worker/service.go
+++ b/internal/standin/worker/service.go
@@ -26,6 +26,9 @@
 	id     ticket.ID
 	result *pb.TaskResult
 	beat   uint64
+	// allotment and throttled confirm what a holder put in force.
+	allotment *pb.AllotmentAnswer
+	throttled *pb.Throttle
 }
 
 // stream is one holder's connection.
@@ -115,7 +118,7 @@
 	groups := make(map[ticket.ID]*pb.ResultGroup, 4)
 	for _, e := range events {
 		if e.result == nil {
-			m.Beat = max(m.Beat, e.beat)
+			e.confirm(m)
 			continue
 		}
 		g := groups[e.id]
@@ -129,6 +132,18 @@
 	return m
 }
 
+// confirm puts an event that is no result into a message. A holder has one
+// allotment and one throttle under way at a time.
+func (e *event) confirm(m *pb.HoldResponse) {
+	m.Beat = max(m.Beat, e.beat)
+	if e.allotment != nil {
+		m.Allotment = e.allotment
+	}
+	if e.throttled != nil {
+		m.Throttled = e.throttled
+	}
+}
+
 func (w *Worker) silent() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -139,7 +154,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return &pb.Usage{
-		Milliwatts: w.milliwatts + w.cfg.IdleMilliwatts,
+		Milliwatts: w.draw(),
 		AgeMillis:  uint32(w.cfg.UsageLag.Milliseconds()),
 		Running:    uint32(w.running),
 	}
@@ -167,12 +182,19 @@
 	w.ttl = min(time.Duration(a.TtlMillis)*time.Millisecond, maxTTL)
 	w.leaseUntil = now.Add(w.ttl)
 	w.stream = &stream{epoch: w.epoch, events: ring.New[event](streamRing)}
+	if a.AllottedMilliwatts != 0 {
+		w.power.allotted = min(w.power.allotted, uint64(a.AllottedMilliwatts))
+		w.respeed(now)
+	}
 	return w.stream, &pb.HoldResponse{Granted: &pb.Granted{
-		Epoch:          w.epoch,
-		TtlMillis:      uint32(w.ttl.Milliseconds()),
-		Capacity:       w.cfg.Capacity,
-		IdleMilliwatts: w.cfg.IdleMilliwatts,
-		Running:        w.loads(),
+		Epoch:            w.epoch,
+		TtlMillis:        uint32(w.ttl.Milliseconds()),
+		Capacity:         w.cfg.Capacity,
+		IdleMilliwatts:   w.cfg.IdleMilliwatts,
+		Running:          w.loads(),
+		Record:           w.power.record,
+		Incarnation:      w.cfg.Incarnation,
+		ThrottlePermille: w.power.throttle,
 	}}
 }
 
@@ -184,7 +206,7 @@
 		for index, t := range sub.tasks {
 			if t.state == pb.TaskState_TASK_STATE_RUNNING {
 				ref := &pb.TaskRef{Submission: wire.IDMessage(id), Index: index}
-				loads = append(loads, &pb.TaskLoad{Task: ref, Each: t.each})
+				loads = append(loads, &pb.TaskLoad{Task: ref, Each: t.each, ChargedMilliwatts: t.charged})
 			}
 		}
 	}
@@ -225,8 +247,8 @@
 		w.leaseUntil = now.Add(w.ttl)
 		s.events.TryPush(event{beat: m.Beat})
 	}
-	if m.Throttle != nil && current && m.Throttle.Permille > 0 {
-		w.throttle = min(m.Throttle.Permille, fullSpeed)
+	if current && m.Epoch == s.epoch {
+		w.takePower(now, s, m)
 	}
 	for _, g := range m.Starts {
 		w.startGroup(now, s, m.Epoch, g)
@@ -239,6 +261,20 @@
 	return true
 }
 
+// takePower handles what the lease's holder says about watts. A checkpoint is a
+// stop here: a task that was saved is not taken up again.
+func (w *Worker) takePower(now time.Time, s *stream, m *pb.HoldRequest) {
+	if m.Throttle != nil && m.Throttle.Permille > 0 {
+		s.events.TryPush(event{throttled: w.setThrottle(now, m.Throttle)})
+	}
+	if m.Allotment != nil {
+		s.events.TryPush(event{allotment: w.allot(now, m.Allotment)})
+	}
+	for _, r := range m.Checkpoints {
+		w.stop(wire.ID(r.Submission), r.Index)
+	}
+}
+
 func (w *Worker) startGroup(now time.Time, s *stream, epoch uint64, g *pb.StartGroup) {
 	if len(g.Index) != len(g.Input) {
 		return
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -6,6 +6,9 @@
 // only when no record of the task exists, for this incarnation of the worker,
 // under the current lease epoch, before the ticket's expiry, and under a
 // generation that is not sealed off.
+//
+// It also keeps the record of its part of the power cap, and its guard keeps its
+// draw within the allotment, see power.go.
 package worker
 
 import (
@@ -68,7 +71,8 @@
 	running     int
 	milliwatts  uint32
 	peak        uint32
-	throttle    uint32 // permille of full speed
+	power       powerState
+	active      map[taskKey]*task // running
 	retained    []retainedOutput
 	retainBytes int
 	dead        bool
@@ -103,9 +107,14 @@
 	reason  string
 	run     time.Duration
 	each    *pb.Resources
-	draw    uint32
+	charged uint32 // milliwatts under the cap
+	draw    uint32 // milliwatts at full speed
 	started time.Time
 	timer   *time.Timer
+	left    time.Duration // run time at full speed that was left at since
+	since   time.Time
+	work    time.Duration // run time at full speed
+	slowed  bool
 }
 
 type retainedOutput struct {
@@ -120,14 +129,13 @@
 	}
 	return &Worker{
 		cfg:         cfg,
-		throttle:    fullSpeed,
+		power:       newPowerState(cfg.IdleMilliwatts),
+		active:      make(map[taskKey]*task),
 		submissions: make(map[ticket.ID]*submission),
 		starts:      make(map[taskKey]int),
 	}
 }
 
-const fullSpeed = 1000
-
 // SetFaults replaces the faults in force.
 func (w *Worker) SetFaults(f Faults) {
 	w.mu.Lock()
@@ -148,7 +156,7 @@
 			}
 		}
 	}
-	w.milliwatts, w.running = 0, 0
+	w.milliwatts, w.power.charged, w.running = 0, 0, 0
 	w.endStream()
 }
 
@@ -182,7 +190,7 @@
 	if w.dead {
 		return 0, w.peak
 	}
-	return w.milliwatts + w.cfg.IdleMilliwatts, w.peak
+	return w.draw(), w.peak
 }
 
 // ID is the worker's name.
@@ -197,7 +205,7 @@
 	}
 	id := wire.ID(g.Submission)
 	out := w.behave(g.Template, g.Input[i])
-	t := &task{state: pb.TaskState_TASK_STATE_RUNNING, each: g.Each, started: now, draw: out.Milliwatts}
+	t := &task{state: pb.TaskState_TASK_STATE_RUNNING, each: g.Each, charged: charge(g), started: now, draw: out.Milliwatts}
 	if t.draw == 0 {
 		t.draw = g.Each.GetMilliwatts()
 	}
@@ -206,13 +214,16 @@
 	w.starts[taskKey{id, index}]++
 	w.running++
 	w.milliwatts += t.draw
-	w.peak = max(w.peak, w.milliwatts+w.cfg.IdleMilliwatts)
+	w.power.charged += uint64(t.charged)
+	w.respeed(now)
 	if out.Run <= 0 {
 		w.end(sub, t, out)
 		return t.result(index)
 	}
-	run := out.Run * fullSpeed / time.Duration(w.throttle)
-	t.timer = time.AfterFunc(run, func() { w.ended(id, index, out) })
+	t.left, t.since = out.Run, now
+	t.work, t.slowed = out.Run, w.power.speed < fullSpeed
+	t.timer = time.AfterFunc(w.atSpeed(out.Run), func() { w.ended(id, index, out) })
+	w.active[taskKey{id, index}] = t
 	return nil
 }
 
@@ -239,7 +250,7 @@
 	if sub != nil && (sub.closed != "" || wire.Generation(g.Generation).Less(sub.sealed)) {
 		return reason.Sealed
 	}
-	if w.running >= int(w.cfg.Capacity.GetSlots()) {
+	if w.running >= int(w.cfg.Capacity.GetSlots()) || !w.affords(charge(g)) {
 		return reason.WorkerBusy
 	}
 	return ""
@@ -289,6 +300,8 @@
 	t.run = time.Since(t.started)
 	w.running--
 	w.milliwatts -= t.draw
+	w.power.charged -= uint64(t.charged)
+	w.respeed(time.Now())
 	close(sub.changed)
 	sub.changed = make(chan struct{})
 }
@@ -320,6 +333,7 @@
 	if t == nil || t.state != pb.TaskState_TASK_STATE_RUNNING {
 		return
 	}
+	delete(w.active, taskKey{id, index})
 	w.end(sub, t, out)
 	w.push(id, t.result(index))
 }
@@ -339,7 +353,8 @@
 		Output:     t.output,
 		Reason:     t.reason,
 		RunMicros:  uint32(t.run.Microseconds()),
-		Milliwatts: t.draw,
+		Milliwatts: t.meanDraw(),
+		Permille:   t.permille(),
 	}
 }
 
@@ -356,6 +371,7 @@
 	t.timer.Stop()
 	t.state = pb.TaskState_TASK_STATE_STOPPED
 	t.reason = string(reason.Stopped)
+	delete(w.active, taskKey{id, index})
 	w.leave(sub, t)
 	w.push(id, t.result(index))
 	return true
--- a/internal/tool/advice/entries.go
+++ b/internal/tool/advice/entries.go
@@ -44,6 +44,7 @@
 	{Step, "not_allowed_here", "the owner holds none of the workers that may run the task", "nothing: the home places it elsewhere"},
 	{Step, "worker_busy", "the worker had no room after all", "nothing; if frequent, an account of slots is off: report it"},
 	{Step, "worker_restarted", "the worker is another run of the same name", "nothing"},
+	{Step, "power_refused", "the worker's part of the power cap is spent or shrinking", "nothing: the home places the task again"},
 	{Operator, "conflict", "another change came first; the detail names it", "`pumiceyard get`, put your change on top, publish again"},
 	{Operator, "change_reused", "the change id was used for another document", "publish under a new change id"},
 	{Operator, "invalid_document", "the document was refused whole; each field is named", "correct the fields"},
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -22,7 +22,10 @@
 	Deployment string
 	Load       time.Duration // how long jobs are submitted
 	Seed       uint64
-	Explain    string // template whose slowest job is explained; empty: any
+	Explain    string  // template whose slowest job is explained; empty: any
+	CapWatts   uint64  // the site's cap is lowered to it half way; 0: it stays
+	Draw       float64 // what tasks draw over what their template declares
+	Rate       float64 // jobs over the deployment's usual rate
 	Out        io.Writer
 }
 
@@ -39,6 +42,8 @@
 	dep   *Deployment
 	site  *site.Site
 	began time.Time
+	// revision of the document that the demo published last.
+	revision uint64
 
 	mu      sync.Mutex
 	tally   tally
@@ -55,6 +60,7 @@
 	}
 	slices.Sort(dep.Domains)
 	r := &run{opt: opt, dep: dep, began: time.Now(), clients: make(map[string]*client.Client)}
+	r.watch.cap = dep.Document.Site.PowerCapMilliwatts
 	if err := r.start(ctx); err != nil {
 		return err
 	}
@@ -77,7 +83,7 @@
 	opt.EntryVMs = entryVMs
 	opt.Workers = workers
 	opt.PerRack = r.dep.PerRack
-	opt.Behaviour = Behaviour
+	opt.Behaviour = r.behaviour
 	opt.Tune = func(s *entry.Settings) { s.ShutdownMillis = 10_000 }
 	r.say("starting %s: %d failure domains, %d entry VMs, %d workers with 8 slots, stand-in platform", r.dep.Name, len(r.dep.Domains), entryVMs, workers)
 	s, err := site.Start(opt)
@@ -89,11 +95,13 @@
 	if err != nil {
 		return fmt.Errorf("publishing: %w", err)
 	}
+	r.revision = revision
 	r.say("configuration revision %d is in force on all entry VMs: %d templates, %d client accounts", revision, len(r.dep.Document.Templates), len(r.dep.Document.Accounts))
 	if err := s.AwaitReady(ctx); err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
 	r.say("all entry VMs are ready, every worker's lease is held")
+	r.say("watts are allotted: %d W at workers, the cap is %d W", r.allotted()/perWatt, r.watch.cap/perWatt)
 	return r.connect()
 }
 
@@ -118,13 +126,11 @@
 	for i := range r.dep.Streams {
 		streams.Go(func() { r.stream(ctx, i) })
 	}
-	faults := make(chan struct{})
-	go func() {
-		defer close(faults)
-		r.faults(ctx)
-	}()
+	streams.Go(func() { r.faults(ctx) })
+	if r.opt.CapWatts > 0 {
+		streams.Go(func() { r.lowerCap(ctx) })
+	}
 	streams.Wait()
-	<-faults
 }
 
 // faults kills one entry VM and one worker, a third of the load apart.
@@ -160,6 +166,7 @@
 	rng := rand.New(rand.NewPCG(r.opt.Seed, uint64(i)))
 	var jobs sync.WaitGroup
 	end := time.Now().Add(r.opt.Load)
+	rate := s.PerSecond * r.opt.Rate
 	next := time.Now().Add(s.After)
 	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
 		if !pause(ctx, time.Until(next)) {
@@ -174,7 +181,7 @@
 			a, err := r.clients[s.Account].Submit(ctx, client.Job{Template: s.Template, Tasks: tasks})
 			r.record(s, base, longest, time.Since(due), a, err)
 		})
-		next = next.Add(time.Duration(rng.ExpFloat64() / s.PerSecond * float64(time.Second)))
+		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 	}
 	jobs.Wait()
 }
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -57,32 +57,6 @@
 	t.responses[s.Template] = append(t.responses[s.Template], float64(took)/float64(ideal))
 }
 
-// powerWatch follows the site's draw.
-type powerWatch struct{ peak uint64 }
-
-const powerSample = 5 * time.Millisecond
-
-// watchPower samples the site's draw until the returned function is called.
-func (r *run) watchPower() func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for pause(ctx, powerSample) {
-			var sum uint64
-			for _, w := range r.site.Workers() {
-				now, _ := w.Draw()
-				sum += uint64(now)
-			}
-			r.watch.peak = max(r.watch.peak, sum)
-		}
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
-}
-
 func quantile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
@@ -131,8 +105,7 @@
 func (r *run) report() error {
 	t := &r.tally
 	tasks, starts, highest := r.site.Starts()
-	capMilliwatts := r.dep.Document.Site.PowerCapMilliwatts
-	overCap := float64(r.watch.peak) / float64(capMilliwatts)
+	overCap := r.watch.overCap()
 	r.say("done, results:")
 	w := tabwriter.NewWriter(r.opt.Out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(w, "\njobs\t%d\n", t.jobs)
@@ -145,6 +118,7 @@
 	fmt.Fprintf(w, "wrong or partial answers\t%d\n", t.wrong)
 	fmt.Fprintf(w, "requests beyond one per job (wasted)\t%.4f per job\n", float64(t.sent-t.jobs+t.unresolved)/float64(max(t.jobs, 1)))
 	fmt.Fprintf(w, "peak draw over cap\t%.3f\n", overCap)
+	r.watch.report(w)
 	for template, rs := range sortedTemplates(t.responses) {
 		fmt.Fprintf(w, "response over ideal, %s\tp50 %.2f  p99 %.2f  (%d jobs)\n", template, quantile(rs, 0.5), quantile(rs, 0.99), len(rs))
 	}
--- a/internal/tool/operate/show.go
+++ b/internal/tool/operate/show.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/tool/advice"
 )
@@ -33,9 +34,33 @@
 			st.Name, st.Domain, readiness(st.Ready, st.Draining), upOrDown(st.StoreUp), st.Revision,
 			len(st.Workers), st.FreeSlots, st.Slots, st.QueuedTasks, len(st.Peers))
 	}
+	fmt.Fprintln(table, "\nENTRY VM\tDOMAIN\tPLAN\tALLOTTED\tCOMMITTED\tFREE\tSTRANDED\tLAST POWER DECISION")
+	for _, v := range all {
+		if v.Status != nil {
+			printPower(table, v.Status)
+		}
+	}
 	return table.Flush()
 }
 
+// printPower prints the watts of one entry VM as a row of a second table.
+func printPower(w io.Writer, s *operator.Status) {
+	p := &s.Power
+	plan := "none"
+	if p.Revision > 0 {
+		plan = fmt.Sprintf("%d", p.Revision)
+	}
+	if p.Revision > 0 && !p.Complete {
+		plan += " (not complete)"
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%d W\t%d W\t%d W\t%d W\t%s %s %d W\n", s.Name, s.Domain, plan,
+		p.Allotted/perWatt, p.Committed/perWatt, p.Free/perWatt, p.Stranded/perWatt,
+		p.Last.Reason, p.Last.Concerns, p.Last.Milliwatts/perWatt)
+}
+
+// perWatt is the milliwatts of one watt.
+const perWatt = 1000
+
 func readiness(ready, draining bool) string {
 	switch {
 	case draining:
