--- a/internal/process/entry/plan.go
+++ b/internal/process/entry/plan.go
@@ -46,6 +46,7 @@
 	began     time.Time // this VM became the maker
 	changed   time.Time // the workers began to differ from the plan
 	lastTry   time.Time
+	failed    bool   // the last try
 	confirmed uint64 // revision of which the store knows that it is complete
 }
 
@@ -161,12 +162,15 @@
 	candidates := p.candidates(now, snapshot)
 	ctx, cancel := context.WithTimeout(ctx, planTimeout)
 	defer cancel()
-	if !p.due(now, part, candidates) {
+	wish := p.due(now, part, candidates)
+	if wish == noPlan {
 		p.confirm(ctx)
 		return
 	}
 	p.lastTry = now
-	if err := p.make(ctx, part, power.Milliwatts(doc.Site.PowerCapMilliwatts), candidates); err != nil {
+	err := p.make(ctx, wish, part, power.Milliwatts(doc.Site.PowerCapMilliwatts), candidates)
+	p.failed = err != nil
+	if err != nil {
 		klog.ErrorS(err, logPrefix+"no new power plan", "domain", p.vm.settings.Domain)
 	}
 }
@@ -244,32 +248,53 @@
 	return out
 }
 
-// due reports whether a plan has to be made now.
-func (p *planner) due(now time.Time, part power.Milliwatts, candidates []power.Candidate) bool {
+// wish says why a plan is due.
+type wish int
+
+const (
+	noPlan wish = iota
+	// higherPart: only if other domains have given up what is to be had.
+	higherPart
+	newPlan
+)
+
+// due decides whether a plan has to be made now.
+func (p *planner) due(now time.Time, part power.Milliwatts, candidates []power.Candidate) wish {
 	p.mu.Lock()
 	plan, recoverAfter := p.plan, p.recoverAfter
 	p.mu.Unlock()
-	if len(candidates) == 0 || part == 0 {
-		return false
-	}
-	waited := now.Sub(p.lastTry) >= planEvery
-	if plan.Revision == 0 {
-		return waited && (allLeased(candidates) || now.Sub(p.began) >= coldStart)
-	}
-	if part < plan.Part && now.Sub(p.lastTry) >= planLook {
-		return true // the site is above its cap until this is done
-	}
-	if part > plan.Part || recoverAfter == plan.Revision {
-		return waited
+	since := now.Sub(p.lastTry)
+	switch {
+	case len(candidates) == 0 || part == 0:
+		return noPlan
+	case part < plan.Part && !p.failed:
+		return newPlan // the site is above its cap until this is done
+	case since < planEvery:
+		return noPlan
+	case plan.Revision == 0:
+		if allLeased(candidates) || now.Sub(p.began) >= coldStart {
+			return newPlan
+		}
+		return noPlan
+	case part < plan.Part || recoverAfter == plan.Revision || p.settled(now, differs(plan, candidates)):
+		return newPlan
+	case part > plan.Part:
+		return higherPart
 	}
-	if !differs(plan, candidates) {
+	return noPlan
+}
+
+// settled reports whether a difference has lasted, so that workers that come one
+// after the other need one plan.
+func (p *planner) settled(now time.Time, differs bool) bool {
+	if !differs {
 		p.changed = time.Time{}
 		return false
 	}
 	if p.changed.IsZero() {
 		p.changed = now
 	}
-	return waited && now.Sub(p.changed) >= planSettle
+	return now.Sub(p.changed) >= planSettle
 }
 
 func allLeased(candidates []power.Candidate) bool {
@@ -296,7 +321,7 @@
 // make publishes the next plan. The plan's key is read before the site's: a plan
 // that another maker publishes in between changes the key's version, so that
 // this one, made from an older division of the cap, is not stored.
-func (p *planner) make(ctx context.Context, wanted, siteCap power.Milliwatts, candidates []power.Candidate) error {
+func (p *planner) make(ctx context.Context, wish wish, wanted, siteCap power.Milliwatts, candidates []power.Candidate) error {
 	domain := p.vm.settings.Domain
 	stored, version, err := readPlan(ctx, p.vm.store, domain)
 	if err != nil {
@@ -309,11 +334,15 @@
 	var revision uint64
 	var part power.Milliwatts
 	reserved, err := changeSite(ctx, p.vm.store, func(s *storedSite) bool {
+		revision, part = 0, s.allowed(domain, wanted, siteCap)
+		if wish == higherPart && part <= stored.Part {
+			return false
+		}
 		revision = max(stored.Revision, s.Domains[domain].Revision) + 1
-		part = s.reserve(domain, revision, wanted, siteCap)
+		s.reserve(domain, revision, part)
 		return true
 	})
-	if err != nil || !reserved {
+	if err != nil || !reserved || revision == 0 {
 		return err
 	}
 	plan, err := power.Build(revision, part, candidates)
--- a/internal/process/entry/plan_store.go
+++ b/internal/process/entry/plan_store.go
@@ -35,27 +35,30 @@
 	Held power.Milliwatts `json:"held_milliwatts"`
 }
 
-// reserve notes the next plan of a domain and returns the part that it may
-// divide: what the document says, or less while other domains hold watts that
-// they have to give up first. Watts that the domain holds now stay free to use.
-func (s *storedSite) reserve(domain string, revision uint64, wanted, siteCap power.Milliwatts) power.Milliwatts {
-	entry := s.Domains[domain]
-	part := wanted
-	if part > entry.Held {
-		free := siteCap
-		for name, d := range s.Domains {
-			if name != domain {
-				free -= d.Held
-			}
+// allowed is the part that a domain's next plan may divide: what the document
+// says, or less while other domains hold watts that they have to give up first.
+// What the domain holds now stays free to use.
+func (s *storedSite) allowed(domain string, wanted, siteCap power.Milliwatts) power.Milliwatts {
+	held := s.Domains[domain].Held
+	if wanted <= held {
+		return wanted
+	}
+	free := siteCap
+	for name, d := range s.Domains {
+		if name != domain {
+			free -= d.Held
 		}
-		part = min(part, max(entry.Held, free))
 	}
-	entry.Revision, entry.Part, entry.Held = revision, part, max(entry.Held, part)
+	return min(wanted, max(held, free))
+}
+
+// reserve notes the next plan of a domain.
+func (s *storedSite) reserve(domain string, revision uint64, part power.Milliwatts) {
 	if s.Domains == nil {
 		s.Domains = make(map[string]domainPart)
 	}
-	s.Domains[domain] = entry
-	return part
+	held := max(s.Domains[domain].Held, part)
+	s.Domains[domain] = domainPart{Revision: revision, Part: part, Held: held}
 }
 
 // confirm notes that every present worker of the domain is under a plan, and
