--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -314,8 +314,8 @@
 
 const awaitPoll = 20 * time.Millisecond
 
-// AwaitReady waits until every entry VM is ready and reaches every other, and
-// every worker is held.
+// AwaitReady waits until every entry VM is ready and reaches every other, every
+// worker is held, and watts are allotted for tasks.
 func (s *Site) AwaitReady(ctx context.Context) error {
 	others := len(s.Entries()) - 1
 	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others }); err != nil {
@@ -332,7 +332,7 @@
 			}
 		}
 		if held >= alive {
-			return nil
+			return s.awaitPower(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -342,6 +342,14 @@
 	}
 }
 
+// awaitPower waits until every entry VM that holds workers has watts for tasks.
+func (s *Site) awaitPower(ctx context.Context) error {
+	return s.await(ctx, func(e *Entry) bool {
+		status := e.VM.Status()
+		return len(status.Workers) == 0 || (status.Power.Complete && status.Power.Free > 0)
+	})
+}
+
 func (s *Site) await(ctx context.Context, done func(*Entry) bool) error {
 	for {
 		waiting := ""
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -13,7 +13,6 @@
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
-	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
 )
@@ -23,7 +22,10 @@
 	Deployment string
 	Load       time.Duration // how long jobs are submitted
 	Seed       uint64
-	Explain    string // template whose slowest job is explained; empty: any
+	Explain    string  // template whose slowest job is explained; empty: any
+	CapWatts   uint64  // the site's cap is lowered to it half way; 0: it stays
+	Draw       float64 // what tasks draw over what their template declares
+	Rate       float64 // jobs over the deployment's usual rate
 	Out        io.Writer
 }
 
@@ -36,10 +38,12 @@
 	doc     *document.Document
 	site    *site.Site
 	began   time.Time
+	// revision of the document that the demo published last.
+	revision uint64
 
 	mu      sync.Mutex
 	tally   tally
-	draw    verdict.Draw
+	watch   powerWatch
 	slowest slowest
 	clients map[string]*client.Client
 }
@@ -60,11 +64,13 @@
 		return err
 	}
 	r := &run{opt: opt, profile: profile, doc: doc, began: time.Now(), clients: make(map[string]*client.Client)}
+	r.watch.cap = doc.Site.PowerCapMilliwatts
+	profile.Scale(opt.Rate)
 	if err := r.start(ctx); err != nil {
 		return err
 	}
 	defer r.site.Stop()
-	stopWatch := verdict.WatchDraw(r.site, r.draw.Add)
+	stopWatch := r.watchPower()
 	r.load(ctx)
 	stopWatch()
 	return r.report()
@@ -83,7 +89,7 @@
 	opt.EntryVMs = int(r.profile.Site.EntryVMs)
 	opt.Workers = int(r.profile.Site.Workers)
 	opt.PerRack = int(r.profile.Site.PerRack)
-	opt.Behaviour = workload.Behaviour
+	opt.Behaviour = r.behaviour
 	opt.Tune = func(s *entry.Settings) { s.ShutdownMillis = 10_000 }
 	r.say("starting %s: %d failure domains, %d entry VMs, %d workers with 8 slots, stand-in platform", r.profile.Name, len(domains), opt.EntryVMs, opt.Workers)
 	s, err := site.Start(opt)
@@ -95,11 +101,13 @@
 	if err != nil {
 		return fmt.Errorf("publishing: %w", err)
 	}
+	r.revision = revision
 	r.say("configuration revision %d is in force on all entry VMs: %d templates, %d client accounts", revision, len(r.doc.Templates), len(r.doc.Accounts))
 	if err := s.AwaitReady(ctx); err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
 	r.say("all entry VMs are ready, every worker's lease is held")
+	r.say("watts are allotted: %d W at workers, the cap is %d W", r.allotted()/perWatt, r.watch.cap/perWatt)
 	return r.connect()
 }
 
@@ -123,6 +131,9 @@
 func (r *run) load(ctx context.Context) {
 	var faults sync.WaitGroup
 	faults.Go(func() { r.faults(ctx) })
+	if r.opt.CapWatts > 0 {
+		faults.Go(func() { r.lowerCap(ctx) })
+	}
 	arrivals := workload.Schedule(r.profile)
 	workload.Drive(ctx, arrivals, int(r.profile.MaxUnderWay), func(a *workload.Arrival, due time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, r.profile.AnswerTimeout())
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -101,7 +101,7 @@
 func (r *run) report() error {
 	t := &r.tally
 	tasks, starts, highest := r.site.Starts()
-	overCap := float64(r.draw.Peak) / float64(r.doc.Site.PowerCapMilliwatts)
+	overCap := r.watch.overCap()
 	r.say("done, results:")
 	w := tabwriter.NewWriter(r.opt.Out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(w, "\njobs\t%d\n", t.jobs)
@@ -114,6 +114,7 @@
 	fmt.Fprintf(w, "wrong or partial answers\t%d\n", t.wrong)
 	fmt.Fprintf(w, "requests beyond one per job (wasted)\t%.4f per job\n", float64(t.sent-t.jobs+t.unresolved)/float64(max(t.jobs, 1)))
 	fmt.Fprintf(w, "peak draw over cap\t%.3f\n", overCap)
+	r.watch.report(w)
 	for template, rs := range sortedTemplates(t.responses) {
 		fmt.Fprintf(w, "response over ideal, %s\tp50 %.2f  p99 %.2f  (%d jobs)\n", template, quantile(rs, 0.5), quantile(rs, 0.99), len(rs))
 	}
