--- a/internal/process/home/fixture_test.go
+++ b/internal/process/home/fixture_test.go
@@ -22,7 +22,7 @@
 // fixture is a Home whose messages and calls are kept until the test answers
 // them. Worker w1 is held by owner "a", w2 by "b".
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	h       *Home
 	now     time.Time
 	batches []batch
@@ -42,7 +42,7 @@
 	done   func(*pb.SealResponse, error)
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{t: t, now: time.Unix(1000, 0), live: map[uint64]bool{}}
 	f.h = New(Config{
 		Settings: Defaults(), Name: "a", Domain: "brno", Incarnation: self,
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -321,6 +321,11 @@
 	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others }); err != nil {
 		return err
 	}
+	return s.awaitHeld(ctx)
+}
+
+// awaitHeld waits until every worker that lives is held.
+func (s *Site) awaitHeld(ctx context.Context) error {
 	for {
 		held, alive := 0, 0
 		for _, e := range s.Entries() {
