Status shows why workers are distrusted and what accounts wait for

Cause: an operator could not tell a sick worker or a quota from a full site: status had no tiers and no accounts, and a submission that never got a slot ended as deadline_exceeded without a reason before it. TestCauseIsFound brings about a sick worker, a job that never fits and an account over its quota, and reads explain and status only.

--- a/internal/connection/operator/doc.go
+++ b/internal/connection/operator/doc.go
@@ -18,6 +18,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
@@ -62,6 +63,33 @@
 	Slots       uint32   `json:"slots"`
 	QueuedTasks uint32   `json:"queued_tasks"`
 	Peers       []string `json:"peers"` // entry VMs that answer
+
+	WorkerStanding  []WorkerStanding  `json:"worker_standing"` // of the workers above
+	AccountStanding []AccountStanding `json:"account_standing"`
+}
+
+// WorkerStanding is how far a worker is trusted, and why.
+type WorkerStanding struct {
+	Worker    string      `json:"worker"`
+	Tier      string      `json:"tier"`
+	Reason    reason.Code `json:"reason"`
+	Running   int         `json:"running"`         // tasks
+	Ejections int         `json:"ejections"`       // in a row
+	Until     time.Time   `json:"until,omitzero"`  // end of the ejection
+	Pace      float64     `json:"pace,omitempty"`  // run time against other workers, 1 is equal
+	Score     float64     `json:"score,omitempty"` // confirmed failures, less what successes took off
+}
+
+// AccountStanding is what a client account has and waits for at one entry VM.
+type AccountStanding struct {
+	Account     string      `json:"account"`
+	Slots       int         `json:"slots"`       // in use
+	QuotaSlots  uint32      `json:"quota_slots"` // 0: no bound
+	QueuedTasks int         `json:"queued_tasks"`
+	QueuedJobs  int         `json:"queued_jobs"`
+	Service     float64     `json:"service"` // given, in share-seconds
+	Due         float64     `json:"due"`     // that its weight entitled it to while it was active
+	Why         reason.Code `json:"why"`     // it waits
 }
 
 // Fleet is the platform's list as one entry VM knows it.
--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
+	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
+	"github.com/pumiceyard/pumiceyard/internal/process/health"
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/version/publication"
 )
@@ -41,11 +44,43 @@
 	for name := range vm.peers.addresses() {
 		s.Peers = append(s.Peers, name)
 	}
+	standing := vm.holder.Standing()
+	s.WorkerStanding = workerStandings(standing.Workers)
+	s.AccountStanding = vm.accountStandings(standing.Accounts)
 	slices.Sort(s.Workers)
 	slices.Sort(s.Peers)
 	return s
 }
 
+func workerStandings(all []health.WorkerStatus) []operator.WorkerStanding {
+	out := make([]operator.WorkerStanding, len(all))
+	for i, w := range all {
+		out[i] = operator.WorkerStanding{
+			Worker: w.Worker, Tier: w.Tier.String(), Reason: reason.Code(w.Reason), Running: w.Running,
+			Ejections: w.Ejections, Until: w.Until, Pace: w.Pace, Score: w.Score,
+		}
+	}
+	return out
+}
+
+func (vm *VM) accountStandings(all []fairness.AccountStatus) []operator.AccountStanding {
+	quotas := make(map[string]uint32)
+	if d := vm.Document(); d != nil {
+		for _, a := range d.Accounts {
+			quotas[a.Name] = a.QuotaSlots
+		}
+	}
+	out := make([]operator.AccountStanding, len(all))
+	for i, a := range all {
+		out[i] = operator.AccountStanding{
+			Account: a.Name, Slots: a.SlotsInUse, QuotaSlots: quotas[a.Name],
+			QueuedTasks: a.QueuedTasks, QueuedJobs: a.QueuedJobs,
+			Service: a.Service, Due: a.Due, Why: a.Why,
+		}
+	}
+	return out
+}
+
 // Fleet implements operator.VM.
 func (vm *VM) Fleet() operator.Fleet {
 	snapshot := vm.fleet.Latest()
--- a/internal/process/fairness/accounts.go
+++ b/internal/process/fairness/accounts.go
@@ -257,6 +257,15 @@
 	}
 }
 
+// WaitReason says why an account's work is not starting, Idle for an account
+// that has none queued.
+func (q *Queue[K]) WaitReason(account string) reason.Code {
+	if l := q.lanes[account]; l != nil {
+		return q.waitReason(l)
+	}
+	return Idle
+}
+
 // waitReason says why an account's work is not starting.
 func (q *Queue[K]) waitReason(l *lane[K]) reason.Code {
 	if l.queuedTasks == 0 {
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -41,6 +41,7 @@
 type work struct {
 	groups []*waitingGroup
 	queued int
+	noted  bool // its timeline says why it waits
 }
 
 // waitingGroup is a batch of which tasks from next on wait.
@@ -84,6 +85,7 @@
 type Holder struct {
 	cfg     Config
 	events  *ring.Ring[event]
+	ended   chan struct{} // closed when Run returns
 	order   *fairness.Queue[workKey]
 	placer  *placement.Placer
 	health  *health.Table
@@ -111,6 +113,7 @@
 	h := &Holder{
 		cfg:     cfg,
 		events:  ring.New[event](cfg.Settings.Ring),
+		ended:   make(chan struct{}),
 		order:   fairness.New[workKey](cfg.Settings.Order),
 		placer:  placement.New(cfg.Settings.Placement),
 		health:  health.New(cfg.Settings.Health),
@@ -126,6 +129,7 @@
 
 // Run is the loop's goroutine. It returns when ctx ends.
 func (h *Holder) Run(ctx context.Context) {
+	defer close(h.ended)
 	defer h.events.Close()
 	ticks := time.NewTicker(h.cfg.Settings.Tick)
 	defer ticks.Stop()
--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -217,7 +217,8 @@
 	h.apply(h.health.Ended(h.now, w.id, f.group.Template, outcome, run, f.expected))
 }
 
-// judgeEvery is how often what is due by time is judged.
+// judgeEvery is how often what is due by time is judged, and long waits are
+// noted.
 const judgeEvery = time.Second
 
 // judge lets the judgement of workers see time pass.
@@ -227,6 +228,7 @@
 	}
 	h.judged = h.now
 	h.apply(h.health.Tick(h.now))
+	h.noteWaits()
 }
 
 // apply puts changes of tier in force.
--- /dev/null
+++ b/internal/tool/operate/causes_test.go
@@ -0,0 +1,196 @@
+package operate_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/standin/site"
+	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
+	"github.com/pumiceyard/pumiceyard/internal/tool/operate"
+	"github.com/pumiceyard/pumiceyard/internal/version/document"
+)
+
+const (
+	causeKey   = "causes-key-for-tests"
+	causeBound = 20 * time.Second // for a cause to show
+	causePoll  = 20 * time.Millisecond
+	longRun    = 5 * time.Second // of a task that is declared as short
+)
+
+// causes is a small site in which something is wrong, and an operator's tool.
+type causes struct {
+	t      *testing.T
+	ctx    context.Context
+	site   *site.Site
+	tool   *operate.Site
+	client *client.Client
+}
+
+func newCauses(t *testing.T) *causes {
+	opt := site.Defaults([]string{"brno"})
+	opt.EntryVMs, opt.Workers = 1, 4
+	opt.Behaviour = func(template string, input []byte) worker.Outcome {
+		if template == "build" {
+			return worker.Outcome{Run: longRun, Output: input}
+		}
+		return worker.Outcome{Run: time.Millisecond, Output: input}
+	}
+	s, err := site.Start(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), causeBound)
+	t.Cleanup(cancel)
+	template := func(name string, slots uint32) document.Template {
+		return document.Template{
+			Name: name, Class: document.Normal, Idempotent: true, DeadlineMillis: 60_000, MaxTasks: 16,
+			Declared: document.Declared{Slots: slots, MilliCPU: 100, MemoryMiB: 16, Milliwatts: 1000, RunMillis: 5},
+		}
+	}
+	doc := &document.Document{
+		Templates: []document.Template{template("check", 1), template("build", 1), template("manifold", 64)},
+		Accounts:  []document.Account{{Name: "members", Weight: 1, QuotaSlots: 2, KeyHashes: []string{document.KeyHash(causeKey)}}},
+		Site:      document.Site{PowerCapMilliwatts: 10_000_000, Domains: map[string]uint64{"brno": 10_000_000}},
+	}
+	if _, err := s.Publish(ctx, doc, "radka", "causes-1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	tool, err := operate.NewSite(operatorURLs(s), "1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := client.New(client.Options{Endpoints: s.Endpoints(), Key: causeKey})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &causes{t, ctx, s, tool, c}
+}
+
+// submit runs a job to its end and returns its ticket and outcome.
+func (c *causes) submit(template string) (ticket string, outcome client.Outcome) {
+	a, err := c.client.Submit(c.ctx, client.Job{Template: template, Tasks: []json.RawMessage{json.RawMessage("1")}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return a.Ticket, a.Outcome
+}
+
+// begin submits a job without waiting for its end and returns its ticket.
+func (c *causes) begin(template string, tasks int) string {
+	tickets := make(chan string, 1)
+	j := client.Job{Template: template, Tasks: make([]json.RawMessage, tasks), OnTicket: func(ticket, _ string) { tickets <- ticket }}
+	for i := range j.Tasks {
+		j.Tasks[i] = json.RawMessage("1")
+	}
+	go func() { _, _ = c.client.Submit(c.ctx, j) }()
+	select {
+	case ticket := <-tickets:
+		return ticket
+	case <-c.ctx.Done():
+		c.t.Fatal("no ticket in time")
+		return ""
+	}
+}
+
+// sickWorker lets one worker fail everything, until it is ejected.
+func (c *causes) sickWorker() string {
+	c.site.Workers()[2].SetFaults(worker.Faults{FailEverything: true})
+	failed := ""
+	for {
+		ticket, outcome := c.submit("check")
+		if outcome == client.Failed {
+			failed = ticket
+		}
+		if failed != "" && strings.Contains(c.status(), "fails_what_others_complete") {
+			return failed
+		}
+	}
+}
+
+func (c *causes) neverFits() string {
+	ticket, _ := c.submit("manifold")
+	return ticket
+}
+
+// overQuota submits more tasks than the account's quota lets run at once.
+func (c *causes) overQuota() string { return c.begin("build", 4) }
+
+func (c *causes) status() string {
+	var out strings.Builder
+	if err := c.tool.Status(c.ctx, false, &out); err != nil {
+		c.t.Fatal(err)
+	}
+	return out.String()
+}
+
+func (c *causes) explain(ticket string) string {
+	var out strings.Builder
+	if err := c.tool.Explain(c.ctx, ticket, false, &out); err != nil {
+		c.t.Fatal(err)
+	}
+	return out.String()
+}
+
+// await waits until a page shows a line that holds all the given parts.
+func (c *causes) await(name string, page func() string, parts ...string) {
+	for {
+		text := page()
+		if hasLine(text, parts) {
+			return
+		}
+		select {
+		case <-c.ctx.Done():
+			c.t.Fatalf("%s has no line with %q:\n%s", name, parts, text)
+		case <-time.After(causePoll):
+		}
+	}
+}
+
+func hasLine(text string, parts []string) bool {
+	for line := range strings.Lines(text) {
+		all := true
+		for _, part := range parts {
+			all = all && strings.Contains(line, part)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+// An operator who is called about a submission finds the cause with explain and
+// status alone.
+func TestCauseIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		bring   func(*causes) (ticket string)
+		explain []string // parts of one line
+		status  []string // the same
+	}{
+		// Symptom: jobs of one template fail, most complete. Sequence: a worker
+		// fails each task at once, so its slots are always free. Cause: w002.
+		{"sick worker", (*causes).sickWorker, []string{"placed", "w002"}, []string{"w002", "ejected", "fails_what_others_complete"}},
+		// Symptom: jobs of one template are refused, always. Cause: a task is
+		// declared larger than any worker.
+		{"job that never fits", (*causes).neverFits, []string{"refused", "never_fits", "needs 64 slots", "largest worker has 8"}, []string{"e1", "yes", "/32"}},
+		// Symptom: a job does not end, while slots are free. Sequence: tasks run
+		// far longer than declared. Cause: the account uses its whole quota.
+		{"account over quota", (*causes).overQuota, []string{"waiting", "quota_exceeded", "members"}, []string{"members", " 2 ", "quota_exceeded"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCauses(t)
+			ticket := c.bring(s)
+			s.await("explain", func() string { return s.explain(ticket) }, c.explain...)
+			s.await("status", s.status, c.status...)
+		})
+	}
+}
--- a/internal/tool/operate/show.go
+++ b/internal/tool/operate/show.go
@@ -33,7 +33,10 @@
 			st.Name, st.Domain, readiness(st.Ready, st.Draining), upOrDown(st.StoreUp), st.Revision,
 			len(st.Workers), st.FreeSlots, st.Slots, st.QueuedTasks, len(st.Peers))
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return printStanding(w, all)
 }
 
 func readiness(ready, draining bool) string {
