--- a/internal/tool/operate/show.go
+++ b/internal/tool/operate/show.go
@@ -40,7 +40,10 @@
 			printPower(table, v.Status)
 		}
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return printStanding(w, all)
 }
 
 // printPower prints the watts of one entry VM as a row of a second table.
