Demo scenarios: rolling restart, partition

Cause: planned restarts and cuts between failure domains were promised and shown by no run on real sockets. The site opens all connections between VMs through a dialer that refuses and breaks those across a cut (entry.Settings.Dialer). The entry VM calls the platform by HTTP/1.1, as the platform connection's own comment asks; it had used one HTTP/2 connection, on which a silent connection takes all calls along.

--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -12,6 +12,7 @@
 
 	pumiceyardv1 "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 )
 
 // Deadlines of the operations.
@@ -25,16 +26,20 @@
 	WatchGrace = time.Second
 )
 
-// NewHTTPClient returns the HTTP client to dial with.
+// NewHTTPClient returns the HTTP client to dial with. Nil dial uses TCP.
 //
 // It speaks HTTP/1.1 only. A connection can go silent for good while new ones
 // work; HTTP/2 would go on putting calls on it, and each would time out. On
 // HTTP/1.1 a call that times out takes its connection with it, and the next
 // call opens another.
-func NewHTTPClient() *http.Client {
+func NewHTTPClient(dial wire.Dialer) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Client{Transport: &http.Transport{Protocols: protocols, MaxIdleConnsPerHost: idleConnections}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		Protocols:           protocols,
+		MaxIdleConnsPerHost: idleConnections,
+	}}
 }
 
 // idleConnections is how many connections to the service are kept for reuse: a
--- a/internal/connection/platform/platform_test.go
+++ b/internal/connection/platform/platform_test.go
@@ -17,7 +17,7 @@
 func TestOverHTTP(t *testing.T) {
 	server := httptest.NewServer(platform.Handler(standin.New(standin.Options{})))
 	defer server.Close()
-	client := platform.Dial(platform.NewHTTPClient(), server.URL)
+	client := platform.Dial(platform.NewHTTPClient(nil), server.URL)
 	ctx := context.Background()
 	set, err := client.CompareAndSet(ctx, &pumiceyardv1.CompareAndSetRequest{Key: "k", Value: []byte("v")})
 	if err != nil || !set.Swapped {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -50,7 +50,7 @@
 	workers   *workerSet
 	local     *localSession
 	platform  *platform.Client
-	platHTTP  *wire.Client
+	platHTTP  *http.Client
 	store     *storeclient.Client
 
 	listeners listeners
@@ -123,7 +123,7 @@
 	vm.fleet = fleet.New()
 	vm.timelines = timeline.NewStore(s.Timelines)
 	vm.metrics = metrics.New(s.Name)
-	vm.platHTTP = wire.NewClient(nil, nil)
+	vm.platHTTP = platform.NewHTTPClient(s.dialer())
 	vm.platform = platform.Dial(vm.platHTTP, s.Platform)
 	vm.store = vm.newStore()
 	vm.workers = newWorkerSet(vm)
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -36,7 +36,7 @@
 }
 
 func newPeerSet(vm *VM) *peerSet {
-	dial := peer.Dial{Token: vm.settings.PeerToken}
+	dial := peer.Dial{Dialer: vm.settings.dialer(), Token: vm.settings.PeerToken}
 	return &peerSet{
 		vm:    vm,
 		dial:  dial,
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/claims"
 	"github.com/pumiceyard/pumiceyard/internal/process/holder"
 	"github.com/pumiceyard/pumiceyard/internal/process/home"
@@ -51,6 +53,8 @@
 
 	// Wrapper replaces each listener before it is used; nil: none is replaced.
 	Wrapper ListenerWrapper `json:"-"`
+	// Dialer opens the connections to other VMs and to the platform; nil: TCP.
+	Dialer Dialer `json:"-"`
 }
 
 // ListenerWrapper lets a tool count traffic at a VM's listeners. The role is
@@ -59,6 +63,20 @@
 	WrapListener(role string, l net.Listener) net.Listener
 }
 
+// Dialer opens connections. A *net.Dialer is one; a tool passes one that injects
+// faults of the network.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dialer is how connections are opened; nil: TCP.
+func (s *Settings) dialer() wire.Dialer {
+	if s.Dialer == nil {
+		return nil
+	}
+	return s.Dialer.DialContext
+}
+
 // DefaultSettings returns settings without names, addresses and secrets.
 func DefaultSettings() Settings {
 	return Settings{
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -19,7 +19,7 @@
 	vm.peers.stop()
 	vm.workers.stop()
 	vm.duties.Wait()
-	vm.platHTTP.Leave()
+	vm.platHTTP.CloseIdleConnections()
 	vm.metrics.Close()
 }
 
--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &workerSet{
 		vm:      vm,
-		control: upstream.NewControl(vm.settings.upstream(), nil),
+		control: upstream.NewControl(vm.settings.upstream(), vm.settings.dialer()),
 		ctx:     ctx,
 		cancel:  cancel,
 		links:   make(map[string]*workerLink),
@@ -113,7 +113,7 @@
 func (w *workerSet) open(worker fleet.VM) *workerLink {
 	target := upstream.Target{ID: worker.ID, Address: worker.Address, Incarnation: worker.Incarnation}
 	self := upstream.Identity{EntryVM: w.vm.settings.Name, Incarnation: w.vm.incarnation}
-	return &workerLink{vm: worker, link: upstream.Start(w.vm.settings.upstream(), target, self, nil, w.vm.holder)}
+	return &workerLink{vm: worker, link: upstream.Start(w.vm.settings.upstream(), target, self, w.vm.settings.dialer(), w.vm.holder)}
 }
 
 // Send implements holder.Workers.
--- /dev/null
+++ b/internal/standin/site/partition.go
@@ -0,0 +1,115 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+var errPartition = errors.New("injected partition: the failure domains are cut off from each other")
+
+// partition injects network partitions between failure domains. All connections
+// between VMs, and to the platform, are opened through its dialers. It refuses
+// new ones across a cut and breaks those that are open.
+type partition struct {
+	mu      sync.Mutex
+	domains map[string]string // failure domain by listening address; none: the platform
+	cut     map[string]bool   // failure domains that are cut off
+	open    map[*partitionConn]struct{}
+}
+
+func newPartition() *partition {
+	return &partition{
+		domains: make(map[string]string),
+		cut:     make(map[string]bool),
+		open:    make(map[*partitionConn]struct{}),
+	}
+}
+
+// place notes the failure domain of a listener.
+func (p *partition) place(address, domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.domains[address] = domain
+}
+
+// set cuts a failure domain off from all others and from the platform, or heals
+// the cut.
+func (p *partition) set(domain string, cut bool) {
+	p.mu.Lock()
+	p.cut[domain] = cut
+	var broken []*partitionConn
+	for c := range p.open {
+		if p.separates(c.from, c.to) {
+			broken = append(broken, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
+
+// separates reports whether a cut lies between two failure domains. The caller
+// holds the lock.
+func (p *partition) separates(from, to string) bool {
+	return from != to && (p.cut[from] || p.cut[to])
+}
+
+// dialer opens the connections of one failure domain's VMs.
+func (p *partition) dialer(domain string) *partitionDialer {
+	return &partitionDialer{partition: p, domain: domain}
+}
+
+type partitionDialer struct {
+	partition *partition
+	domain    string
+	tcp       net.Dialer
+}
+
+// DialContext implements entry.Dialer.
+func (d *partitionDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	p := d.partition
+	p.mu.Lock()
+	to := p.domains[address]
+	separated := p.separates(d.domain, to)
+	p.mu.Unlock()
+	if separated {
+		return nil, errPartition
+	}
+	conn, err := d.tcp.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &partitionConn{Conn: conn, partition: p, from: d.domain, to: to}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.separates(d.domain, to) {
+		_ = conn.Close()
+		return nil, errPartition
+	}
+	p.open[c] = struct{}{}
+	return c, nil
+}
+
+// partitionConn is an open connection between two failure domains.
+type partitionConn struct {
+	net.Conn
+	partition *partition
+	from, to  string
+}
+
+func (c *partitionConn) Close() error {
+	c.partition.mu.Lock()
+	delete(c.partition.open, c)
+	c.partition.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Cut cuts a failure domain off from the others and from the platform: its
+// connections across the cut break, and new ones are refused.
+func (s *Site) Cut(domain string) { s.partition.set(domain, true) }
+
+// Heal ends a cut.
+func (s *Site) Heal(domain string) { s.partition.set(domain, false) }
--- a/internal/standin/site/records.go
+++ b/internal/standin/site/records.go
@@ -17,8 +17,16 @@
 
 // Records reads the records of starts.
 func (s *Site) Records() *Records {
+	return s.RecordsWhere(func(*Worker) bool { return true })
+}
+
+// RecordsWhere reads the records of the workers that match.
+func (s *Site) RecordsWhere(match func(*Worker) bool) *Records {
 	counts := make(map[taskKey]int)
 	for _, w := range s.Workers() {
+		if !match(w) {
+			continue
+		}
 		w.EachStart(func(id ticket.ID, index uint32, n int) { counts[taskKey{id, index}] += n })
 	}
 	r := &Records{tasks: len(counts), bySubmission: make(map[ticket.ID]int)}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -72,6 +72,7 @@
 	Platform *platformstandin.Platform
 
 	platformURL string
+	partition   *partition
 	servers     []*http.Server
 
 	mu       sync.Mutex
@@ -101,7 +102,11 @@
 
 // Start brings a site up.
 func Start(opt Options) (*Site, error) {
-	s := &Site{opt: opt, Platform: platformstandin.New(platformstandin.Options{ListLag: opt.ListLag})}
+	s := &Site{
+		opt:       opt,
+		Platform:  platformstandin.New(platformstandin.Options{ListLag: opt.ListLag}),
+		partition: newPartition(),
+	}
 	url, server, err := s.listen("platform", opt.PlatformListen, platform.Handler(s.Platform))
 	if err != nil {
 		return nil, err
@@ -155,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	s.partition.place(address, domain)
 	vm := &pb.VM{
 		Id:          w.ID(),
 		Role:        pb.VMRole_VM_ROLE_WORKER,
@@ -186,6 +192,7 @@
 	settings.PeerToken = peerToken
 	settings.ListPollMillis = 250
 	settings.Wrapper = s.opt.Wrapper
+	settings.Dialer = s.partition.dialer(domain)
 	if s.opt.Tune != nil {
 		s.opt.Tune(&settings)
 	}
@@ -193,6 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.partition.place(vm.PeerAddress(), domain)
 	e := &Entry{VM: vm, Name: name, Domain: domain, alive: true}
 	s.mu.Lock()
 	s.entries = append(s.entries, e)
@@ -250,15 +258,28 @@
 	return slices.Clone(s.workers)
 }
 
-// Endpoints are the callers' base URLs of the entry VMs that live.
+// Endpoints are the callers' base URLs of the entry VMs to which the balancer
+// sends callers: those that live, without those that are being stopped.
 func (s *Site) Endpoints() []string {
+	return s.EndpointsWhere(func(*Entry) bool { return true })
+}
+
+// EndpointsWhere is Endpoints of the entry VMs that match.
+func (s *Site) EndpointsWhere(match func(*Entry) bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var out []string
-	for _, e := range s.Entries() {
-		out = append(out, "http://"+e.VM.CallerAddress())
+	for _, e := range s.entries {
+		if e.alive && !e.left && match(e) {
+			out = append(out, e.Endpoint())
+		}
 	}
 	return out
 }
 
+// Endpoint is the callers' base URL of the entry VM.
+func (e *Entry) Endpoint() string { return "http://" + e.VM.CallerAddress() }
+
 // KillEntry ends an entry VM as a crash does. The list shows it with its lag.
 func (s *Site) KillEntry(e *Entry) {
 	s.mu.Lock()
@@ -294,6 +315,16 @@
 
 // Publish puts a document in force and waits until each entry VM has it.
 func (s *Site) Publish(ctx context.Context, d *document.Document, author, change string) (uint64, error) {
+	receipt, err := s.PublishOnly(ctx, d, author, change)
+	if err != nil {
+		return 0, err
+	}
+	return receipt.Revision, s.AwaitRevision(ctx, receipt.Revision)
+}
+
+// PublishOnly puts a document in force and does not wait. It asks the platform
+// itself.
+func (s *Site) PublishOnly(ctx context.Context, d *document.Document, author, change string) (publication.Receipt, error) {
 	httpClient := wire.NewClient(nil, nil)
 	defer httpClient.Leave()
 	store := storeclient.New(platform.Dial(httpClient, s.platformURL), storeclient.Options{
@@ -302,13 +333,14 @@
 		Fleet:                s.opt.EntryVMs,
 	})
 	publisher := publication.New(store.Configuration(), time.Now)
-	receipt, err := publisher.Publish(ctx, publication.Change{ID: change, Author: author, Base: d.Revision, Document: d})
-	if err != nil {
-		return 0, err
-	}
-	return receipt.Revision, s.await(ctx, func(e *Entry) bool {
+	return publisher.Publish(ctx, publication.Change{ID: change, Author: author, Base: d.Revision, Document: d})
+}
+
+// AwaitRevision waits until each entry VM has a revision in force.
+func (s *Site) AwaitRevision(ctx context.Context, revision uint64) error {
+	return s.await(ctx, func(e *Entry) bool {
 		doc := e.VM.Document()
-		return doc != nil && doc.Revision >= receipt.Revision
+		return doc != nil && doc.Revision >= revision
 	})
 }
 
@@ -317,8 +349,7 @@
 // AwaitReady waits until every entry VM is ready and reaches every other, and
 // every worker is held.
 func (s *Site) AwaitReady(ctx context.Context) error {
-	others := len(s.Entries()) - 1
-	if err := s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others }); err != nil {
+	if err := s.AwaitPeers(ctx); err != nil {
 		return err
 	}
 	for {
@@ -342,6 +373,12 @@
 	}
 }
 
+// AwaitPeers waits until every entry VM is ready and reaches every other.
+func (s *Site) AwaitPeers(ctx context.Context) error {
+	others := len(s.Entries()) - 1
+	return s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others })
+}
+
 func (s *Site) await(ctx context.Context, done func(*Entry) bool) error {
 	for {
 		waiting := ""
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -4,7 +4,9 @@
 package demo
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -23,12 +25,25 @@
 	Deployment string
 	Load       time.Duration // how long jobs are submitted
 	Seed       uint64
-	Explain    string // template whose slowest job is explained; empty: any
+	Scenario   Scenario // what breaks; empty: Crash
+	Explain    string   // template whose slowest job is explained; empty: any
 	Out        io.Writer
 }
 
 const startTimeout = 10 * time.Second
 
+// Bounds of planned stops. Callers learn at once which entry VMs there are, so
+// that a VM need not take requests for long after it turned unready.
+const (
+	shutdownMillis = 10_000
+	unreadyMillis  = 300
+)
+
+func tune(s *entry.Settings) {
+	s.ShutdownMillis = shutdownMillis
+	s.UnreadyMillis = unreadyMillis
+}
+
 // run is one demo under way.
 type run struct {
 	opt     Options
@@ -41,11 +56,18 @@
 	tally   tally
 	draw    verdict.Draw
 	slowest slowest
-	clients map[string]*client.Client
+	jobs    []job
+	script  script
+	all     callers // that reach every entry VM
+	cut     cut
 }
 
 // Run runs the demo and returns an error when a promise was broken.
 func Run(ctx context.Context, opt Options) error {
+	script, ok := scripts()[cmp.Or(opt.Scenario, Crash)]
+	if !ok {
+		return &UnknownScenarioError{opt.Scenario}
+	}
 	profile, err := workload.Load(opt.Deployment)
 	if err != nil {
 		return err
@@ -56,18 +78,22 @@
 	}
 	profile = profile.Steady()
 	profile.Seed = opt.Seed
+	opt.Load = cmp.Or(script.load, opt.Load)
 	if err := profile.SetDuration(opt.Load); err != nil {
 		return err
 	}
-	r := &run{opt: opt, profile: profile, doc: doc, began: time.Now(), clients: make(map[string]*client.Client)}
-	if err := r.start(ctx); err != nil {
+	r := &run{opt: opt, profile: profile, doc: doc, began: time.Now(), script: script}
+	err = r.start(ctx)
+	if r.site != nil {
+		defer r.site.Stop()
+	}
+	if err != nil {
 		return err
 	}
-	defer r.site.Stop()
 	stopWatch := verdict.WatchDraw(r.site, r.draw.Add)
-	r.load(ctx)
+	broken := r.load(ctx)
 	stopWatch()
-	return r.report()
+	return errors.Join(broken, r.report(), r.script.check(r))
 }
 
 func (r *run) say(format string, args ...any) {
@@ -84,7 +110,7 @@
 	opt.Workers = int(r.profile.Site.Workers)
 	opt.PerRack = int(r.profile.Site.PerRack)
 	opt.Behaviour = workload.Behaviour
-	opt.Tune = func(s *entry.Settings) { s.ShutdownMillis = 10_000 }
+	opt.Tune = tune
 	r.say("starting %s: %d failure domains, %d entry VMs, %d workers with 8 slots, stand-in platform", r.profile.Name, len(domains), opt.EntryVMs, opt.Workers)
 	s, err := site.Start(opt)
 	if err != nil {
@@ -100,53 +126,47 @@
 		return fmt.Errorf("site: %w", err)
 	}
 	r.say("all entry VMs are ready, every worker's lease is held")
-	return r.connect()
-}
-
-// connect makes one SDK client per account.
-func (r *run) connect() error {
-	for _, s := range r.profile.Streams {
-		if r.clients[s.Account] != nil {
-			continue
-		}
-		c, err := client.New(client.Options{Endpoints: r.site.Endpoints(), Key: s.Key, NotRunRetries: 2})
-		if err != nil {
-			return err
-		}
-		r.clients[s.Account] = c
+	if r.all, err = newCallers(r.profile, s.Endpoints()); err != nil {
+		return err
 	}
-	return nil
+	return r.planCut()
 }
 
 // load submits the jobs at their times, whatever the site does, and breaks
 // things meanwhile.
-func (r *run) load(ctx context.Context) {
+func (r *run) load(ctx context.Context) error {
+	driving, stop := context.WithCancel(ctx)
+	defer stop()
 	var faults sync.WaitGroup
-	faults.Go(func() { r.faults(ctx) })
+	var broken error
+	faults.Go(func() {
+		broken = r.script.faults(r, ctx)
+		if r.script.load != 0 {
+			stop()
+		}
+	})
 	arrivals := workload.Schedule(r.profile)
-	workload.Drive(ctx, arrivals, int(r.profile.MaxUnderWay), func(a *workload.Arrival, due time.Time) {
+	number := 0
+	workload.Drive(driving, arrivals, int(r.profile.MaxUnderWay), func(a *workload.Arrival, due time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, r.profile.AnswerTimeout())
 		defer cancel()
-		job := client.Job{Template: a.Stream.Template, Tasks: a.Tasks()}
-		answer, err := r.clients[a.Stream.Account].Submit(ctx, job)
-		r.record(a, time.Since(due), answer, err)
+		by := r.callersOf(&number)
+		j := job{arrival: a, callers: by, sent: time.Now()}
+		answer, err := by.clients[a.Stream.Account].Submit(ctx, client.Job{Template: a.Stream.Template, Tasks: a.Tasks()})
+		j.answer, j.ended = answer, time.Now()
+		r.record(j, time.Since(due), err)
 	})
 	faults.Wait()
+	return broken
 }
 
-// faults kills one entry VM and one worker, a third of the load apart.
-func (r *run) faults(ctx context.Context) {
-	third := r.opt.Load / 3
-	if !workload.Pause(ctx, third) {
-		return
-	}
-	victim := r.site.Entries()[2]
-	r.say("killing entry VM %s (%s): its jobs lose their home, its workers their lease holder", victim.Name, victim.Domain)
-	r.site.KillEntry(victim)
-	if !workload.Pause(ctx, third) {
-		return
+// callersOf picks the callers of the next job.
+func (r *run) callersOf(number *int) callers {
+	if r.script.caller == nil {
+		return r.all
 	}
-	w := r.site.Workers()[7]
-	r.say("killing worker %s (%s, rack %s): tasks that run there can not be proven to have ended", w.ID(), w.Domain, w.Rack)
-	r.site.KillWorker(w)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*number++
+	return r.script.caller(r, *number)
 }
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -9,7 +9,6 @@
 
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
-	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // tally counts how jobs ended.
@@ -24,9 +23,12 @@
 }
 
 // record counts one job's end.
-func (r *run) record(job *workload.Arrival, took time.Duration, a *client.Answer, err error) {
+func (r *run) record(j job, took time.Duration, err error) {
+	a, arrival := j.answer, j.arrival
+	j.complete = err == nil && a.Outcome == client.Complete && arrival.Answered(a.Outputs)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.jobs = append(r.jobs, j)
 	t := &r.tally
 	if t.outcomes == nil {
 		t.outcomes = make(map[client.Outcome]int)
@@ -45,11 +47,11 @@
 		t.reasons[string(a.Outcome)+" "+a.Reason+": "+a.Detail]++
 		return
 	}
-	if !job.Answered(a.Outputs) {
+	if !j.complete {
 		t.wrong++
 	}
-	ideal := job.Longest() + r.profile.RoundTrip()
-	s := job.Stream
+	ideal := arrival.Longest() + r.profile.RoundTrip()
+	s := arrival.Stream
 	if ratio := float64(took) / float64(ideal); ratio > r.slowest.ratio && (r.opt.Explain == "" || r.opt.Explain == s.Template) {
 		r.slowest = slowest{ratio, s.Account, s.Template, a.Ticket}
 	}
@@ -72,7 +74,7 @@
 
 // explainSlowest prints what the entry VMs noted of the slowest job.
 func (r *run) explainSlowest() {
-	c := r.clients[r.slowest.account]
+	c := r.all.clients[r.slowest.account]
 	if c == nil {
 		return
 	}
