--- a/cmd/pumiceyard/trying.go
+++ b/cmd/pumiceyard/trying.go
@@ -27,6 +27,7 @@
 	}
 	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
 	c.Flags().DurationVar(&opt.Load, "load", 9*time.Second, "how long jobs are submitted")
+	c.Flags().StringVar((*string)(&opt.Scenario), "scenario", string(demo.Crash), "what breaks: crash, rolling-restart, partition")
 	c.Flags().Uint64Var(&opt.Seed, "seed", 1, "seed of the workload")
 	c.Flags().Uint64Var(&opt.CapWatts, "cap-watts", 0, "lower the site's cap to this half way, in watts (default it stays)")
 	c.Flags().Float64Var(&opt.Draw, "draw", 1, "what tasks draw, over what their template declares")
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -51,7 +51,7 @@
 	local     *localSession
 	shares    *shares
 	platform  *platform.Client
-	platHTTP  *wire.Client
+	platHTTP  *http.Client
 	store     *storeclient.Client
 	planner   *planner
 
@@ -125,7 +125,7 @@
 	vm.fleet = fleet.New()
 	vm.timelines = timeline.NewStore(s.Timelines)
 	vm.metrics = metrics.New(s.Name)
-	vm.platHTTP = wire.NewClient(nil, nil)
+	vm.platHTTP = platform.NewHTTPClient(s.dialer())
 	vm.platform = platform.Dial(vm.platHTTP, s.Platform)
 	vm.store = vm.newStore()
 	vm.workers = newWorkerSet(vm)
