--- a/internal/process/holder/power.go
+++ b/internal/process/holder/power.go
@@ -145,28 +145,32 @@
 }
 
 // noteDemand tells the ledger, once for each of its ticks, where tasks would
-// start if there were watts.
+// start if there were watts: at the worker that lacks least. The ledger takes
+// nothing from workers with unmet demand, so demand at all of them would leave
+// each with a rest too small for a task.
 func (h *Holder) noteDemand(g *waitingGroup, tasks int, why reason.Code) {
 	if !h.watts.due || why != placement.ShortOfMilliwatts {
 		return
 	}
+	var best *worker
+	var most power.Milliwatts
 	for _, id := range g.m.Workers {
 		w := h.workers[id]
-		if tasks == 0 {
-			return
-		}
-		if w == nil || w.retired != nil || h.health.Tier(id) >= placement.Suspect {
+		if w == nil || w.retired != nil || w.freeSlots() <= 0 || h.health.Tier(id) >= placement.Suspect {
 			continue
 		}
-		n := min(tasks, int(w.capacity.Slots)-len(w.flights))
-		if n <= 0 {
-			continue
+		if room := h.watts.ledger.Headroom(id); best == nil || room > most {
+			best, most = w, room
 		}
-		tasks -= n
-		h.watts.ledger.Want(id, power.Milliwatts(n)*power.Milliwatts(g.each.Milliwatts))
+	}
+	if best != nil {
+		n := power.Milliwatts(min(tasks, best.freeSlots()))
+		h.watts.ledger.Want(best.id, max(0, n*power.Milliwatts(g.each.Milliwatts)-most))
 	}
 }
 
+func (w *worker) freeSlots() int { return int(w.capacity.Slots) - len(w.flights) }
+
 // tellPlacement brings placement's view of watts in step with the ledger.
 func (h *Holder) tellPlacement() {
 	if !h.watts.changed {
--- a/internal/standin/worker/power.go
+++ b/internal/standin/worker/power.go
@@ -117,6 +117,9 @@
 	return &pb.Throttle{Permille: m.Permille}
 }
 
+// Idle is the draw without any task, in milliwatts.
+func (w *Worker) Idle() uint32 { return w.cfg.IdleMilliwatts }
+
 // Allotted returns the allotment in force in milliwatts, idle included.
 func (w *Worker) Allotted() uint64 {
 	w.mu.Lock()
--- a/internal/tool/demo/power.go
+++ b/internal/tool/demo/power.go
@@ -35,13 +35,14 @@
 	// Of the samples from kept on, while jobs were submitted.
 	samples int
 	drawn   uint64
+	idle    uint64 // of the workers that live
 }
 
 // overCap is the highest draw over the cap of its time.
 func (p *powerWatch) overCap() float64 { return p.over }
 
 // see takes a sample.
-func (p *powerWatch) see(now time.Time, draw uint64, loaded bool) {
+func (p *powerWatch) see(now time.Time, draw, idle uint64, loaded bool) {
 	p.peak = max(p.peak, draw)
 	p.over = max(p.over, float64(draw)/float64(p.cap))
 	if p.next > 0 && draw > p.next {
@@ -50,6 +51,7 @@
 	if !p.kept.IsZero() && loaded {
 		p.samples++
 		p.drawn += draw
+		p.idle += idle
 	}
 }
 
@@ -67,8 +69,9 @@
 	}
 	fmt.Fprintf(w, "lower cap in force in every failure domain after\t%d ms\n", p.kept.Sub(p.lowered).Milliseconds())
 	if p.samples > 0 {
-		mean := p.drawn / uint64(p.samples)
-		fmt.Fprintf(w, "mean draw over the lower cap from then on\t%.3f\n", float64(mean)/float64(p.cap))
+		whole := float64(p.cap) * float64(p.samples)
+		fmt.Fprintf(w, "mean draw over the lower cap from then on\t%.3f\n", float64(p.drawn)/whole)
+		fmt.Fprintf(w, "  both above idle\t%.3f\n", float64(p.drawn-p.idle)/(whole-float64(p.idle)))
 	}
 }
 
@@ -80,10 +83,10 @@
 	go func() {
 		defer close(done)
 		for pause(ctx, powerSample) {
-			draw := r.draw()
+			draw, idle := r.draw()
 			now := time.Now()
 			r.mu.Lock()
-			r.watch.see(now, draw, now.Before(end))
+			r.watch.see(now, draw, idle, now.Before(end))
 			r.mu.Unlock()
 		}
 	}()
@@ -93,14 +96,16 @@
 	}
 }
 
-// draw is the site's present draw in milliwatts.
-func (r *run) draw() uint64 {
-	var sum uint64
+// draw is the site's present draw, and what of it is idle draw, in milliwatts.
+func (r *run) draw() (draw, idle uint64) {
 	for _, w := range r.site.Workers() {
 		now, _ := w.Draw()
-		sum += uint64(now)
+		if now > 0 {
+			draw += uint64(now)
+			idle += uint64(w.Idle())
+		}
 	}
-	return sum
+	return draw, idle
 }
 
 // allotted is what is in force at workers, in milliwatts.
@@ -142,7 +147,8 @@
 		return
 	}
 	d := r.withCap()
-	r.say("publishing a cap of %d W, the site draws %d W of %d W allotted", r.opt.CapWatts, r.draw()/perWatt, r.allotted()/perWatt)
+	draw, _ := r.draw()
+	r.say("publishing a cap of %d W, the site draws %d W of %d W allotted", r.opt.CapWatts, draw/perWatt, r.allotted()/perWatt)
 	r.mu.Lock()
 	r.watch.lowered, r.watch.next = time.Now(), d.Site.PowerCapMilliwatts
 	r.mu.Unlock()
@@ -158,7 +164,8 @@
 	r.mu.Lock()
 	r.watch.kept, r.watch.cap = time.Now(), r.watch.next
 	r.mu.Unlock()
-	r.say("the lower cap is in force: %d W allotted, the site draws %d W; what the entry VMs decided last:", r.allotted()/perWatt, r.draw()/perWatt)
+	draw, _ = r.draw()
+	r.say("the lower cap is in force: %d W allotted, the site draws %d W; what the entry VMs decided last:", r.allotted()/perWatt, draw/perWatt)
 	r.printPower()
 }
 
