--- a/internal/tool/operate/operate_test.go
+++ b/internal/tool/operate/operate_test.go
@@ -86,7 +86,7 @@
 	if err := s.AwaitReady(ctx); err != nil {
 		t.Fatal(err)
 	}
-	run("e1|e2|ub-khan-uul|yes", func(w io.Writer) error { return tool.Status(ctx, false, w) })
+	run("e1|e2|ub-khan-uul|yes|STRANDED|share_restored", func(w io.Writer) error { return tool.Status(ctx, false, w) })
 	run("task_failed|crew is on leave|what to do", func(w io.Writer) error { return tool.Explain(ctx, failedJob(t, s), false, w) })
 	s.Platform.SetFaults(platform.Faults{Outage: true})
 	run("store_down|same change id", publish(changed, change(3, 0)))
