A fourth cause found with explain and status: a shortage of watts

Cause: only three of the six causes had a test. Change: TestCauseIsFound lets tasks of 100 W wait at workers of 160 W while slots are free; accounts with and without a quota.

--- a/internal/tool/operate/causes_test.go
+++ b/internal/tool/operate/causes_test.go
@@ -15,29 +15,29 @@
 )
 
 const (
-	causeKey   = "causes-key-for-tests"
-	causeBound = 20 * time.Second // for a cause to show
+	membersKey = "members-key-for-tests" // of an account with a quota
+	sharedKey  = "shared-key-for-tests"  // of one without
+	causeBound = 20 * time.Second        // for a cause to show
 	causePoll  = 20 * time.Millisecond
 	longRun    = 5 * time.Second // of a task that is declared as short
 )
 
 // causes is a small site in which something is wrong, and an operator's tool.
 type causes struct {
-	t      *testing.T
-	ctx    context.Context
-	site   *site.Site
-	tool   *operate.Site
-	client *client.Client
+	t    *testing.T
+	ctx  context.Context
+	site *site.Site
+	tool *operate.Site
 }
 
 func newCauses(t *testing.T) *causes {
 	opt := site.Defaults([]string{"brno"})
 	opt.EntryVMs, opt.Workers = 1, 4
 	opt.Behaviour = func(template string, input []byte) worker.Outcome {
-		if template == "build" {
-			return worker.Outcome{Run: longRun, Output: input}
+		if template == "check" {
+			return worker.Outcome{Run: time.Millisecond, Output: input}
 		}
-		return worker.Outcome{Run: time.Millisecond, Output: input}
+		return worker.Outcome{Run: longRun, Output: input}
 	}
 	s, err := site.Start(opt)
 	if err != nil {
@@ -46,16 +46,19 @@
 	t.Cleanup(s.Stop)
 	ctx, cancel := context.WithTimeout(t.Context(), causeBound)
 	t.Cleanup(cancel)
-	template := func(name string, slots uint32) document.Template {
+	template := func(name string, slots, milliwatts uint32) document.Template {
 		return document.Template{
 			Name: name, Class: document.Normal, Idempotent: true, DeadlineMillis: 60_000, MaxTasks: 16,
-			Declared: document.Declared{Slots: slots, MilliCPU: 100, MemoryMiB: 16, Milliwatts: 1000, RunMillis: 5},
+			Declared: document.Declared{Slots: slots, MilliCPU: 100, MemoryMiB: 16, Milliwatts: milliwatts, RunMillis: 5},
 		}
 	}
 	doc := &document.Document{
-		Templates: []document.Template{template("check", 1), template("build", 1), template("manifold", 64)},
-		Accounts:  []document.Account{{Name: "members", Weight: 1, QuotaSlots: 2, KeyHashes: []string{document.KeyHash(causeKey)}}},
-		Site:      document.Site{PowerCapMilliwatts: 10_000_000, Domains: map[string]uint64{"brno": 10_000_000}},
+		Templates: []document.Template{template("check", 1, 1000), template("build", 1, 1000), template("manifold", 64, 1000), template("press", 1, 100_000)},
+		Accounts: []document.Account{
+			{Name: "members", Weight: 1, QuotaSlots: 2, KeyHashes: []string{document.KeyHash(membersKey)}},
+			{Name: "shared", Weight: 1, KeyHashes: []string{document.KeyHash(sharedKey)}},
+		},
+		Site: document.Site{PowerCapMilliwatts: 10_000_000, Domains: map[string]uint64{"brno": 10_000_000}},
 	}
 	if _, err := s.Publish(ctx, doc, "radka", "causes-1"); err != nil {
 		t.Fatal(err)
@@ -67,16 +70,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := client.New(client.Options{Endpoints: s.Endpoints(), Key: causeKey})
+	return &causes{t, ctx, s, tool}
+}
+
+func (c *causes) client(key string) *client.Client {
+	cl, err := client.New(client.Options{Endpoints: c.site.Endpoints(), Key: key})
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
-	return &causes{t, ctx, s, tool, c}
+	return cl
 }
 
 // submit runs a job to its end and returns its ticket and outcome.
 func (c *causes) submit(template string) (ticket string, outcome client.Outcome) {
-	a, err := c.client.Submit(c.ctx, client.Job{Template: template, Tasks: []json.RawMessage{json.RawMessage("1")}})
+	a, err := c.client(sharedKey).Submit(c.ctx, client.Job{Template: template, Tasks: []json.RawMessage{json.RawMessage("1")}})
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -84,13 +91,14 @@
 }
 
 // begin submits a job without waiting for its end and returns its ticket.
-func (c *causes) begin(template string, tasks int) string {
+func (c *causes) begin(key, template string, tasks int) string {
 	tickets := make(chan string, 1)
 	j := client.Job{Template: template, Tasks: make([]json.RawMessage, tasks), OnTicket: func(ticket, _ string) { tickets <- ticket }}
 	for i := range j.Tasks {
 		j.Tasks[i] = json.RawMessage("1")
 	}
-	go func() { _, _ = c.client.Submit(c.ctx, j) }()
+	cl := c.client(key)
+	go func() { _, _ = cl.Submit(c.ctx, j) }()
 	select {
 	case ticket := <-tickets:
 		return ticket
@@ -121,7 +129,16 @@
 }
 
 // overQuota submits more tasks than the account's quota lets run at once.
-func (c *causes) overQuota() string { return c.begin("build", 4) }
+func (c *causes) overQuota() string { return c.begin(membersKey, "build", 4) }
+
+// shortOfWatts submits tasks of which a worker's watts are enough for one, once
+// the workers are trusted with more than one.
+func (c *causes) shortOfWatts() string {
+	for strings.Contains(c.status(), "probation") {
+		c.submit("check")
+	}
+	return c.begin(sharedKey, "press", 6)
+}
 
 func (c *causes) status() string {
 	var out strings.Builder
@@ -185,6 +202,9 @@
 		// Symptom: a job does not end, while slots are free. Sequence: tasks run
 		// far longer than declared. Cause: the account uses its whole quota.
 		{"account over quota", (*causes).overQuota, []string{"waiting", "quota_exceeded", "members"}, []string{"members", " 2 ", "quota_exceeded"}},
+		// Symptom: a job waits while 28 of 32 slots are free. Cause: its tasks
+		// are charged 100 W and more, and a worker has 160 W above idle.
+		{"shortage of watts", (*causes).shortOfWatts, []string{"waiting", "short_of_milliwatts", "shared"}, []string{"shared", " 4 ", "short_of_milliwatts"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newCauses(t)
