--- a/internal/tool/workload/workload_test.go
+++ b/internal/tool/workload/workload_test.go
@@ -182,3 +182,12 @@
 		}
 	}
 }
+
+// The README's task that fails: its worker reports what the input asks for, after
+// the run time that it names.
+func TestTaskThatFails(t *testing.T) {
+	out := Behaviour("crew-assignment", []byte(`{"run_micros":50000,"fail":"the crew is on leave"}`))
+	if out.Failure != "the crew is on leave" || out.Run != 50*time.Millisecond || out.Output != nil {
+		t.Errorf("the task goes as %+v", out)
+	}
+}
