--- a/internal/process/entry/plan.go
+++ b/internal/process/entry/plan.go
@@ -91,6 +91,11 @@
 	}
 }
 
+const (
+	watchWait  = 20 * time.Second
+	watchRetry = 300 * time.Millisecond
+)
+
 // follow puts each newer plan of the domain in force.
 func (p *planner) follow(ctx context.Context) {
 	version := uint64(0)
@@ -151,7 +156,7 @@
 	snapshot := p.vm.fleet.Latest()
 	p.refresh(now, snapshot)
 	doc := p.vm.Document()
-	if doc == nil || !p.maker(snapshot) {
+	if doc == nil || !p.maker() {
 		p.began, p.changed = time.Time{}, time.Time{}
 		return
 	}
@@ -176,8 +181,8 @@
 }
 
 // maker reports whether this VM makes the domain's plans.
-func (p *planner) maker(s *fleet.Snapshot) bool {
-	live := p.vm.peers.liveInDomain(s)
+func (p *planner) maker() bool {
+	live := p.vm.peers.liveInDomain(p.vm.control.View())
 	return len(live) > 0 && slices.Min(live) == p.vm.settings.Name
 }
 
