--- a/internal/connection/upstream/doc.go
+++ b/internal/connection/upstream/doc.go
@@ -30,7 +30,7 @@
 // Defaults returns bounds that suit a site whose round trip is below 5 ms.
 func Defaults() Settings {
 	return Settings{
-		LeaseTTL:     3 * time.Second,
+		LeaseTTL:     2 * time.Second,
 		Beat:         500 * time.Millisecond,
 		Silence:      1500 * time.Millisecond,
 		RedialDelay:  100 * time.Millisecond,
@@ -52,4 +52,7 @@
 	Results(worker string, groups []*pb.ResultGroup)
 	// Usage measured on the worker.
 	Usage(worker string, m *pb.Usage)
+	// Confirmed: the worker answered the allotment or the throttle that was sent
+	// under this epoch. Either may be nil.
+	Confirmed(worker string, epoch uint64, allotment *pb.AllotmentAnswer, throttled *pb.Throttle)
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -49,9 +49,11 @@
 	peers     *peerSet
 	workers   *workerSet
 	local     *localSession
+	shares    *shares
 	platform  *platform.Client
-	platHTTP  *wire.Client
+	platHTTP  *http.Client
 	store     *storeclient.Client
+	planner   *planner
 
 	listeners listeners
 	servers   []*http.Server
@@ -123,7 +125,7 @@
 	vm.fleet = fleet.New()
 	vm.timelines = timeline.NewStore(s.Timelines)
 	vm.metrics = metrics.New(s.Name)
-	vm.platHTTP = wire.NewClient(nil, nil)
+	vm.platHTTP = platform.NewHTTPClient(s.dialer())
 	vm.platform = platform.Dial(vm.platHTTP, s.Platform)
 	vm.store = vm.newStore()
 	vm.workers = newWorkerSet(vm)
@@ -131,11 +133,15 @@
 
 	holderSettings := holder.Defaults()
 	holderSettings.MaxQueued = s.MaxQueuedTasks
+	vm.planner = newPlanner(vm)
 	vm.holder = holder.New(holder.Config{
 		Settings:    holderSettings,
+		Name:        s.Name,
 		Domain:      s.Domain,
 		Incarnation: vm.incarnation,
 		Workers:     vm.workers,
+		Peers:       vm.peers,
+		PlanWanted:  vm.planner.wanted,
 		Observer:    vm.metrics,
 		Timelines:   vm.timelines,
 		Rack:        func(worker string) string { return vm.fleet.Latest().Workers[worker].Rack },
@@ -154,6 +160,7 @@
 		Timelines:   vm.timelines,
 		Observer:    vm.metrics,
 	})
+	vm.shares = newShares(vm.holder)
 	vm.local = newLocalSession(vm)
 	vm.router = router.New(router.Config{
 		Name:        s.Name,
@@ -176,6 +183,8 @@
 	vm.duties.Go(func() { vm.local.run(ctx) })
 	vm.duties.Go(func() { vm.watchDocument(ctx) })
 	vm.duties.Go(func() { vm.pollList(ctx) })
+	vm.duties.Go(func() { vm.planner.follow(ctx) })
+	vm.duties.Go(func() { vm.planner.run(ctx) })
 
 	callers := caller.Defaults()
 	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -15,6 +15,10 @@
 // A session that ends takes its waiting tasks with it. Tasks that run go on;
 // nobody is told of their end, since homes ask the worker.
 //
+// Power. A task is charged at the ledger of watts before its start is sent, and
+// released when its end is known, see power.go. Nothing that draws power starts
+// on a worker before it has an allotment under a plan.
+//
 // One goroutine, Holder.Run, owns the state. Each round handles all waiting
 // events, then places, then sends one message per worker and per session.
 package holder
@@ -27,6 +31,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
 	"github.com/pumiceyard/pumiceyard/internal/process/health"
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
+	"github.com/pumiceyard/pumiceyard/internal/process/power"
 )
 
 // Settings bound a Holder.
@@ -34,22 +39,28 @@
 	Ring      int           // events waiting for the loop
 	Tick      time.Duration // deadlines and statistics
 	MaxQueued int           // tasks waiting for a slot
-	Order     fairness.Settings
-	Placement placement.Settings
-	Health    health.Settings
-	Estimate  estimate.Settings
+	// QuotaRound is how often quotas are divided among the entry VMs. It has to
+	// be longer than two heartbeats between them.
+	QuotaRound time.Duration
+	Order      fairness.Settings
+	Placement  placement.Settings
+	Health     health.Settings
+	Estimate   estimate.Settings
+	Power      power.Settings
 }
 
 // Defaults returns settings for an entry VM of 2 cores.
 func Defaults() Settings {
 	return Settings{
-		Ring:      1 << 14,
-		Tick:      10 * time.Millisecond,
-		MaxQueued: 100_000,
-		Order:     fairness.Defaults(),
-		Placement: placement.Defaults(),
-		Health:    health.Defaults(),
-		Estimate:  estimate.DefaultSettings(),
+		Ring:       1 << 14,
+		Tick:       10 * time.Millisecond,
+		MaxQueued:  100_000,
+		QuotaRound: 1100 * time.Millisecond,
+		Order:      fairness.Defaults(),
+		Placement:  placement.Defaults(),
+		Health:     health.Defaults(),
+		Estimate:   estimate.DefaultSettings(),
+		Power:      power.DefaultSettings(),
 	}
 }
 
@@ -71,6 +82,15 @@
 	Send(worker string, m *pb.HoldRequest) bool
 }
 
+// PowerPeers sends to entry VMs of the same failure domain. Messages may be
+// lost.
+type PowerPeers interface {
+	// Broadcast sends to each of them.
+	Broadcast(m *pb.Power)
+	// SendTo sends to one.
+	SendTo(name string, m *pb.Power)
+}
+
 // Observer is told of starts and ends, for metrics.
 type Observer interface {
 	Started(account, template string, tasks int, waited time.Duration)
--- a/internal/tool/demo/report.go
+++ b/internal/tool/demo/report.go
@@ -9,7 +9,6 @@
 
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
-	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // tally counts how jobs ended.
@@ -24,9 +23,12 @@
 }
 
 // record counts one job's end.
-func (r *run) record(job *workload.Arrival, took time.Duration, a *client.Answer, err error) {
+func (r *run) record(j job, took time.Duration, err error) {
+	a, arrival := j.answer, j.arrival
+	j.complete = err == nil && a.Outcome == client.Complete && arrival.Answered(a.Outputs)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.jobs = append(r.jobs, j)
 	t := &r.tally
 	if t.outcomes == nil {
 		t.outcomes = make(map[client.Outcome]int)
@@ -45,11 +47,11 @@
 		t.reasons[string(a.Outcome)+" "+a.Reason+": "+a.Detail]++
 		return
 	}
-	if !job.Answered(a.Outputs) {
+	if !j.complete {
 		t.wrong++
 	}
-	ideal := job.Longest() + r.profile.RoundTrip()
-	s := job.Stream
+	ideal := arrival.Longest() + r.profile.RoundTrip()
+	s := arrival.Stream
 	if ratio := float64(took) / float64(ideal); ratio > r.slowest.ratio && (r.opt.Explain == "" || r.opt.Explain == s.Template) {
 		r.slowest = slowest{ratio, s.Account, s.Template, a.Ticket}
 	}
@@ -72,7 +74,7 @@
 
 // explainSlowest prints what the entry VMs noted of the slowest job.
 func (r *run) explainSlowest() {
-	c := r.clients[r.slowest.account]
+	c := r.all.clients[r.slowest.account]
 	if c == nil {
 		return
 	}
@@ -101,7 +103,7 @@
 func (r *run) report() error {
 	t := &r.tally
 	tasks, starts, highest := r.site.Starts()
-	overCap := float64(r.draw.Peak) / float64(r.doc.Site.PowerCapMilliwatts)
+	overCap := r.watch.overCap()
 	r.say("done, results:")
 	w := tabwriter.NewWriter(r.opt.Out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(w, "\njobs\t%d\n", t.jobs)
@@ -114,6 +116,7 @@
 	fmt.Fprintf(w, "wrong or partial answers\t%d\n", t.wrong)
 	fmt.Fprintf(w, "requests beyond one per job (wasted)\t%.4f per job\n", float64(t.sent-t.jobs+t.unresolved)/float64(max(t.jobs, 1)))
 	fmt.Fprintf(w, "peak draw over cap\t%.3f\n", overCap)
+	r.watch.report(w)
 	for template, rs := range sortedTemplates(t.responses) {
 		fmt.Fprintf(w, "response over ideal, %s\tp50 %.2f  p99 %.2f  (%d jobs)\n", template, quantile(rs, 0.5), quantile(rs, 0.99), len(rs))
 	}
--- a/internal/tool/workload/profile.go
+++ b/internal/tool/workload/profile.go
@@ -222,3 +222,10 @@
 	slices.Sort(out)
 	return out
 }
+
+// Scale multiplies how often every stream submits jobs.
+func (p *Profile) Scale(factor float64) {
+	for i := range p.Streams {
+		p.Streams[i].JobsPerSecond *= factor
+	}
+}
