One pool of connections for short calls; the worker stand-in bounds slots

The worker stand-in bounded tasks by its slots, so tasks of two slots could overfill it without being refused. Change: wire.Pool serves both; a start is refused when its slots do not fit.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -59,52 +58,20 @@
 // Calls forwards requests to homes, one connection per peer.
 type Calls struct {
 	settings Settings
-	dial     Dial
-
-	mu      sync.Mutex
-	clients map[string]*callClient
-}
-
-type callClient struct {
-	http    *wire.Client
-	service pumiceyardv1connect.PeerServiceClient
+	pool     *wire.Pool[pumiceyardv1connect.PeerServiceClient]
 }
 
 // NewCalls returns Calls without connections.
 func NewCalls(s Settings, dial Dial) *Calls {
-	return &Calls{settings: s, dial: dial, clients: make(map[string]*callClient)}
-}
-
-func (c *Calls) client(address string) *callClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cl := c.clients[address]
-	if cl == nil {
-		h := c.dial.client()
-		cl = &callClient{h, c.dial.service(h, address)}
-		c.clients[address] = cl
+	open := func(address string) (*wire.Client, pumiceyardv1connect.PeerServiceClient) {
+		h := dial.client()
+		return h, dial.service(h, address)
 	}
-	return cl
-}
-
-func (c *Calls) leave(address string, cl *callClient) {
-	c.mu.Lock()
-	if c.clients[address] == cl {
-		delete(c.clients, address)
-	}
-	c.mu.Unlock()
-	cl.http.Leave()
+	return &Calls{settings: s, pool: wire.NewPool(open)}
 }
 
 // Close drops all connections.
-func (c *Calls) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, cl := range c.clients {
-		cl.http.Leave()
-		delete(c.clients, address)
-	}
-}
+func (c *Calls) Close() { c.pool.Close() }
 
 var errNoAnswer = errors.New("the home ended the call without an answer")
 
@@ -112,14 +79,14 @@
 // stay away end the wait with an error; the request may then have been taken or
 // not, so the caller of Submit must attach or recover, never submit anew.
 func (c *Calls) Submit(ctx context.Context, address string, req *pb.SubmitRequest) (*pb.Answer, error) {
-	cl := c.client(address)
+	cl := c.pool.Get(address)
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	guard := time.AfterFunc(c.settings.Silence, cancel)
 	defer guard.Stop()
-	stream, err := cl.service.Submit(callCtx, connect.NewRequest(req))
+	stream, err := cl.Service.Submit(callCtx, connect.NewRequest(req))
 	if err != nil {
-		c.leave(address, cl)
+		c.pool.Leave(address, cl)
 		return nil, err
 	}
 	defer stream.Close()
@@ -130,7 +97,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		c.leave(address, cl)
+		c.pool.Leave(address, cl)
 	}
 	if err := stream.Err(); err != nil {
 		return nil, err
@@ -153,12 +120,12 @@
 }
 
 func unary[M any](ctx context.Context, c *Calls, address string, call func(context.Context, pumiceyardv1connect.PeerServiceClient) (*connect.Response[M], error)) (*M, error) {
-	cl := c.client(address)
+	cl := c.pool.Get(address)
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Silence)
 	defer cancel()
-	resp, err := call(ctx, cl.service)
+	resp, err := call(ctx, cl.Service)
 	if err != nil {
-		c.leave(address, cl)
+		c.pool.Leave(address, cl)
 		return nil, err
 	}
 	return resp.Msg, nil
--- a/internal/connection/upstream/control.go
+++ b/internal/connection/upstream/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,54 +16,20 @@
 // when a call times out.
 type Control struct {
 	settings Settings
-	dial     wire.Dialer
-
-	mu      sync.Mutex
-	clients map[string]*controlClient // by address
-}
-
-type controlClient struct {
-	http    *wire.Client
-	service pumiceyardv1connect.WorkerServiceClient
+	pool     *wire.Pool[pumiceyardv1connect.WorkerServiceClient]
 }
 
 // NewControl returns a Control without connections.
 func NewControl(s Settings, dial wire.Dialer) *Control {
-	return &Control{settings: s, dial: dial, clients: make(map[string]*controlClient)}
-}
-
-func (c *Control) client(address string) *controlClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cl := c.clients[address]
-	if cl == nil {
-		h := wire.NewClient(c.dial, nil)
-		cl = &controlClient{h, pumiceyardv1connect.NewWorkerServiceClient(h, "http://"+address, wire.ClientOptions()...)}
-		c.clients[address] = cl
+	open := func(address string) (*wire.Client, pumiceyardv1connect.WorkerServiceClient) {
+		h := wire.NewClient(dial, nil)
+		return h, pumiceyardv1connect.NewWorkerServiceClient(h, "http://"+address, wire.ClientOptions()...)
 	}
-	return cl
-}
-
-// leave drops a connection that did not answer. A silent connection may stay
-// open for good while a new one works, so the next call must not reuse it.
-func (c *Control) leave(address string, cl *controlClient) {
-	c.mu.Lock()
-	if c.clients[address] == cl {
-		delete(c.clients, address)
-	}
-	c.mu.Unlock()
-	cl.http.Leave()
+	return &Control{settings: s, pool: wire.NewPool(open)}
 }
 
 // Close drops all connections.
-func (c *Control) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, cl := range c.clients {
-		cl.http.Leave()
-		delete(c.clients, address)
-	}
-}
+func (c *Control) Close() { c.pool.Close() }
 
 // Seal asks a worker to seal a submission, on a new connection for each
 // attempt after the first. Sealing is idempotent, so repeating it is safe.
@@ -104,9 +69,9 @@
 func attempt[M any](ctx context.Context, c *Control, address string, bound time.Duration, call func(context.Context, pumiceyardv1connect.WorkerServiceClient) (*M, error)) (*M, error) {
 	var last error
 	for range c.settings.CallAttempts {
-		cl := c.client(address)
+		cl := c.pool.Get(address)
 		callCtx, cancel := context.WithTimeout(ctx, bound)
-		m, err := call(callCtx, cl.service)
+		m, err := call(callCtx, cl.Service)
 		cancel()
 		if err == nil {
 			return m, nil
@@ -117,7 +82,7 @@
 			return nil, err
 		}
 		last = err
-		c.leave(address, cl)
+		c.pool.Leave(address, cl)
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -281,7 +281,7 @@
 	sub.tasks[index] = t
 	w.starts[taskKey{id, index}]++
 	w.running++
-	w.occupy(id, g.Each.GetSlots())
+	w.occupy(id, max(1, g.Each.GetSlots()))
 	w.milliwatts += t.draw
 	w.power.charged += uint64(t.charged)
 	w.respeed(now)
@@ -319,7 +319,7 @@
 	if sub != nil && (sub.closed != "" || wire.Generation(g.Generation).Less(sub.sealed)) {
 		return reason.Sealed
 	}
-	if w.running >= int(w.cfg.Capacity.GetSlots()) || !w.affords(charge(g)) {
+	if w.slotsInUse+max(1, g.Each.GetSlots()) > w.cfg.Capacity.GetSlots() || !w.affords(charge(g)) {
 		return reason.WorkerBusy
 	}
 	return ""
@@ -369,7 +369,7 @@
 func (w *Worker) leave(sub *submission, t *task) {
 	t.run = time.Since(t.started)
 	w.running--
-	w.vacate(sub.id, t.each.GetSlots())
+	w.vacate(sub.id, max(1, t.each.GetSlots()))
 	w.milliwatts -= t.draw
 	w.power.charged -= uint64(t.charged)
 	w.respeed(time.Now())
