Heartbeats to callers, and an SDK that leaves a silent connection

Cause: a caller whose connection went silent waited up to 60 s for an answer that was there; nothing told a silent connection from a long job. Change: on request (a header, since some HTTP clients take any 1xx for the answer) entry VMs send a 102 at each beat while a caller waits; the SDK asks again under the same ticket on another endpoint after 5 s without a sign.

--- a/client/client.go
+++ b/client/client.go
@@ -84,12 +84,16 @@
 	// NotRunRetries is how often a job that was not run is submitted anew, after
 	// the time the site asks for; 0: never.
 	NotRunRetries int
+	// Silence is how long an entry VM may send nothing while a job runs, not even
+	// a heartbeat; the job is then asked for on another connection. 0: 5 s.
+	Silence time.Duration
 	// HTTP is the client to use; nil: one with bounds suited to short jobs.
 	HTTP *http.Client
 }
 
 const (
 	defaultPrefetch = 32
+	defaultSilence  = 5 * time.Second
 	firstBackoff    = 20 * time.Millisecond
 	lastBackoff     = time.Second
 	maxConnsPerHost = 512
@@ -112,6 +116,9 @@
 	if opt.Prefetch == 0 {
 		opt.Prefetch = defaultPrefetch
 	}
+	if opt.Silence == 0 {
+		opt.Silence = defaultSilence
+	}
 	c := &Client{opt: opt, http: opt.HTTP}
 	if c.http == nil {
 		c.http = &http.Client{Transport: &http.Transport{
@@ -123,6 +130,8 @@
 	return c, c.SetEndpoints(opt.Endpoints)
 }
 
+var errSilent = errors.New("client: the connection is silent")
+
 var errNoEndpoints = errors.New("client: no endpoints")
 
 // SetEndpoints replaces the base URLs, for callers that learn of entry VMs that
@@ -274,6 +283,8 @@
 func (c *Client) put(ctx context.Context, endpoint, ticket string, body []byte) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
+	ctx, heard := watchSilence(ctx, c.opt.Silence)
+	defer heard.Stop()
 	text, err := c.call(ctx, http.MethodPut, endpoint+"/v1/submissions/"+ticket, body)
 	if err != nil {
 		return nil, err
@@ -308,6 +319,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.opt.Key)
 	req.Header.Set("Content-Type", "application/json")
+	if method == http.MethodPut {
+		req.Header.Set(heartbeatHeader, "1")
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/connection/caller/doc.go
+++ b/internal/connection/caller/doc.go
@@ -9,6 +9,11 @@
 //	GET    /v1/submissions/{ticket}/timeline  what happened and why
 //
 // A caller authenticates with its client account's key as a bearer token.
+// While a caller that sent the header Pumiceyard-Heartbeat waits for an answer, it
+// gets a 102 (Processing) at each beat, and can tell a connection that went
+// silent from a job that takes its time. It is on request only, since some HTTP
+// clients take any 1xx but 100 for the answer.
+//
 // Refusals and failures are RFC 9457 problem details with the members outcome
 // (not_run, failed, unknown), reason (a stable code) and, where it makes sense
 // to ask again, retry_after_millis.
@@ -42,6 +47,8 @@
 	WriteTimeout time.Duration
 	// Wait bounds one GET; the caller asks again afterwards.
 	Wait time.Duration
+	// Beat is the time between heartbeats to callers that ask for them.
+	Beat time.Duration
 }
 
 // Defaults returns bounds that fit a job of 920 tasks of some KB each.
@@ -54,6 +61,7 @@
 		BodyTimeout:  10 * time.Second,
 		WriteTimeout: 30 * time.Second,
 		Wait:         25 * time.Second,
+		Beat:         time.Second,
 	}
 }
 
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -218,7 +218,7 @@
 	if body.DeadlineMillis > 0 {
 		req.Deadline = time.Now().Add(time.Duration(body.DeadlineMillis) * time.Millisecond)
 	}
-	s.answer(w, token, s.router.Submit(r.Context(), req))
+	s.answer(w, token, s.wait(w, r, func() *job.Answer { return s.router.Submit(r.Context(), req) }))
 }
 
 func (s *Server) attach(w http.ResponseWriter, r *http.Request, account string) {
@@ -230,7 +230,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.settings.Wait)
 	defer cancel()
-	a := s.router.Attach(ctx, token, t, false)
+	a := s.wait(w, r, func() *job.Answer { return s.router.Attach(ctx, token, t, false) })
 	if a == nil {
 		w.WriteHeader(http.StatusNoContent)
 		return
--- a/internal/connection/caller/write.go
+++ b/internal/connection/caller/write.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/request/job"
 )
 
 // boundWrites bounds the time for which a caller may take to read an answer.
@@ -32,6 +34,8 @@
 func (w *boundedWriter) WriteHeader(status int) {
 	w.start()
 	w.ResponseWriter.WriteHeader(status)
+	// The time for the answer itself starts anew after a heartbeat.
+	w.started = status >= http.StatusOK
 }
 
 func (w *boundedWriter) Write(b []byte) (int, error) {
@@ -46,3 +50,31 @@
 	w.started = true
 	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.timeout))
 }
+
+// heartbeatHeader is sent by callers that want heartbeats while they wait.
+const heartbeatHeader = "Pumiceyard-Heartbeat"
+
+// wait runs f, which waits for an answer, and sends heartbeats meanwhile to a
+// caller that asked for them.
+//
+// What goes wrong otherwise: something between caller and entry VM loses track of
+// the connection, and both ends wait on it for good; the caller's job is answered,
+// and one would see its caller hang. A caller that misses heartbeats asks again on
+// a new connection.
+func (s *Server) wait(w http.ResponseWriter, r *http.Request, f func() *job.Answer) *job.Answer {
+	if r.Header.Get(heartbeatHeader) == "" {
+		return f()
+	}
+	answer := make(chan *job.Answer, 1)
+	go func() { answer <- f() }()
+	beats := time.NewTicker(s.settings.Beat)
+	defer beats.Stop()
+	for {
+		select {
+		case a := <-answer:
+			return a
+		case <-beats.C:
+			w.WriteHeader(http.StatusProcessing)
+		}
+	}
+}
