A cut-off domain and a stale VM are found with explain and status

Change: Status.Unreachable, printed as DOES NOT REACH; the router notes refusals; explain joins what all named entry VMs say; store_up also asks that the last read of the list was answered. Two more cases of TestCauseIsFound.

--- a/internal/connection/operator/doc.go
+++ b/internal/connection/operator/doc.go
@@ -55,7 +55,7 @@
 	Incarnation uint64   `json:"incarnation"`
 	Ready       bool     `json:"ready"`
 	Draining    bool     `json:"draining"`
-	StoreUp     bool     `json:"store_up"`     // the last calls to the platform's store were answered
+	StoreUp     bool     `json:"store_up"`     // the last calls to the platform were answered
 	Revision    uint64   `json:"revision"`     // in force; 0: none yet
 	ListVersion uint64   `json:"list_version"` // of the platform's list of VMs
 	Workers     []string `json:"workers"`      // whose lease it holds
@@ -65,6 +65,8 @@
 	Peers       []string `json:"peers"` // entry VMs that answer
 	Power       Power    `json:"power"`
 
+	// Unreachable are the listed entry VMs that do not answer this one.
+	Unreachable     []Unreachable     `json:"unreachable,omitempty"`
 	WorkerStanding  []WorkerStanding  `json:"worker_standing"` // of the workers above
 	AccountStanding []AccountStanding `json:"account_standing"`
 }
@@ -91,6 +93,12 @@
 	Milliwatts int64     `json:"milliwatts"`
 }
 
+// Unreachable is an entry VM that does not answer another.
+type Unreachable struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+}
+
 // WorkerStanding is how far a worker is trusted, and why.
 type WorkerStanding struct {
 	Worker    string      `json:"worker"`
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -59,6 +59,7 @@
 	servers   []*http.Server
 	peerSide  *peer.Server
 	ready     atomic.Bool
+	listed    atomic.Bool // the last read of the platform's list was answered
 	leaving   atomic.Bool // a planned stop has begun: unready at the balancer
 	draining  atomic.Bool // nothing new is taken, leases are given back
 
@@ -173,6 +174,7 @@
 		Fleet:       vm.fleet,
 		Peers:       vm.peers,
 		Document:    vm.Document,
+		Timelines:   vm.timelines,
 	})
 }
 
--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -30,7 +30,9 @@
 		Incarnation: vm.incarnation,
 		Ready:       vm.Ready(),
 		Draining:    vm.draining.Load(),
-		StoreUp:     vm.store.Up(),
+		// The list is read all the time. Without it, a VM that is cut off shows its
+		// store as up until enough calls have failed, and few are made.
+		StoreUp:     vm.store.Up() && vm.listed.Load(),
 		ListVersion: vm.fleet.Latest().Version,
 		FreeSlots:   advert.FreeSlots,
 		Slots:       advert.Slots,
@@ -49,6 +51,7 @@
 	standing := vm.holder.Standing()
 	s.WorkerStanding = workerStandings(standing.Workers)
 	s.AccountStanding = vm.accountStandings(standing.Accounts)
+	s.Unreachable = vm.unreachable()
 	slices.Sort(s.Workers)
 	slices.Sort(s.Peers)
 	return s
@@ -76,6 +79,17 @@
 	return out
 }
 
+// unreachable names the listed entry VMs that do not answer, by name.
+func (vm *VM) unreachable() []operator.Unreachable {
+	var out []operator.Unreachable
+	for _, e := range vm.Fleet().Entries {
+		if !e.Answers {
+			out = append(out, operator.Unreachable{Name: e.Name, Domain: e.Domain})
+		}
+	}
+	return out
+}
+
 func workerStandings(all []health.WorkerStatus) []operator.WorkerStanding {
 	out := make([]operator.WorkerStanding, len(all))
 	for i, w := range all {
--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -193,7 +193,9 @@
 	ticks := time.NewTicker(millis(vm.settings.ListPollMillis))
 	defer ticks.Stop()
 	for {
-		if m, err := vm.platform.ListVMs(ctx); err == nil && vm.fleet.Update(m) {
+		m, err := vm.platform.ListVMs(ctx)
+		vm.listed.Store(err == nil)
+		if err == nil && vm.fleet.Update(m) {
 			s := vm.fleet.Latest()
 			vm.peers.reconcile(s.Entries)
 		}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/request/job"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+	"github.com/pumiceyard/pumiceyard/internal/request/timeline"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
 )
 
@@ -45,6 +46,7 @@
 	Fleet       *fleet.Fleet
 	Peers       Peers
 	Document    func() *document.Document
+	Timelines   *timeline.Store
 }
 
 // Router routes requests. It is safe for concurrent use.
@@ -217,6 +219,7 @@
 	if !r.isHome(&req.Ticket) || !req.First {
 		refusal.Outcome = reason.Unknown
 	}
+	r.cfg.Timelines.Add(req.Ticket.ID, timeline.Step{At: time.Now(), What: "refused", Reason: refusal.Reason, Detail: refusal.Detail})
 	return refusal
 }
 
--- a/internal/tool/operate/causes_test.go
+++ b/internal/tool/operate/causes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +29,12 @@
 	ctx  context.Context
 	site *site.Site
 	tool *operate.Site
+	doc  *document.Document // revision 1
 }
 
-func newCauses(t *testing.T) *causes {
-	opt := site.Defaults([]string{"brno"})
-	opt.EntryVMs, opt.Workers = 1, 4
+func newCauses(t *testing.T, domains ...string) *causes {
+	opt := site.Defaults(domains)
+	opt.EntryVMs, opt.Workers = len(domains), 4*len(domains)
 	opt.Behaviour = func(template string, input []byte) worker.Outcome {
 		if template == "check" {
 			return worker.Outcome{Run: time.Millisecond, Output: input}
@@ -58,7 +60,10 @@
 			{Name: "members", Weight: 1, QuotaSlots: 2, KeyHashes: []string{document.KeyHash(membersKey)}},
 			{Name: "shared", Weight: 1, KeyHashes: []string{document.KeyHash(sharedKey)}},
 		},
-		Site: document.Site{PowerCapMilliwatts: 10_000_000, Domains: map[string]uint64{"brno": 10_000_000}},
+		Site: document.Site{PowerCapMilliwatts: 10_000_000 * uint64(len(domains)), Domains: make(map[string]uint64)},
+	}
+	for _, d := range domains {
+		doc.Site.Domains[d] = 10_000_000
 	}
 	if _, err := s.Publish(ctx, doc, "radka", "causes-1"); err != nil {
 		t.Fatal(err)
@@ -70,11 +75,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &causes{t, ctx, s, tool}
+	return &causes{t, ctx, s, tool, doc}
 }
 
-func (c *causes) client(key string) *client.Client {
-	cl, err := client.New(client.Options{Endpoints: c.site.Endpoints(), Key: key})
+func (c *causes) client(key string, endpoints ...string) *client.Client {
+	if len(endpoints) == 0 {
+		endpoints = c.site.Endpoints()
+	}
+	cl, err := client.New(client.Options{Endpoints: endpoints, Key: key})
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -140,6 +148,41 @@
 	return c.begin(sharedKey, "press", 6)
 }
 
+// cutOff cuts e2's domain off and asks e1 for a job under a ticket of e2.
+func (c *causes) cutOff() string {
+	endpoints := c.site.Endpoints()
+	tickets, err := c.client(sharedKey, endpoints[1]).Tickets(c.ctx, 1)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.site.Cut("ostrava")
+	ticket := tickets[0].Token
+	j := client.Job{Template: "check", Tasks: []json.RawMessage{json.RawMessage("1")}}
+	cl := c.client(sharedKey, endpoints[0])
+	go func() { _, _ = cl.Resume(c.ctx, ticket, j) }()
+	return ticket
+}
+
+// stale cuts e2 off, publishes a template, and asks e2 for a job of it.
+func (c *causes) stale() string {
+	c.site.Cut("ostrava")
+	c.doc.Templates = append(c.doc.Templates, c.doc.Templates[0])
+	c.doc.Templates[len(c.doc.Templates)-1].Name = "price"
+	text, err := json.Marshal(c.doc)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := c.tool.Publish(c.ctx, text, operate.Change{Author: "ota", Base: 1}, io.Discard); err != nil {
+		c.t.Fatal(err)
+	}
+	cl := c.client(sharedKey, c.site.Endpoints()[1])
+	a, err := cl.Submit(c.ctx, client.Job{Template: "price", Tasks: []json.RawMessage{json.RawMessage("1")}})
+	if err != nil || a.Outcome != client.NotRun {
+		c.t.Fatalf("%+v, %v", a, err)
+	}
+	return a.Ticket
+}
+
 func (c *causes) status() string {
 	var out strings.Builder
 	if err := c.tool.Status(c.ctx, false, &out); err != nil {
@@ -187,27 +230,36 @@
 // An operator who is called about a submission finds the cause with explain and
 // status alone.
 func TestCauseIsFound(t *testing.T) {
+	one, two := []string{"brno"}, []string{"brno", "ostrava"}
 	for _, c := range []struct {
 		name    string
+		domains []string
 		bring   func(*causes) (ticket string)
 		explain []string // parts of one line
 		status  []string // the same
 	}{
 		// Symptom: jobs of one template fail, most complete. Sequence: a worker
 		// fails each task at once, so its slots are always free. Cause: w002.
-		{"sick worker", (*causes).sickWorker, []string{"placed", "w002"}, []string{"w002", "ejected", "fails_what_others_complete"}},
+		{"sick worker", one, (*causes).sickWorker, []string{"placed", "w002"}, []string{"w002", "ejected", "fails_what_others_complete"}},
 		// Symptom: jobs of one template are refused, always. Cause: a task is
 		// declared larger than any worker.
-		{"job that never fits", (*causes).neverFits, []string{"refused", "never_fits", "needs 64 slots", "largest worker has 8"}, []string{"e1", "yes", "/32"}},
+		{"job that never fits", one, (*causes).neverFits, []string{"refused", "never_fits", "needs 64 slots", "largest worker has 8"}, []string{"e1", "yes", "/32"}},
 		// Symptom: a job does not end, while slots are free. Sequence: tasks run
 		// far longer than declared. Cause: the account uses its whole quota.
-		{"account over quota", (*causes).overQuota, []string{"waiting", "quota_exceeded", "members"}, []string{"members", " 2 ", "quota_exceeded"}},
+		{"account over quota", one, (*causes).overQuota, []string{"waiting", "quota_exceeded", "members"}, []string{"members", " 2 ", "quota_exceeded"}},
 		// Symptom: a job waits while 28 of 32 slots are free. Cause: its tasks
 		// are charged 100 W and more, and a worker has 160 W above idle.
-		{"shortage of watts", (*causes).shortOfWatts, []string{"waiting", "short_of_milliwatts", "shared"}, []string{"shared", " 4 ", "short_of_milliwatts"}},
+		{"shortage of watts", one, (*causes).shortOfWatts, []string{"waiting", "short_of_milliwatts", "shared"}, []string{"shared", " 4 ", "short_of_milliwatts"}},
+		// Symptom: a caller gets no answer, or "unknown". Sequence: its ticket's
+		// home can not be reached, and neither can the home's workers.
+		{"domain that is cut off", two, (*causes).cutOff, []string{"recovering", "home_unreachable"}, []string{"e1", "brno", "e2", "ostrava"}},
+		// Symptom: a template that was just published is refused, sometimes.
+		// Cause: one entry VM has neither the store nor a peer, and the revision
+		// before.
+		{"stale VM", two, (*causes).stale, []string{"e2", "refused", "unknown_template", "revision 1"}, []string{"e2", "ostrava", "down", " 1 "}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newCauses(t)
+			s := newCauses(t, c.domains...)
 			ticket := c.bring(s)
 			s.await("explain", func() string { return s.explain(ticket) }, c.explain...)
 			s.await("status", s.status, c.status...)
--- a/internal/tool/operate/show.go
+++ b/internal/tool/operate/show.go
@@ -1,12 +1,15 @@
 package operate
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -103,8 +106,8 @@
 
 // Explain prints one submission's timeline over all entry VMs.
 func (s *Site) Explain(ctx context.Context, ticket string, asJSON bool, w io.Writer) error {
-	var out caller.TimelineBody
-	if err := s.ask(ctx, http.MethodGet, "/v1/explain/"+url.PathEscape(ticket), nil, &out); err != nil {
+	out, err := s.timeline(ctx, ticket)
+	if err != nil {
 		return Explain(err)
 	}
 	if asJSON {
@@ -114,6 +117,31 @@
 	return nil
 }
 
+// timeline joins what all named entry VMs say of a submission. Each asks its
+// peers, but one that is cut off from them is heard by the operator only.
+func (s *Site) timeline(ctx context.Context, ticket string) (caller.TimelineBody, error) {
+	var all caller.TimelineBody
+	var errs []error
+	for _, base := range s.operators {
+		var one caller.TimelineBody
+		if err := s.call(ctx, http.MethodGet, base+"/v1/explain/"+url.PathEscape(ticket), nil, &one); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		all.ID = one.ID
+		for _, step := range one.Steps {
+			if !slices.Contains(all.Steps, step) {
+				all.Steps = append(all.Steps, step)
+			}
+		}
+	}
+	if all.ID == "" {
+		return all, errors.Join(errs...)
+	}
+	slices.SortStableFunc(all.Steps, func(a, b caller.TimelineStep) int { return cmp.Compare(a.UnixMicros, b.UnixMicros) })
+	return all, nil
+}
+
 // screen is how many steps are printed; the middle of a longer timeline is left
 // out.
 const screen = 18
--- a/internal/tool/operate/standing.go
+++ b/internal/tool/operate/standing.go
@@ -13,15 +13,29 @@
 	"github.com/pumiceyard/pumiceyard/internal/process/placement"
 )
 
-// printStanding prints the workers that are not trusted in full, and the client
-// accounts that have or want something, over all entry VMs.
+// printStanding prints which entry VMs do not reach each other, the workers that
+// are not trusted in full, and the client accounts that have or want something.
 func printStanding(w io.Writer, all []VMStatus) error {
 	table := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	printUnreachable(table, all)
 	printWorkers(table, all)
 	printAccounts(table, all)
 	return table.Flush()
 }
 
+func printUnreachable(w io.Writer, all []VMStatus) {
+	header := "\nENTRY VM\tDOMAIN\tDOES NOT REACH\tDOMAIN\n"
+	for _, v := range all {
+		if v.Status == nil {
+			continue
+		}
+		for _, u := range v.Status.Unreachable {
+			fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\n", header, v.Status.Name, v.Status.Domain, u.Name, u.Domain)
+			header = ""
+		}
+	}
+}
+
 // distrusted is a worker that is not healthy, with its holder.
 type distrusted struct {
 	operator.WorkerStanding
