--- a/internal/process/entry/control.go
+++ b/internal/process/entry/control.go
@@ -182,6 +182,7 @@
 // returns nil when nobody has a list.
 func (vm *VM) readList(ctx context.Context) *pb.ListVMsResponse {
 	m, err := vm.store.ListVMs(ctx, storeclient.ForMembership)
+	vm.listed.Store(err == nil)
 	if err == nil {
 		return m
 	}
