--- a/internal/connection/operator/doc.go
+++ b/internal/connection/operator/doc.go
@@ -69,6 +69,14 @@
 	Unreachable     []Unreachable     `json:"unreachable,omitempty"`
 	WorkerStanding  []WorkerStanding  `json:"worker_standing"` // of the workers above
 	AccountStanding []AccountStanding `json:"account_standing"`
+
+	// Isolated: no other entry VM is heard, though some are known.
+	Isolated bool `json:"isolated"`
+	// MayAct: it places work and takes leases. False for about a second after a
+	// pause, and for good once another start has taken its name.
+	MayAct bool `json:"may_act"`
+	// InDoubt are the entry VMs of which it is in doubt whether they live.
+	InDoubt []Doubt `json:"in_doubt,omitempty"`
 }
 
 // Power is one entry VM's part of the cap. Watts are in thousandths and include
@@ -123,6 +131,15 @@
 	Why         reason.Code `json:"why"`     // it waits
 }
 
+// Doubt is an entry VM in doubt, as another one sees it.
+type Doubt struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Reason string `json:"reason"` // such as silent_to_several, domain_unreachable
+	// Live: it still counts as live, since others hear it.
+	Live bool `json:"live"`
+}
+
 // Fleet is the platform's list as one entry VM knows it.
 type Fleet struct {
 	Version uint64    `json:"version"`
