--- a/internal/standin/site/bench_test.go
+++ b/internal/standin/site/bench_test.go
@@ -30,16 +30,7 @@
 	b.Cleanup(s.Stop)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	doc := &document.Document{
-		Templates: []document.Template{{
-			Name: "bench", Class: document.Normal, Idempotent: true,
-			Declared:       document.Declared{Slots: 1, MilliCPU: 100, MemoryMiB: 16, Milliwatts: 1000, RunMillis: 1},
-			DeadlineMillis: 60_000, MaxTasks: 920,
-		}},
-		Accounts: []document.Account{{Name: "bench", Weight: 1, KeyHashes: []string{document.KeyHash("bench-key-for-tests")}}},
-		Site:     document.Site{PowerCapMilliwatts: 100_000_000, Domains: map[string]uint64{"d1": 100_000_000}},
-	}
-	if _, err := s.Publish(ctx, doc, "bench", "bench-1"); err != nil {
+	if _, err := s.Publish(ctx, benchDocument(), "bench", "bench-1"); err != nil {
 		b.Fatal(err)
 	}
 	if err := s.AwaitReady(ctx); err != nil {
@@ -52,6 +43,19 @@
 	return c
 }
 
+// benchDocument has one template and one client account.
+func benchDocument() *document.Document {
+	return &document.Document{
+		Templates: []document.Template{{
+			Name: "bench", Class: document.Normal, Idempotent: true,
+			Declared:       document.Declared{Slots: 1, MilliCPU: 100, MemoryMiB: 16, Milliwatts: 1000, RunMillis: 1},
+			DeadlineMillis: 60_000, MaxTasks: 920,
+		}},
+		Accounts: []document.Account{{Name: "bench", Weight: 1, KeyHashes: []string{document.KeyHash("bench-key-for-tests")}}},
+		Site:     document.Site{PowerCapMilliwatts: 100_000_000, Domains: map[string]uint64{"d1": 100_000_000}},
+	}
+}
+
 func cpuTime() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
--- a/internal/standin/site/idle_bench_test.go
+++ b/internal/standin/site/idle_bench_test.go
@@ -77,10 +77,10 @@
 	b.Cleanup(s.Stop)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	if err := s.await(ctx, func(e *Entry) bool { return len(e.VM.Status().Peers) >= entryVMs-1 }); err != nil {
+	if _, err := s.Publish(ctx, benchDocument(), "bench", "idle-1"); err != nil {
 		b.Fatal(err)
 	}
-	if err := s.awaitHeld(ctx); err != nil {
+	if err := s.AwaitReady(ctx); err != nil {
 		b.Fatal(err)
 	}
 	time.Sleep(settleTime)
