--- a/cmd/pumiceyardd/main.go
+++ b/cmd/pumiceyardd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"os"
 	"os/signal"
@@ -41,7 +42,10 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT, then stops as planned.
+var errSuperseded = errors.New("a later start has taken this entry VM's name")
+
+// run serves until SIGTERM or SIGINT, or until a later start has taken the VM's
+// name, then stops as planned.
 func run(ctx context.Context, s entry.Settings) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
@@ -49,8 +53,16 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	superseded := false
+	select {
+	case <-ctx.Done():
+	case <-vm.Superseded():
+		superseded = true
+	}
 	vm.Stop(context.Background())
 	klog.Flush()
+	if superseded {
+		return errSuperseded
+	}
 	return nil
 }
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -9,7 +9,6 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
-	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
@@ -109,6 +108,7 @@
 func (e *Exchange) serve(ctx context.Context, address string, out *outbox) {
 	client := e.dial.client()
 	defer func() { client.Leave() }()
+	service := e.dial.service(client, address)
 	for {
 		select {
 		case <-ctx.Done():
@@ -116,12 +116,13 @@
 		case <-out.waiting.Ready():
 		}
 		messages := out.waiting.Drain()
-		if len(messages) == 0 || e.post(ctx, client, address, messages) {
+		if len(messages) == 0 || e.post(ctx, service, messages) {
 			continue
 		}
 		// The connection may be silent for good: the next batch gets a new one.
 		client.Leave()
 		client = e.dial.client()
+		service = e.dial.service(client, address)
 		select {
 		case <-ctx.Done():
 		case <-time.After(e.settings.RedialDelay):
@@ -130,11 +131,11 @@
 }
 
 // post sends one batch and reports whether it arrived.
-func (e *Exchange) post(ctx context.Context, client *wire.Client, address string, messages []*pb.ControlMessage) bool {
+func (e *Exchange) post(ctx context.Context, service pumiceyardv1connect.PeerServiceClient, messages []*pb.ControlMessage) bool {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Silence)
 	defer cancel()
 	req := &pb.ExchangeRequest{EntryVm: e.sender.Name, Domain: e.domain, Messages: messages}
-	_, err := e.dial.service(client, address).Exchange(ctx, connect.NewRequest(req))
+	_, err := service.Exchange(ctx, connect.NewRequest(req))
 	return err == nil
 }
 
