--- a/internal/connection/peer/silence_test.go
+++ b/internal/connection/peer/silence_test.go
@@ -119,3 +119,29 @@
 		}
 	})
 }
+
+// Symptom: two entry VMs that can reach each other take each other for dead.
+// Sequence: the connection of their control messages falls silent for good with a
+// heartbeat under way; new connections work. Cause would be an exchange that
+// waits on the old one.
+func TestSilentExchangeTakesANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, n, dial := serve(t)
+		s := Defaults()
+		e := NewExchange(s, dial, Identity{Name: "a", Incarnation: 1}, "d")
+		defer e.Stop()
+		want := func() *pb.ControlMessage {
+			return &pb.ControlMessage{Message: &pb.ControlMessage_Want{Want: &pb.Want{}}}
+		}
+		e.Send("b:1", want())
+		synctest.Wait()
+		n.Silence()
+		e.Send("b:1", want())
+		time.Sleep(s.Silence + 2*s.RedialDelay)
+		e.Send("b:1", want(), want())
+		synctest.Wait()
+		if len(o.exchanged) != 3 || n.Dials() != 2 {
+			t.Errorf("%d messages came over %d connections, want 3 over 2", len(o.exchanged), n.Dials())
+		}
+	})
+}
