--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -341,19 +341,14 @@
 	return true
 }
 
-// advertEvery bounds how old the home's picture of its own holder gets.
-const advertEvery = 2 * time.Millisecond
-
 func (l *localSession) run(ctx context.Context) {
 	l.vm.home.OwnerUp(l.HomeName(), l.vm.incarnation)
-	ticks := time.NewTicker(advertEvery)
-	defer ticks.Stop()
 	var told *pb.Advert
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticks.C:
+		case <-l.vm.holder.AdvertChanged():
 		case <-l.out.Ready():
 		}
 		var results []*pb.RunResult
--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -106,8 +106,10 @@
 	workers map[string]*worker
 	queued  int
 	now     time.Time
-	dirty   bool      // the held workers changed
-	judged  time.Time // health's last tick
+	dirty   bool          // the held workers changed
+	offered bool          // batches came in this round
+	changed chan struct{} // the advert did
+	judged  time.Time     // health's last tick
 
 	usage     map[string]*usage // by client account
 	remote    Remote
@@ -142,6 +144,7 @@
 		learned: estimate.New(cfg.Settings.Estimate),
 		works:   make(map[workKey]*work),
 		workers: make(map[string]*worker),
+		changed: make(chan struct{}, 1),
 		usage:   make(map[string]*usage),
 		limits:  make(map[string]float64),
 		starts:  make(map[string]*pb.HoldRequest),
@@ -157,19 +160,32 @@
 func (h *Holder) Run(ctx context.Context) {
 	defer close(h.ended)
 	defer h.events.Close()
-	ticks := time.NewTicker(h.cfg.Settings.Tick)
-	defer ticks.Stop()
+	tick := time.NewTimer(h.cfg.Settings.Tick)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.events.Ready():
-		case <-ticks.C:
+		case <-tick.C:
 		}
 		h.round(time.Now())
+		tick.Reset(h.pace())
 	}
 }
 
+// pace is the time to the next round without an event: longer while nothing waits
+// or runs, since an idle loop that ticks is most of what control costs a VM.
+func (h *Holder) pace() time.Duration {
+	if h.queued > 0 || len(h.usage) > 0 {
+		return h.cfg.Settings.Tick
+	}
+	return idleFactor * h.cfg.Settings.Tick
+}
+
+// idleFactor keeps idle rounds within the 50 ms that the power ledger asks for.
+const idleFactor = 5
+
 // round handles everything that waits, places, and sends.
 func (h *Holder) round(now time.Time) {
 	h.now = now
@@ -198,8 +214,11 @@
 		Usage:       h.usageMessage(),
 	}
 	if old != nil && !h.dirty {
+		if !h.offered && sameLoad(old, m) {
+			return
+		}
 		m.WorkersVersion, m.Workers, m.Slots, m.Largest = old.WorkersVersion, old.Workers, old.Slots, old.Largest
-		h.advert.Store(m)
+		h.show(m)
 		return
 	}
 	h.dirty = false
@@ -214,9 +233,28 @@
 	}
 	m.Largest = resourcesMessage(h.placer.Largest())
 	m.Largest.Milliwatts = h.largestDraw()
+	h.show(m)
+}
+
+// show puts an advert in the place of the last one and tells that it changed.
+func (h *Holder) show(m *pb.Advert) {
+	h.offered = false
 	h.advert.Store(m)
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
 }
 
+// sameLoad reports whether a home would plan alike by both adverts.
+func sameLoad(a, b *pb.Advert) bool {
+	return a.FreeSlots == b.FreeSlots && a.QueuedTasks == b.QueuedTasks && a.Draining == b.Draining &&
+		len(a.Usage) == 0 && len(b.Usage) == 0
+}
+
+// AdvertChanged is readable after the advert has changed.
+func (h *Holder) AdvertChanged() <-chan struct{} { return h.changed }
+
 // Advert describes this owner now. It is safe for concurrent use.
 func (h *Holder) Advert() *pb.Advert { return h.advert.Load() }
 
--- a/internal/process/holder/queue.go
+++ b/internal/process/holder/queue.go
@@ -35,6 +35,7 @@
 }
 
 func (ev offerEvent) apply(h *Holder) {
+	h.offered = true
 	for _, g := range ev.groups {
 		ev.session.Took(len(g.Index))
 		if len(g.Index) != len(g.Input) {
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -95,19 +95,32 @@
 // Run is the loop's goroutine. It returns when ctx ends.
 func (h *Home) Run(ctx context.Context) {
 	defer h.events.Close()
-	ticks := time.NewTicker(h.cfg.Settings.Tick)
-	defer ticks.Stop()
+	tick := time.NewTimer(h.cfg.Settings.Tick)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.events.Ready():
-		case <-ticks.C:
+		case <-tick.C:
 		}
 		h.round(time.Now())
+		tick.Reset(h.pace())
 	}
 }
 
+// pace is the time to the next round without an event: longer while no submission
+// is open, since an idle loop that ticks is most of what control costs a VM.
+func (h *Home) pace() time.Duration {
+	if h.open > 0 {
+		return h.cfg.Settings.Tick
+	}
+	return idleFactor * h.cfg.Settings.Tick
+}
+
+// idleFactor is how many times slower an idle loop ticks.
+const idleFactor = 10
+
 // round handles everything that waits, then sends what came of it: one message
 // per owner, however many submissions it carries.
 func (h *Home) round(now time.Time) {
