--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -23,7 +23,7 @@
 )
 
 // keptSnapshots is how many list versions are remembered for tickets.
-const keptSnapshots = 12
+const keptSnapshots = 8
 
 // VM is one entry of the list.
 type VM struct {
