--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -33,6 +33,10 @@
 
 const logPrefix = "entry: "
 
+// callerBeats is the heartbeats between entry VMs for each one to a caller, whose
+// round trip is longer and whose connections are many.
+const callerBeats = 2
+
 // maxForwards is how often a home is tried before it counts as gone.
 const maxForwards = 2
 
@@ -209,6 +213,7 @@
 
 	callers := caller.Defaults()
 	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
+	callers.Beat = callerBeats * millis(vm.settings.BeatMillis)
 	callers.BodyTimeout = millis(vm.settings.BodyTimeoutMillis)
 	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document, vm.newClaims(vm.store)).Handler())
 	self := peer.Identity{Name: vm.settings.Name, Incarnation: vm.incarnation}
