--- a/internal/process/holder/holder.go
+++ b/internal/process/holder/holder.go
@@ -157,22 +157,7 @@
 }
 
 // Run is the loop's goroutine. It returns when ctx ends.
-func (h *Holder) Run(ctx context.Context) {
-	defer close(h.ended)
-	defer h.events.Close()
-	tick := time.NewTimer(h.cfg.Settings.Tick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.events.Ready():
-		case <-tick.C:
-		}
-		h.round(time.Now())
-		tick.Reset(h.pace())
-	}
-}
+func (h *Holder) Run(ctx context.Context) { ring.Loop(ctx, h.events, h.pace, h.round) }
 
 // pace is the time to the next round without an event: longer while nothing waits
 // or runs, since an idle loop that ticks is most of what control costs a VM.
--- /dev/null
+++ b/internal/standin/site/await.go
@@ -0,0 +1,81 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// AwaitRevision waits until each entry VM has a revision in force.
+func (s *Site) AwaitRevision(ctx context.Context, revision uint64) error {
+	return s.await(ctx, func(e *Entry) bool {
+		doc := e.VM.Document()
+		return doc != nil && doc.Revision >= revision
+	})
+}
+
+// AwaitReady waits until every entry VM is ready and reaches every other, every
+// worker is held, and watts are allotted for tasks.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	if err := s.AwaitPeers(ctx); err != nil {
+		return err
+	}
+	return s.awaitHeld(ctx)
+}
+
+// awaitHeld waits until every worker that lives is held.
+func (s *Site) awaitHeld(ctx context.Context) error {
+	for {
+		held, alive := 0, 0
+		for _, e := range s.Entries() {
+			held += len(e.VM.Status().Workers)
+		}
+		for _, w := range s.Workers() {
+			if w.alive {
+				alive++
+			}
+		}
+		if held >= alive {
+			return s.awaitPower(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d workers are held: %w", held, alive, ctx.Err())
+		case <-time.After(awaitPoll):
+		}
+	}
+}
+
+// awaitPower waits until every entry VM that holds workers has watts for tasks.
+func (s *Site) awaitPower(ctx context.Context) error {
+	return s.await(ctx, func(e *Entry) bool {
+		status := e.VM.Status()
+		return len(status.Workers) == 0 || (status.Power.Complete && status.Power.Free > 0)
+	})
+}
+
+// AwaitPeers waits until every entry VM is ready and reaches every other.
+func (s *Site) AwaitPeers(ctx context.Context) error {
+	others := len(s.Entries()) - 1
+	return s.await(ctx, func(e *Entry) bool { return e.VM.Ready() && len(e.VM.Status().Peers) >= others })
+}
+
+func (s *Site) await(ctx context.Context, done func(*Entry) bool) error {
+	for {
+		waiting := ""
+		for _, e := range s.Entries() {
+			if !done(e) {
+				s := e.VM.Status()
+				waiting = fmt.Sprintf("%s (ready %v, revision %d, reaches %v)", e.Name, s.Ready, s.Revision, s.Peers)
+			}
+		}
+		if waiting == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not there yet: %w", waiting, ctx.Err())
+		case <-time.After(awaitPoll):
+		}
+	}
+}
