A cancellation reaches whoever drives the submission

Cause: a cancellation went to the home only; a submission that another entry VM had recovered ran on. Change: without word from the home the router asks all entry VMs it can reach. Conclusion: one short call to each entry VM, only when the home does not answer.

--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -228,6 +230,11 @@
 	return p.calls.Cancel(ctx, address, m)
 }
 
+// Addresses implements router.Peers.
+func (p *peerSet) Addresses() []string {
+	return slices.Sorted(maps.Values(p.addresses()))
+}
+
 // addresses returns the peers that can be reached, by name.
 func (p *peerSet) addresses() map[string]string {
 	p.mu.Lock()
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -28,6 +28,8 @@
 	Find(name string, incarnation uint64) (address string, ok bool)
 	// FindAuthor is Find by incarnation alone.
 	FindAuthor(incarnation uint64) (address string, ok bool)
+	// Addresses are those of all entry VMs that can be reached.
+	Addresses() []string
 	// Submit forwards a request and waits for the final answer.
 	Submit(ctx context.Context, address string, m *pb.SubmitRequest) (*pb.Answer, error)
 	// Cancel forwards a cancellation.
@@ -341,20 +343,31 @@
 	return fromWire(a)
 }
 
-// Cancel gives a submission up, here or at its home. It reports whether a
-// driver was told.
+// Cancel gives a submission up wherever it is driven: here, at its home, or at
+// an entry VM that has recovered it. It reports whether a driver was told.
 func (r *Router) Cancel(ctx context.Context, token string, t ticket.Ticket, forwarded bool) bool {
 	known := make(chan bool, 1)
 	if r.cfg.Home.Cancel(t.ID, func(k bool) { known <- k }) && <-known {
 		return true
 	}
-	if forwarded || r.isHome(&t) {
+	if forwarded {
 		return false
 	}
-	address, ok := r.cfg.Peers.Find(t.Home, t.ID.Incarnation)
-	if !ok {
-		return false
+	if address, ok := r.cfg.Peers.Find(t.Home, t.ID.Incarnation); ok && r.cancelAt(ctx, address, token, &t) {
+		return true
 	}
+	// The home is gone, or has left the submission to another driver. Which one
+	// took it up is known to that one only.
+	for _, address := range r.cfg.Peers.Addresses() {
+		if r.cancelAt(ctx, address, token, &t) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelAt asks one entry VM to give a submission up.
+func (r *Router) cancelAt(ctx context.Context, address, token string, t *ticket.Ticket) bool {
 	m, err := r.cfg.Peers.Cancel(ctx, address, &pb.CancelRequest{Ticket: token, Account: t.Account})
 	return err == nil && m.Outcome == cancelTold
 }
