A VM that starts during an outage takes the power plan of a peer

Change: LastPlan, asked of peers while the store is out and no plan is known. Conclusion: the plan is there; the unheld workers have another cause, being sought.

--- a/api/pumiceyard/v1/pumiceyardv1connect/peer.connect.go
+++ b/api/pumiceyard/v1/pumiceyardv1connect/peer.connect.go
@@ -46,6 +46,8 @@
 	PeerServiceExchangeProcedure = "/pumiceyard.v1.PeerService/Exchange"
 	// PeerServiceLastListProcedure is the fully-qualified name of the PeerService's LastList RPC.
 	PeerServiceLastListProcedure = "/pumiceyard.v1.PeerService/LastList"
+	// PeerServiceLastPlanProcedure is the fully-qualified name of the PeerService's LastPlan RPC.
+	PeerServiceLastPlanProcedure = "/pumiceyard.v1.PeerService/LastPlan"
 )
 
 // PeerServiceClient is a client for the pumiceyard.v1.PeerService service.
@@ -66,6 +68,9 @@
 	// LastList returns the newest list of VMs that this one has, for a VM that
 	// starts while the platform is out.
 	LastList(context.Context, *connect.Request[v1.LastListRequest]) (*connect.Response[v1.ListVMsResponse], error)
+	// LastPlan returns the power plan of this one's failure domain, for a VM that
+	// starts while the platform is out.
+	LastPlan(context.Context, *connect.Request[v1.LastPlanRequest]) (*connect.Response[v1.LastPlanResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the pumiceyard.v1.PeerService service. By default,
@@ -115,6 +120,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("LastList")),
 			connect.WithClientOptions(opts...),
 		),
+		lastPlan: connect.NewClient[v1.LastPlanRequest, v1.LastPlanResponse](
+			httpClient,
+			baseURL+PeerServiceLastPlanProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("LastPlan")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -126,6 +137,7 @@
 	timeline *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	lastList *connect.Client[v1.LastListRequest, v1.ListVMsResponse]
+	lastPlan *connect.Client[v1.LastPlanRequest, v1.LastPlanResponse]
 }
 
 // Run calls pumiceyard.v1.PeerService.Run.
@@ -158,6 +170,11 @@
 	return c.lastList.CallUnary(ctx, req)
 }
 
+// LastPlan calls pumiceyard.v1.PeerService.LastPlan.
+func (c *peerServiceClient) LastPlan(ctx context.Context, req *connect.Request[v1.LastPlanRequest]) (*connect.Response[v1.LastPlanResponse], error) {
+	return c.lastPlan.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the pumiceyard.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Run is opened by a home towards an owner of worker leases. It carries
@@ -176,6 +193,9 @@
 	// LastList returns the newest list of VMs that this one has, for a VM that
 	// starts while the platform is out.
 	LastList(context.Context, *connect.Request[v1.LastListRequest]) (*connect.Response[v1.ListVMsResponse], error)
+	// LastPlan returns the power plan of this one's failure domain, for a VM that
+	// starts while the platform is out.
+	LastPlan(context.Context, *connect.Request[v1.LastPlanRequest]) (*connect.Response[v1.LastPlanResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -221,6 +241,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("LastList")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceLastPlanHandler := connect.NewUnaryHandler(
+		PeerServiceLastPlanProcedure,
+		svc.LastPlan,
+		connect.WithSchema(peerServiceMethods.ByName("LastPlan")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pumiceyard.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceRunProcedure:
@@ -235,6 +261,8 @@
 			peerServiceExchangeHandler.ServeHTTP(w, r)
 		case PeerServiceLastListProcedure:
 			peerServiceLastListHandler.ServeHTTP(w, r)
+		case PeerServiceLastPlanProcedure:
+			peerServiceLastPlanHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -267,3 +295,7 @@
 func (UnimplementedPeerServiceHandler) LastList(context.Context, *connect.Request[v1.LastListRequest]) (*connect.Response[v1.ListVMsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pumiceyard.v1.PeerService.LastList is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) LastPlan(context.Context, *connect.Request[v1.LastPlanRequest]) (*connect.Response[v1.LastPlanResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pumiceyard.v1.PeerService.LastPlan is not implemented"))
+}
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -18,6 +18,8 @@
 	Exchanged(m *pb.ExchangeRequest)
 	// LastList is the newest list of VMs, empty before there is one.
 	LastList() *pb.ListVMsResponse
+	// LastPlan is the power plan in force, empty before there is one.
+	LastPlan() *pb.LastPlanResponse
 }
 
 // exchangeRing bounds the messages that wait for one peer. Heartbeats of that
@@ -156,3 +158,16 @@
 func (s *Server) LastList(context.Context, *connect.Request[pb.LastListRequest]) (*connect.Response[pb.ListVMsResponse], error) {
 	return connect.NewResponse(s.control.LastList()), nil
 }
+
+// LastPlan asks the entry VM at an address for the power plan of its failure
+// domain.
+func (c *Calls) LastPlan(ctx context.Context, address string) (*pb.LastPlanResponse, error) {
+	return unary(ctx, c, address, func(ctx context.Context, s pumiceyardv1connect.PeerServiceClient) (*connect.Response[pb.LastPlanResponse], error) {
+		return s.LastPlan(ctx, connect.NewRequest(&pb.LastPlanRequest{}))
+	})
+}
+
+// LastPlan implements the service.
+func (s *Server) LastPlan(context.Context, *connect.Request[pb.LastPlanRequest]) (*connect.Response[pb.LastPlanResponse], error) {
+	return connect.NewResponse(s.control.LastPlan()), nil
+}
--- a/internal/connection/peer/silence_test.go
+++ b/internal/connection/peer/silence_test.go
@@ -43,7 +43,8 @@
 func (o *entryVM) Exchanged(m *pb.ExchangeRequest) {
 	o.exchanged = append(o.exchanged, m.Messages...)
 }
-func (o *entryVM) LastList() *pb.ListVMsResponse { return &pb.ListVMsResponse{} }
+func (o *entryVM) LastList() *pb.ListVMsResponse  { return &pb.ListVMsResponse{} }
+func (o *entryVM) LastPlan() *pb.LastPlanResponse { return &pb.LastPlanResponse{} }
 
 // events keeps what a link reported, in order.
 type events struct{ seen []string }
--- a/internal/process/entry/control.go
+++ b/internal/process/entry/control.go
@@ -111,6 +111,9 @@
 	}
 }
 
+// LastPlan implements peer.Control.
+func (c controlled) LastPlan() *pb.LastPlanResponse { return c.vm.planner.last() }
+
 // LastList implements peer.Control.
 func (c controlled) LastList() *pb.ListVMsResponse {
 	if m := c.vm.list.Load(); m != nil {
--- a/internal/process/entry/plan.go
+++ b/internal/process/entry/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -102,6 +103,7 @@
 	for ctx.Err() == nil {
 		m, err := p.vm.store.Watch(ctx, storeclient.ForPower, planKeyPrefix+p.vm.settings.Domain, version, watchWait)
 		if err != nil {
+			p.askPeers(ctx)
 			pause(ctx, watchRetry)
 			continue
 		}
@@ -112,6 +114,33 @@
 	}
 }
 
+// askPeers takes the plan of another entry VM of the domain, when this one has
+// none and the store is out. Without it a VM that starts during an outage would
+// hold leases of workers on which it may start nothing until the outage ends.
+func (p *planner) askPeers(ctx context.Context) {
+	if p.revision() > 0 {
+		return
+	}
+	for _, address := range p.vm.peers.Addresses() {
+		m, err := p.vm.peers.calls.LastPlan(ctx, address)
+		if err == nil && m.Domain == p.vm.settings.Domain && len(m.Plan) > 0 {
+			p.applyText(m.Plan)
+			return
+		}
+	}
+}
+
+// last is the plan in force as the store holds it.
+func (p *planner) last() *pb.LastPlanResponse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := &pb.LastPlanResponse{Domain: p.vm.settings.Domain}
+	if p.plan.Revision > 0 {
+		m.Plan, _ = json.Marshal(p.plan) // plain numbers and names
+	}
+	return m
+}
+
 func (p *planner) applyText(text []byte) {
 	plan, err := decodePlan(text)
 	if err != nil {
--- a/internal/standin/site/await.go
+++ b/internal/standin/site/await.go
@@ -26,26 +26,35 @@
 // awaitHeld waits until every worker that lives is held.
 func (s *Site) awaitHeld(ctx context.Context) error {
 	for {
-		held, alive := 0, 0
-		for _, e := range s.Entries() {
-			held += len(e.VM.Status().Workers)
-		}
-		for _, w := range s.Workers() {
-			if w.alive {
-				alive++
-			}
-		}
-		if held >= alive {
+		unheld := s.unheld()
+		if len(unheld) == 0 {
 			return s.awaitPower(ctx)
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%d of %d workers are held: %w", held, alive, ctx.Err())
+			return fmt.Errorf("nobody holds %v: %w", unheld, ctx.Err())
 		case <-time.After(awaitPoll):
 		}
 	}
 }
 
+// unheld names the workers that live and that no entry VM holds.
+func (s *Site) unheld() []string {
+	held := make(map[string]bool)
+	for _, e := range s.Entries() {
+		for _, w := range e.VM.Status().Workers {
+			held[w] = true
+		}
+	}
+	var out []string
+	for _, w := range s.Workers() {
+		if w.alive && !held[w.ID()] {
+			out = append(out, w.ID()+" in "+w.Domain)
+		}
+	}
+	return out
+}
+
 // awaitPower waits until every entry VM that holds workers has watts for tasks.
 func (s *Site) awaitPower(ctx context.Context) error {
 	return s.await(ctx, func(e *Entry) bool {
