TLS with client certificates for operators and peers

Cause: the operators' and peers' listeners took connections in the clear from any host, and only peer_token, sent in the clear, kept others out. Without tls both listeners are allowed on loopback only. It speaks HTTP/1 over TLS: HTTP/2 hid the alert for a missing certificate behind "client conn could not be established". Clients bound the TLS handshake. NewSite takes a TLS configuration, so its two callers in tests pass nil. Conclusion: certificates are read at a start only; turning tls on has no overlap.

--- a/cmd/pumiceyard/operator.go
+++ b/cmd/pumiceyard/operator.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/pumiceyard/pumiceyard/internal/connection/secure"
 	"github.com/pumiceyard/pumiceyard/internal/tool/operate"
 )
 
@@ -12,29 +18,61 @@
 	operatorsVariable = "PUMICEYARD_OPERATORS"
 	operatorPort      = "8081"
 	watchEvery        = time.Second
+
+	tlsVariables    = "PUMICEYARD_TLS_"
+	tlsCertVariable = tlsVariables + "CERT"
+	tlsKeyVariable  = tlsVariables + "KEY"
+	tlsCAVariable   = tlsVariables + "CA"
 )
 
 // operatorFlags are shared by the operators' commands.
 type operatorFlags struct {
 	operators []string
 	port      string
+	tls       secure.Files
 }
 
 func (f *operatorFlags) add(c *cobra.Command) {
 	c.GroupID = operators
-	c.Flags().StringSliceVar(&f.operators, "operators", nil, "base URLs of operators' listeners (or "+operatorsVariable+"; default http://127.0.0.1:"+operatorPort+")")
+	c.Flags().StringSliceVar(&f.operators, "operators", nil, "base URLs of operators' listeners (or "+operatorsVariable+"; default http://127.0.0.1:"+operatorPort+", https:// with --tls-cert)")
 	c.Flags().StringVar(&f.port, "operator-port", operatorPort, "port of the operators' listeners of entry VMs that only the platform's list names")
+	c.Flags().StringVar(&f.tls.Cert, "tls-cert", "", "certificate to show, PEM (or "+tlsCertVariable+")")
+	c.Flags().StringVar(&f.tls.Key, "tls-key", "", "private key of the certificate, PEM (or "+tlsKeyVariable+")")
+	c.Flags().StringVar(&f.tls.CA, "tls-ca", "", "CA certificates that the entry VMs' come from, PEM (or "+tlsCAVariable+")")
 }
 
 func (f *operatorFlags) site() (*operate.Site, error) {
+	files := secure.Files{
+		Cert: cmp.Or(f.tls.Cert, os.Getenv(tlsCertVariable)),
+		Key:  cmp.Or(f.tls.Key, os.Getenv(tlsKeyVariable)),
+		CA:   cmp.Or(f.tls.CA, os.Getenv(tlsCAVariable)),
+	}
+	material, err := files.Load()
+	if err != nil {
+		return nil, explainFile(err)
+	}
 	named := f.operators
 	if len(named) == 0 {
 		named = fromEnvironment(operatorsVariable)
 	}
 	if len(named) == 0 {
-		named = []string{"http://127.0.0.1:" + operatorPort}
+		scheme := "http://"
+		if material != nil {
+			scheme = "https://"
+		}
+		named = []string{scheme + "127.0.0.1:" + operatorPort}
+	}
+	return operate.NewSite(named, f.port, material.Client())
+}
+
+// explainFile names the flag of a file that can not be used.
+func explainFile(err error) error {
+	var file *secure.FileError
+	if !errors.As(err, &file) {
+		return err
 	}
-	return operate.NewSite(named, f.port)
+	part := string(file.Part)
+	return fmt.Errorf("--tls-%s (or %s%s): %w", part, tlsVariables, strings.ToUpper(part), err)
 }
 
 // siteCommand is a command that talks to operators' listeners.
--- a/internal/connection/wire/http.go
+++ b/internal/connection/wire/http.go
@@ -13,7 +13,7 @@
 const (
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 90 * time.Second
-	readHeaderTimeout = 5 * time.Second
+	readHeaderTimeout = 5 * time.Second // also bounds the TLS handshake of a server
 	maxStreams        = 4096
 	windowBytes       = 4 << 20
 	frameBytes        = 256 << 10
@@ -42,7 +42,8 @@
 }
 
 // NewClient returns a client that speaks HTTP/2 only. With a TLS configuration
-// it speaks it over TLS, otherwise in the clear. Nil dial uses TCP.
+// it speaks it over TLS, otherwise in the clear. Nil dial uses TCP. The
+// configuration may be shared: the transport changes a copy.
 //
 // Pings are left to the services' own heartbeats: those also notice a peer
 // whose kernel answers while its process does not.
@@ -56,10 +57,13 @@
 	}
 	c := &Client{dial: dial, open: make(map[net.Conn]struct{})}
 	c.Client = &http.Client{Transport: &http.Transport{
-		DialContext:     c.dialContext,
-		TLSClientConfig: secure,
-		Protocols:       p,
-		IdleConnTimeout: idleTimeout,
+		DialContext: c.dialContext,
+		// A server that accepts and then says nothing would hold the dial for good:
+		// the transport's handshake does not end with the request.
+		TLSHandshakeTimeout: dialTimeout,
+		TLSClientConfig:     secure.Clone(),
+		Protocols:           p,
+		IdleConnTimeout:     idleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxReceiveBufferPerConnection: windowBytes,
 			MaxReceiveBufferPerStream:     windowBytes,
@@ -114,7 +118,7 @@
 }
 
 // NewServer returns a server for HTTP/1 and HTTP/2 in the clear, or over TLS
-// when secure is set.
+// when secure is set. Serve it by Serve.
 func NewServer(handler http.Handler, secure *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -130,3 +134,12 @@
 		},
 	}
 }
+
+// Serve serves a listener, over TLS when the server was made with it, until the
+// server is closed.
+func Serve(server *http.Server, l net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(l)
+	}
+	return server.ServeTLS(l, "", "")
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/platform"
+	"github.com/pumiceyard/pumiceyard/internal/connection/secure"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/control"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
@@ -39,6 +41,7 @@
 // VM is one running entry VM.
 type VM struct {
 	settings    Settings
+	secure      *secure.Material // nil: operators and peers connect in the clear
 	incarnation uint64
 
 	document  atomic.Pointer[document.Document]
@@ -85,8 +88,13 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
+	material, err := s.TLS.Load()
+	if err != nil {
+		return nil, err
+	}
 	vm := &VM{
 		settings:    s,
+		secure:      material,
 		incarnation: ticket.NewIncarnation(time.Now()),
 		listWanted:  make(chan struct{}, 1),
 		superseded:  make(chan struct{}),
@@ -210,18 +218,18 @@
 	callers := caller.Defaults()
 	callers.MaxBodyBytes = vm.settings.MaxBodyBytes
 	callers.BodyTimeout = millis(vm.settings.BodyTimeoutMillis)
-	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document, vm.newClaims(vm.store)).Handler())
+	vm.serve(vm.listeners.caller, caller.NewServer(callers, vm.router, vm, vm.Document, vm.newClaims(vm.store)).Handler(), nil)
 	self := peer.Identity{Name: vm.settings.Name, Incarnation: vm.incarnation}
 	vm.peerSide = peer.NewServer(vm.settings.peer(), vm.settings.PeerToken, self, vm.holder, peerHome{vm}, controlled{vm})
-	vm.serve(vm.listeners.peer, vm.peerSide.Handler())
-	vm.serve(vm.listeners.operator, vm.operatorHandler())
+	vm.serve(vm.listeners.peer, vm.peerSide.Handler(), vm.secure.Server())
+	vm.serve(vm.listeners.operator, vm.operatorHandler(), vm.secure.Server())
 }
 
-func (vm *VM) serve(l net.Listener, handler http.Handler) {
-	server := wire.NewServer(handler, nil)
+func (vm *VM) serve(l net.Listener, handler http.Handler, config *tls.Config) {
+	server := wire.NewServer(handler, config)
 	vm.servers = append(vm.servers, server)
 	vm.duties.Go(func() {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := wire.Serve(server, l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, logPrefix+"listener ended", "address", l.Addr().String())
 		}
 	})
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -43,6 +43,9 @@
 
 func newPeerSet(vm *VM) *peerSet {
 	dial := peer.Dial{Dialer: vm.settings.dialer(), Token: vm.settings.PeerToken}
+	if config := vm.secure.Client(); config != nil {
+		dial.Secure = &peer.SecureClient{Config: config}
+	}
 	return &peerSet{
 		vm:    vm,
 		dial:  dial,
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
+	"github.com/pumiceyard/pumiceyard/internal/connection/secure"
 	"github.com/pumiceyard/pumiceyard/internal/connection/upstream"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/process/claims"
@@ -40,6 +41,10 @@
 	TicketKey string `json:"ticket_key"` // shared by the site's entry VMs, at least 16 characters
 	PeerToken string `json:"peer_token"` // shared by the site's entry VMs, at least 16 characters
 
+	// TLS is for the operator and peer listeners and for dialling peers. Without
+	// it these listeners are allowed on loopback addresses only.
+	TLS secure.Files `json:"tls,omitzero"`
+
 	TicketTTLMillis   uint32 `json:"ticket_ttl_millis"`
 	LeaseTTLMillis    uint32 `json:"lease_ttl_millis"`
 	BeatMillis        uint32 `json:"beat_millis"`         // heartbeats, to workers and peers
@@ -163,6 +168,11 @@
 		_, _, err := net.SplitHostPort(a.value)
 		refuse(err == nil, a.path, a.value, "host:port")
 	}
+	refuse(!s.plainAbroad(s.OperatorListen), "operator_listen", s.OperatorListen, allowedPlain)
+	refuse(!s.plainAbroad(s.PeerListen), "peer_listen", s.PeerListen, allowedPlain)
+	if err := s.checkTLS(); err != nil {
+		errs = append(errs, err)
+	}
 	for i, a := range s.Peers {
 		_, _, err := net.SplitHostPort(a)
 		refuse(err == nil, fmt.Sprintf("peers[%d]", i), a, "host:port")
@@ -186,6 +196,29 @@
 	return errors.Join(errs...)
 }
 
+const allowedPlain = "without tls a loopback address, such as 127.0.0.1:8082; with tls any"
+
+// plainAbroad reports whether a listener would take connections in the clear
+// from other hosts. An address that can not be read is refused elsewhere.
+func (s *Settings) plainAbroad(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && s.TLS.None() && host != "localhost" && !net.ParseIP(host).IsLoopback()
+}
+
+// checkTLS reads the files that tls names.
+func (s *Settings) checkTLS() error {
+	_, err := s.TLS.Load()
+	var file *secure.FileError
+	if !errors.As(err, &file) {
+		return err
+	}
+	path := "tls." + string(file.Part) + "_file"
+	if file.Err == nil {
+		return &SettingError{path, "missing", file.Allowed}
+	}
+	return &SettingError{path, fmt.Sprintf("%q (%v)", file.Path, file.Err), file.Allowed}
+}
+
 // secret hides a secret's text in messages.
 func secret(s string) string { return fmt.Sprintf("%d characters long", len(s)) }
 
--- a/internal/tool/operate/causes_test.go
+++ b/internal/tool/operate/causes_test.go
@@ -71,7 +71,7 @@
 	if err := s.AwaitReady(ctx); err != nil {
 		t.Fatal(err)
 	}
-	tool, err := operate.NewSite(operatorURLs(s), "1")
+	tool, err := operate.NewSite(operatorURLs(s), "1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tool/operate/operate_test.go
+++ b/internal/tool/operate/operate_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Stop)
-	tool, err := operate.NewSite(operatorURLs(s), "1")
+	tool, err := operate.NewSite(operatorURLs(s), "1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tool/operate/site.go
+++ b/internal/tool/operate/site.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 type Site struct {
 	operators []string // base URLs
 	port      string   // of operators' listeners that are not named
+	scheme    string   // of the same
 	http      *http.Client
 }
 
@@ -32,12 +34,28 @@
 
 // NewSite returns a site. Entry VMs whose listener is not among the operators'
 // base URLs are looked for at the host that the platform's list names, on the
-// given port.
-func NewSite(operators []string, port string) (*Site, error) {
+// given port, by https:// with a TLS configuration and by http:// without.
+func NewSite(operators []string, port string, config *tls.Config) (*Site, error) {
 	if len(operators) == 0 {
 		return nil, errors.New("no entry VM is named: give --operators URL, or set PUMICEYARD_OPERATORS")
 	}
-	return &Site{operators: operators, port: port, http: &http.Client{Timeout: callTimeout}}, nil
+	if config == nil {
+		for _, url := range operators {
+			if strings.HasPrefix(url, secureScheme) {
+				return nil, &NoCertificateError{URL: url}
+			}
+		}
+		return &Site{operators: operators, port: port, scheme: plainScheme, http: &http.Client{Timeout: callTimeout}}, nil
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = config.Clone()
+	// HTTP/2 hides the alert by which an entry VM refuses a certificate: one would
+	// read only that no connection could be established.
+	transport.Protocols = new(http.Protocols)
+	transport.Protocols.SetHTTP1(true)
+	transport.TLSClientConfig.NextProtos = []string{"http/1.1"}
+	client := &http.Client{Timeout: callTimeout, Transport: transport}
+	return &Site{operators: operators, port: port, scheme: secureScheme, http: client}, nil
 }
 
 // call makes one request of one entry VM. The error is an *operator.Problem when
@@ -57,7 +75,7 @@
 	}
 	resp, err := s.http.Do(req)
 	if err != nil {
-		return err
+		return adviseTLS(err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
@@ -69,7 +87,7 @@
 	}
 	problem := new(operator.Problem)
 	if json.Unmarshal(answer, problem) != nil || problem.Reason == "" {
-		return fmt.Errorf("%s answers %s: is it an operators' listener?", url, resp.Status)
+		return fmt.Errorf("%s answers %s: is it an operators' listener, and is it http:// or https://?", url, resp.Status)
 	}
 	return problem
 }
@@ -131,7 +149,7 @@
 		if err != nil {
 			host = e.Address
 		}
-		urls[i] = "http://" + net.JoinHostPort(host, s.port)
+		urls[i] = s.scheme + net.JoinHostPort(host, s.port)
 	}
 	out := s.statuses(ctx, urls)
 	for i := range out {
