A member's word does not keep a VM live that the list has dropped

A dump of both entry VMs of the domain showed that one took the killed VM for live: silent_here_only, since the fresh VM, started by a peer's old list, spoke for it. Ruled out: retiring that never ends, a VM that may not act. Change: a VM that is silent here counts on another's word only while the newest list names it.

--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -155,7 +155,9 @@
 //
 // A link that is lost is a faster sign than the membership's. Once lost it counts
 // until the VM answers again or another member is known to hear it: then only the
-// way from here is broken.
+// way from here is broken. What another member says can be old, or its own guess
+// about a VM that it never heard, so it does not count against the platform's list
+// either: a dead VM would be kept live for good, and nobody would hold its workers.
 func (p *peerSet) liveInDomain(v membership.View) []string {
 	vouched := make(map[string]bool)
 	for _, s := range v.Suspects {
@@ -163,6 +165,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	listed := p.vm.fleet.Latest().Entries
 	var live []string
 	if !p.vm.draining.Load() {
 		live = append(live, p.vm.settings.Name)
@@ -173,7 +176,8 @@
 		if o.Domain != p.vm.settings.Domain || o.State != membership.Present || l == nil || l.drain {
 			continue
 		}
-		if l.up || time.Since(l.since) < grace || vouched[o.ID] {
+		_, isListed := listed[o.ID]
+		if l.up || time.Since(l.since) < grace || (vouched[o.ID] && isListed) {
 			live = append(live, o.ID)
 		}
 	}
