A closed peer link gives up its share; dead code goes

An owner's loss was told in two places, and the one for links closed from this side did not tell the sums of shares: what a gone entry VM offered and its accounts used there counted for good. Session.HomeName and Job.Spec had no callers. Change: peerSet.lost tells everyone, and both places call it; the unused methods and the field behind one are gone. Conclusion: left as they are: the two links' constructors (peer, upstream), which differ in what they carry, and generated code.

--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -18,7 +18,6 @@
 
 // session is one home's connection to this owner.
 type session struct {
-	home    string
 	out     *ring.Ring[*pb.RunResponse]
 	version uint64 // of the held workers the home was told last
 	taken   atomic.Uint64
@@ -27,9 +26,6 @@
 // Took counts tasks that show in the owner's advert from now on.
 func (s *session) Took(tasks int) { s.taken.Add(uint64(tasks)) }
 
-// HomeName is the entry VM at the other end.
-func (s *session) HomeName() string { return s.home }
-
 // Report queues results for the home. When the ring is full the session ends:
 // the home then asks the workers, which is slower but loses nothing.
 func (s *session) Report(m *pb.RunResponse) {
@@ -88,7 +84,7 @@
 	if hello == nil || (hello.PeerIncarnation != 0 && hello.PeerIncarnation != s.self.Incarnation) {
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("not the incarnation that was asked for"))
 	}
-	session := &session{home: hello.EntryVm, out: ring.New[*pb.RunResponse](s.settings.Ring)}
+	session := &session{out: ring.New[*pb.RunResponse](s.settings.Ring)}
 	if !s.owner.Join(session) {
 		return connect.NewError(connect.CodeUnavailable, errors.New("not taking sessions"))
 	}
--- a/internal/process/entry/fleet_test.go
+++ b/internal/process/entry/fleet_test.go
@@ -70,14 +70,13 @@
 	}}
 }
 
-// Report, Took and HomeName make the rig a holder.Session.
+// Report and Took make the rig a holder.Session.
 func (r *rig) Report(m *pb.RunResponse) {
 	for _, group := range m.Results {
 		r.results = append(r.results, group.Results...)
 	}
 }
-func (r *rig) Took(int)         {}
-func (r *rig) HomeName() string { return "e1" }
+func (r *rig) Took(int) {}
 
 // offer hands over one task that may run on the worker.
 func (r *rig) offer(counter uint64) {
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -108,10 +108,16 @@
 	defer l.reporting.Unlock()
 	l.ended = true
 	if l.told {
-		p.vm.home.OwnerLost(name, "closed")
+		p.lost(name, "closed")
 	}
 }
 
+// lost tells everyone who counts on an owner that it is gone.
+func (p *peerSet) lost(owner, why string) {
+	p.vm.home.OwnerLost(owner, why)
+	p.vm.shares.lost(owner)
+}
+
 func (p *peerSet) open(other membership.Fact) *peerLink {
 	target := peer.Target{Name: other.ID, Address: other.Address, Incarnation: other.Incarnation}
 	self := peer.Identity{Name: p.vm.settings.Name, Incarnation: p.vm.incarnation}
@@ -297,8 +303,7 @@
 func (e peerEvents) OwnerLost(owner, why string) {
 	e.report(func() {
 		e.l.told = false
-		e.p.vm.home.OwnerLost(owner, why)
-		e.p.vm.shares.lost(owner)
+		e.p.lost(owner, why)
 	})
 	e.p.setUp(e.l, false, 0)
 }
@@ -339,8 +344,8 @@
 	}
 }
 
-// HomeName implements holder.Session.
-func (l *localSession) HomeName() string { return l.vm.settings.Name }
+// name is this entry VM's, as home and as owner.
+func (l *localSession) name() string { return l.vm.settings.Name }
 
 // Took implements holder.Session.
 func (l *localSession) Took(tasks int) { l.taken.add(tasks) }
@@ -356,7 +361,7 @@
 }
 
 func (l *localSession) run(ctx context.Context) {
-	l.vm.home.OwnerUp(l.HomeName(), l.vm.incarnation)
+	l.vm.home.OwnerUp(l.name(), l.vm.incarnation)
 	var told *pb.Advert
 	for {
 		select {
@@ -370,11 +375,11 @@
 			results = append(results, m.Results...)
 		}
 		if len(results) > 0 {
-			l.vm.home.RunResults(l.HomeName(), results)
+			l.vm.home.RunResults(l.name(), results)
 		}
 		if m := l.vm.holder.Advert(); m != told {
 			told = m
-			l.vm.home.Advert(l.HomeName(), l.taken.on(m))
+			l.vm.home.Advert(l.name(), l.taken.on(m))
 		}
 	}
 }
--- a/internal/process/entry/peers_test.go
+++ b/internal/process/entry/peers_test.go
@@ -1,11 +1,16 @@
 package entry
 
 import (
+	"context"
+	"net"
 	"slices"
 	"testing"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
+	"github.com/pumiceyard/pumiceyard/internal/process/holder"
+	"github.com/pumiceyard/pumiceyard/internal/process/home"
 	"github.com/pumiceyard/pumiceyard/internal/process/membership"
 )
 
@@ -32,3 +37,22 @@
 		t.Errorf("live are %v: e3 is silent here and the list dropped it", live)
 	}
 }
+
+// Symptom: an account is held below its quota, and shares are reckoned with slots
+// that are gone, for good. Sequence: an entry VM that accounts use leaves the
+// membership; its link is closed from this side. Cause: a link closed from here
+// told the home of the loss and not those who add up what others offer.
+func TestClosedLinkGivesUpItsShare(t *testing.T) {
+	vm := &VM{settings: Settings{Name: "e1"}, home: home.New(home.Config{Settings: home.Defaults()})}
+	vm.shares = newShares(holder.New(holder.Config{Settings: holder.Defaults()}))
+	p := &peerSet{vm: vm}
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	l := &peerLink{told: true}
+	l.link = peer.StartLink(peer.Defaults(), peer.Target{Name: "e2"}, peer.Identity{}, peer.Dial{Dialer: refuse}, peerEvents{p, l})
+	vm.shares.heard("e2", &pb.Advert{Slots: 48, Periodic: true})
+	p.end("e2", l)
+	p.ended.Wait()
+	if len(vm.shares.owners) != 0 {
+		t.Errorf("the closed link's share is still counted: %v", vm.shares.owners)
+	}
+}
--- a/internal/process/holder/doc.go
+++ b/internal/process/holder/doc.go
@@ -71,8 +71,6 @@
 	Report(m *pb.RunResponse)
 	// Took counts tasks of an offer that show in the advert from now on.
 	Took(tasks int)
-	// HomeName is the entry VM at the other end.
-	HomeName() string
 }
 
 // Workers sends messages under leases.
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -153,9 +153,6 @@
 	return a
 }
 
-// Spec returns what the submission asks for.
-func (j *Job) Spec() *Spec { return &j.spec }
-
 // Generation is the one that tasks are handed out under.
 func (j *Job) Generation() ticket.Generation { return j.gen }
 
