--- a/cmd/pumiceyardd/main.go
+++ b/cmd/pumiceyardd/main.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
+	"github.com/pumiceyard/pumiceyard/platform"
 )
 
 func main() {
@@ -36,6 +37,7 @@
 		}
 		return run(c.Context(), s)
 	}
+	root.AddCommand(platform.Command())
 	if err := root.Execute(); err != nil {
 		root.PrintErrln("pumiceyardd:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/kept/journal/journal.go
@@ -0,0 +1,289 @@
+// Package journal groups changes of the store into transactions.
+//
+// Each change is a row with conditions of its own. Rows that wait together go
+// into one transaction; a row whose conditions do not hold leaves it and the
+// others go on. A transaction without an answer is repeated as it is: its
+// conditions make a second execution impossible, and a row whose key holds the
+// row's own value was written by the first.
+package journal
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+)
+
+// Outcome is what became of a row.
+type Outcome uint8
+
+// The outcomes of a row.
+const (
+	Stored   Outcome = iota
+	Conflict         // a condition does not hold; nothing was written
+	Refused          // nothing was written
+	Unsure           // no answer in time: it may have been written, or be written later
+)
+
+// Result is the outcome of a row.
+type Result struct {
+	Outcome  Outcome
+	Revision uint64       // if stored
+	Items    []store.Item // if in conflict: the row's conditions as they are
+	Tries    int          // transactions that carried the row
+}
+
+// Row is a change.
+type Row struct {
+	Txn    store.Txn
+	Guard  *store.Condition // shared by many rows, counted once a transaction
+	Within time.Duration    // after which an unanswered row is given up
+	Done   func(Result)
+
+	born  time.Time
+	tries int
+	sure  bool // no transaction with this row may be under way
+}
+
+// Settings of a journal.
+type Settings struct {
+	Name     string
+	Pause    time.Duration // that a row may wait for others
+	Capacity int           // rows that may wait
+	Flights  int           // transactions under way at once
+}
+
+// Bounds of a transaction and of repetition.
+const (
+	answerWithin = 1500 * time.Millisecond // a store 60 times slower than usual answers in 250 ms
+	retryPause   = 40 * time.Millisecond   // after a refusal, with the number of tries
+	retryMost    = 400 * time.Millisecond
+)
+
+// Journal writes rows. It is safe for concurrent use.
+type Journal struct {
+	settings Settings
+	store    store.Store
+	rows     *ring.Ring[*Row]
+	free     chan struct{}
+}
+
+// New returns a journal; Run writes.
+func New(s Settings, st store.Store) *Journal {
+	return &Journal{
+		settings: s,
+		store:    st,
+		rows:     ring.New[*Row](s.Capacity),
+		free:     make(chan struct{}, s.Flights),
+	}
+}
+
+// Add queues a row and reports false if there is no room for it.
+func (j *Journal) Add(r *Row) bool {
+	r.born = time.Now()
+	r.sure = true
+	return j.rows.TryPush(r)
+}
+
+// Waiting is the number of rows that no transaction carries yet.
+func (j *Journal) Waiting() int { return j.rows.Len() }
+
+// Run writes until ctx ends.
+func (j *Journal) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-j.rows.Ready():
+		}
+		if j.settings.Pause > 0 {
+			time.Sleep(j.settings.Pause)
+		}
+		for _, batch := range batches(j.rows.Drain()) {
+			select {
+			case <-ctx.Done():
+				return
+			case j.free <- struct{}{}:
+			}
+			go func() {
+				defer func() { <-j.free }()
+				j.write(ctx, batch)
+			}()
+		}
+	}
+}
+
+// batches splits rows so that each part fits into a transaction.
+func batches(rows []*Row) [][]*Row {
+	var out [][]*Row
+	var part []*Row
+	entries := 0
+	for _, r := range rows {
+		n := r.Txn.Entries()
+		if r.Guard != nil {
+			n++ // at worst each row has a guard of its own
+		}
+		if entries+n > store.MaxEntries && len(part) > 0 {
+			out = append(out, part)
+			part, entries = nil, 0
+		}
+		part = append(part, r)
+		entries += n
+	}
+	if len(part) > 0 {
+		out = append(out, part)
+	}
+	return out
+}
+
+// write brings a batch to an end. It goes on while the context lasts.
+func (j *Journal) write(ctx context.Context, batch []*Row) {
+	for try := 1; len(batch) > 0; try++ {
+		var err error
+		batch, err = j.attempt(ctx, batch)
+		if err == nil {
+			continue
+		}
+		klog.V(1).InfoS("kept: a write has to wait", "journal", j.settings.Name, "rows", len(batch), "try", try, "why", err)
+		batch = giveUp(batch)
+		if len(batch) == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(time.Duration(try)*retryPause, retryMost)):
+		}
+	}
+}
+
+// giveUp ends the rows whose time is over and returns the others.
+func giveUp(batch []*Row) []*Row {
+	rest := batch[:0:0]
+	for _, r := range batch {
+		switch {
+		case time.Since(r.born) < r.Within:
+			rest = append(rest, r)
+		case r.sure:
+			r.Done(Result{Outcome: Refused, Tries: r.tries})
+		default:
+			r.Done(Result{Outcome: Unsure, Tries: r.tries})
+		}
+	}
+	return rest
+}
+
+// attempt makes one transaction and returns the rows that are still open, with
+// an error if they have to wait.
+func (j *Journal) attempt(ctx context.Context, batch []*Row) ([]*Row, error) {
+	for _, r := range batch {
+		r.tries++
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	rev, err := j.store.Commit(ctx, join(batch))
+	var conflict *store.ConflictError
+	var refused *store.RefusedError
+	switch {
+	case err == nil:
+		for _, r := range batch {
+			r.Done(Result{Outcome: Stored, Revision: rev, Tries: r.tries})
+		}
+		return nil, nil
+	case errors.As(err, &conflict):
+		return settle(batch, conflict.Items), nil
+	case errors.As(err, &refused):
+		return batch, err
+	default:
+		for _, r := range batch {
+			r.sure = false
+		}
+		return batch, err
+	}
+}
+
+func join(batch []*Row) store.Txn {
+	var t store.Txn
+	guards := make(map[string]bool)
+	for _, r := range batch {
+		if r.Guard != nil && !guards[r.Guard.Key] {
+			guards[r.Guard.Key] = true
+			t.Expect = append(t.Expect, *r.Guard)
+		}
+		t.Expect = append(t.Expect, r.Txn.Expect...)
+		t.Put = append(t.Put, r.Txn.Put...)
+		t.Delete = append(t.Delete, r.Txn.Delete...)
+	}
+	return t
+}
+
+// settle ends the rows in conflict and returns the others.
+func settle(batch []*Row, items []store.Item) []*Row {
+	now := make(map[string]store.Item, len(items))
+	for _, it := range items {
+		now[it.Key] = it
+	}
+	rest := batch[:0:0]
+	for _, r := range batch {
+		switch rev, own := ownValue(r, now); {
+		case own:
+			r.Done(Result{Outcome: Stored, Revision: rev, Tries: r.tries})
+		case holds(r, now):
+			rest = append(rest, r)
+		default:
+			r.Done(Result{Outcome: Conflict, Items: pick(r, now), Tries: r.tries})
+		}
+	}
+	if len(rest) == len(batch) {
+		// The answer names no row: repeating it would go on for ever.
+		for _, r := range rest {
+			r.Done(Result{Outcome: Conflict, Items: pick(r, now), Tries: r.tries})
+		}
+		return nil
+	}
+	return rest
+}
+
+// ownValue reports whether an earlier, unanswered transaction has written the
+// row: the key that it puts under a condition holds the row's own value.
+func ownValue(r *Row, now map[string]store.Item) (uint64, bool) {
+	if r.sure {
+		return 0, false
+	}
+	for _, p := range r.Txn.Put {
+		it, known := now[p.Key]
+		if !known || it.Revision == 0 || !bytes.Equal(it.Value, p.Value) {
+			continue
+		}
+		return it.Revision, true
+	}
+	return 0, false
+}
+
+func holds(r *Row, now map[string]store.Item) bool {
+	if r.Guard != nil && now[r.Guard.Key].Revision != r.Guard.Revision {
+		return false
+	}
+	for _, c := range r.Txn.Expect {
+		if now[c.Key].Revision != c.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+func pick(r *Row, now map[string]store.Item) []store.Item {
+	var out []store.Item
+	if r.Guard != nil {
+		out = append(out, now[r.Guard.Key])
+	}
+	for _, c := range r.Txn.Expect {
+		out = append(out, now[c.Key])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/kept/link/link.go
@@ -0,0 +1,266 @@
+// Package link joins the entry VMs of a site: each opens one stream to each
+// other one and sends on it all that it has to say. Messages may get lost when a
+// stream breaks; what must not get lost is repeated by its sender.
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/kept/clock"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+)
+
+// Settings of links.
+type Settings struct {
+	Beat    time.Duration // between beats without other messages
+	Silence time.Duration // without a beat back, the peer is taken to be lost
+	Open    time.Duration // for a new stream to be answered
+	Redial  time.Duration // between tries, after the first
+	Ring    int           // frames that may wait
+
+	Now          func() time.Duration // since boot: the time of day may jump
+	ReachesStore func() bool          // whether this VM's own calls of the store are answered
+}
+
+// DefaultSettings suit round trips of about a millisecond.
+func DefaultSettings() Settings {
+	return Settings{
+		Beat:    120 * time.Millisecond,
+		Silence: 480 * time.Millisecond, // four beats
+		Open:    250 * time.Millisecond,
+		Redial:  150 * time.Millisecond,
+		Ring:    1024,
+
+		Now:          clock.Now,
+		ReachesStore: func() bool { return false },
+	}
+}
+
+// Events are told about links. They are called from the links' goroutines.
+type Events interface {
+	PeerUp(name string, incarnation uint64)
+	PeerLost(name, why string)
+	Frame(from string, f *pb.KeptFrame)
+}
+
+// Link is the stream to one peer.
+type Link struct {
+	settings Settings
+	self     *pb.KeptBeat
+	name     string
+	address  string
+	dial     wire.Dialer
+	events   Events
+	out      *ring.Ring[*pb.KeptFrame]
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// Open starts a link, which dials again for as long as it is not closed.
+func Open(s Settings, self *pb.KeptBeat, name, address string, dial wire.Dialer, events Events) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{
+		settings: s,
+		self:     self,
+		name:     name,
+		address:  address,
+		dial:     dial,
+		events:   events,
+		out:      ring.New[*pb.KeptFrame](s.Ring),
+		cancel:   cancel,
+		done:     make(chan struct{}),
+	}
+	go l.run(ctx)
+	return l
+}
+
+// Address is where the link leads.
+func (l *Link) Address() string { return l.address }
+
+// Send queues a frame. It reports false when too many wait.
+func (l *Link) Send(f *pb.KeptFrame) bool { return l.out.TryPush(f) }
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.cancel()
+	<-l.done
+}
+
+// run dials again at once when a stream breaks: a stream that was reset while its
+// peer lives is back within a round trip, and only a failure to get it back says
+// that the peer is lost.
+func (l *Link) run(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil {
+		opened, why := l.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if opened {
+			continue
+		}
+		l.events.PeerLost(l.name, why)
+		l.out.Drain() // what waited is out of date when the peer is back
+		select {
+		case <-ctx.Done():
+		case <-time.After(l.settings.Redial):
+		}
+	}
+}
+
+type stream = connect.BidiStreamForClient[pb.KeptFrame, pb.KeptBeat]
+
+// connect is one stream from its first frame to its loss.
+func (l *Link) connect(ctx context.Context) (opened bool, why string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	client := wire.NewClient(l.dial, nil)
+	defer client.Leave()
+	service := pumiceyardv1connect.NewKeptServiceClient(client.Client, "http://"+l.address,
+		connect.WithSendCompression(""), connect.WithAcceptCompression("gzip", nil, nil))
+	guard := time.AfterFunc(l.settings.Open, func() {
+		cancel()
+		client.Leave()
+	})
+	defer guard.Stop()
+	conn := service.Link(ctx)
+	first := &pb.KeptFrame{EntryVm: l.self.EntryVm, Incarnation: l.self.Incarnation}
+	if err := conn.Send(first); err != nil {
+		return false, err.Error()
+	}
+	beat, err := conn.Receive()
+	if err != nil {
+		return false, err.Error()
+	}
+	if !guard.Stop() {
+		return false, "no answer"
+	}
+	l.events.PeerUp(l.name, beat.Incarnation)
+	return true, l.serve(ctx, client, conn)
+}
+
+func (l *Link) serve(ctx context.Context, client *wire.Client, conn *stream) string {
+	var last atomic.Int64
+	last.Store(int64(l.settings.Now()))
+	gone := make(chan error, 1)
+	go func() {
+		for {
+			if _, err := conn.Receive(); err != nil {
+				gone <- err
+				return
+			}
+			last.Store(int64(l.settings.Now()))
+		}
+	}()
+	beats := time.NewTicker(l.settings.Beat)
+	defer beats.Stop()
+	defer client.Leave() // ends a Send or Receive that hangs on a silent connection
+	for {
+		var frame *pb.KeptFrame
+		select {
+		case <-ctx.Done():
+			return "closed"
+		case err := <-gone:
+			return err.Error()
+		case <-beats.C:
+			if l.settings.Now()-time.Duration(last.Load()) > l.settings.Silence {
+				return "silent"
+			}
+			frame = &pb.KeptFrame{}
+		case <-l.out.Ready():
+			frame = join(l.out.Drain())
+		}
+		if frame == nil {
+			continue
+		}
+		frame.ReachesStore = l.settings.ReachesStore()
+		if err := l.send(client, conn, frame); err != nil {
+			return err.Error()
+		}
+	}
+}
+
+// send leaves the connection if a peer does not read for longer than silence is
+// borne: the write would block until the network gives up, minutes later.
+func (l *Link) send(client *wire.Client, conn *stream, f *pb.KeptFrame) error {
+	guard := time.AfterFunc(l.settings.Silence, client.Leave)
+	defer guard.Stop()
+	return conn.Send(f)
+}
+
+// join merges waiting frames.
+func join(waiting []*pb.KeptFrame) *pb.KeptFrame {
+	if len(waiting) == 0 {
+		return nil
+	}
+	f := &pb.KeptFrame{}
+	for _, w := range waiting {
+		f.Assign = append(f.Assign, w.Assign...)
+		f.States = append(f.States, w.States...)
+		f.Queries = append(f.Queries, w.Queries...)
+		f.Cancelled = append(f.Cancelled, w.Cancelled...)
+		f.Loads = append(f.Loads, w.Loads...)
+		f.Calls = append(f.Calls, w.Calls...)
+		f.Replies = append(f.Replies, w.Replies...)
+	}
+	return f
+}
+
+// Server takes the streams of other entry VMs.
+type Server struct {
+	self   *pb.KeptBeat
+	events Events
+	http   *http.Server
+}
+
+// NewServer returns a server; Serve runs it.
+func NewServer(self *pb.KeptBeat, events Events) *Server {
+	s := &Server{self: self, events: events}
+	mux := http.NewServeMux()
+	mux.Handle(pumiceyardv1connect.NewKeptServiceHandler(s))
+	s.http = wire.NewServer(mux, nil)
+	return s
+}
+
+// Serve serves until Close.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close ends all streams.
+func (s *Server) Close() error { return s.http.Close() }
+
+var errNoName = errors.New("the first frame names no entry VM")
+
+// Link implements the service: frames go to the events, each is answered by a beat.
+func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptBeat]) error {
+	from := ""
+	for {
+		f, err := conn.Receive()
+		if err != nil {
+			return nil // the stream is over
+		}
+		if from == "" {
+			if from = f.EntryVm; from == "" {
+				return connect.NewError(connect.CodeInvalidArgument, errNoName)
+			}
+		}
+		s.events.Frame(from, f)
+		if err := conn.Send(s.self); err != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/kept/relay/relay.go
@@ -0,0 +1,198 @@
+// Package relay carries calls of the platform's store, directly or through a
+// peer.
+//
+// The store may turn some entry VMs away while it serves the others. A VM that is
+// turned away would lose its key, its shards and all new submissions; through a
+// peer it works on. A call through a peer may be made twice when its first answer
+// is lost: all changes are conditional, so that does no harm.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Call is one call of the store, as its protocol spells it.
+type Call struct {
+	Method string
+	Target string // path and query
+	Body   []byte
+	Wait   time.Duration // that the store may take by the call's own words, as in a watch
+}
+
+// Reply is the answer.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// TurnedAway reports whether the store answered that it does not serve the caller
+// now. Nothing was done.
+func (r Reply) TurnedAway() bool { return r.Status == 503 || r.Status == 429 }
+
+// Transport makes calls.
+type Transport interface {
+	Do(ctx context.Context, c Call) (Reply, error)
+}
+
+// Peers makes calls through other entry VMs.
+type Peers interface {
+	Transport
+	// Reach reports whether a peer says that the store answers it.
+	Reach() bool
+}
+
+// Times of a Router.
+const (
+	directWithin = 450 * time.Millisecond  // a store 60 times slower than usual answers in 250 ms
+	peerWithin   = 600 * time.Millisecond  // with the hop to the peer
+	probeEvery   = 700 * time.Millisecond  // of the direct way, while calls go through peers
+	freshFor     = 2500 * time.Millisecond // an answer says for so long that the store is reached
+	downAfter    = 500 * time.Millisecond  // failures all the while say that it is not
+)
+
+var errNoWay = errors.New("neither the store nor a peer that reaches it answers")
+
+// Router picks the way for each call. It is safe for concurrent use.
+type Router struct {
+	direct Transport
+	peers  Peers
+	now    func() time.Duration
+
+	mu       sync.Mutex
+	relaying bool
+	failing  time.Duration // since when direct calls fail; 0: they do not
+	probed   time.Duration
+	answered time.Duration // when a direct call was answered last
+	served   time.Duration // when any call was answered last
+	lost     time.Duration // since when no call is answered either way; 0: not so
+}
+
+// New returns a router that begins with the direct way.
+func New(direct Transport, peers Peers, now func() time.Duration) *Router {
+	return &Router{direct: direct, peers: peers, now: now}
+}
+
+// Direct makes a call on the direct way only, for a peer.
+func (r *Router) Direct(ctx context.Context, c Call) (Reply, error) {
+	return r.tryDirect(ctx, c)
+}
+
+// ReachesStore reports whether direct calls are answered.
+func (r *Router) ReachesStore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing == 0 && r.answered > 0 && r.now()-r.answered < freshFor
+}
+
+// Down reports whether calls have failed on both ways for a while.
+func (r *Router) Down() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost > 0 && r.now()-r.lost > downAfter
+}
+
+// Do makes a call.
+func (r *Router) Do(ctx context.Context, c Call) (Reply, error) {
+	if r.viaPeer() {
+		if rep, err := r.tryPeer(ctx, c); err == nil && !rep.TurnedAway() {
+			return r.serve(rep)
+		}
+	}
+	rep, err := r.tryDirect(ctx, c)
+	if err == nil && !rep.TurnedAway() {
+		return r.serve(rep)
+	}
+	if ctx.Err() == nil && r.peers.Reach() {
+		if rep2, err2 := r.tryPeer(ctx, c); err2 == nil && !rep2.TurnedAway() {
+			return r.serve(rep2)
+		}
+	}
+	r.fail()
+	if err != nil {
+		return Reply{}, err
+	}
+	return rep, nil
+}
+
+func (r *Router) serve(rep Reply) (Reply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served = r.now()
+	r.lost = 0
+	return rep, nil
+}
+
+func (r *Router) fail() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost == 0 {
+		r.lost = r.now()
+	}
+}
+
+// viaPeer says which way to try first: a peer's while direct calls fail, but for
+// a probe now and then.
+func (r *Router) viaPeer() bool {
+	if !r.peers.Reach() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.relaying {
+		return false
+	}
+	now := r.now()
+	if now-r.probed >= probeEvery {
+		r.probed = now
+		return false
+	}
+	return true
+}
+
+func (r *Router) tryDirect(ctx context.Context, c Call) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, directWithin+c.Wait)
+	defer cancel()
+	rep, err := r.direct.Do(ctx, c)
+	r.note(err == nil && !rep.TurnedAway(), rep, err)
+	return rep, err
+}
+
+// note keeps whether the direct way works.
+func (r *Router) note(ok bool, rep Reply, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if ok {
+		r.answered = now
+		if r.relaying {
+			klog.InfoS("kept: the store answers again", "after", now-r.failing)
+		}
+		r.failing = 0
+		r.relaying = false
+		return
+	}
+	if r.failing == 0 {
+		r.failing = now
+		klog.InfoS("kept: the store does not answer", "status", rep.Status, "why", err)
+	}
+	if !r.relaying {
+		r.relaying = true
+		r.probed = now
+		klog.InfoS("kept: calls of the store go through peers", "a_peer_reaches_it", r.peers.Reach())
+	}
+}
+
+func (r *Router) tryPeer(ctx context.Context, c Call) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerWithin+c.Wait)
+	defer cancel()
+	rep, err := r.peers.Do(ctx, c)
+	if err == nil && rep.Status == 0 {
+		return rep, errNoWay
+	}
+	return rep, err
+}
--- /dev/null
+++ b/internal/kept/shard/host.go
@@ -0,0 +1,430 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// host is a worker as its holder sees it.
+type host struct {
+	info     worker.Info
+	listed   bool          // has answered under this token
+	missing  time.Duration // since when it is not in the list of workers; 0: it is there
+	answered time.Duration // when its newest listing was asked for
+	clock    time.Duration // the worker's clock at its newest listing
+	seen     uint64        // ends acknowledged
+	taken    uint64        // ends taken into account
+	ends     []endEntry    // taken into account and not acknowledged, by number
+	fullTill time.Duration // it refused a run for want of room
+	sickTill time.Duration // it refused a run as it is not in order
+	record   trust
+	strays   map[submission.TaskRef]uint64 // runs there that nobody asked for, being stopped
+}
+
+type endEntry struct {
+	n      uint64
+	job    *job // nil: of a submission that is not open
+	saving bool // in the progress that is being stored
+	saved  bool
+}
+
+func (e *endEntry) settled() bool { return e.job == nil || e.job.stored || e.saved }
+
+// Bounds of a worker's use.
+const (
+	fullFor    = 100 * time.Millisecond // or until the next end there
+	sickFor    = time.Second
+	quietMost  = 700 * time.Millisecond // without an answer, a worker gets nothing new
+	missingFor = 3 * time.Second        // entries that lapsed with the store are back within 2 s of its return
+)
+
+// Workers takes the list of workers of the shard. A worker that is not in it any
+// more goes on until it stops answering: the list lapses while the store is down.
+func (s *Shard) Workers(now time.Duration, list []worker.Info) {
+	present := make(map[string]bool, len(list))
+	for _, info := range list {
+		present[info.ID] = true
+		h, known := s.workers[info.ID]
+		if !known {
+			h = &host{strays: make(map[submission.TaskRef]uint64)}
+			s.workers[info.ID] = h
+			s.replaced(now, info)
+		}
+		h.info = info
+		h.missing = 0
+	}
+	for id, h := range s.workers {
+		if !present[id] && h.missing == 0 {
+			h.missing = now
+		}
+	}
+	s.dirty = true
+}
+
+// replaced drops the workers that lived at the address of a new one.
+func (s *Shard) replaced(now time.Duration, info worker.Info) {
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		if h := s.workers[id]; id != info.ID && h.info.Address == info.Address {
+			s.WorkerGone(now, id)
+		}
+	}
+}
+
+// WorkerIDs returns the known workers, in order.
+func (s *Shard) WorkerIDs() []string { return slices.Sorted(maps.Keys(s.workers)) }
+
+// WorkerInfo returns what is known of a worker.
+func (s *Shard) WorkerInfo(id string) (worker.Info, bool) {
+	h, known := s.workers[id]
+	if !known {
+		return worker.Info{}, false
+	}
+	return h.info, true
+}
+
+// WorkerGone says that a worker's incarnation has ended, with all that ran there.
+func (s *Shard) WorkerGone(now time.Duration, id string) {
+	h, known := s.workers[id]
+	if !known {
+		return
+	}
+	s.drop(now, h)
+	delete(s.workers, id)
+}
+
+// WorkerLapsed says that a worker's lease has certainly run out: nothing that was
+// started there before runs any more. One that left the list is forgotten.
+func (s *Shard) WorkerLapsed(now time.Duration, id string) {
+	h, known := s.workers[id]
+	if !known {
+		return
+	}
+	s.drop(now, h)
+	if h.missing > 0 {
+		delete(s.workers, id)
+	}
+}
+
+// drop takes back all that ran on a worker.
+func (s *Shard) drop(now time.Duration, h *host) {
+	for _, t := range s.on(h) {
+		s.release(now, t)
+	}
+	clear(h.strays)
+	s.dirty = true
+}
+
+// on returns the tasks at a worker, in the order of their submissions.
+func (s *Shard) on(h *host) []*task {
+	var out []*task
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		for _, t := range s.jobs[id].tasks {
+			if t.occupies() && t.host == h {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
+
+// release makes a task that certainly does not run startable again.
+func (s *Shard) release(now time.Duration, t *task) {
+	if t.state == ending || t.job.state.Final() {
+		t.state = over
+	} else {
+		t.state = waiting
+	}
+	t.host = nil
+	t.since = now
+	s.dirty = true
+}
+
+// Listing takes a worker's answer to a hold that was sent at a time. It returns
+// how many ends in it were new.
+func (s *Shard) Listing(now time.Duration, id string, sent time.Duration, l worker.Listing) (fresh int) {
+	h, known := s.workers[id]
+	if !known {
+		return 0
+	}
+	if !s.scanned {
+		s.early[id] = earlyListing{sent: sent, listing: l}
+		return 0
+	}
+	h.listed = true
+	h.answered = max(h.answered, sent)
+	for _, e := range l.Ended {
+		if e.N > h.taken {
+			h.taken = e.N
+			fresh++
+			s.ended(now, h, e)
+		}
+	}
+	if l.Clock >= h.clock { // answers overtake each other
+		h.clock = l.Clock
+		s.compare(now, h, sent, l)
+	}
+	s.acknowledge()
+	s.dirty = true
+	return fresh
+}
+
+// ended takes the end of a run.
+func (s *Shard) ended(now time.Duration, h *host, e worker.Ended) {
+	h.fullTill = 0
+	delete(h.strays, e.Task)
+	j, open := s.jobs[e.Task.ID]
+	if !open || j.stored {
+		h.ends = append(h.ends, endEntry{n: e.N})
+		return
+	}
+	h.ends = append(h.ends, endEntry{n: e.N, job: j})
+	if j.unsaved == 0 {
+		j.unsaved = now
+	}
+	t := j.task(e.Task.Task)
+	if t == nil {
+		return
+	}
+	s.endedTask(now, h, t, e)
+}
+
+func (s *Shard) endedTask(now time.Duration, h *host, t *task, e worker.Ended) {
+	current := t.host == h && t.run == e.Run && t.occupies()
+	if e.Run > t.run {
+		t.run = e.Run
+	}
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+	switch {
+	case e.How == worker.Completed:
+		s.completed(now, h, t, current)
+		return
+	case e.How == worker.Failed:
+		s.failedRun(now, h, t, e.Run)
+	}
+	if current {
+		s.release(now, t)
+	}
+}
+
+func (s *Shard) completed(now time.Duration, h *host, t *task, current bool) {
+	if current {
+		s.learn(now, h, t)
+	}
+	if t.state == complete {
+		return
+	}
+	if t.occupies() && !current {
+		s.stop(t, "another run has completed")
+	}
+	j := t.job
+	j.complete(t)
+	if j.left == 0 && !j.state.Final() {
+		s.end(j, submission.Done, "all tasks have completed")
+	}
+}
+
+// failedRun counts a failed run. A task whose runs have failed as often as the
+// queue allows ends its submission.
+func (s *Shard) failedRun(now time.Duration, h *host, t *task, run uint64) {
+	if _, counted := t.failed[run]; counted {
+		return
+	}
+	if t.failed == nil {
+		t.failed = make(map[uint64]struct{})
+	}
+	t.failed[run] = struct{}{}
+	t.fails++
+	if t.avoid != h {
+		t.job.suspect++
+	}
+	t.avoid = h
+	h.record.failed(now, t.job)
+	if t.fails >= t.job.rec.Terms.Attempts && t.state != complete && !t.job.state.Final() {
+		s.end(t.job, submission.Failed, "a task has failed as often as its queue allows")
+	}
+}
+
+// compare holds what a worker lists as running against what should run there.
+func (s *Shard) compare(now time.Duration, h *host, sent time.Duration, l worker.Listing) {
+	listed := make(map[submission.TaskRef]bool, len(l.Running))
+	for _, r := range l.Running {
+		listed[r.Task] = true
+		s.found(now, h, r)
+	}
+	for ref := range h.strays {
+		if !listed[ref] {
+			delete(h.strays, ref)
+		}
+	}
+	for _, t := range s.on(h) {
+		if !listed[t.ref] {
+			s.absent(now, h, t, sent, l.Clock)
+		}
+	}
+}
+
+// found takes a run that a worker lists.
+func (s *Shard) found(now time.Duration, h *host, r worker.Running) {
+	j, open := s.jobs[r.Task.ID]
+	if !open {
+		s.stray(h, r)
+		return
+	}
+	t := j.task(r.Task.Task)
+	if t == nil || r.Run < t.run || t.state == complete {
+		s.stray(h, r)
+		return
+	}
+	if t.occupies() && t.host != h {
+		s.stray(h, r)
+		return
+	}
+	t.run = r.Run
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+	if r.Percent != t.percent || t.movedAt == 0 {
+		t.percent = r.Percent
+		t.movedAt = now
+	}
+	switch t.state {
+	case starting, unsure, astray:
+		s.nowRunning(now, h, t)
+	case over, waiting:
+		s.stray(h, r) // a late order that was carried out all the same
+	}
+}
+
+func (s *Shard) nowRunning(now time.Duration, h *host, t *task) {
+	if t.state == astray || t.startedAt == 0 {
+		t.startedAt = now
+	}
+	t.state = running
+	t.host = h
+	t.since = now
+	t.movedAt = now
+	j := t.job
+	if j.firstRun == 0 {
+		j.firstRun = now
+	}
+	if j.state == submission.Queued {
+		j.state = submission.Running
+		s.tell(j)
+	}
+}
+
+// stray stops a run that nobody wants.
+func (s *Shard) stray(h *host, r worker.Running) {
+	if h.strays[r.Task] == r.Run {
+		return
+	}
+	h.strays[r.Task] = r.Run
+	s.out.Stops = append(s.out.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Why: "no such run is wanted"})
+}
+
+// absent takes a run that a worker does not list, in an answer to a hold sent at
+// a time and given at a time of the worker's clock.
+func (s *Shard) absent(now time.Duration, h *host, t *task, sent, clock time.Duration) {
+	switch t.state {
+	case running:
+		if t.clock > 0 && clock > t.clock || t.clock == 0 && sent > t.since {
+			s.release(now, t)
+		}
+	case unsure:
+		if sent >= t.since {
+			// The order may still come: the run must be made impossible first.
+			t.state = voiding
+			t.since = now
+			t.stopClock = 0
+			s.stop(t, "its start had no answer")
+		}
+	case voiding, ending:
+		if t.stopClock > 0 && clock >= t.stopClock {
+			s.release(now, t)
+		}
+	}
+}
+
+// StartReply takes the answer to a start.
+func (s *Shard) StartReply(now time.Duration, id string, ref submission.TaskRef, run uint64, r worker.Reply) {
+	h, t := s.order(id, ref, run)
+	if t == nil {
+		return
+	}
+	if t.state != starting {
+		if r.Verdict == worker.Accepted && t.state == running {
+			t.clock = r.Clock
+		}
+		return
+	}
+	switch r.Verdict {
+	case worker.Accepted:
+		t.clock = r.Clock
+		s.nowRunning(now, h, t)
+	case worker.NoRoom:
+		h.fullTill = now + fullFor
+		s.release(now, t)
+	case worker.Unwell:
+		h.sickTill = now + sickFor
+		s.release(now, t)
+	case worker.Outrun, worker.Late:
+		s.release(now, t)
+	case worker.Malformed:
+		s.release(now, t)
+		s.end(t.job, submission.Failed, "a worker cannot read the task")
+	case worker.Fenced:
+		t.state = unsure // another holder decides; this one will learn it from the store
+		t.since = now
+	case worker.Gone:
+		s.WorkerGone(now, id)
+	case worker.Silent:
+		t.state = unsure
+		t.since = now
+		s.out.Looks = append(s.out.Looks, id)
+	}
+}
+
+// StopReply takes the answer to a stop. A stop without an answer is repeated.
+func (s *Shard) StopReply(now time.Duration, id string, ref submission.TaskRef, run uint64, r worker.Reply) {
+	h, known := s.workers[id]
+	if !known {
+		return
+	}
+	if r.Verdict == worker.Gone {
+		s.WorkerGone(now, id)
+		return
+	}
+	_, t := s.order(id, ref, run)
+	if t == nil || t.state != voiding && t.state != ending {
+		if r.Verdict != worker.Accepted && h.strays[ref] == run {
+			delete(h.strays, ref) // the next listing shows it again
+		}
+		return
+	}
+	if r.Verdict == worker.Accepted {
+		t.stopClock = r.Clock
+		s.out.Looks = append(s.out.Looks, id)
+		return
+	}
+	t.since = now // Tick repeats it
+}
+
+// order finds a task by an order that was given for it.
+func (s *Shard) order(id string, ref submission.TaskRef, run uint64) (*host, *task) {
+	h, known := s.workers[id]
+	j, open := s.jobs[ref.ID]
+	if !known || !open {
+		return h, nil
+	}
+	t := j.task(ref.Task)
+	if t == nil || t.host != h || t.run != run {
+		return h, nil
+	}
+	return h, t
+}
--- /dev/null
+++ b/internal/kept/shard/job.go
@@ -0,0 +1,156 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+type taskState uint8
+
+const (
+	waiting  taskState = iota
+	astray             // an earlier holder may have started it where it cannot be seen yet
+	starting           // an order is on its way
+	running
+	unsure   // an order had no answer; the worker is asked
+	voiding  // a stop is on its way, so that the task can start again
+	ending   // a stop is on its way, and the task does not start again
+	complete // has ended well
+	over     // does not run, and will not
+)
+
+type task struct {
+	job        *job
+	ref        submission.TaskRef
+	step       *submission.Step
+	state      taskState
+	run        uint64        // the newest
+	host       *host         // in starting, running, unsure, voiding, ending
+	since      time.Duration // of the state
+	startedAt  time.Duration
+	clock      time.Duration       // the worker's when it accepted the run; 0: not known
+	stopClock  time.Duration       // the worker's when it acknowledged the stop
+	failed     map[uint64]struct{} // runs that ended as failed
+	fails      int                 // of them, with those stored earlier
+	checkpoint string
+	percent    int
+	movedAt    time.Duration // when percent changed last
+	avoid      *host         // where it last failed or stood still
+}
+
+// occupies reports whether the task takes room at its host.
+func (t *task) occupies() bool {
+	switch t.state {
+	case starting, running, unsure, voiding, ending:
+		return t.host != nil
+	default:
+		return false
+	}
+}
+
+type job struct {
+	rec      *submission.Record
+	revision uint64
+	state    submission.State
+	why      string
+	tasks    []*task
+	steps    []stepState
+	left     int // tasks that have not completed
+	came     time.Duration
+	firstRun time.Duration // 0: none yet
+	saving   bool
+	unsaved  time.Duration // when the oldest end that is not stored came; 0: none
+	stored   bool          // its end is in the store
+	suspect  int           // workers on which its tasks failed
+}
+
+type stepState struct {
+	first int // index of its first task in job.tasks
+	left  int // tasks that have not completed
+}
+
+func newJob(now time.Duration, r Stored, runBase uint64) *job {
+	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now}
+	for si := range r.Record.Steps {
+		step := &r.Record.Steps[si]
+		j.steps = append(j.steps, stepState{first: len(j.tasks), left: step.Count})
+		for i := range step.Count {
+			ref := submission.Task{Step: si, Index: i}
+			j.tasks = append(j.tasks, &task{
+				job:   j,
+				ref:   submission.TaskRef{ID: r.Record.ID, Task: ref},
+				step:  step,
+				run:   runBase,
+				fails: r.Record.Progress.Failed[ref],
+			})
+		}
+	}
+	j.left = len(j.tasks)
+	for _, d := range r.Record.Progress.Done {
+		if t := j.task(d); t != nil && t.state != complete {
+			j.complete(t)
+		}
+	}
+	if runBase > 0 {
+		j.state = submission.Running // some of it may have run under an earlier holder
+	}
+	return j
+}
+
+// task finds a task by its name; nil if the submission has none such.
+func (j *job) task(ref submission.Task) *task {
+	if ref.Step < 0 || ref.Step >= len(j.steps) || ref.Index < 0 || ref.Index >= j.rec.Steps[ref.Step].Count {
+		return nil
+	}
+	return j.tasks[j.steps[ref.Step].first+ref.Index]
+}
+
+func (j *job) complete(t *task) {
+	t.state = complete
+	t.host = nil
+	j.left--
+	j.steps[t.ref.Step].left--
+}
+
+// due reports whether the steps before a task's step are done.
+func (j *job) due(t *task) bool {
+	for _, before := range t.step.After {
+		if before >= 0 && before < len(j.steps) && j.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// progress is what has happened to the tasks, to be stored.
+func (j *job) progress() submission.Progress {
+	p := submission.Progress{Failed: make(map[submission.Task]int)}
+	for _, t := range j.tasks {
+		switch {
+		case t.state == complete:
+			p.Done = append(p.Done, t.ref.Task)
+		case t.fails > 0:
+			p.Failed[t.ref.Task] = t.fails
+		}
+	}
+	return p
+}
+
+// chain is the longest run of estimates along the steps that depend on each other.
+func (j *job) chain(factor float64) time.Duration {
+	longest := make([]time.Duration, len(j.rec.Steps))
+	var most time.Duration
+	for i := range j.rec.Steps {
+		step := &j.rec.Steps[i]
+		var before time.Duration
+		for _, a := range step.After {
+			if a >= 0 && a < i {
+				before = max(before, longest[a])
+			}
+		}
+		longest[i] = before + time.Duration(float64(step.Estimate)*factor)
+		most = max(most, longest[i])
+	}
+	return most
+}
--- /dev/null
+++ b/internal/kept/shard/place.go
@@ -0,0 +1,353 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Times after which an order is looked at again.
+const (
+	stopAgain = 150 * time.Millisecond
+	lookAgain = 300 * time.Millisecond
+)
+
+// Tick does what is due by time, and starts what can start. It is to be called
+// after each round of events, and every 50 ms without any.
+func (s *Shard) Tick(now time.Duration) {
+	s.liftBarrier(now)
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		s.repeatOrders(now, j)
+		s.saveProgress(now, j)
+	}
+	s.forget(now)
+	s.forgetPast(now)
+	s.place(now)
+}
+
+// forgetPast drops ended submissions that no late message can name any more.
+func (s *Shard) forgetPast(now time.Duration) {
+	if now < s.pruneAt {
+		return
+	}
+	s.pruneAt = now + pastFor/10
+	maps.DeleteFunc(s.past, func(_ submission.ID, p endedJob) bool { return now-p.at > pastFor })
+}
+
+// liftBarrier frees the tasks that an earlier holder may have started, once none
+// of its runs can be left that no worker lists.
+func (s *Shard) liftBarrier(now time.Duration) {
+	if !s.barred || !s.scanned {
+		return
+	}
+	if now < s.barrierAt && !s.allListed() {
+		return
+	}
+	s.barred = false
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.state == astray {
+				s.release(now, t)
+			}
+		}
+	}
+}
+
+func (s *Shard) allListed() bool {
+	for _, h := range s.workers {
+		if !h.listed {
+			return false
+		}
+	}
+	return len(s.workers) > 0
+}
+
+// repeatOrders repeats stops and looks that had no answer.
+func (s *Shard) repeatOrders(now time.Duration, j *job) {
+	for _, t := range j.tasks {
+		switch t.state {
+		case voiding, ending:
+			if now-t.since >= stopAgain && t.stopClock == 0 {
+				t.since = now
+				s.stop(t, "the stop had no answer")
+			}
+		case unsure:
+			if now-t.since >= lookAgain {
+				t.since = now
+				s.out.Looks = append(s.out.Looks, t.host.info.ID)
+			}
+		}
+	}
+}
+
+// saveProgress stores the ends of a submission that goes on. Without it a worker
+// would list all its later ends again in each answer.
+func (s *Shard) saveProgress(now time.Duration, j *job) {
+	if j.saving || j.unsaved == 0 || j.state.Final() || now-j.unsaved < s.settings.SaveAfter {
+		return
+	}
+	j.unsaved = 0
+	j.saving = true
+	for _, h := range s.workers {
+		for i := range h.ends {
+			if h.ends[i].job == j {
+				h.ends[i].saving = true
+			}
+		}
+	}
+	rec := *j.rec
+	rec.Progress = j.progress()
+	s.out.Saves = append(s.out.Saves, SaveAction{Record: &rec, Revision: j.revision})
+}
+
+// forget drops workers that have left the list and do not answer any more.
+func (s *Shard) forget(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		h := s.workers[id]
+		if h.missing > 0 && now-h.missing > missingFor && now-h.answered > missingFor {
+			s.WorkerGone(now, id)
+		}
+	}
+}
+
+// place starts tasks: the most pressing submission first, each task on the worker
+// where it ends soonest.
+func (s *Shard) place(now time.Duration) {
+	if !s.dirty || !s.scanned {
+		return
+	}
+	s.dirty = false
+	free := s.rooms(now)
+	if len(free) == 0 {
+		return
+	}
+	for _, j := range s.byUrgency(now) {
+		for _, t := range j.tasks {
+			if t.state != waiting || !j.due(t) {
+				continue
+			}
+			if r := s.choose(now, t, free); r != nil {
+				s.start(now, t, r)
+			}
+		}
+	}
+}
+
+// byUrgency returns the submissions with tasks that may start, the most pressing
+// first: those that can still reach their objective, then those that can be done
+// within three times of it, then the others; within each, by the queue's priority
+// and the time left.
+func (s *Shard) byUrgency(now time.Duration) []*job {
+	type ranked struct {
+		job      *job
+		band     int
+		deadline time.Duration
+	}
+	var list []ranked
+	for _, j := range s.jobs {
+		if j.state.Final() || !j.startable() {
+			continue
+		}
+		objective := s.objective(j)
+		r := ranked{job: j, deadline: j.came + objective}
+		ends := now + s.remaining(j)
+		if ends > r.deadline {
+			r.band = 1
+		}
+		if ends > j.came+lateFactor*objective {
+			r.band = 2
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.band, b.band),
+			cmp.Compare(a.job.rec.Terms.Priority, b.job.rec.Terms.Priority),
+			cmp.Compare(a.deadline, b.deadline),
+			cmp.Compare(a.job.rec.ID, b.job.rec.ID),
+		)
+	})
+	out := make([]*job, len(list))
+	for i := range list {
+		out[i] = list[i].job
+	}
+	return out
+}
+
+// lateFactor is how many times its objective a submission may take and still be
+// worth something to its caller.
+const lateFactor = 3
+
+func (j *job) startable() bool {
+	for _, t := range j.tasks {
+		if t.state == waiting && j.due(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// objective is the time in which a submission should be done.
+func (s *Shard) objective(j *job) time.Duration {
+	terms := &j.rec.Terms
+	return time.Duration(terms.Stretch*float64(j.chain(s.factor(j.rec.Queue)))) + terms.Target
+}
+
+// remaining is the time a submission takes if all its tasks start now.
+func (s *Shard) remaining(j *job) time.Duration { return j.chain(s.factor(j.rec.Queue)) }
+
+// room is what is free at a worker.
+type room struct {
+	host    *host
+	cpu     int64
+	mem     int64
+	gpu     int64
+	byTasks map[stepKey]int
+}
+
+type stepKey struct {
+	id   submission.ID
+	step int
+}
+
+// rooms returns the usable workers with what is free there.
+func (s *Shard) rooms(now time.Duration) []*room {
+	byHost := make(map[*host]*room, len(s.workers))
+	var out []*room
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		h := s.workers[id]
+		if !s.usable(now, h) {
+			continue
+		}
+		r := &room{host: h, cpu: h.info.CPUMilli, mem: h.info.MemMB, gpu: h.info.GPU, byTasks: make(map[stepKey]int)}
+		byHost[h] = r
+		out = append(out, r)
+	}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if !t.occupies() {
+				continue
+			}
+			if r := byHost[t.host]; r != nil {
+				r.take(t)
+			}
+		}
+	}
+	return slices.DeleteFunc(out, func(r *room) bool { return r.cpu <= 0 })
+}
+
+func (r *room) take(t *task) {
+	r.cpu -= t.step.CPUMilli
+	r.mem -= t.step.MemMB
+	r.gpu -= t.step.GPU
+	r.byTasks[stepKey{t.ref.ID, t.ref.Step}]++
+}
+
+// usable reports whether a worker may get something new.
+func (s *Shard) usable(now time.Duration, h *host) bool {
+	switch {
+	case !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
+		return false
+	case now-h.answered > quietMost:
+		return false
+	case h.missing > 0 && now-h.missing > missingFor:
+		return false
+	default:
+		return true
+	}
+}
+
+// choose finds the worker on which a task ends soonest; nil if it fits nowhere.
+// Of equally fast ones it takes the one that it fills best, so that wide rooms
+// stay for wide tasks.
+func (s *Shard) choose(now time.Duration, t *task, rooms []*room) *room {
+	var best *room
+	var bestCost float64
+	for _, r := range rooms {
+		if !s.fits(now, t, r) {
+			continue
+		}
+		cost := s.cost(now, t, r)
+		if best == nil || cost < bestCost || cost == bestCost && r.cpu < best.cpu {
+			best, bestCost = r, cost
+		}
+	}
+	return best
+}
+
+func (s *Shard) fits(now time.Duration, t *task, r *room) bool {
+	info := &r.host.info
+	step := t.step
+	switch {
+	case info.Service != t.job.rec.Terms.Service, !info.HasLabel(step.Label):
+		return false
+	case step.CPUMilli > r.cpu, step.MemMB > r.mem, step.GPU > r.gpu:
+		return false
+	case step.MaxPerWorker > 0 && r.byTasks[stepKey{t.ref.ID, t.ref.Step}] >= step.MaxPerWorker:
+		return false
+	default:
+		return r.host.record.admits(now, s.runsOn(r))
+	}
+}
+
+func (s *Shard) runsOn(r *room) int {
+	n := 0
+	for _, c := range r.byTasks {
+		n += c
+	}
+	return n
+}
+
+func (s *Shard) start(now time.Duration, t *task, r *room) {
+	t.state = starting
+	t.run++
+	t.host = r.host
+	t.since = now
+	t.startedAt = now
+	t.clock = 0
+	t.stopClock = 0
+	t.percent = 0
+	t.movedAt = now
+	r.take(t)
+	s.out.Starts = append(s.out.Starts, StartAction{
+		Worker:     r.host.info,
+		Task:       t.ref,
+		Run:        t.run,
+		Spec:       t.job.rec.Spec,
+		Checkpoint: t.checkpoint,
+		Waited:     now - t.job.came,
+	})
+}
+
+// Load is what the shard could take.
+func (s *Shard) Load(now time.Duration) Load {
+	l := Load{Ready: s.scanned && !s.barred, Waiting: make(map[string]int)}
+	for _, h := range s.workers {
+		if s.usable(now, h) || h.listed && now < h.fullTill {
+			l.RoomMilli += h.info.CPUMilli
+		}
+	}
+	for _, r := range s.rooms(now) {
+		l.FreeMilli += r.cpu
+	}
+	var work float64 // thousandths of a core times nanoseconds
+	for _, j := range s.jobs {
+		if j.firstRun == 0 && !j.state.Final() {
+			l.Waiting[j.rec.Queue]++
+		}
+		factor := s.factor(j.rec.Queue)
+		for _, t := range j.tasks {
+			if t.state == waiting {
+				work += float64(t.step.CPUMilli) * float64(t.step.Estimate) * factor
+			}
+		}
+	}
+	if l.RoomMilli > 0 {
+		l.Backlog = time.Duration(work / float64(l.RoomMilli))
+	}
+	return l
+}
--- /dev/null
+++ b/internal/kept/shard/shard.go
@@ -0,0 +1,279 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Shard is the state of a shard at its holder.
+type Shard struct {
+	settings Settings
+	name     string
+	token    uint64
+
+	scanned   bool          // the records in the store are known
+	barrierAt time.Duration // when the leases that an earlier holder gave are certainly over
+	barred    bool          // tasks whose place is unknown may not start
+
+	jobs    map[submission.ID]*job
+	workers map[string]*host
+	past    map[submission.ID]endedJob // that ended here lately
+	early   map[string]earlyListing    // listings that came before the records
+	pace    map[string]*pace           // by queue
+	out     Actions
+	pruneAt time.Duration
+	dirty   bool // something may start
+}
+
+// endedJob is what is remembered of a submission that has ended here. A message
+// or an answer of the store that left before its end would start it again.
+type endedJob struct {
+	state submission.State
+	at    time.Duration
+}
+
+// pastFor is how long ended submissions are remembered. Calls of the store that
+// had no answer may be carried out some seconds later.
+const pastFor = time.Minute
+
+type earlyListing struct {
+	sent    time.Duration
+	listing worker.Listing
+}
+
+// New returns a shard under a token that its holder has just acquired. Runs that
+// an earlier holder has started are over by barrierAt, unless a worker lists them.
+func New(s Settings, name string, token uint64, barrierAt time.Duration) *Shard {
+	return &Shard{
+		settings:  s,
+		name:      name,
+		token:     token,
+		barrierAt: barrierAt,
+		barred:    true,
+		jobs:      make(map[submission.ID]*job),
+		workers:   make(map[string]*host),
+		early:     make(map[string]earlyListing),
+		past:      make(map[submission.ID]endedJob),
+		pace:      make(map[string]*pace),
+	}
+}
+
+// Token is the fencing token of all orders.
+func (s *Shard) Token() uint64 { return s.token }
+
+// Take returns the actions since the last call.
+func (s *Shard) Take() Actions {
+	out := s.out
+	s.out = Actions{}
+	return out
+}
+
+// Records takes the unfinished submissions of the shard as the store has them.
+// Those that are known already stay as they are.
+func (s *Shard) Records(now time.Duration, records []Stored) {
+	first := !s.scanned
+	s.scanned = true
+	for _, r := range records {
+		if _, known := s.Knows(r.Record.ID); !known {
+			s.adopt(now, r)
+		}
+	}
+	if first {
+		for _, id := range slices.Sorted(maps.Keys(s.early)) {
+			e := s.early[id]
+			s.Listing(now, id, e.sent, e.listing)
+		}
+		s.early = nil
+	}
+	s.dirty = true
+}
+
+// adopt takes over a submission that may have runs somewhere.
+func (s *Shard) adopt(now time.Duration, r Stored) {
+	j := newJob(now, r, s.runBase(r.Record))
+	s.jobs[j.rec.ID] = j
+	for _, t := range j.tasks {
+		if t.state == waiting && s.barred {
+			t.state = astray
+		}
+	}
+	if j.left == 0 {
+		s.end(j, submission.Done, "all tasks have completed")
+		return
+	}
+	s.tell(j)
+}
+
+// runBase keeps run numbers above those of earlier holders, also of runs that no
+// worker lists: a worker refuses a run that is not higher than one that ended there.
+func (s *Shard) runBase(r *submission.Record) uint64 {
+	if s.token <= r.Token {
+		return 0
+	}
+	return (s.token - r.Token) * runsPerToken
+}
+
+// runsPerToken is the most runs of one task under one token that run numbers
+// leave room for. Runs that are stopped or lapse are not counted against the
+// attempts; 64 of them take longer than any submission waits.
+const runsPerToken = 64
+
+// Assign takes a submission that was stored under this token, so that nothing of
+// it has run yet. It reports false if the submission was known already.
+func (s *Shard) Assign(now time.Duration, r Stored) bool {
+	if _, known := s.Knows(r.Record.ID); known {
+		return false
+	}
+	s.jobs[r.Record.ID] = newJob(now, r, 0)
+	s.dirty = true
+	return true
+}
+
+// Knows returns the state of a submission here.
+func (s *Shard) Knows(id submission.ID) (submission.State, bool) {
+	if j, open := s.jobs[id]; open {
+		return j.state, true
+	}
+	p, known := s.past[id]
+	return p.state, known
+}
+
+// Cancel stops the runs of a submission whose cancellation has been stored.
+func (s *Shard) Cancel(now time.Duration, id submission.ID) {
+	j, known := s.jobs[id]
+	if !known {
+		return
+	}
+	s.halt(j, "cancelled")
+	j.state = submission.Cancelled
+	s.settled(now, j)
+}
+
+// FinalStored says that the end of a submission is in the store.
+func (s *Shard) FinalStored(now time.Duration, id submission.ID) {
+	if j, known := s.jobs[id]; known {
+		s.settled(now, j)
+	}
+}
+
+// settled forgets a submission, and acknowledges its ends.
+func (s *Shard) settled(now time.Duration, j *job) {
+	j.stored = true
+	delete(s.jobs, j.rec.ID)
+	s.past[j.rec.ID] = endedJob{state: j.state, at: now}
+	s.acknowledge()
+	s.dirty = true
+}
+
+// Saved says that the progress of a submission is in the store.
+func (s *Shard) Saved(_ time.Duration, id submission.ID, revision uint64) {
+	j, known := s.jobs[id]
+	if !known {
+		return
+	}
+	j.revision = revision
+	j.saving = false
+	for _, h := range s.workers {
+		for i := range h.ends {
+			if h.ends[i].job == j && h.ends[i].saving {
+				h.ends[i].saved = true
+			}
+		}
+	}
+	s.acknowledge()
+	if j.state.Final() {
+		s.end(j, j.state, j.why) // its end waited for the new revision
+	}
+}
+
+// Lost says that a record could not be changed as it is no longer what it was:
+// the submission was cancelled, or ended by another holder.
+func (s *Shard) Lost(now time.Duration, id submission.ID) {
+	j, known := s.jobs[id]
+	if !known {
+		return
+	}
+	s.halt(j, "its record has changed")
+	s.settled(now, j)
+	if !j.state.Final() {
+		delete(s.past, id) // what became of it stands in the store
+	}
+}
+
+// acknowledge passes the ends whose effect is in the store.
+func (s *Shard) acknowledge() {
+	if !s.scanned {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		h := s.workers[id]
+		seen := h.seen
+		for len(h.ends) > 0 && h.ends[0].settled() {
+			seen = h.ends[0].n
+			h.ends = h.ends[1:]
+		}
+		if seen != h.seen {
+			h.seen = seen
+			s.out.Seen = append(s.out.Seen, SeenAction{Worker: id, Seen: seen})
+		}
+	}
+}
+
+// end brings a submission to its final state.
+func (s *Shard) end(j *job, state submission.State, why string) {
+	if j.state != state {
+		j.state = state
+		j.why = why
+		s.halt(j, why)
+		s.tell(j)
+	}
+	if j.saving {
+		return // its record is being written; the end follows with the new revision
+	}
+	s.out.Finals = append(s.out.Finals, FinalAction{ID: j.rec.ID, Revision: j.revision, State: state, Why: why})
+}
+
+// halt stops all runs of a submission.
+func (s *Shard) halt(j *job, why string) {
+	for _, t := range j.tasks {
+		switch t.state {
+		case starting, running, unsure:
+			s.stop(t, why)
+			t.state = ending
+		case waiting, astray:
+			t.state = over
+		}
+	}
+}
+
+func (s *Shard) stop(t *task, why string) {
+	s.out.Stops = append(s.out.Stops, StopAction{
+		Worker: t.host.info,
+		Task:   t.ref,
+		Run:    t.run,
+		Why:    why,
+	})
+}
+
+func (s *Shard) tell(j *job) {
+	s.out.States = append(s.out.States, StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state})
+}
+
+// Unfinished returns the submissions that have not ended, in order.
+func (s *Shard) Unfinished() []submission.ID {
+	var out []submission.ID
+	for id, j := range s.jobs {
+		if !j.state.Final() {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Size is the number of submissions that are known and not yet settled.
+func (s *Shard) Size() int { return len(s.jobs) }
--- /dev/null
+++ b/internal/kept/shard/types.go
@@ -0,0 +1,91 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// StartAction orders a run.
+type StartAction struct {
+	Worker     worker.Info
+	Task       submission.TaskRef
+	Run        uint64
+	Spec       string
+	Checkpoint string
+	Waited     time.Duration // since the submission came to this holder
+}
+
+// StopAction ends a run.
+type StopAction struct {
+	Worker worker.Info
+	Task   submission.TaskRef
+	Run    uint64
+	Why    string
+}
+
+// SeenAction acknowledges a worker's ends.
+type SeenAction struct {
+	Worker string // its ID
+	Seen   uint64
+}
+
+// FinalAction stores the end of a submission.
+type FinalAction struct {
+	ID       submission.ID
+	Revision uint64 // of its record
+	State    submission.State
+	Why      string
+}
+
+// SaveAction stores the progress of an unfinished submission.
+type SaveAction struct {
+	Record   *submission.Record
+	Revision uint64
+}
+
+// StateAction tells the submission's home how far it is.
+type StateAction struct {
+	ID    submission.ID
+	Home  string
+	State submission.State
+}
+
+// Actions are what a Shard wants done, in no order but that within each list.
+type Actions struct {
+	Starts []StartAction
+	Stops  []StopAction
+	Looks  []string // IDs of workers to be asked for a listing at once
+	Seen   []SeenAction
+	Finals []FinalAction
+	Saves  []SaveAction
+	States []StateAction
+}
+
+// Stored is a record with its revision.
+type Stored struct {
+	Record   *submission.Record
+	Revision uint64
+}
+
+// Load is what others need to know to send submissions here.
+type Load struct {
+	Ready     bool
+	FreeMilli int64          // free processor of usable workers, thousandths of a core
+	RoomMilli int64          // all processor of usable workers
+	Backlog   time.Duration  // time that the waiting work takes on all usable workers
+	Waiting   map[string]int // submissions of each queue of which no task has started
+}
+
+// Settings of a shard.
+type Settings struct {
+	LeaseMost time.Duration // longest lease of runs, by the worker's rules
+	SaveAfter time.Duration // an unfinished submission's ends are stored after this, to be acknowledged
+	Stall     time.Duration // shortest time without progress after which a task is started elsewhere
+}
+
+// DefaultSettings are for workers with leases of a second.
+func DefaultSettings() Settings {
+	return Settings{LeaseMost: time.Second, SaveAfter: 1500 * time.Millisecond, Stall: 500 * time.Millisecond}
+}
--- /dev/null
+++ b/internal/kept/site/site.go
@@ -0,0 +1,460 @@
+// Package site decides which entry VM holds which shard.
+//
+// # Contract
+//
+// A Site is a deterministic core: no I/O, no clock, no goroutine. What the store
+// and the links between entry VMs say goes in, claims come out. Whoever carries a
+// claim out writes the shard's key under the condition that it has not changed,
+// so of several claimants one wins. The token in it grows by one with each
+// change of the holder; workers refuse a lower one.
+//
+// Taking a shard over is therefore safe at any time, and a wrong suspicion costs
+// a few milliseconds of new starts: the runs go on under the new token.
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+)
+
+// Keys of the site in the store.
+const (
+	Prefix       = "pumiceyard/site/"
+	memberPrefix = Prefix + "vm/"
+	shardPrefix  = Prefix + "shard/"
+)
+
+// MemberKey is the leased key of an entry VM.
+func MemberKey(name string) string { return memberPrefix + name }
+
+// ShardKey is the key that names a shard's holder.
+func ShardKey(shard string) string { return shardPrefix + shard }
+
+// Member is an entry VM that is there.
+type Member struct {
+	Name        string `json:"-"`
+	Incarnation uint64 `json:"i"` // of its process
+	Domain      string `json:"d"`
+	Address     string `json:"a"` // for links of other entry VMs
+}
+
+// Holding says who holds a shard.
+type Holding struct {
+	Shard       string `json:"-"`
+	Revision    uint64 `json:"-"` // of the key; 0: nobody ever held it
+	Holder      string `json:"h"`
+	Incarnation uint64 `json:"i"`
+	Token       uint64 `json:"t"`
+}
+
+// Encode returns the value of a key in the store.
+func Encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("site: a value has no JSON form: " + err.Error())
+	}
+	return b
+}
+
+// Claim is a change of a shard's holder. It holds if the shard's key is still at
+// the revision.
+type Claim struct {
+	From Holding
+	To   Holding // without a revision
+	Why  string
+}
+
+// Settings are the times of a Site.
+type Settings struct {
+	RankStep   time.Duration // between entry VMs that may take the same shard
+	Foreign    time.Duration // additional wait of those in other failure domains
+	Settle     time.Duration // after the start, before shards of other domains are taken
+	ReturnWait time.Duration // before a shard is given back to its own domain
+	Cooldown   time.Duration // between claims of the same shard by this VM
+	Grace      time.Duration // for a key that lapsed while the link to its VM stands
+}
+
+// DefaultSettings suit links whose silence is noticed after half a second.
+func DefaultSettings() Settings {
+	return Settings{
+		RankStep:   150 * time.Millisecond,
+		Foreign:    250 * time.Millisecond,
+		Settle:     1200 * time.Millisecond,
+		ReturnWait: 1500 * time.Millisecond,
+		Cooldown:   time.Second,
+		Grace:      2 * time.Second,
+	}
+}
+
+type shardView struct {
+	holding     Holding
+	vacantSince time.Duration // 0: it has a holder that is there
+	claimedAt   time.Duration // by this VM; 0: never
+	homeSince   time.Duration // since when a VM of its own domain could have it
+}
+
+type lapsedMember struct {
+	member Member
+	at     time.Duration
+}
+
+// Site is what one entry VM knows of the site.
+type Site struct {
+	settings  Settings
+	self      Member
+	startedAt time.Duration
+	members   map[string]Member
+	lapsed    map[string]lapsedMember // whose key is gone and whose VM may still be there
+	suspected map[string]bool
+	shards    map[string]*shardView
+	leaving   bool
+}
+
+// New returns the site as seen by self, with one shard for each failure domain.
+func New(s Settings, self Member, domains []string, now time.Duration) *Site {
+	site := &Site{
+		settings:  s,
+		self:      self,
+		startedAt: now,
+		members:   map[string]Member{},
+		lapsed:    map[string]lapsedMember{},
+		suspected: map[string]bool{},
+		shards:    map[string]*shardView{},
+	}
+	for _, d := range domains {
+		site.shards[d] = &shardView{holding: Holding{Shard: d}}
+	}
+	return site
+}
+
+// DecodeError says that a key of the site cannot be read.
+type DecodeError struct {
+	Key string
+	Err error
+}
+
+func (e *DecodeError) Error() string { return fmt.Sprintf("key %s: %v", e.Key, e.Err) }
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// Apply takes a key of the site as it stands in the store.
+func (s *Site) Apply(now time.Duration, e store.Event) error {
+	if name, is := strings.CutPrefix(e.Key, memberPrefix); is {
+		return s.applyMember(now, name, e)
+	}
+	if shard, is := strings.CutPrefix(e.Key, shardPrefix); is {
+		return s.applyShard(shard, e)
+	}
+	return nil
+}
+
+func (s *Site) applyMember(now time.Duration, name string, e store.Event) error {
+	if e.Deleted {
+		s.lapse(now, name)
+		return nil
+	}
+	m := Member{Name: name}
+	if err := json.Unmarshal(e.Value, &m); err != nil {
+		return &DecodeError{Key: e.Key, Err: err}
+	}
+	if s.members[name].Incarnation != m.Incarnation {
+		delete(s.suspected, name)
+	}
+	s.members[name] = m
+	delete(s.lapsed, name)
+	return nil
+}
+
+// lapse notes that a member's key is gone. Keys lapse while the store is out or
+// turns their VMs away; a VM whose link stands is given time to write it again.
+func (s *Site) lapse(now time.Duration, name string) {
+	m, there := s.members[name]
+	if !there {
+		return
+	}
+	delete(s.members, name)
+	s.lapsed[name] = lapsedMember{member: m, at: now}
+}
+
+func (s *Site) applyShard(shard string, e store.Event) error {
+	v, known := s.shards[shard]
+	if !known || e.Deleted || e.Revision <= v.holding.Revision {
+		return nil
+	}
+	h := Holding{Shard: shard, Revision: e.Revision}
+	if err := json.Unmarshal(e.Value, &h); err != nil {
+		return &DecodeError{Key: e.Key, Err: err}
+	}
+	v.holding = h
+	v.vacantSince = 0
+	return nil
+}
+
+// Reset takes the whole of the site's keys in place of all that was known.
+func (s *Site) Reset(now time.Duration, items []store.Item) error {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = true
+	}
+	for _, m := range s.Members() {
+		if !present[MemberKey(m.Name)] {
+			s.lapse(now, m.Name)
+		}
+	}
+	for _, it := range items {
+		if err := s.Apply(now, store.Event{Item: it}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Suspect says whether the link to an entry VM is lost.
+func (s *Site) Suspect(name string, lost bool) {
+	if lost {
+		s.suspected[name] = true
+		return
+	}
+	delete(s.suspected, name)
+}
+
+// Leave says that this VM is about to stop: it claims nothing more.
+func (s *Site) Leave() { s.leaving = true }
+
+// Members returns the entry VMs whose keys are there, by name.
+func (s *Site) Members() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Links returns the entry VMs to keep links to: the members, and those whose key
+// has lapsed lately.
+func (s *Site) Links(now time.Duration) []Member {
+	out := s.Members()
+	for name, l := range s.lapsed {
+		if now-l.at < 2*s.settings.Grace {
+			out = append(out, l.member)
+		} else {
+			delete(s.lapsed, name)
+			delete(s.suspected, name)
+		}
+	}
+	return slices.DeleteFunc(out, func(m Member) bool { return m.Name == s.self.Name })
+}
+
+// Holding returns who holds a shard.
+func (s *Site) Holding(shard string) Holding {
+	if v, known := s.shards[shard]; known {
+		return v.holding
+	}
+	return Holding{Shard: shard}
+}
+
+// Holdings returns the holder of each shard, by the shard's name.
+func (s *Site) Holdings() []Holding {
+	out := make([]Holding, 0, len(s.shards))
+	for _, v := range s.shards {
+		out = append(out, v.holding)
+	}
+	slices.SortFunc(out, func(a, b Holding) int { return strings.Compare(a.Shard, b.Shard) })
+	return out
+}
+
+// Mine reports whether a holding is this process's.
+func (s *Site) Mine(h Holding) bool {
+	return h.Holder == s.self.Name && h.Incarnation == s.self.Incarnation
+}
+
+// Gone reports whether the process that holds a shard has certainly ended: its VM
+// has started another one.
+func (s *Site) Gone(h Holding) bool {
+	if h.Holder == s.self.Name {
+		return h.Incarnation != s.self.Incarnation
+	}
+	m, there := s.members[h.Holder]
+	return there && m.Incarnation != h.Incarnation
+}
+
+// Decide returns the claims that are due.
+func (s *Site) Decide(now time.Duration) []Claim {
+	if s.leaving {
+		return nil
+	}
+	var out []Claim
+	for _, h := range s.Holdings() {
+		v := s.shards[h.Shard]
+		var c Claim
+		var due bool
+		if s.Mine(h) {
+			c, due = s.giveBack(now, v)
+		} else {
+			c, due = s.takeOver(now, v)
+		}
+		if due {
+			v.claimedAt = now
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// takeOver claims a shard whose holder is not there, when it is this VM's turn.
+func (s *Site) takeOver(now time.Duration, v *shardView) (Claim, bool) {
+	why, vacant := s.vacant(now, v.holding)
+	if !vacant {
+		v.vacantSince = 0
+		return Claim{}, false
+	}
+	if v.vacantSince == 0 {
+		v.vacantSince = now
+	}
+	if v.claimedAt > 0 && now-v.claimedAt < s.settings.Cooldown {
+		return Claim{}, false
+	}
+	rank := slices.Index(s.ranking(v.holding.Shard, v.holding.Holder), s.self.Name)
+	if rank < 0 {
+		return Claim{}, false
+	}
+	wait := time.Duration(rank) * s.settings.RankStep
+	if s.self.Domain != v.holding.Shard {
+		wait += s.settings.Foreign
+		if now-s.startedAt < s.settings.Settle {
+			return Claim{}, false
+		}
+	}
+	if now-v.vacantSince < wait {
+		return Claim{}, false
+	}
+	return s.claim(v.holding, s.self, why), true
+}
+
+func (s *Site) vacant(now time.Duration, h Holding) (why string, vacant bool) {
+	if h.Holder == "" {
+		return "nobody holds it", true
+	}
+	m, there := s.members[h.Holder]
+	switch {
+	case s.Gone(h):
+		return "its holder has started again", true
+	case !there && s.inGrace(now, h):
+		return "", false
+	case !there:
+		return "its holder's key has lapsed", true
+	case s.suspected[m.Name]:
+		return "the link to its holder is lost", true
+	default:
+		return "", false
+	}
+}
+
+func (s *Site) inGrace(now time.Duration, h Holding) bool {
+	l, known := s.lapsed[h.Holder]
+	return known && l.member.Incarnation == h.Incarnation && !s.suspected[h.Holder] && now-l.at < s.settings.Grace
+}
+
+// giveBack hands a shard of another domain to a VM of that domain, once one has
+// been there for a while.
+func (s *Site) giveBack(now time.Duration, v *shardView) (Claim, bool) {
+	heir, found := s.heir(v.holding.Shard)
+	if s.self.Domain == v.holding.Shard || !found || heir.Domain != v.holding.Shard {
+		v.homeSince = 0
+		return Claim{}, false
+	}
+	if v.homeSince == 0 {
+		v.homeSince = now
+	}
+	if now-v.homeSince < s.settings.ReturnWait || now-v.claimedAt < s.settings.Cooldown {
+		return Claim{}, false
+	}
+	return s.claim(v.holding, heir, "a VM of its own domain is there"), true
+}
+
+// heir is who should hold a shard if this VM does not.
+func (s *Site) heir(shard string) (Member, bool) {
+	order := s.ranking(shard, s.self.Name)
+	if len(order) == 0 {
+		return Member{}, false
+	}
+	return s.members[order[0]], true
+}
+
+// HandOver returns the claims that give all shards of this VM to others.
+func (s *Site) HandOver() []Claim {
+	var out []Claim
+	for _, h := range s.Holdings() {
+		if !s.Mine(h) {
+			continue
+		}
+		if heir, found := s.heir(h.Shard); found {
+			out = append(out, s.claim(h, heir, "its holder stops"))
+		}
+	}
+	return out
+}
+
+func (s *Site) claim(from Holding, to Member, why string) Claim {
+	return Claim{
+		From: from,
+		To: Holding{
+			Shard:       from.Shard,
+			Holder:      to.Name,
+			Incarnation: to.Incarnation,
+			Token:       from.Token + 1,
+		},
+		Why: why,
+	}
+}
+
+// ranking orders the entry VMs that may hold a shard: those of its own failure
+// domain first, then by rendezvous hashing. A VM that is suspected, or the one
+// excepted, is left out.
+func (s *Site) ranking(shard, except string) []string {
+	var out []Member
+	for _, m := range s.members {
+		if m.Name != except && !s.suspected[m.Name] {
+			out = append(out, m)
+		}
+	}
+	if except == s.self.Name {
+		// This VM may have started again: then it is the holder that is gone.
+		if h := s.Holding(shard); !s.Mine(h) && h.Holder == s.self.Name {
+			out = append(out, s.self)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return compare(shard, a, b) })
+	names := make([]string, len(out))
+	for i := range out {
+		names[i] = out[i].Name
+	}
+	return names
+}
+
+func compare(shard string, a, b Member) int {
+	if own := (a.Domain == shard); own != (b.Domain == shard) {
+		if own {
+			return -1
+		}
+		return 1
+	}
+	sa, sb := score(shard, a.Name), score(shard, b.Name)
+	switch {
+	case sa > sb:
+		return -1
+	case sa < sb:
+		return 1
+	default:
+		return strings.Compare(a.Name, b.Name)
+	}
+}
+
+func score(shard, name string) uint64 { return xxhash.Sum64String(shard + "\x00" + name) }
--- /dev/null
+++ b/internal/kept/submission/submission.go
@@ -0,0 +1,169 @@
+// Package submission holds what a caller hands in to be kept, and the record of
+// it in the store.
+package submission
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ID identifies a submission. The caller chooses it; submitting under it again
+// is the same submission.
+type ID string
+
+// State is how far a submission is.
+type State uint8
+
+// The states of a submission. The last three are final.
+const (
+	Unknown State = iota
+	Queued
+	Running
+	Done
+	Failed
+	Cancelled
+)
+
+var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Final reports whether nothing of the submission runs or will run.
+func (s State) Final() bool { return s >= Done }
+
+// ParseState reads the name of a state; ok is false for any other text.
+func ParseState(name string) (s State, ok bool) {
+	for i, n := range stateNames {
+		if n == name {
+			return State(i), true
+		}
+	}
+	return Unknown, false
+}
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count         int           `json:"n"`
+	CPUMilli      int64         `json:"c,omitempty"` // of each task, in thousandths of a core
+	MemMB         int64         `json:"m,omitempty"`
+	GPU           int64         `json:"g,omitempty"`
+	Estimate      time.Duration `json:"e,omitempty"` // of one task; the caller's, often far off
+	After         []int         `json:"a,omitempty"` // steps whose tasks must all be done first
+	Checkpointing bool          `json:"k,omitempty"`
+	Label         string        `json:"l,omitempty"` // that the worker must have
+	DataRack      string        `json:"d,omitempty"` // rack with the data; elsewhere a task takes longer
+	MaxPerWorker  int           `json:"p,omitempty"` // 0: any number on one worker
+}
+
+// Terms are the queue's rules at the time of the submission. They are kept with
+// it, as the queue may be removed from the configuration before it ends.
+type Terms struct {
+	Service  string        `json:"s"`           // whose workers run it
+	Priority int           `json:"p,omitempty"` // 0 comes first
+	Attempts int           `json:"a"`           // runs of a task that may fail before the submission has failed
+	Stretch  float64       `json:"x"`           // objective: Stretch times the longest chain, plus Target
+	Target   time.Duration `json:"t"`
+}
+
+// Progress is what has been stored of an unfinished submission's runs.
+type Progress struct {
+	Done   []Task       `json:"d,omitempty"` // tasks that have ended well
+	Failed map[Task]int `json:"f,omitempty"` // failed runs of the others
+}
+
+// Record is a submission as the store keeps it.
+type Record struct {
+	ID       ID       `json:"-"` // the key
+	Queue    string   `json:"q"`
+	Spec     string   `json:"b"` // opaque to the system
+	Steps    []Step   `json:"s"`
+	Terms    Terms    `json:"t"`
+	Shard    string   `json:"h"` // the shard whose workers may run its tasks
+	Token    uint64   `json:"k"` // the shard's token when this was stored
+	Home     string   `json:"v"` // the entry VM that took it
+	Progress Progress `json:"p,omitzero"`
+}
+
+// Tasks is the number of tasks of all steps.
+func (r *Record) Tasks() int {
+	n := 0
+	for _, s := range r.Steps {
+		n += s.Count
+	}
+	return n
+}
+
+// Encode returns the value of a record in the store.
+func (r *Record) Encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic("submission: a record has no JSON form: " + err.Error())
+	}
+	return b
+}
+
+// DecodeError says that a stored record cannot be read.
+type DecodeError struct {
+	ID  ID
+	Err error
+}
+
+func (e *DecodeError) Error() string { return fmt.Sprintf("record of submission %s: %v", e.ID, e.Err) }
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// DecodeRecord reads a record from its value in the store.
+func DecodeRecord(id ID, value []byte) (*Record, error) {
+	r := &Record{ID: id}
+	if err := json.Unmarshal(value, r); err != nil {
+		return nil, &DecodeError{ID: id, Err: err}
+	}
+	return r, nil
+}
+
+// Task names one task of a submission.
+type Task struct {
+	Step, Index int
+}
+
+// MarshalText makes tasks keys of JSON objects: "step.index".
+func (t Task) MarshalText() ([]byte, error) {
+	b := strconv.AppendInt(nil, int64(t.Step), 10)
+	b = append(b, '.')
+	return strconv.AppendInt(b, int64(t.Index), 10), nil
+}
+
+// UnmarshalText reads "step.index".
+func (t *Task) UnmarshalText(text []byte) error {
+	step, index, ok := strings.Cut(string(text), ".")
+	if !ok {
+		return fmt.Errorf("task %q is not step.index", text)
+	}
+	var err error
+	if t.Step, err = strconv.Atoi(step); err != nil {
+		return err
+	}
+	t.Index, err = strconv.Atoi(index)
+	return err
+}
+
+// TaskRef names a task within the site.
+type TaskRef struct {
+	ID ID
+	Task
+}
+
+// Keys of submissions in the store. Unfinished and final ones lie apart, so that
+// an entry VM that starts reads the unfinished ones only.
+const (
+	OpenPrefix  = "pumiceyard/open/"
+	FinalPrefix = "pumiceyard/final/"
+)
+
+// OpenKey is the key of an unfinished submission's record.
+func OpenKey(id ID) string { return OpenPrefix + string(id) }
+
+// FinalKey is the key of an ended submission's state.
+func FinalKey(id ID) string { return FinalPrefix + string(id) }
--- /dev/null
+++ b/internal/kept/vm/callers.go
@@ -0,0 +1,101 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Kind is what became of a request to take a submission.
+type Kind uint8
+
+// The answers to a submission.
+const (
+	Taken  Kind = iota // it is stored and will end
+	Busy               // it has not run and will not
+	Unsure             // it may have been stored
+)
+
+// Outcome is the answer to a submission.
+type Outcome struct {
+	Kind       Kind
+	RetryAfter time.Duration // if busy: when to come back
+	Why        string
+}
+
+// ErrUnavailable says that neither a peer nor the store could be asked.
+var ErrUnavailable = errors.New("kept: the state cannot be read now")
+
+// StateAnswer is the state of a submission; Unknown: there is none such.
+type StateAnswer struct {
+	State submission.State
+	Err   error
+}
+
+// CancelAnswer is the final state of a submission that was to be cancelled.
+type CancelAnswer struct {
+	State submission.State
+	Err   error
+}
+
+// Submit takes a submission, or says why not. It returns within ctx.
+func (v *VM) Submit(ctx context.Context, r *submission.Record) Outcome {
+	if v.stopping.Load() {
+		return Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "this entry VM stops"}
+	}
+	reply := make(chan Outcome, 1)
+	if !v.post(submitEvent{record: r, reply: reply}) {
+		return Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "this entry VM is overloaded"}
+	}
+	select {
+	case o := <-reply:
+		return o
+	case <-ctx.Done():
+		return Outcome{Kind: Unsure, Why: "no answer in time"}
+	}
+}
+
+// State returns how far a submission is.
+func (v *VM) State(ctx context.Context, id submission.ID) (submission.State, error) {
+	reply := make(chan StateAnswer, 1)
+	if !v.post(stateEvent{id: id, reply: reply}) {
+		return submission.Unknown, ErrUnavailable
+	}
+	select {
+	case a := <-reply:
+		return a.State, a.Err
+	case <-ctx.Done():
+		return submission.Unknown, ErrUnavailable
+	}
+}
+
+// Cancel ends a submission and returns its final state.
+func (v *VM) Cancel(ctx context.Context, id submission.ID) (submission.State, error) {
+	reply := make(chan CancelAnswer, 1)
+	if !v.post(cancelEvent{id: id, reply: reply}) {
+		return submission.Unknown, ErrUnavailable
+	}
+	select {
+	case a := <-reply:
+		return a.State, a.Err
+	case <-ctx.Done():
+		return submission.Unknown, ErrUnavailable
+	}
+}
+
+// Waiting is the number of a queue's submissions of which nothing has begun. It
+// may be some hundred milliseconds old.
+func (v *VM) Waiting(ctx context.Context, queue string) (int, error) {
+	reply := make(chan int, 1)
+	if !v.post(waitingEvent{queue: queue, reply: reply}) {
+		return 0, ErrUnavailable
+	}
+	select {
+	case n := <-reply:
+		return n, nil
+	case <-ctx.Done():
+		return 0, ErrUnavailable
+	}
+}
--- /dev/null
+++ b/internal/kept/vm/engine.go
@@ -0,0 +1,229 @@
+package vm
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Times of the engine.
+const (
+	// A holder that the store has not confirmed for so long stops extending leases:
+	// it may have been replaced without knowing. Outages of the store are shorter.
+	authorityFor = 7 * time.Second
+	// A new holder waits so long, from its claim, for runs that no worker lists,
+	// unless the earlier holder's process has certainly ended. A watch may be a
+	// second behind.
+	authorityOver = authorityFor + 2*time.Second
+	rescanEvery   = time.Second // for records whose holder was not told of them
+	loadEvery     = 300 * time.Millisecond
+	loadAtMost    = 30 * time.Millisecond  // between messages about a changed load
+	loadFresh     = time.Second            // an older word of a shard's load counts for nothing
+	askAgain      = 700 * time.Millisecond // a holder that has not told of a submission for so long is asked
+	homeFor       = 150 * time.Second      // ended submissions are remembered; callers ask for 120 s
+	pruneEvery    = 5 * time.Second
+)
+
+// held is a shard that this VM holds.
+type held struct {
+	core      *shard.Shard
+	holding   site.Holding
+	hands     map[string]*hand
+	cancel    context.CancelFunc
+	ctx       context.Context
+	extend    atomic.Bool
+	confirmed time.Duration // when the store was asked last that confirmed the holding
+	scanning  bool
+	scannedAt time.Duration
+	loadAt    time.Duration
+	load      shard.Load
+}
+
+// loadView is what is known of a shard's load.
+type loadView struct {
+	shard.Load
+	token uint64
+	at    time.Duration
+	sent  int64 // processor of submissions sent since, thousandths of a core
+}
+
+// engine owns the state of an entry VM.
+type engine struct {
+	vm       *VM
+	ctx      context.Context
+	at       time.Duration // of this round
+	site     *site.Site
+	shards   map[string]*held
+	homes    map[submission.ID]*home
+	links    map[string]*link.Link
+	up       map[string]bool // peers whose link stands
+	loads    map[string]*loadView
+	workers  []worker.Info
+	claiming map[string]bool
+	frames   map[string]*pb.KeptFrame // to be sent at the end of this round
+	prunedAt time.Duration
+	draining chan struct{}
+}
+
+func newEngine(ctx context.Context, v *VM) *engine {
+	c := v.config
+	self := site.Member{Name: c.Name, Incarnation: c.Incarnation, Domain: c.Domain, Address: c.PeerAddress}
+	return &engine{
+		vm:       v,
+		ctx:      ctx,
+		site:     site.New(site.DefaultSettings(), self, c.Domains, v.now()),
+		shards:   make(map[string]*held),
+		homes:    make(map[submission.ID]*home),
+		links:    make(map[string]*link.Link),
+		up:       make(map[string]bool),
+		loads:    make(map[string]*loadView),
+		claiming: make(map[string]bool),
+		frames:   make(map[string]*pb.KeptFrame),
+	}
+}
+
+// round takes all waiting events, decides, and sends one frame to each peer that
+// there is something to say to.
+func (e *engine) round(time.Time) {
+	e.at = e.vm.now()
+	for _, ev := range e.vm.events.Drain() {
+		ev.apply(e)
+	}
+	e.claimShards()
+	for name, h := range e.shards {
+		e.drive(name, h)
+	}
+	e.askForStates()
+	e.finishDrain()
+	e.tellLoads()
+	e.prune()
+	e.flush()
+	e.vm.ready.Store(e.ableToServe())
+}
+
+// drive runs a shard that this VM holds.
+func (e *engine) drive(name string, h *held) {
+	h.extend.Store(e.at-h.confirmed < authorityFor)
+	if e.at-h.scannedAt >= rescanEvery && !h.scanning {
+		e.scan(name, h)
+	}
+	h.core.Tick(e.at)
+	e.carryOut(name, h, h.core.Take())
+}
+
+// carryOut does what a shard has decided.
+func (e *engine) carryOut(name string, h *held, a shard.Actions) {
+	for _, s := range a.Seen {
+		if hd := h.hands[s.Worker]; hd != nil {
+			hd.seen.Store(s.Seen)
+		}
+	}
+	for _, s := range a.Starts {
+		e.order(h, s.Worker.ID, func(hd *hand) {
+			hd.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
+		})
+		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
+			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited)
+	}
+	for _, s := range a.Stops {
+		e.order(h, s.Worker.ID, func(hd *hand) {
+			hd.stop(h.ctx, worker.Stop{Task: s.Task, Run: s.Run})
+		})
+		klog.InfoS("kept: stop", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
+			"worker", s.Worker.ID, "shard", name, "why", s.Why)
+	}
+	for _, id := range a.Looks {
+		e.order(h, id, func(hd *hand) { hd.look(h.ctx) })
+	}
+	for _, f := range a.Finals {
+		e.storeFinal(name, h, f)
+	}
+	for _, s := range a.Saves {
+		e.storeProgress(name, h, s)
+	}
+	for _, s := range a.States {
+		e.tellState(s.ID, s.Home, s.State)
+	}
+}
+
+// order gives a worker an order on a goroutine of its own, as it may hang.
+func (e *engine) order(h *held, id string, give func(*hand)) {
+	hd := h.hands[id]
+	if hd == nil {
+		klog.InfoS("kept: an order for a worker that is not held", "worker", id)
+		return
+	}
+	e.vm.duty(func() { give(hd) })
+}
+
+// ableToServe reports whether a submission could be taken now.
+func (e *engine) ableToServe() bool {
+	if e.vm.Catalog() == nil || e.vm.router.Down() {
+		return false
+	}
+	for name := range e.loads {
+		if e.reachable(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// reachable reports whether the holder of a shard can be told of submissions.
+func (e *engine) reachable(name string) bool {
+	h := e.site.Holding(name)
+	l := e.loads[name]
+	if h.Revision == 0 || l == nil || l.token != h.Token || !l.Ready || e.at-l.at > loadFresh {
+		return false
+	}
+	return e.site.Mine(h) || e.up[h.Holder]
+}
+
+// finishDrain tells the one who waits that all shards are given up.
+func (e *engine) finishDrain() {
+	if e.draining != nil && len(e.shards) == 0 {
+		close(e.draining)
+		e.draining = nil
+	}
+}
+
+// frame is what will be sent to a peer at the end of the round.
+func (e *engine) frame(peer string) *pb.KeptFrame {
+	f := e.frames[peer]
+	if f == nil {
+		f = &pb.KeptFrame{}
+		e.frames[peer] = f
+	}
+	return f
+}
+
+func (e *engine) flush() {
+	for peer, f := range e.frames {
+		if l := e.links[peer]; l != nil && !l.Send(f) {
+			klog.InfoS("kept: a frame was dropped, too many wait", "peer", peer)
+		}
+	}
+	clear(e.frames)
+}
+
+// prune forgets submissions that ended long ago.
+func (e *engine) prune() {
+	if e.at-e.prunedAt < pruneEvery {
+		return
+	}
+	e.prunedAt = e.at
+	for id, h := range e.homes {
+		if h.state.Final() && e.at-h.changed > homeFor {
+			delete(e.homes, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kept/vm/events.go
@@ -0,0 +1,115 @@
+package vm
+
+import (
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// event is something that the engine takes from its ring.
+type event interface{ apply(*engine) }
+
+// From callers.
+type (
+	submitEvent struct {
+		record *submission.Record
+		reply  chan Outcome // buffered
+	}
+	stateEvent struct {
+		id    submission.ID
+		reply chan StateAnswer // buffered
+	}
+	cancelEvent struct {
+		id    submission.ID
+		reply chan CancelAnswer // buffered
+	}
+	waitingEvent struct {
+		queue string
+		reply chan int // buffered
+	}
+	drainEvent struct{ done chan struct{} }
+)
+
+// From the store.
+type (
+	siteEvent struct {
+		sent   time.Duration // when the call left
+		whole  bool
+		items  []store.Item
+		events []store.Event
+	}
+	workersEvent struct{ list []worker.Info }
+	createdEvent struct {
+		record *submission.Record
+		result journal.Result
+	}
+	finalEvent struct {
+		shard, id string
+		token     uint64
+		state     submission.State
+		result    journal.Result
+	}
+	savedEvent struct {
+		shard, id string
+		token     uint64
+		result    journal.Result
+	}
+	claimedEvent struct {
+		claim    site.Claim
+		revision uint64
+		err      error
+	}
+	scannedEvent struct {
+		shard   string
+		token   uint64
+		records []shard.Stored
+	}
+	lookedUpEvent struct {
+		id     submission.ID
+		found  lookup
+		failed error
+	}
+)
+
+// From peers.
+type (
+	peerUpEvent struct {
+		name        string
+		incarnation uint64
+	}
+	peerLostEvent struct{ name, why string }
+	frameEvent    struct {
+		from  string
+		frame *pb.KeptFrame
+	}
+)
+
+// From workers.
+type (
+	listingEvent struct {
+		hand    *hand
+		sent    time.Duration
+		listing worker.Listing
+	}
+	fencedEvent     struct{ hand *hand }
+	goneEvent       struct{ hand *hand }
+	lapsedEvent     struct{ hand *hand }
+	startReplyEvent struct {
+		hand  *hand
+		task  submission.TaskRef
+		run   uint64
+		reply worker.Reply
+	}
+	stopReplyEvent struct {
+		hand  *hand
+		task  submission.TaskRef
+		run   uint64
+		reply worker.Reply
+	}
+)
--- /dev/null
+++ b/internal/kept/vm/hand.go
@@ -0,0 +1,179 @@
+package vm
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Times of the talk with a worker.
+const (
+	// Renewals of a lease of a second: two of them may get lost before it is over.
+	holdWait    = 250 * time.Millisecond
+	holdWithin  = 150 * time.Millisecond // for the answer, beyond the wait
+	holdPause   = 30 * time.Millisecond  // after one without an answer
+	holdBetween = 4 * time.Millisecond   // of holds that come back at once
+	orderWithin = 150 * time.Millisecond // a sound worker answers an order in a millisecond
+	startVoid   = 700 * time.Millisecond // on the worker's clock: a start that comes later is refused
+	clockDrift  = 0.02                   // most by which a worker's clock is slow
+)
+
+// hand holds one worker for as long as its shard is held.
+type hand struct {
+	vm     *VM
+	shard  string
+	info   atomic.Pointer[worker.Info]
+	token  uint64
+	seen   atomic.Uint64
+	extend *atomic.Bool // whether leases may be extended
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	clock    time.Duration // the worker's, at the time below; 0: it never answered
+	clockAt  time.Duration // when the call left that brought it
+	readAt   time.Duration // when its answer came
+	deadline time.Duration // highest that was sent, on the worker's clock
+}
+
+func startHand(ctx context.Context, v *VM, shard string, info worker.Info, token uint64, extend *atomic.Bool) *hand {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hand{vm: v, shard: shard, token: token, extend: extend, cancel: cancel}
+	h.info.Store(&info)
+	v.duty(func() { h.run(ctx) })
+	return h
+}
+
+// run renews the worker's lease and brings its ends, until ctx ends or another
+// incarnation answers.
+func (h *hand) run(ctx context.Context) {
+	lapsed := false
+	for ctx.Err() == nil {
+		sent := h.vm.now()
+		listing, reply := h.hold(ctx, holdWait)
+		if ctx.Err() != nil {
+			return
+		}
+		switch reply.Verdict {
+		case worker.Accepted:
+			lapsed = false
+			h.vm.post(listingEvent{hand: h, sent: sent, listing: listing})
+			if h.vm.now()-sent < holdBetween {
+				sleep(ctx, holdBetween)
+			}
+			continue
+		case worker.Fenced:
+			h.vm.post(fencedEvent{hand: h})
+			sleep(ctx, 4*holdPause)
+			continue
+		case worker.Gone:
+			h.vm.post(goneEvent{hand: h})
+			return
+		}
+		if over, certain := h.leaseOver(h.vm.now()); certain && over && !lapsed {
+			lapsed = true
+			h.vm.post(lapsedEvent{hand: h})
+		}
+		sleep(ctx, holdPause)
+	}
+}
+
+// look asks for a listing at once.
+func (h *hand) look(ctx context.Context) {
+	sent := h.vm.now()
+	listing, reply := h.hold(ctx, 0)
+	if reply.Verdict == worker.Accepted {
+		h.vm.post(listingEvent{hand: h, sent: sent, listing: listing})
+	}
+}
+
+func (h *hand) hold(ctx context.Context, wait time.Duration) (worker.Listing, worker.Reply) {
+	order := worker.Hold{Token: h.token, Seen: h.seen.Load(), Wait: wait}
+	sent := h.vm.now()
+	if now, known := h.workerClock(sent); known && h.extend.Load() {
+		order.Deadline = now + h.vm.config.LeaseMost
+		h.sentDeadline(order.Deadline)
+	} else {
+		order.Wait = 0 // the first call learns the worker's clock
+	}
+	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdWithin)
+	defer cancel()
+	listing, reply := h.vm.config.Orders.Hold(ctx, *h.info.Load(), order)
+	h.learn(sent, reply)
+	return listing, reply
+}
+
+// workerClock is the highest that the worker's clock can show.
+func (h *hand) workerClock(now time.Duration) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.clock == 0 {
+		return 0, false
+	}
+	return h.clock + now - h.clockAt, true
+}
+
+func (h *hand) sentDeadline(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deadline = max(h.deadline, d)
+}
+
+func (h *hand) learn(sent time.Duration, r worker.Reply) {
+	if r.Clock == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.Clock > h.clock {
+		h.clock = r.Clock
+		h.clockAt = sent
+		h.readAt = h.vm.now()
+	}
+}
+
+// leaseOver reports whether the worker's lease has run out for certain, though its
+// clock may be slow. It is not certain at all if the worker never answered.
+func (h *hand) leaseOver(now time.Duration) (over, certain bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.clock == 0 {
+		return false, false
+	}
+	least := h.clock + time.Duration(float64(now-h.readAt)*(1-clockDrift))
+	return least > h.deadline, true
+}
+
+// startDeadline is until when the worker may carry out a start that leaves now.
+func (h *hand) startDeadline() time.Duration {
+	now, known := h.workerClock(h.vm.now())
+	if !known {
+		return 0
+	}
+	d := now + startVoid
+	h.sentDeadline(d)
+	return d
+}
+
+func (h *hand) start(ctx context.Context, s worker.Start) {
+	s.Token = h.token
+	s.Deadline = h.startDeadline()
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	sent := h.vm.now()
+	r := h.vm.config.Orders.Start(ctx, *h.info.Load(), s)
+	h.learn(sent, r)
+	h.vm.post(startReplyEvent{hand: h, task: s.Task, run: s.Run, reply: r})
+}
+
+func (h *hand) stop(ctx context.Context, s worker.Stop) {
+	s.Token = h.token
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	sent := h.vm.now()
+	r := h.vm.config.Orders.Stop(ctx, *h.info.Load(), s)
+	h.learn(sent, r)
+	h.vm.post(stopReplyEvent{hand: h, task: s.Task, run: s.Run, reply: r})
+}
--- /dev/null
+++ b/internal/kept/vm/peers.go
@@ -0,0 +1,130 @@
+package vm
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// PeerUp, PeerLost and Frame implement link.Events.
+
+// PeerUp says that a link stands.
+func (e *engine) PeerUp(name string, incarnation uint64) {
+	e.vm.post(peerUpEvent{name: name, incarnation: incarnation})
+}
+
+// PeerLost says that a link could not be had back.
+func (e *engine) PeerLost(name, why string) { e.vm.post(peerLostEvent{name: name, why: why}) }
+
+// Frame takes what a peer says.
+func (e *engine) Frame(from string, f *pb.KeptFrame) {
+	for _, r := range f.Replies {
+		e.vm.calls.reply(r)
+	}
+	e.vm.calls.setReach(from, f.ReachesStore)
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls) > 0 {
+		e.vm.post(frameEvent{from: from, frame: f})
+	}
+}
+
+// followMembers opens and closes links as VMs come and go.
+func (e *engine) followMembers() {
+	wanted := make(map[string]string)
+	for _, m := range e.site.Links(e.at) {
+		wanted[m.Name] = m.Address
+	}
+	for name, l := range e.links {
+		if address, still := wanted[name]; still && address == l.Address() {
+			continue
+		}
+		go l.Close()
+		delete(e.links, name)
+		delete(e.up, name)
+		e.vm.calls.set(name, nil)
+	}
+	for name, address := range wanted {
+		if e.links[name] != nil {
+			continue
+		}
+		settings := link.DefaultSettings()
+		settings.Now = e.vm.now
+		settings.ReachesStore = e.vm.router.ReachesStore
+		l := link.Open(settings, e.vm.beat(), name, address, e.vm.config.PeerDial, e)
+		e.links[name] = l
+		e.vm.calls.set(name, l)
+	}
+}
+
+func (ev peerUpEvent) apply(e *engine) {
+	if !e.up[ev.name] {
+		klog.InfoS("kept: peer reached", "peer", ev.name, "incarnation", ev.incarnation)
+	}
+	e.up[ev.name] = true
+	e.site.Suspect(ev.name, false)
+	for _, h := range e.shards {
+		h.loadAt = e.at - loadEvery // the peer may have missed the last word
+	}
+}
+
+func (ev peerLostEvent) apply(e *engine) {
+	if e.up[ev.name] {
+		klog.InfoS("kept: peer lost", "peer", ev.name, "why", ev.why)
+	}
+	e.up[ev.name] = false
+	e.site.Suspect(ev.name, true)
+	e.vm.calls.setReach(ev.name, false)
+}
+
+func (ev frameEvent) apply(e *engine) {
+	f := ev.frame
+	for _, a := range f.Assign {
+		e.takeAssigned(ev.from, a)
+	}
+	for _, s := range f.States {
+		e.learnState(submission.ID(s.Id), submission.State(s.State))
+	}
+	for _, id := range f.Queries {
+		e.takeQuery(ev.from, id)
+	}
+	for _, id := range f.Cancelled {
+		e.learnState(submission.ID(id), submission.Cancelled)
+		e.stopCancelled(submission.ID(id))
+	}
+	for _, l := range f.Loads {
+		e.takeLoad(l.Shard, l.Token, loadOf(l))
+	}
+	for _, c := range f.Calls {
+		e.relay(ev.from, c)
+	}
+}
+
+// relay makes a call of the store for a peer.
+func (e *engine) relay(from string, c *pb.KeptCall) {
+	l := e.links[from]
+	if l == nil {
+		return
+	}
+	e.vm.duty(func() {
+		r := e.vm.answerCall(e.ctx, c)
+		l.Send(&pb.KeptFrame{Replies: []*pb.KeptReply{r}})
+	})
+}
+
+func loadOf(l *pb.KeptLoad) shard.Load {
+	out := shard.Load{
+		Ready:     l.Ready,
+		FreeMilli: l.FreeMilli,
+		RoomMilli: l.RoomMilli,
+		Backlog:   time.Duration(l.BacklogNs),
+		Waiting:   make(map[string]int, len(l.Waiting)),
+	}
+	for q, n := range l.Waiting {
+		out.Waiting[q] = int(n)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/kept/vm/vm.go
@@ -0,0 +1,165 @@
+// Package vm is an entry VM that serves kept submissions: it joins the callers'
+// requests, the store, the links to its peers and the workers of the shards that
+// it holds.
+//
+// One goroutine, the engine, owns all state and takes typed events from a bounded
+// ring. The others are a duty each: a watch, a journal, a link, a worker's holds,
+// an order under way. They end with the VM's context.
+package vm
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/clock"
+	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
+	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
+)
+
+// Lists says where the platform keeps its lists in the store, and reads them.
+type Lists struct {
+	WorkerPrefix  string
+	DecodeWorker  func(store.Item) (worker.Info, error)
+	CatalogPrefix string
+	CatalogKey    string
+	DecodeCatalog func(store.Item) (*catalog.Catalog, error)
+}
+
+// Config is what an entry VM is made of.
+type Config struct {
+	Name        string
+	Incarnation uint64 // of this process; higher than that of any earlier one
+	Domain      string
+	Domains     []string // all failure domains of the site
+	PeerAddress string   // where peers reach this VM
+	PeerListen  net.Listener
+	PeerDial    wire.Dialer // nil: TCP
+	Direct      relay.Transport
+	Store       func(relay.Transport) store.Store // the store, over a way of making calls
+	Orders      worker.Orders
+	Lists       Lists
+	LeaseMost   time.Duration // longest lease of runs at a worker
+	Now         func() time.Duration
+}
+
+// Bounds of an entry VM.
+const (
+	ringEvents = 16384
+	tickBusy   = 40 * time.Millisecond
+)
+
+// VM is a running entry VM.
+type VM struct {
+	config Config
+	now    func() time.Duration
+	events *ring.Ring[event]
+	router *relay.Router
+	calls  *peerCalls
+	store  store.Store
+	intake *journal.Journal // new submissions
+	ends   *journal.Journal // ends and progress
+	server *link.Server
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	ready    atomic.Bool // a shard takes submissions, and so does this VM
+	stopping atomic.Bool
+
+	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
+
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// Start runs an entry VM until Stop.
+func Start(c Config) *VM {
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
+	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents)}
+	v.calls = newPeerCalls()
+	v.router = relay.New(c.Direct, v.calls, c.Now)
+	v.store = c.Store(v.router)
+	v.intake = journal.New(journal.Settings{Name: "intake", Capacity: 4096, Flights: 4}, v.store)
+	v.ends = journal.New(journal.Settings{
+		Name:     "ends",
+		Pause:    endsPause,
+		Capacity: 65536,
+		Flights:  2,
+	}, v.store)
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	e := newEngine(ctx, v)
+	v.server = link.NewServer(v.beat(), e)
+	v.duty(func() {
+		if err := v.server.Serve(c.PeerListen); err != nil {
+			klog.ErrorS(err, "kept: peers' listener ended")
+		}
+	})
+	v.duty(func() { v.intake.Run(ctx) })
+	v.duty(func() { v.ends.Run(ctx) })
+	v.duty(func() { v.keepSession(ctx) })
+	v.duty(func() { v.watchSite(ctx) })
+	v.duty(func() { v.watchWorkers(ctx) })
+	v.duty(func() { v.watchCatalog(ctx) })
+	v.duty(func() { ring.Loop(ctx, v.events, func() time.Duration { return tickBusy }, e.round) })
+	klog.InfoS("kept: started", "vm", c.Name, "incarnation", c.Incarnation, "domain", c.Domain, "address", c.PeerAddress)
+	return v
+}
+
+func (v *VM) duty(f func()) { v.duties.Go(f) }
+
+func (v *VM) beat() *pb.KeptBeat {
+	return &pb.KeptBeat{EntryVm: v.config.Name, Incarnation: v.config.Incarnation}
+}
+
+// Ready reports whether new callers should come here.
+func (v *VM) Ready() bool { return v.ready.Load() && !v.stopping.Load() }
+
+// Catalog is the configuration in force; nil before the first.
+func (v *VM) Catalog() *catalog.Catalog { return v.catalog.Load() }
+
+// Drain gives up all shards and takes no more callers. Requests under way are
+// still answered. It returns when the shards are given up, or ctx ends.
+func (v *VM) Drain(ctx context.Context) {
+	v.stopping.Store(true)
+	done := make(chan struct{})
+	if !v.post(drainEvent{done: done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Stop ends all duties.
+func (v *VM) Stop() {
+	v.cancel()
+	if err := v.server.Close(); err != nil {
+		klog.V(1).InfoS("kept: peers' listener", "why", err)
+	}
+	v.duties.Wait()
+	klog.InfoS("kept: stopped", "vm", v.config.Name)
+}
+
+// post hands an event to the engine. A full ring means that the engine cannot
+// keep up at all.
+func (v *VM) post(e event) bool {
+	if v.events.TryPush(e) {
+		return true
+	}
+	klog.InfoS("kept: event dropped, the ring is full")
+	return false
+}
--- /dev/null
+++ b/internal/kept/vm/watch.go
@@ -0,0 +1,244 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Times of watches and of the session.
+const (
+	// An operator's change must be in force within 2 s, also when a watch has gone
+	// silent: it is asked anew after this and the way's own bound.
+	catalogWait = 900 * time.Millisecond
+	workersWait = 900 * time.Millisecond // a leaving worker must be known within 2 s
+	siteWait    = 1500 * time.Millisecond
+	rangeWithin = 2 * time.Second
+	watchPause  = 100 * time.Millisecond // after a failure, growing
+	watchMost   = 600 * time.Millisecond
+	sessionTTL  = 4 * time.Second
+	sessionKeep = 1200 * time.Millisecond
+	listWithin  = 5 * time.Second // a whole list is read at least so often
+)
+
+// follower keeps a copy of the keys under a prefix.
+type follower struct {
+	vm     *VM
+	prefix string
+	wait   time.Duration
+	whole  func(sent time.Duration, items []store.Item)
+	some   func(sent time.Duration, events []store.Event)
+}
+
+// run reads the whole prefix, then its changes, and begins again when the history
+// is lost.
+func (f *follower) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		sent := f.vm.now()
+		items, rev, err := f.vm.readAll(ctx, f.prefix)
+		if err == nil {
+			f.whole(sent, items)
+			failures = 0
+			err = f.follow(ctx, rev)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("kept: a watch begins again", "prefix", f.prefix, "why", err)
+		if errors.Is(err, store.ErrCompacted) {
+			continue
+		}
+		failures++
+		sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+	}
+}
+
+func (f *follower) follow(ctx context.Context, rev uint64) error {
+	failures := 0
+	for {
+		sent := f.vm.now()
+		watchCtx, cancel := context.WithTimeout(ctx, f.wait+rangeWithin)
+		c, err := f.vm.store.Watch(watchCtx, f.prefix, rev, f.wait)
+		cancel()
+		switch {
+		case err == nil:
+			failures = 0
+			rev = max(rev, c.Revision)
+			f.some(sent, c.Events)
+		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
+			return err
+		default:
+			failures++
+			sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+		}
+	}
+}
+
+// readAll reads the keys under a prefix, page by page. The revision is that of the
+// first page: what changed while the others were read comes again as events.
+func (v *VM) readAll(ctx context.Context, prefix string) (items []store.Item, rev uint64, err error) {
+	after := ""
+	for {
+		pageCtx, cancel := context.WithTimeout(ctx, rangeWithin)
+		p, err := v.store.Range(pageCtx, prefix, after, false)
+		cancel()
+		if err != nil {
+			return nil, 0, err
+		}
+		if rev == 0 {
+			rev = p.Revision
+		}
+		items = append(items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return items, rev, nil
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (v *VM) watchSite(ctx context.Context) {
+	f := &follower{vm: v, prefix: site.Prefix, wait: siteWait}
+	f.whole = func(sent time.Duration, items []store.Item) {
+		v.post(siteEvent{sent: sent, whole: true, items: items})
+	}
+	f.some = func(sent time.Duration, events []store.Event) {
+		v.post(siteEvent{sent: sent, events: events})
+	}
+	f.run(ctx)
+}
+
+func (v *VM) watchCatalog(ctx context.Context) {
+	take := func(it store.Item) {
+		if it.Key != v.config.Lists.CatalogKey {
+			return
+		}
+		c, err := v.config.Lists.DecodeCatalog(it)
+		if err != nil {
+			klog.ErrorS(err, "kept: the configuration cannot be read; the one in force stays", "revision", it.Revision)
+			return
+		}
+		old := v.catalog.Load()
+		if old != nil && c.Version <= old.Version {
+			return
+		}
+		v.catalog.Store(c)
+		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
+	}
+	f := &follower{vm: v, prefix: v.config.Lists.CatalogPrefix, wait: catalogWait}
+	f.whole = func(_ time.Duration, items []store.Item) {
+		for _, it := range items {
+			take(it)
+		}
+	}
+	f.some = func(_ time.Duration, events []store.Event) {
+		for _, e := range events {
+			if !e.Deleted {
+				take(e.Item)
+			}
+		}
+	}
+	f.run(ctx)
+}
+
+func (v *VM) watchWorkers(ctx context.Context) {
+	list := make(map[string]worker.Info)
+	take := func(it store.Item) {
+		info, err := v.config.Lists.DecodeWorker(it)
+		if err != nil {
+			klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
+			return
+		}
+		list[it.Key] = info
+	}
+	send := func() {
+		all := make([]worker.Info, 0, len(list))
+		for _, info := range list {
+			all = append(all, info)
+		}
+		v.post(workersEvent{list: all})
+	}
+	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait}
+	f.whole = func(_ time.Duration, items []store.Item) {
+		clear(list)
+		for _, it := range items {
+			take(it)
+		}
+		send()
+	}
+	f.some = func(_ time.Duration, events []store.Event) {
+		for _, e := range events {
+			if e.Deleted {
+				delete(list, e.Key)
+			} else {
+				take(e.Item)
+			}
+		}
+		if len(events) > 0 {
+			send()
+		}
+	}
+	f.run(ctx)
+}
+
+// keepSession keeps this VM's leased key in the store.
+func (v *VM) keepSession(ctx context.Context) {
+	self := site.Member{
+		Name:        v.config.Name,
+		Incarnation: v.config.Incarnation,
+		Domain:      v.config.Domain,
+		Address:     v.config.PeerAddress,
+	}
+	failures := 0
+	for ctx.Err() == nil {
+		err := v.holdSession(ctx, self)
+		if ctx.Err() != nil {
+			return
+		}
+		klog.InfoS("kept: session lost", "vm", v.config.Name, "why", err)
+		failures++
+		sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+	}
+}
+
+// holdSession opens a session and renews it until it is lost.
+func (v *VM) holdSession(ctx context.Context, self site.Member) error {
+	lease, err := v.store.Grant(ctx, sessionTTL)
+	if err != nil {
+		return err
+	}
+	put := store.Put{Key: site.MemberKey(self.Name), Value: site.Encode(self), Lease: lease}
+	if _, err := v.store.Commit(ctx, store.Txn{Put: []store.Put{put}}); err != nil {
+		return err
+	}
+	klog.InfoS("kept: session opened", "vm", self.Name, "lease", lease)
+	for ctx.Err() == nil {
+		sleep(ctx, sessionKeep)
+		err := v.store.Keep(ctx, lease)
+		if errors.Is(err, store.ErrNoLease) {
+			return err
+		}
+		if err != nil {
+			klog.V(1).InfoS("kept: session not renewed", "why", err)
+		}
+		if v.sessionGone.Swap(false) {
+			return errKeyGone
+		}
+	}
+	return nil
+}
+
+var errKeyGone = errors.New("the key is gone though its lease stands")
--- /dev/null
+++ b/internal/kept/worker/worker.go
@@ -0,0 +1,137 @@
+// Package worker says what an entry VM and a worker tell each other: what the
+// worker is, the orders it takes and the listing of what runs there.
+package worker
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Info is what a worker says about itself in the list of workers. A worker that
+// starts again has a new ID.
+type Info struct {
+	ID       string
+	Service  string
+	Address  string
+	Domain   string // its failure domain
+	Labels   []string
+	Rack     string
+	CPUMilli int64
+	MemMB    int64
+	GPU      int64
+	Leaving  bool // takes nothing new, and stops soon
+}
+
+// HasLabel reports whether the worker carries a label; "" is carried by all.
+func (w *Info) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdict is a worker's answer to an order.
+type Verdict uint8
+
+// The answers to an order.
+const (
+	Accepted  Verdict = iota
+	Fenced            // a higher token was seen; nothing was done
+	Outrun            // a run as high was stopped or has ended there; it never starts
+	Late              // the order's deadline has passed; it never starts
+	NoRoom            // nothing was done
+	Malformed         // nothing was done, and it would fail again
+	Unwell            // nothing was done; the worker is not in order
+	Gone              // another incarnation answers at the address
+	Silent            // no answer: it may have been done, or be done later
+)
+
+var verdictNames = [...]string{"accepted", "fenced", "outrun", "late", "no room", "malformed", "unwell", "gone", "silent"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// How says how a run ended.
+type How uint8
+
+// The ends of a run.
+const (
+	Completed How = iota
+	Failed        // by its own fault or the worker's
+	Stopped       // on an order
+	Lapsed        // its lease ran out
+	Broken        // another member of its gang ended
+	Alone         // it waited too long for the rest of its gang
+)
+
+var howNames = [...]string{"completed", "failed", "stopped", "lapsed", "broken", "alone"}
+
+func (h How) String() string { return howNames[h] }
+
+// Start is the order to run a task.
+type Start struct {
+	Task       submission.TaskRef
+	Run        uint64 // numbers the task's starts
+	Spec       string
+	Checkpoint string        // to resume from; "": none
+	Token      uint64        // fencing token
+	Deadline   time.Duration // on the worker's clock; the order is void later
+}
+
+// Stop is the order to end a run.
+type Stop struct {
+	Task  submission.TaskRef
+	Run   uint64
+	Token uint64
+}
+
+// Hold extends the lease of all that runs on a worker and asks what does.
+type Hold struct {
+	Token    uint64
+	Seen     uint64        // ends up to this number need not be listed again
+	Deadline time.Duration // on the worker's clock; 0: no extension
+	Wait     time.Duration // for the next end, before it answers
+}
+
+// Running is a run under way.
+type Running struct {
+	Task       submission.TaskRef
+	Run        uint64
+	Checkpoint string
+	Percent    int // of its work
+}
+
+// Ended is a run that is over.
+type Ended struct {
+	N          uint64 // numbers the ends of this worker
+	Task       submission.TaskRef
+	Run        uint64
+	How        How
+	Checkpoint string
+}
+
+// Listing is the answer to a hold.
+type Listing struct {
+	Clock   time.Duration // the worker's, when it answered
+	Running []Running
+	Ended   []Ended
+}
+
+// Reply is the answer to an order. Clock is 0 if the worker did not say.
+type Reply struct {
+	Verdict Verdict
+	Clock   time.Duration
+}
+
+// Orders reaches workers. Calls return Silent when ctx ends first.
+type Orders interface {
+	Start(ctx context.Context, to Info, order Start) Reply
+	Stop(ctx context.Context, to Info, order Stop) Reply
+	Hold(ctx context.Context, to Info, order Hold) (Listing, Reply)
+}
