--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -212,6 +212,7 @@
 		f.Loads = append(f.Loads, w.Loads...)
 		f.Calls = append(f.Calls, w.Calls...)
 		f.Replies = append(f.Replies, w.Replies...)
+		f.Notes = append(f.Notes, w.Notes...)
 	}
 	return f
 }
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -22,7 +22,7 @@
 	fullTill time.Duration // it refused a run for want of room
 	sickTill time.Duration // it refused a run as it is not in order
 	record   trust
-	strays   map[submission.TaskRef]uint64 // runs there that nobody asked for, being stopped
+	strays   map[submission.TaskRef]strayRun
 }
 
 type endEntry struct {
@@ -32,7 +32,18 @@
 	saved  bool
 }
 
-func (e *endEntry) settled() bool { return e.job == nil || e.job.stored || e.saved }
+// settled reports whether an end may be acknowledged. That of a transient submission
+// may be at once: its home is told, and the caller waits there.
+func (e *endEntry) settled() bool {
+	return e.job == nil || e.job.stored || e.saved || e.job.rec.Transient
+}
+
+// strayRun is a run that a worker lists and whose submission is not known here.
+type strayRun struct {
+	run   uint64
+	since time.Duration
+	asked bool // a stop was sent
+}
 
 // Bounds of a worker's use.
 const (
@@ -50,7 +61,7 @@
 		present[info.ID] = true
 		h, known := s.workers[info.ID]
 		if !known {
-			h = &host{strays: make(map[submission.TaskRef]uint64)}
+			h = &host{strays: make(map[submission.TaskRef]strayRun)}
 			s.workers[info.ID] = h
 			s.replaced(now, info)
 		}
@@ -141,6 +152,7 @@
 	t.host = nil
 	t.since = now
 	s.dirty = true
+	s.reap(t.job)
 }
 
 // Listing takes a worker's answer to a hold that was sent at a time. It returns
@@ -177,8 +189,11 @@
 	h.fullTill = 0
 	delete(h.strays, e.Task)
 	j, open := s.jobs[e.Task.ID]
-	if !open || j.stored {
+	if !open {
 		h.ends = append(h.ends, endEntry{n: e.N})
+		if now-s.bornAt < resumeWithin {
+			s.orphans[e.Task.ID] = append(s.orphans[e.Task.ID], orphanEnd{host: h, end: e, at: now})
+		}
 		return
 	}
 	h.ends = append(h.ends, endEntry{n: e.N, job: j})
@@ -210,6 +225,18 @@
 	if current {
 		s.release(now, t)
 	}
+	s.note(t)
+}
+
+// note tells the home of a transient submission how far a task is.
+func (s *Shard) note(t *task) {
+	if t.job.rec.Transient && !t.job.state.Final() && (t.state == complete || t.fails > 0) {
+		fails := t.fails
+		if t.state == complete {
+			fails = 0
+		}
+		s.out.Notes = append(s.out.Notes, NoteAction{Home: t.job.rec.Home, Task: t.ref, Fails: fails})
+	}
 }
 
 func (s *Shard) completed(now time.Duration, h *host, t *task, current bool) {
@@ -224,9 +251,11 @@
 	}
 	j := t.job
 	j.complete(t)
+	s.note(t)
 	if j.left == 0 && !j.state.Final() {
-		s.end(j, submission.Done, "all tasks have completed")
+		s.end(now, j, submission.Done, "all tasks have completed")
 	}
+	s.reap(j)
 }
 
 // failedRun counts a failed run. A task whose runs have failed as often as the
@@ -246,7 +275,7 @@
 	t.avoid = h
 	h.record.failed(now, t.job)
 	if t.fails >= t.job.rec.Terms.Attempts && t.state != complete && !t.job.state.Final() {
-		s.end(t.job, submission.Failed, "a task has failed as often as its queue allows")
+		s.end(now, t.job, submission.Failed, "a task has failed as often as its queue allows")
 	}
 }
 
@@ -273,16 +302,16 @@
 func (s *Shard) found(now time.Duration, h *host, r worker.Running) {
 	j, open := s.jobs[r.Task.ID]
 	if !open {
-		s.stray(h, r)
+		s.stray(now, h, r)
 		return
 	}
 	t := j.task(r.Task.Task)
 	if t == nil || r.Run < t.run || t.state == complete {
-		s.stray(h, r)
+		s.stray(now, h, r)
 		return
 	}
 	if t.occupies() && t.host != h {
-		s.stray(h, r)
+		s.stray(now, h, r)
 		return
 	}
 	t.run = r.Run
@@ -297,13 +326,13 @@
 	case starting, unsure, astray:
 		s.nowRunning(now, h, t)
 	case over, waiting:
-		s.stray(h, r) // a late order that was carried out all the same
+		s.stray(now, h, r) // a late order that was carried out all the same
 	}
 }
 
 func (s *Shard) nowRunning(now time.Duration, h *host, t *task) {
-	if t.state == astray || t.startedAt == 0 {
-		t.startedAt = now
+	if t.state == astray {
+		t.startedAt = 0 // how long it has run is not known
 	}
 	t.state = running
 	t.host = h
@@ -319,13 +348,32 @@
 	}
 }
 
-// stray stops a run that nobody wants.
-func (s *Shard) stray(h *host, r worker.Running) {
-	if h.strays[r.Task] == r.Run {
-		return
+// stray stops a run that nobody wants. Soon after a change of the holder the run may
+// be of a transient submission whose home has not handed it over yet.
+func (s *Shard) stray(now time.Duration, h *host, r worker.Running) {
+	st, known := h.strays[r.Task]
+	if !known || st.run != r.Run {
+		st = strayRun{run: r.Run, since: now}
+	}
+	if !st.asked && now-s.bornAt >= resumeWithin {
+		st.asked = true
+		s.out.Stops = append(s.out.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Why: "no such run is wanted"})
+	}
+	h.strays[r.Task] = st
+}
+
+// resume makes the stray runs of a submission its own.
+func (h *host) resume(now time.Duration, s *Shard, j *job) {
+	for ref, st := range h.strays {
+		t := j.task(ref.Task)
+		if ref.ID != j.rec.ID || t == nil || st.asked || t.occupies() || t.state == complete {
+			continue
+		}
+		delete(h.strays, ref)
+		t.run = st.run
+		s.nowRunning(now, h, t)
+		t.startedAt = 0 // how long it has run is not known
 	}
-	h.strays[r.Task] = r.Run
-	s.out.Stops = append(s.out.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Why: "no such run is wanted"})
 }
 
 // absent takes a run that a worker does not list, in an answer to a hold sent at
@@ -377,7 +425,7 @@
 		s.release(now, t)
 	case worker.Malformed:
 		s.release(now, t)
-		s.end(t.job, submission.Failed, "a worker cannot read the task")
+		s.end(now, t.job, submission.Failed, "a worker cannot read the task")
 	case worker.Fenced:
 		t.state = unsure // another holder decides; this one will learn it from the store
 		t.since = now
@@ -402,8 +450,9 @@
 	}
 	_, t := s.order(id, ref, run)
 	if t == nil || t.state != voiding && t.state != ending {
-		if r.Verdict != worker.Accepted && h.strays[ref] == run {
-			delete(h.strays, ref) // the next listing shows it again
+		if st := h.strays[ref]; r.Verdict != worker.Accepted && st.run == run {
+			st.asked = false // the next listing repeats it
+			h.strays[ref] = st
 		}
 		return
 	}
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -61,8 +61,10 @@
 	firstRun time.Duration // 0: none yet
 	saving   bool
 	unsaved  time.Duration // when the oldest end that is not stored came; 0: none
-	stored   bool          // its end is in the store
+	stored   bool          // its end is in the store, or need not be
 	suspect  int           // workers on which its tasks failed
+	runBase  uint64        // run numbers begin above it
+	resumed  bool          // an earlier holder had it
 }
 
 type stepState struct {
@@ -71,7 +73,7 @@
 }
 
 func newJob(now time.Duration, r Stored, runBase uint64) *job {
-	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now}
+	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now, runBase: runBase}
 	for si := range r.Record.Steps {
 		step := &r.Record.Steps[si]
 		j.steps = append(j.steps, stepState{first: len(j.tasks), left: step.Count})
@@ -106,6 +108,29 @@
 	return j.tasks[j.steps[ref.Step].first+ref.Index]
 }
 
+// busy reports whether any of its tasks takes room at a worker.
+func (j *job) busy() bool {
+	for _, t := range j.tasks {
+		if t.occupies() {
+			return true
+		}
+	}
+	return false
+}
+
+// begun reports whether any task was ever given to a worker.
+func (j *job) begun() bool {
+	if j.resumed {
+		return true
+	}
+	for _, t := range j.tasks {
+		if t.run > j.runBase || t.state == complete || t.state == astray {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *job) complete(t *task) {
 	t.state = complete
 	t.host = nil
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -26,6 +26,7 @@
 	}
 	s.forget(now)
 	s.forgetPast(now)
+	s.rejectHopeless(now)
 	s.place(now)
 }
 
@@ -35,6 +36,7 @@
 		return
 	}
 	s.pruneAt = now + pastFor/10
+	maps.DeleteFunc(s.orphans, func(_ submission.ID, o []orphanEnd) bool { return now-o[0].at > pastFor })
 	maps.DeleteFunc(s.past, func(_ submission.ID, p endedJob) bool { return now-p.at > pastFor })
 }
 
@@ -44,11 +46,16 @@
 	if !s.barred || !s.scanned {
 		return
 	}
-	if now < s.barrierAt && !s.allListed() {
+	all := now >= s.barrierAt || s.allListed()
+	if !all && now < s.shortAt {
 		return
 	}
-	s.barred = false
-	for _, j := range s.jobs {
+	s.barred = !all
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if !all && !j.rec.Transient {
+			continue
+		}
 		for _, t := range j.tasks {
 			if t.state == astray {
 				s.release(now, t)
@@ -66,6 +73,15 @@
 	return len(s.workers) > 0
 }
 
+func (s *Shard) anyListed() bool {
+	for _, h := range s.workers {
+		if h.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // repeatOrders repeats stops and looks that had no answer.
 func (s *Shard) repeatOrders(now time.Duration, j *job) {
 	for _, t := range j.tasks {
@@ -87,7 +103,7 @@
 // saveProgress stores the ends of a submission that goes on. Without it a worker
 // would list all its later ends again in each answer.
 func (s *Shard) saveProgress(now time.Duration, j *job) {
-	if j.saving || j.unsaved == 0 || j.state.Final() || now-j.unsaved < s.settings.SaveAfter {
+	if j.rec.Transient || j.saving || j.unsaved == 0 || j.state.Final() || now-j.unsaved < s.settings.SaveAfter {
 		return
 	}
 	j.unsaved = 0
@@ -178,6 +194,21 @@
 	return out
 }
 
+// rejectHopeless ends the transient submissions of which nothing has run and which
+// cannot be done any more while their callers have a use for them. Their callers
+// learn at once that they have not run.
+func (s *Shard) rejectHopeless(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if !j.rec.Transient || j.state.Final() || j.begun() {
+			continue
+		}
+		if now+s.remaining(j) > j.came+lateFactor*s.objective(j) {
+			s.end(now, j, submission.Rejected, "it cannot be done in time")
+		}
+	}
+}
+
 // lateFactor is how many times its objective a submission may take and still be
 // worth something to its caller.
 const lateFactor = 3
@@ -325,7 +356,7 @@
 
 // Load is what the shard could take.
 func (s *Shard) Load(now time.Duration) Load {
-	l := Load{Ready: s.scanned && !s.barred, Waiting: make(map[string]int)}
+	l := Load{Ready: s.scanned && s.anyListed(), Waiting: make(map[string]int)}
 	for _, h := range s.workers {
 		if s.usable(now, h) || h.listed && now < h.fullTill {
 			l.RoomMilli += h.info.CPUMilli
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -21,14 +21,35 @@
 
 	jobs    map[submission.ID]*job
 	workers map[string]*host
-	past    map[submission.ID]endedJob // that ended here lately
-	early   map[string]earlyListing    // listings that came before the records
-	pace    map[string]*pace           // by queue
+	past    map[submission.ID]endedJob    // that ended here lately
+	early   map[string]earlyListing       // listings that came before the records
+	orphans map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
+	bornAt  time.Duration
+	shortAt time.Duration    // when runs of transient submissions that nobody lists are over
+	pace    map[string]*pace // by queue
 	out     Actions
 	pruneAt time.Duration
 	dirty   bool // something may start
 }
 
+// orphanEnd is an end that was listed before its transient submission came from its
+// home. Without it the task would run again after a change of the holder.
+type orphanEnd struct {
+	host *host
+	end  worker.Ended
+	at   time.Duration
+}
+
+// Times after a change of the holder.
+const (
+	// The homes of transient submissions hand them to the new holder within some
+	// milliseconds; a home that is cut off does not.
+	resumeWithin = 600 * time.Millisecond
+	// An earlier holder that lives ends the runs of homes that it has lost within
+	// 800 ms; one that does not live lets them lapse within a second.
+	shortBarrier = 1300 * time.Millisecond
+)
+
 // endedJob is what is remembered of a submission that has ended here. A message
 // or an answer of the store that left before its end would start it again.
 type endedJob struct {
@@ -47,8 +68,11 @@
 
 // New returns a shard under a token that its holder has just acquired. Runs that
 // an earlier holder has started are over by barrierAt, unless a worker lists them.
-func New(s Settings, name string, token uint64, barrierAt time.Duration) *Shard {
+func New(now time.Duration, s Settings, name string, token uint64, barrierAt time.Duration) *Shard {
 	return &Shard{
+		bornAt:    now,
+		shortAt:   min(now+shortBarrier, barrierAt),
+		orphans:   make(map[submission.ID][]orphanEnd),
 		settings:  s,
 		name:      name,
 		token:     token,
@@ -102,7 +126,7 @@
 		}
 	}
 	if j.left == 0 {
-		s.end(j, submission.Done, "all tasks have completed")
+		s.end(now, j, submission.Done, "all tasks have completed")
 		return
 	}
 	s.tell(j)
@@ -122,17 +146,75 @@
 // attempts; 64 of them take longer than any submission waits.
 const runsPerToken = 64
 
-// Assign takes a submission that was stored under this token, so that nothing of
-// it has run yet. It reports false if the submission was known already.
+// Assign takes a submission of which nothing has run yet. It reports false if the
+// submission was known already.
 func (s *Shard) Assign(now time.Duration, r Stored) bool {
-	if _, known := s.Knows(r.Record.ID); known {
-		return false
+	if state, known := s.Knows(r.Record.ID); known {
+		if !r.Record.Transient {
+			return false
+		}
+		if state != submission.Cancelled && state != submission.Rejected || s.jobs[r.Record.ID] != nil {
+			s.takeOverHome(r.Record, state)
+			return false
+		}
 	}
 	s.jobs[r.Record.ID] = newJob(now, r, 0)
 	s.dirty = true
 	return true
 }
 
+// takeOverHome makes the VM at which a caller has asked again the submission's home.
+func (s *Shard) takeOverHome(r *submission.Record, state submission.State) {
+	if j := s.jobs[r.ID]; j != nil {
+		j.rec.Home = r.Home
+	}
+	s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: state})
+}
+
+// Resume takes a transient submission that its home had given to an earlier holder.
+// Some of its tasks may still run.
+func (s *Shard) Resume(now time.Duration, r *submission.Record) {
+	if state, known := s.Knows(r.ID); known {
+		s.takeOverHome(r, state)
+		return
+	}
+	j := newJob(now, Stored{Record: r}, s.runBase(r))
+	j.resumed = true
+	s.jobs[r.ID] = j
+	for _, t := range j.tasks {
+		if t.state == waiting && s.barred {
+			t.state = astray
+		}
+	}
+	for _, o := range s.orphans[r.ID] {
+		if t := j.task(o.end.Task.Task); t != nil {
+			s.endedTask(now, o.host, t, o.end)
+		}
+	}
+	delete(s.orphans, r.ID)
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		s.workers[id].resume(now, s, j)
+	}
+	if j.left == 0 && !j.state.Final() {
+		s.end(now, j, submission.Done, "all tasks have completed")
+	}
+	s.dirty = true
+}
+
+// HomeLost ends the transient submissions of an entry VM that cannot be reached:
+// nobody waits for them here, and their callers will send them to another VM, which
+// may give them to another shard. Without it one task would run twice at once.
+func (s *Shard) HomeLost(now time.Duration, home string) (ended int) {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if j.rec.Transient && j.rec.Home == home && !j.state.Final() {
+			s.end(now, j, submission.Cancelled, "its home is lost")
+			ended++
+		}
+	}
+	return ended
+}
+
 // Knows returns the state of a submission here.
 func (s *Shard) Knows(id submission.ID) (submission.State, bool) {
 	if j, open := s.jobs[id]; open {
@@ -148,6 +230,9 @@
 	if !known {
 		return
 	}
+	if j.state.Final() {
+		return
+	}
 	s.halt(j, "cancelled")
 	j.state = submission.Cancelled
 	s.settled(now, j)
@@ -160,17 +245,24 @@
 	}
 }
 
-// settled forgets a submission, and acknowledges its ends.
+// settled acknowledges a submission's ends, and forgets it once nothing of it takes
+// room any more.
 func (s *Shard) settled(now time.Duration, j *job) {
 	j.stored = true
-	delete(s.jobs, j.rec.ID)
 	s.past[j.rec.ID] = endedJob{state: j.state, at: now}
 	s.acknowledge()
+	s.reap(j)
 	s.dirty = true
 }
 
+func (s *Shard) reap(j *job) {
+	if j.stored && !j.busy() {
+		delete(s.jobs, j.rec.ID)
+	}
+}
+
 // Saved says that the progress of a submission is in the store.
-func (s *Shard) Saved(_ time.Duration, id submission.ID, revision uint64) {
+func (s *Shard) Saved(now time.Duration, id submission.ID, revision uint64) {
 	j, known := s.jobs[id]
 	if !known {
 		return
@@ -186,7 +278,7 @@
 	}
 	s.acknowledge()
 	if j.state.Final() {
-		s.end(j, j.state, j.why) // its end waited for the new revision
+		s.end(now, j, j.state, j.why) // its end waited for the new revision
 	}
 }
 
@@ -224,13 +316,17 @@
 }
 
 // end brings a submission to its final state.
-func (s *Shard) end(j *job, state submission.State, why string) {
+func (s *Shard) end(now time.Duration, j *job, state submission.State, why string) {
 	if j.state != state {
 		j.state = state
 		j.why = why
 		s.halt(j, why)
 		s.tell(j)
 	}
+	if j.rec.Transient {
+		s.settled(now, j)
+		return
+	}
 	if j.saving {
 		return // its record is being written; the end follows with the new revision
 	}
@@ -244,6 +340,9 @@
 		case starting, running, unsure:
 			s.stop(t, why)
 			t.state = ending
+			t.stopClock = 0
+		case voiding:
+			t.state = ending
 		case waiting, astray:
 			t.state = over
 		}
@@ -275,5 +374,15 @@
 	return out
 }
 
+// KeepsAny reports whether an unfinished submission here is a stored one.
+func (s *Shard) KeepsAny() bool {
+	for _, j := range s.jobs {
+		if !j.rec.Transient {
+			return true
+		}
+	}
+	return false
+}
+
 // Size is the number of submissions that are known and not yet settled.
 func (s *Shard) Size() int { return len(s.jobs) }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -52,6 +52,14 @@
 	State submission.State
 }
 
+// NoteAction tells the home of a transient submission what has become of a task, so
+// that a later holder can go on from there.
+type NoteAction struct {
+	Home  string
+	Task  submission.TaskRef
+	Fails int // runs that have failed; 0: the task has completed
+}
+
 // Actions are what a Shard wants done, in no order but that within each list.
 type Actions struct {
 	Starts []StartAction
@@ -61,6 +69,7 @@
 	Finals []FinalAction
 	Saves  []SaveAction
 	States []StateAction
+	Notes  []NoteAction
 }
 
 // Stored is a record with its revision.
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -17,7 +17,7 @@
 // State is how far a submission is.
 type State uint8
 
-// The states of a submission. The last three are final.
+// The states of a submission. Those from Done on are final.
 const (
 	Unknown State = iota
 	Queued
@@ -25,9 +25,10 @@
 	Done
 	Failed
 	Cancelled
+	Rejected // has not run, and will not
 )
 
-var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled"}
+var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled", "rejected"}
 
 func (s State) String() string { return stateNames[s] }
 
@@ -76,15 +77,19 @@
 
 // Record is a submission as the store keeps it.
 type Record struct {
-	ID       ID       `json:"-"` // the key
-	Queue    string   `json:"q"`
-	Spec     string   `json:"b"` // opaque to the system
-	Steps    []Step   `json:"s"`
-	Terms    Terms    `json:"t"`
-	Shard    string   `json:"h"` // the shard whose workers may run its tasks
-	Token    uint64   `json:"k"` // the shard's token when this was stored
-	Home     string   `json:"v"` // the entry VM that took it
-	Progress Progress `json:"p,omitzero"`
+	ID    ID     `json:"-"` // the key
+	Queue string `json:"q"`
+	Spec  string `json:"b"` // opaque to the system
+	Steps []Step `json:"s"`
+	Terms Terms  `json:"t"`
+	Shard string `json:"h"` // the shard whose workers may run its tasks
+	Token uint64 `json:"k"` // the shard's token when this was stored
+	Home  string `json:"v"` // the entry VM that took it
+	// Transient submissions are not stored. Their caller waits for the end and sends
+	// them again if it gets no answer; they may then run again from the start, but
+	// never twice at the same time.
+	Transient bool     `json:"r,omitempty"`
+	Progress  Progress `json:"p,omitzero"`
 }
 
 // Tasks is the number of tasks of all steps.
--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -14,6 +14,7 @@
 // The answers to a submission.
 const (
 	Taken  Kind = iota // it is stored and will end
+	Ended              // it was transient, and this is its end
 	Busy               // it has not run and will not
 	Unsure             // it may have been stored
 )
@@ -21,7 +22,8 @@
 // Outcome is the answer to a submission.
 type Outcome struct {
 	Kind       Kind
-	RetryAfter time.Duration // if busy: when to come back
+	State      submission.State // if ended: done or failed
+	RetryAfter time.Duration    // if busy: when to come back
 	Why        string
 }
 
@@ -53,6 +55,7 @@
 	case o := <-reply:
 		return o
 	case <-ctx.Done():
+		v.post(abandonEvent{id: r.ID, reply: reply})
 		return Outcome{Kind: Unsure, Why: "no answer in time"}
 	}
 }
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -51,9 +51,10 @@
 // loadView is what is known of a shard's load.
 type loadView struct {
 	shard.Load
-	token uint64
-	at    time.Duration
-	sent  int64 // processor of submissions sent since, thousandths of a core
+	holder string
+	token  uint64
+	at     time.Duration
+	sent   int64 // processor of submissions sent since, thousandths of a core
 }
 
 // engine owns the state of an entry VM.
@@ -102,6 +103,7 @@
 	for name, h := range e.shards {
 		e.drive(name, h)
 	}
+	e.moveTransients()
 	e.askForStates()
 	e.finishDrain()
 	e.tellLoads()
@@ -112,7 +114,7 @@
 
 // drive runs a shard that this VM holds.
 func (e *engine) drive(name string, h *held) {
-	h.extend.Store(e.at-h.confirmed < authorityFor)
+	h.extend.Store(e.at-h.confirmed < authorityFor || !h.core.KeepsAny())
 	if e.at-h.scannedAt >= rescanEvery && !h.scanning {
 		e.scan(name, h)
 	}
@@ -124,7 +126,7 @@
 func (e *engine) carryOut(name string, h *held, a shard.Actions) {
 	for _, s := range a.Seen {
 		if hd := h.hands[s.Worker]; hd != nil {
-			hd.seen.Store(s.Seen)
+			hd.acknowledge(s.Seen)
 		}
 	}
 	for _, s := range a.Starts {
@@ -150,6 +152,9 @@
 	for _, s := range a.Saves {
 		e.storeProgress(name, h, s)
 	}
+	for _, n := range a.Notes {
+		e.tellNote(n)
+	}
 	for _, s := range a.States {
 		e.tellState(s.ID, s.Home, s.State)
 	}
@@ -167,7 +172,7 @@
 
 // ableToServe reports whether a submission could be taken now.
 func (e *engine) ableToServe() bool {
-	if e.vm.Catalog() == nil || e.vm.router.Down() {
+	if e.vm.Catalog() == nil {
 		return false
 	}
 	for name := range e.loads {
@@ -180,12 +185,11 @@
 
 // reachable reports whether the holder of a shard can be told of submissions.
 func (e *engine) reachable(name string) bool {
-	h := e.site.Holding(name)
 	l := e.loads[name]
-	if h.Revision == 0 || l == nil || l.token != h.Token || !l.Ready || e.at-l.at > loadFresh {
+	if l == nil || !l.Ready || e.at-l.at > loadFresh {
 		return false
 	}
-	return e.site.Mine(h) || e.up[h.Holder]
+	return e.shards[name] != nil || e.up[l.holder]
 }
 
 // finishDrain tells the one who waits that all shards are given up.
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -34,6 +34,11 @@
 		reply chan int // buffered
 	}
 	drainEvent struct{ done chan struct{} }
+	// abandonEvent says that a caller does not wait any more.
+	abandonEvent struct {
+		id    submission.ID
+		reply chan Outcome // that of its submitEvent
+	}
 )
 
 // From the store.
--- a/internal/kept/vm/hand.go
+++ b/internal/kept/vm/hand.go
@@ -15,7 +15,8 @@
 	holdWait    = 250 * time.Millisecond
 	holdWithin  = 150 * time.Millisecond // for the answer, beyond the wait
 	holdPause   = 30 * time.Millisecond  // after one without an answer
-	holdBetween = 4 * time.Millisecond   // of holds that come back at once
+	seenPoll    = 5 * time.Millisecond   // between looks whether ends are acknowledged
+	seenPolls   = 4                      // then the hold goes on without: it renews the lease
 	orderWithin = 150 * time.Millisecond // a sound worker answers an order in a millisecond
 	startVoid   = 700 * time.Millisecond // on the worker's clock: a start that comes later is refused
 	clockDrift  = 0.02                   // most by which a worker's clock is slow
@@ -23,13 +24,14 @@
 
 // hand holds one worker for as long as its shard is held.
 type hand struct {
-	vm     *VM
-	shard  string
-	info   atomic.Pointer[worker.Info]
-	token  uint64
-	seen   atomic.Uint64
-	extend *atomic.Bool // whether leases may be extended
-	cancel context.CancelFunc
+	vm      *VM
+	shard   string
+	info    atomic.Pointer[worker.Info]
+	token   uint64
+	seen    atomic.Uint64
+	seenNow chan struct{}
+	extend  *atomic.Bool // whether leases may be extended
+	cancel  context.CancelFunc
 
 	mu       sync.Mutex
 	clock    time.Duration // the worker's, at the time below; 0: it never answered
@@ -40,7 +42,7 @@
 
 func startHand(ctx context.Context, v *VM, shard string, info worker.Info, token uint64, extend *atomic.Bool) *hand {
 	ctx, cancel := context.WithCancel(ctx)
-	h := &hand{vm: v, shard: shard, token: token, extend: extend, cancel: cancel}
+	h := &hand{vm: v, shard: shard, token: token, extend: extend, cancel: cancel, seenNow: make(chan struct{}, 1)}
 	h.info.Store(&info)
 	v.duty(func() { h.run(ctx) })
 	return h
@@ -60,9 +62,7 @@
 		case worker.Accepted:
 			lapsed = false
 			h.vm.post(listingEvent{hand: h, sent: sent, listing: listing})
-			if h.vm.now()-sent < holdBetween {
-				sleep(ctx, holdBetween)
-			}
+			h.awaitSeen(ctx, listing)
 			continue
 		case worker.Fenced:
 			h.vm.post(fencedEvent{hand: h})
@@ -80,6 +80,32 @@
 	}
 }
 
+// awaitSeen waits until the ends of a listing are acknowledged, within a bound: a
+// hold that does not acknowledge them would come back at once with the same ends.
+func (h *hand) awaitSeen(ctx context.Context, l worker.Listing) {
+	if len(l.Ended) == 0 {
+		return
+	}
+	last := l.Ended[len(l.Ended)-1].N
+	for i := 0; i < seenPolls && h.seen.Load() < last; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.seenNow:
+		case <-time.After(seenPoll):
+		}
+	}
+}
+
+// acknowledge has the next hold say that ends up to a number are taken note of.
+func (h *hand) acknowledge(seen uint64) {
+	h.seen.Store(seen)
+	select {
+	case h.seenNow <- struct{}{}:
+	default:
+	}
+}
+
 // look asks for a listing at once.
 func (h *hand) look(ctx context.Context) {
 	sent := h.vm.now()
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -69,7 +69,7 @@
 	settings := shard.DefaultSettings()
 	settings.LeaseMost = e.vm.config.LeaseMost
 	h := &held{
-		core:      shard.New(settings, holding.Shard, holding.Token, barrierAt),
+		core:      shard.New(e.at, settings, holding.Shard, holding.Token, barrierAt),
 		holding:   holding,
 		hands:     make(map[string]*hand),
 		confirmed: e.at,
@@ -77,6 +77,12 @@
 	h.extend.Store(true)
 	h.ctx, h.cancel = context.WithCancel(e.ctx)
 	e.shards[holding.Shard] = h
+	e.wantWorkers()
+	for peer, up := range e.up {
+		if !up {
+			h.core.HomeLost(e.at, peer)
+		}
+	}
 	e.placeWorkers(h)
 	e.scan(holding.Shard, h)
 	klog.InfoS("kept: shard taken", "shard", holding.Shard, "token", holding.Token, "revision", holding.Revision,
@@ -86,6 +92,7 @@
 func (e *engine) dropShard(h *held, now site.Holding) {
 	h.cancel()
 	delete(e.shards, h.holding.Shard)
+	e.wantWorkers()
 	klog.InfoS("kept: shard lost", "shard", h.holding.Shard, "token", h.holding.Token,
 		"new_holder", now.Holder, "new_token", now.Token, "unfinished", len(h.core.Unfinished()))
 }
@@ -149,9 +156,12 @@
 func (e *engine) scan(name string, h *held) {
 	h.scanning = true
 	token := h.holding.Token
+	// What is read later only finds records whose holder was not told of them; what
+	// has ended meanwhile is remembered. Such a read costs a tenth.
+	stale := h.scannedAt > 0
 	e.vm.duty(func() {
 		for h.ctx.Err() == nil {
-			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix)
+			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
 			if err == nil {
 				e.vm.post(scannedEvent{shard: name, token: token, records: recordsOf(name, items)})
 				return
@@ -199,7 +209,22 @@
 
 // Workers.
 
+// wantWorkers has the list of workers followed while a shard is held.
+func (e *engine) wantWorkers() {
+	if len(e.shards) == 0 {
+		e.workers = nil // it will be out of date when the next shard is taken
+	}
+	select {
+	case <-e.vm.wantWorkers:
+	default:
+	}
+	e.vm.wantWorkers <- len(e.shards) > 0
+}
+
 func (ev workersEvent) apply(e *engine) {
+	if len(e.shards) == 0 {
+		return
+	}
 	e.workers = ev.list
 	for _, h := range e.shards {
 		e.placeWorkers(h)
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -22,7 +22,10 @@
 	created  bool // its record is in the store
 	state    submission.State
 	shard    string
-	token    uint64 // of the holder that was told of it
+	token    uint64        // under which a holder was told of it; 0: none was
+	holder   string        // that was told of it
+	lostAt   time.Duration // since when that holder cannot be reached; 0: it can
+	moves    int
 	changed  time.Duration
 	asked    time.Duration
 	came     time.Duration
@@ -30,6 +33,8 @@
 	waiters  []chan Outcome
 	askers   []chan StateAnswer
 	looking  bool
+
+	transient bool // its caller waits for the end, which is not stored
 }
 
 // Bounds of the intake.
@@ -42,6 +47,10 @@
 
 func (ev submitEvent) apply(e *engine) {
 	id := ev.record.ID
+	if ev.record.Transient {
+		e.submitTransient(ev)
+		return
+	}
 	if h := e.homes[id]; h != nil {
 		if h.created || h.state != submission.Unknown {
 			ev.reply <- Outcome{Kind: Taken}
@@ -233,6 +242,10 @@
 		klog.ErrorS(err, "kept: a peer's submission cannot be read", "peer", from)
 		return
 	}
+	if r.Transient {
+		e.takeTransient(from, r, a.Resumed)
+		return
+	}
 	h := e.shards[r.Shard]
 	if h == nil || h.holding.Token != r.Token {
 		klog.InfoS("kept: a submission for another holder", "id", id, "peer", from, "shard", r.Shard, "token", r.Token)
@@ -244,7 +257,7 @@
 // rehome asks the new holders about submissions that were given to earlier ones.
 func (e *engine) rehome() {
 	for _, h := range e.homes {
-		if h.created && !h.state.Final() && h.token != e.site.Holding(h.shard).Token {
+		if h.created && !h.transient && !h.state.Final() && h.token != e.site.Holding(h.shard).Token {
 			h.asked = 0
 		}
 	}
@@ -254,24 +267,27 @@
 // while: a message may have been lost with a link.
 func (e *engine) askForStates() {
 	for _, h := range e.homes {
-		if h.created && !h.state.Final() && e.at-max(h.asked, h.changed) > askAgain {
+		if h.created && !h.state.Final() && !h.transient && e.at-max(h.asked, h.changed) > askAgain {
 			e.askHolder(h)
 		}
 	}
 }
 
 func (e *engine) askHolder(h *home) {
-	holding := e.site.Holding(h.shard)
-	h.token = holding.Token
 	h.asked = e.at
 	if own := e.shards[h.shard]; own != nil {
 		e.tellOwn(h.record.ID, own)
 		return
 	}
-	if holding.Holder == "" {
+	if !h.transient {
+		holding := e.site.Holding(h.shard)
+		h.token = holding.Token
+		h.holder = holding.Holder
+	}
+	if h.holder == "" {
 		return
 	}
-	f := e.frame(holding.Holder)
+	f := e.frame(h.holder)
 	f.Queries = append(f.Queries, string(h.record.ID))
 }
 
@@ -282,7 +298,11 @@
 		e.learnState(id, state)
 		return
 	}
-	if own.scannedAt > 0 {
+	h := e.homes[id]
+	switch {
+	case h != nil && h.transient:
+		e.learnTransient(h, submission.Unknown)
+	case own.scannedAt > 0:
 		e.lookUp(id)
 	}
 }
@@ -322,7 +342,7 @@
 func (e *engine) learnState(id submission.ID, state submission.State) {
 	h := e.homes[id]
 	if h == nil {
-		if state == submission.Unknown {
+		if state == submission.Unknown || state == submission.Rejected {
 			return
 		}
 		h = &home{created: true, came: e.at}
@@ -331,6 +351,10 @@
 	if h.state.Final() {
 		return
 	}
+	if h.transient {
+		e.learnTransient(h, state)
+		return
+	}
 	if state != submission.Unknown {
 		e.answer(h, Outcome{Kind: Taken}) // its holder can only know it from the store
 	}
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -16,7 +16,7 @@
 
 // chooseShard picks the shard that can begin a submission soonest.
 func (e *engine) chooseShard(r *submission.Record) (name string, refusal *Outcome) {
-	if e.vm.router.Down() {
+	if !r.Transient && e.vm.router.Down() {
 		return "", &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "the store does not answer"}
 	}
 	need := demand(r)
@@ -82,7 +82,7 @@
 		}
 		h.loadAt = e.at
 		h.load = load
-		e.takeLoad(name, h.holding.Token, load)
+		e.takeLoad(e.vm.config.Name, name, h.holding.Token, load)
 		out := &pb.KeptLoad{
 			Shard:     name,
 			Token:     h.holding.Token,
@@ -107,7 +107,7 @@
 		a.Backlog == b.Backlog && maps.Equal(a.Waiting, b.Waiting)
 }
 
-func (e *engine) takeLoad(name string, token uint64, load shard.Load) {
+func (e *engine) takeLoad(holder, name string, token uint64, load shard.Load) {
 	l := e.loads[name]
 	if l == nil {
 		l = &loadView{}
@@ -116,7 +116,7 @@
 	if token < l.token {
 		return // of an earlier holder
 	}
-	*l = loadView{Load: load, token: token, at: e.at}
+	*l = loadView{Load: load, holder: holder, token: token, at: e.at}
 }
 
 func (ev waitingEvent) apply(e *engine) {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -27,7 +27,7 @@
 		e.vm.calls.reply(r)
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls) > 0 {
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes) > 0 {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
@@ -65,6 +65,11 @@
 		klog.InfoS("kept: peer reached", "peer", ev.name, "incarnation", ev.incarnation)
 	}
 	e.up[ev.name] = true
+	for _, h := range e.homes {
+		if h.holder == ev.name {
+			h.asked = 0 // what was under way on the earlier stream may be lost
+		}
+	}
 	e.site.Suspect(ev.name, false)
 	for _, h := range e.shards {
 		h.loadAt = e.at - loadEvery // the peer may have missed the last word
@@ -78,6 +83,11 @@
 	e.up[ev.name] = false
 	e.site.Suspect(ev.name, true)
 	e.vm.calls.setReach(ev.name, false)
+	for name, h := range e.shards {
+		if n := h.core.HomeLost(e.at, ev.name); n > 0 {
+			klog.InfoS("kept: submissions ended, their home is lost", "home", ev.name, "shard", name, "submissions", n)
+		}
+	}
 }
 
 func (ev frameEvent) apply(e *engine) {
@@ -85,6 +95,11 @@
 	for _, a := range f.Assign {
 		e.takeAssigned(ev.from, a)
 	}
+	for _, n := range f.Notes {
+		ref := submission.TaskRef{ID: submission.ID(n.Id)}
+		ref.Step, ref.Index = int(n.Step), int(n.Index)
+		e.learnNote(ref, int(n.Fails))
+	}
 	for _, s := range f.States {
 		e.learnState(submission.ID(s.Id), submission.State(s.State))
 	}
@@ -96,7 +111,7 @@
 		e.stopCancelled(submission.ID(id))
 	}
 	for _, l := range f.Loads {
-		e.takeLoad(l.Shard, l.Token, loadOf(l))
+		e.takeLoad(ev.from, l.Shard, l.Token, loadOf(l))
 	}
 	for _, c := range f.Calls {
 		e.relay(ev.from, c)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -76,6 +76,8 @@
 	ready    atomic.Bool // a shard takes submissions, and so does this VM
 	stopping atomic.Bool
 
+	wantWorkers chan bool // whether a shard is held; the newest word counts
+
 	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
 
 	cancel context.CancelFunc
@@ -87,7 +89,7 @@
 	if c.Now == nil {
 		c.Now = clock.Now
 	}
-	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents)}
+	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents), wantWorkers: make(chan bool, 1)}
 	v.calls = newPeerCalls()
 	v.router = relay.New(c.Direct, v.calls, c.Now)
 	v.store = c.Store(v.router)
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -18,13 +18,16 @@
 	// silent: it is asked anew after this and the way's own bound.
 	catalogWait = 900 * time.Millisecond
 	workersWait = 900 * time.Millisecond // a leaving worker must be known within 2 s
-	siteWait    = 1500 * time.Millisecond
-	rangeWithin = 2 * time.Second
-	watchPause  = 100 * time.Millisecond // after a failure, growing
-	watchMost   = 600 * time.Millisecond
-	sessionTTL  = 4 * time.Second
-	sessionKeep = 1200 * time.Millisecond
-	listWithin  = 5 * time.Second // a whole list is read at least so often
+	// Workers rewrite their entries at each heartbeat, so a watch of them comes back
+	// at once: without a pause 48 workers cost 32 calls a second at each holder.
+	workersPause = 450 * time.Millisecond
+	siteWait     = 1500 * time.Millisecond
+	rangeWithin  = 2 * time.Second
+	watchPause   = 100 * time.Millisecond // after a failure, growing
+	watchMost    = 600 * time.Millisecond
+	sessionTTL   = 4 * time.Second
+	sessionKeep  = 1200 * time.Millisecond
+	listWithin   = 5 * time.Second // a whole list is read at least so often
 )
 
 // follower keeps a copy of the keys under a prefix.
@@ -32,6 +35,7 @@
 	vm     *VM
 	prefix string
 	wait   time.Duration
+	pause  time.Duration // after an answer with changes
 	whole  func(sent time.Duration, items []store.Item)
 	some   func(sent time.Duration, events []store.Event)
 }
@@ -42,7 +46,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		sent := f.vm.now()
-		items, rev, err := f.vm.readAll(ctx, f.prefix)
+		items, rev, err := f.vm.readAll(ctx, f.prefix, false)
 		if err == nil {
 			f.whole(sent, items)
 			failures = 0
@@ -72,6 +76,9 @@
 			failures = 0
 			rev = max(rev, c.Revision)
 			f.some(sent, c.Events)
+			if f.pause > 0 && len(c.Events) > 0 {
+				sleep(ctx, f.pause)
+			}
 		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
 			return err
 		default:
@@ -83,11 +90,11 @@
 
 // readAll reads the keys under a prefix, page by page. The revision is that of the
 // first page: what changed while the others were read comes again as events.
-func (v *VM) readAll(ctx context.Context, prefix string) (items []store.Item, rev uint64, err error) {
+func (v *VM) readAll(ctx context.Context, prefix string, stale bool) (items []store.Item, rev uint64, err error) {
 	after := ""
 	for {
 		pageCtx, cancel := context.WithTimeout(ctx, rangeWithin)
-		p, err := v.store.Range(pageCtx, prefix, after, false)
+		p, err := v.store.Range(pageCtx, prefix, after, stale)
 		cancel()
 		if err != nil {
 			return nil, 0, err
@@ -154,7 +161,36 @@
 	f.run(ctx)
 }
 
+// watchWorkers follows the list of workers while this VM holds a shard.
 func (v *VM) watchWorkers(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case on := <-v.wantWorkers:
+			if !on {
+				continue
+			}
+		}
+		watchCtx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			v.followWorkers(watchCtx)
+		}()
+		for on := true; on; {
+			select {
+			case <-ctx.Done():
+				on = false
+			case on = <-v.wantWorkers:
+			}
+		}
+		cancel()
+		<-done
+	}
+}
+
+func (v *VM) followWorkers(ctx context.Context) {
 	list := make(map[string]worker.Info)
 	take := func(it store.Item) {
 		info, err := v.config.Lists.DecodeWorker(it)
@@ -171,7 +207,7 @@
 		}
 		v.post(workersEvent{list: all})
 	}
-	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait}
+	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: workersPause}
 	f.whole = func(_ time.Duration, items []store.Item) {
 		clear(list)
 		for _, it := range items {
