Takeover after cuts and outages: the new holder knows all workers

Now a holder outside a domain must reach a worker of it, a holder stores which workers it uses, and lost links count only after 0.9 s of steady answers from the store.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -13,6 +13,7 @@
 type host struct {
 	info     worker.Info
 	listed   bool          // has answered under this token
+	listedAt time.Duration // when it did first
 	missing  time.Duration // since when it is not in the list of workers; 0: it is there
 	answered time.Duration // when its newest listing was asked for
 	clock    time.Duration // the worker's clock at its newest listing
@@ -76,6 +77,27 @@
 	s.dirty = true
 }
 
+// Expect takes workers that earlier holders used. One that is not in the list may
+// still have runs: entries lapse while the store is down.
+func (s *Shard) Expect(now time.Duration, known []worker.Info) {
+	for _, info := range known {
+		if _, there := s.workers[info.ID]; there || s.addressTaken(info) {
+			continue
+		}
+		s.workers[info.ID] = &host{info: info, missing: now, strays: make(map[submission.TaskRef]strayRun)}
+	}
+	s.dirty = true
+}
+
+func (s *Shard) addressTaken(info worker.Info) bool {
+	for _, h := range s.workers {
+		if h.info.Address == info.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // replaced drops the workers that lived at the address of a new one.
 func (s *Shard) replaced(now time.Duration, info worker.Info) {
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
@@ -166,7 +188,10 @@
 		s.early[id] = earlyListing{sent: sent, listing: l}
 		return 0
 	}
-	h.listed = true
+	if !h.listed {
+		h.listed = true
+		h.listedAt = now
+	}
 	h.answered = max(h.answered, sent)
 	for _, e := range l.Ended {
 		if e.N > h.taken {
@@ -191,7 +216,7 @@
 	j, open := s.jobs[e.Task.ID]
 	if !open {
 		h.ends = append(h.ends, endEntry{n: e.N})
-		if now-s.bornAt < resumeWithin {
+		if now-h.listedAt < resumeWithin {
 			s.orphans[e.Task.ID] = append(s.orphans[e.Task.ID], orphanEnd{host: h, end: e, at: now})
 		}
 		return
@@ -348,29 +373,38 @@
 	}
 }
 
-// stray stops a run that nobody wants. Soon after a change of the holder the run may
-// be of a transient submission whose home has not handed it over yet.
+// stray stops a run that nobody wants. Soon after the worker was first reached the run
+// may be of a transient submission whose home has not handed it over yet.
 func (s *Shard) stray(now time.Duration, h *host, r worker.Running) {
 	st, known := h.strays[r.Task]
 	if !known || st.run != r.Run {
 		st = strayRun{run: r.Run, since: now}
 	}
-	if !st.asked && now-s.bornAt >= resumeWithin {
+	if !st.asked && now-h.listedAt >= resumeWithin {
 		st.asked = true
 		s.out.Stops = append(s.out.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Why: "no such run is wanted"})
 	}
 	h.strays[r.Task] = st
 }
 
-// resume makes the stray runs of a submission its own.
+// resume makes the stray runs of a submission its own. One that is being stopped
+// still runs for some time: the task must not start before it is gone.
 func (h *host) resume(now time.Duration, s *Shard, j *job) {
 	for ref, st := range h.strays {
 		t := j.task(ref.Task)
-		if ref.ID != j.rec.ID || t == nil || st.asked || t.occupies() || t.state == complete {
+		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete {
 			continue
 		}
 		delete(h.strays, ref)
 		t.run = st.run
+		if st.asked {
+			t.host = h
+			t.state = voiding
+			t.since = now
+			t.stopClock = 0
+			s.stop(t, "it was being stopped when its home handed it over")
+			continue
+		}
 		s.nowRunning(now, h, t)
 		t.startedAt = 0 // how long it has run is not known
 	}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -24,9 +24,8 @@
 	past    map[submission.ID]endedJob    // that ended here lately
 	early   map[string]earlyListing       // listings that came before the records
 	orphans map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
-	bornAt  time.Duration
-	shortAt time.Duration    // when runs of transient submissions that nobody lists are over
-	pace    map[string]*pace // by queue
+	shortAt time.Duration                 // when runs of transient submissions that nobody lists are over
+	pace    map[string]*pace              // by queue
 	out     Actions
 	pruneAt time.Duration
 	dirty   bool // something may start
@@ -70,7 +69,6 @@
 // an earlier holder has started are over by barrierAt, unless a worker lists them.
 func New(now time.Duration, s Settings, name string, token uint64, barrierAt time.Duration) *Shard {
 	return &Shard{
-		bornAt:    now,
 		shortAt:   min(now+shortBarrier, barrierAt),
 		orphans:   make(map[submission.ID][]orphanEnd),
 		settings:  s,
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -52,6 +52,9 @@
 	Holder      string `json:"h"`
 	Incarnation uint64 `json:"i"`
 	Token       uint64 `json:"t"`
+	// Clean says that the holder before this one starts and holds nothing any more:
+	// its process had ended, or it gave the shard away itself.
+	Clean bool `json:"c,omitempty"`
 }
 
 // Encode returns the value of a key in the store.
@@ -78,7 +81,9 @@
 	Settle     time.Duration // after the start, before shards of other domains are taken
 	ReturnWait time.Duration // before a shard is given back to its own domain
 	Cooldown   time.Duration // between claims of the same shard by this VM
-	Grace      time.Duration // for a key that lapsed while the link to its VM stands
+	Grace      time.Duration // for a key that lapsed, before its VM counts as gone
+	Gap        time.Duration // between answers of the store, above which it was out of reach
+	Steady     time.Duration // of answers, before this VM acts on links that it has lost
 }
 
 // DefaultSettings suit links whose silence is noticed after half a second.
@@ -90,6 +95,8 @@
 		ReturnWait: 1500 * time.Millisecond,
 		Cooldown:   time.Second,
 		Grace:      2 * time.Second,
+		Gap:        2500 * time.Millisecond,
+		Steady:     900 * time.Millisecond,
 	}
 }
 
@@ -113,6 +120,9 @@
 	members   map[string]Member
 	lapsed    map[string]lapsedMember // whose key is gone and whose VM may still be there
 	suspected map[string]bool
+	linked    map[string]bool // the link to it stands
+	contact   time.Duration   // when the store was asked last that answered
+	steady    time.Duration   // since when it has answered without a gap
 	shards    map[string]*shardView
 	leaving   bool
 }
@@ -126,6 +136,7 @@
 		members:   map[string]Member{},
 		lapsed:    map[string]lapsedMember{},
 		suspected: map[string]bool{},
+		linked:    map[string]bool{},
 		shards:    map[string]*shardView{},
 	}
 	for _, d := range domains {
@@ -163,8 +174,9 @@
 	if err := json.Unmarshal(e.Value, &m); err != nil {
 		return &DecodeError{Key: e.Key, Err: err}
 	}
-	if s.members[name].Incarnation != m.Incarnation {
+	if old, known := s.members[name]; known && old.Incarnation != m.Incarnation {
 		delete(s.suspected, name)
+		delete(s.linked, name)
 	}
 	s.members[name] = m
 	delete(s.lapsed, name)
@@ -219,9 +231,19 @@
 func (s *Site) Suspect(name string, lost bool) {
 	if lost {
 		s.suspected[name] = true
+		delete(s.linked, name)
 		return
 	}
 	delete(s.suspected, name)
+	s.linked[name] = true
+}
+
+// Contact says that the store has answered a call that left at a time.
+func (s *Site) Contact(sent, now time.Duration) {
+	if sent-s.contact > s.settings.Gap {
+		s.steady = now
+	}
+	s.contact = max(s.contact, sent)
 }
 
 // Leave says that this VM is about to stop: it claims nothing more.
@@ -242,11 +264,12 @@
 func (s *Site) Links(now time.Duration) []Member {
 	out := s.Members()
 	for name, l := range s.lapsed {
-		if now-l.at < 2*s.settings.Grace {
+		if now-l.at < 2*s.settings.Grace || s.linked[name] {
 			out = append(out, l.member)
 		} else {
 			delete(s.lapsed, name)
 			delete(s.suspected, name)
+			delete(s.linked, name)
 		}
 	}
 	return slices.DeleteFunc(out, func(m Member) bool { return m.Name == s.self.Name })
@@ -346,7 +369,10 @@
 	switch {
 	case s.Gone(h):
 		return "its holder has started again", true
-	case !there && s.inGrace(now, h):
+	case !there && (s.linked[h.Holder] || s.inGrace(now, h)):
+		return "", false
+	case now-s.steady < s.settings.Steady:
+		// This VM was cut off itself: its links are not back yet, whoever lives.
 		return "", false
 	case !there:
 		return "its holder's key has lapsed", true
@@ -410,6 +436,7 @@
 			Holder:      to.Name,
 			Incarnation: to.Incarnation,
 			Token:       from.Token + 1,
+			Clean:       from.Holder == "" || s.Gone(from) || s.Mine(from),
 		},
 		Why: why,
 	}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -44,6 +44,8 @@
 	confirmed time.Duration // when the store was asked last that confirmed the holding
 	scanning  bool
 	scannedAt time.Duration
+	noted     string // the workers as stored for the next holder
+	noting    bool
 	loadAt    time.Duration
 	load      shard.Load
 }
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -74,6 +74,7 @@
 		shard   string
 		token   uint64
 		records []shard.Stored
+		known   []worker.Info // the workers that earlier holders used
 	}
 	lookedUpEvent struct {
 		id     submission.ID
--- /dev/null
+++ b/internal/kept/vm/hands.go
@@ -0,0 +1,87 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// A holder keeps in the store which workers it uses. The platform's own list lapses
+// with outages of the store, while the workers go on: a new holder that went by the
+// list alone would take tasks for startable that still run on a worker it has never
+// heard of.
+
+const handsPrefix = "pumiceyard/workers/"
+
+// noteHands stores the workers of a shard if they are others than before.
+func (e *engine) noteHands(h *held) {
+	if h.scannedAt == 0 || h.noting {
+		return
+	}
+	var list []worker.Info
+	for _, id := range h.core.WorkerIDs() {
+		info, _ := h.core.WorkerInfo(id)
+		info.Leaving = false
+		list = append(list, info)
+	}
+	slices.SortFunc(list, func(a, b worker.Info) int { return strings.Compare(a.ID, b.ID) })
+	value, err := json.Marshal(list)
+	if err != nil {
+		klog.ErrorS(err, "kept: the workers of a shard have no JSON form", "shard", h.holding.Shard)
+		return
+	}
+	if string(value) == h.noted || len(list) == 0 {
+		return
+	}
+	h.noting = true
+	name, token, guard := h.holding.Shard, h.holding.Token, h.guard()
+	e.vm.duty(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, claimWithin)
+		defer cancel()
+		_, err := e.vm.store.Commit(ctx, store.Txn{
+			Expect: []store.Condition{*guard},
+			Put:    []store.Put{{Key: handsPrefix + name, Value: value}},
+		})
+		e.vm.post(handsNotedEvent{shard: name, token: token, value: string(value), err: err})
+	})
+}
+
+type handsNotedEvent struct {
+	shard string
+	token uint64
+	value string
+	err   error
+}
+
+func (ev handsNotedEvent) apply(e *engine) {
+	h := e.shards[ev.shard]
+	if h == nil || h.holding.Token != ev.token {
+		return
+	}
+	h.noting = false
+	if ev.err != nil {
+		klog.InfoS("kept: the workers of a shard were not stored", "shard", ev.shard, "why", ev.err)
+		return // the next look at the list repeats it
+	}
+	h.noted = ev.value
+}
+
+// readHands reads the workers that earlier holders of a shard used.
+func (v *VM) readHands(ctx context.Context, name string) ([]worker.Info, error) {
+	it, err := v.store.Get(ctx, handsPrefix+name)
+	if err != nil || it.Revision == 0 {
+		return nil, err
+	}
+	var list []worker.Info
+	if err := json.Unmarshal(it.Value, &list); err != nil {
+		klog.ErrorS(err, "kept: the stored workers of a shard cannot be read", "shard", name)
+		return nil, nil
+	}
+	return list, nil
+}
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		klog.ErrorS(err, "kept: a key of the site cannot be read")
 	}
+	e.site.Contact(ev.sent, e.at)
 	e.followHoldings(ev.sent)
 	e.followMembers()
 }
@@ -58,14 +59,18 @@
 			h.confirmed = max(h.confirmed, sent)
 		}
 		if h == nil && mine {
-			e.takeShard(holding, e.at+authorityOver+e.vm.config.LeaseMost)
+			e.takeShard(holding)
 		}
 	}
 }
 
-// takeShard begins to hold a shard. Runs that the earlier holder started and that
-// no worker lists are over by barrierAt.
-func (e *engine) takeShard(holding site.Holding, barrierAt time.Duration) {
+// takeShard begins to hold a shard.
+func (e *engine) takeShard(holding site.Holding) {
+	// Runs that the earlier holder started and that no worker lists are over then.
+	barrierAt := e.at + e.vm.config.LeaseMost + leaseSlack
+	if !holding.Clean {
+		barrierAt += authorityOver
+	}
 	settings := shard.DefaultSettings()
 	settings.LeaseMost = e.vm.config.LeaseMost
 	h := &held{
@@ -112,9 +117,14 @@
 	e.claiming[name] = true
 	klog.InfoS("kept: shard claimed", "shard", name, "for", c.To.Holder, "from", c.From.Holder,
 		"token", c.To.Token, "revision", c.From.Revision, "why", c.Why)
+	foreign := c.To.Holder == e.vm.config.Name && name != e.vm.config.Domain
 	e.vm.duty(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, claimWithin)
 		defer cancel()
+		if foreign && !e.vm.reachesDomain(ctx, name) {
+			e.vm.post(claimedEvent{claim: c, err: errUnreachable})
+			return
+		}
 		rev, err := e.vm.store.Commit(ctx, store.Txn{
 			Expect: []store.Condition{{Key: site.ShardKey(name), Revision: c.From.Revision}},
 			Put:    []store.Put{{Key: site.ShardKey(name), Value: site.Encode(c.To)}},
@@ -123,6 +133,43 @@
 	})
 }
 
+var errUnreachable = errors.New("no worker of the shard can be reached")
+
+// probeMost is how many workers of a failure domain are asked whether they can be
+// reached. One that answers is enough.
+const probeMost = 4
+
+// reachesDomain reports whether a worker of a failure domain answers. A domain that is
+// cut off looks from outside as if its VMs had died; its own holder serves on there,
+// and a holder outside could not reach any worker and would end all runs after the cut.
+func (v *VM) reachesDomain(ctx context.Context, domain string) bool {
+	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, true)
+	if err != nil {
+		return false
+	}
+	answers := make(chan bool, probeMost)
+	asked := 0
+	for _, it := range items {
+		info, err := v.config.Lists.DecodeWorker(it)
+		if err != nil || info.Domain != domain || asked == probeMost {
+			continue
+		}
+		asked++
+		v.duty(func() {
+			ctx, cancel := context.WithTimeout(ctx, holdWithin)
+			defer cancel()
+			_, r := v.config.Orders.Hold(ctx, info, worker.Hold{})
+			answers <- r.Verdict != worker.Silent
+		})
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 func (ev claimedEvent) apply(e *engine) {
 	name := ev.claim.From.Shard
 	delete(e.claiming, name)
@@ -130,8 +177,6 @@
 		klog.InfoS("kept: claim failed", "shard", name, "token", ev.claim.To.Token, "why", ev.err)
 		return
 	}
-	gone := e.site.Gone(ev.claim.From) || ev.claim.From.Holder == ""
-	mineBefore := e.site.Mine(ev.claim.From)
 	item := store.Item{Key: site.ShardKey(name), Value: site.Encode(ev.claim.To), Revision: ev.revision}
 	if err := e.site.Apply(e.at, store.Event{Item: item}); err != nil {
 		klog.ErrorS(err, "kept: a key of the site cannot be read")
@@ -141,13 +186,6 @@
 	if h := e.shards[name]; h != nil && !e.site.Mine(holding) {
 		e.dropShard(h, holding)
 	}
-	if e.shards[name] == nil && e.site.Mine(holding) {
-		barrier := e.at + authorityOver + e.vm.config.LeaseMost
-		if gone || mineBefore {
-			barrier = e.at + e.vm.config.LeaseMost + leaseSlack
-		}
-		e.takeShard(holding, barrier)
-	}
 	e.followHoldings(0)
 	e.rehome()
 }
@@ -162,8 +200,12 @@
 	e.vm.duty(func() {
 		for h.ctx.Err() == nil {
 			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
+			var known []worker.Info
+			if err == nil && !stale {
+				known, err = e.vm.readHands(h.ctx, name)
+			}
 			if err == nil {
-				e.vm.post(scannedEvent{shard: name, token: token, records: recordsOf(name, items)})
+				e.vm.post(scannedEvent{shard: name, token: token, records: recordsOf(name, items), known: known})
 				return
 			}
 			sleep(h.ctx, scanPause)
@@ -195,6 +237,8 @@
 	h.scanning = false
 	first := h.scannedAt == 0
 	h.scannedAt = e.at
+	h.core.Expect(e.at, ev.known)
+	e.alignHands(h)
 	for _, r := range ev.records {
 		if _, known := h.core.Knows(r.Record.ID); !known {
 			klog.InfoS("kept: adopted", "id", r.Record.ID, "shard", ev.shard, "token", ev.token,
@@ -241,6 +285,7 @@
 	}
 	h.core.Workers(e.at, own)
 	e.alignHands(h)
+	e.noteHands(h)
 }
 
 // alignHands makes the hands those of the workers that the core knows.
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -27,7 +27,8 @@
 	watchMost    = 600 * time.Millisecond
 	sessionTTL   = 4 * time.Second
 	sessionKeep  = 1200 * time.Millisecond
-	listWithin   = 5 * time.Second // a whole list is read at least so often
+	sessionHurry = 250 * time.Millisecond // after a renewal that failed
+	listWithin   = 5 * time.Second        // a whole list is read at least so often
 )
 
 // follower keeps a copy of the keys under a prefix.
@@ -261,14 +262,17 @@
 		return err
 	}
 	klog.InfoS("kept: session opened", "vm", self.Name, "lease", lease)
+	pause := sessionKeep
 	for ctx.Err() == nil {
-		sleep(ctx, sessionKeep)
+		sleep(ctx, pause)
+		pause = sessionKeep
 		err := v.store.Keep(ctx, lease)
 		if errors.Is(err, store.ErrNoLease) {
 			return err
 		}
 		if err != nil {
 			klog.V(1).InfoS("kept: session not renewed", "why", err)
+			pause = sessionHurry
 		}
 		if v.sessionGone.Swap(false) {
 			return errKeyGone
