Adopted runs keep their numbers; an old life of a worker is not its newest

Cause: (1) run numbers of a resumed submission began above those of the earlier holder, so a worker's listing of run 1 looked outrun, the run was taken for a stray and its task started again; (2) a worker that starts again has two entries in the list for a while, and the older one, seen again, dropped the newer; (3) a hold that waits while a run begins may answer without it, so an answer counts as absence only if its call left after the start was confirmed. Ruled out: a partial list of running tasks (the missing run was listed each time).

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -58,7 +58,7 @@
 // more goes on until it stops answering: the list lapses while the store is down.
 func (s *Shard) Workers(now time.Duration, list []worker.Info) {
 	present := make(map[string]bool, len(list))
-	for _, info := range list {
+	for _, info := range newestLives(list) {
 		present[info.ID] = true
 		h, known := s.workers[info.ID]
 		if !known {
@@ -77,6 +77,19 @@
 	s.dirty = true
 }
 
+// newestLives drops the entries of workers that have started again at the same
+// address under a new ID: their entries stay until they expire. Taking an old life
+// for a new one would declare the runs of the newer life dead while they go on.
+func newestLives(list []worker.Info) []worker.Info {
+	newest := make(map[string]uint64, len(list))
+	for _, info := range list {
+		newest[info.Address] = max(newest[info.Address], info.Revision)
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(info worker.Info) bool {
+		return info.Revision < newest[info.Address]
+	})
+}
+
 // Expect takes workers that earlier holders used. One that is not in the list may
 // still have runs: entries lapse while the store is down.
 func (s *Shard) Expect(now time.Duration, known []worker.Info) {
@@ -415,7 +428,9 @@
 func (s *Shard) absent(now time.Duration, h *host, t *task, sent, clock time.Duration) {
 	switch t.state {
 	case running:
-		if t.clock > 0 && clock > t.clock || t.clock == 0 && sent > t.since {
+		// An answer counts only if its call left after the run was known: a hold that
+		// was waiting when the run began may answer without it.
+		if sent > t.since && clock >= t.clock {
 			s.release(now, t)
 		}
 	case unsure:
@@ -427,7 +442,7 @@
 			s.stop(t, "its start had no answer")
 		}
 	case voiding, ending:
-		if t.stopClock > 0 && clock >= t.stopClock {
+		if t.stopClock > 0 && sent >= t.stopAt && clock >= t.stopClock {
 			s.release(now, t)
 		}
 	}
@@ -492,6 +507,7 @@
 	}
 	if r.Verdict == worker.Accepted {
 		t.stopClock = r.Clock
+		t.stopAt = now
 		s.out.Looks = append(s.out.Looks, id)
 		return
 	}
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -31,6 +31,7 @@
 	startedAt  time.Duration
 	clock      time.Duration       // the worker's when it accepted the run; 0: not known
 	stopClock  time.Duration       // the worker's when it acknowledged the stop
+	stopAt     time.Duration       // when that acknowledgement came
 	failed     map[uint64]struct{} // runs that ended as failed
 	fails      int                 // of them, with those stored earlier
 	checkpoint string
@@ -83,7 +84,6 @@
 				job:   j,
 				ref:   submission.TaskRef{ID: r.Record.ID, Task: ref},
 				step:  step,
-				run:   runBase,
 				fails: r.Record.Progress.Failed[ref],
 			})
 		}
@@ -124,7 +124,7 @@
 		return true
 	}
 	for _, t := range j.tasks {
-		if t.run > j.runBase || t.state == complete || t.state == astray {
+		if t.run > 0 || t.state == complete || t.state == astray {
 			return true
 		}
 	}
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -335,7 +335,7 @@
 
 func (s *Shard) start(now time.Duration, t *task, r *room) {
 	t.state = starting
-	t.run++
+	t.run = max(t.run, t.job.runBase) + 1
 	t.host = r.host
 	t.since = now
 	t.startedAt = now
--- a/internal/kept/vm/hands.go
+++ b/internal/kept/vm/hands.go
@@ -28,6 +28,7 @@
 	for _, id := range h.core.WorkerIDs() {
 		info, _ := h.core.WorkerInfo(id)
 		info.Leaving = false
+		info.Revision = 0
 		list = append(list, info)
 	}
 	slices.SortFunc(list, func(a, b worker.Info) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -21,7 +21,8 @@
 	CPUMilli int64
 	MemMB    int64
 	GPU      int64
-	Leaving  bool // takes nothing new, and stops soon
+	Leaving  bool   // takes nothing new, and stops soon
+	Revision uint64 // of its entry in the list of workers
 }
 
 // HasLabel reports whether the worker carries a label; "" is carried by all.
