--- a/internal/kept/vm/hand.go
+++ b/internal/kept/vm/hand.go
@@ -153,6 +153,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.clock == 0 {
+		// An earlier holder may have extended the lease until this call fenced it.
+		h.deadline = max(h.deadline, r.Clock+h.vm.config.LeaseMost)
+	}
 	if r.Clock > h.clock {
 		h.clock = r.Clock
 		h.clockAt = sent
--- /dev/null
+++ b/internal/kept/vm/hand_test.go
@@ -0,0 +1,47 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Symptom: one task runs twice at once. Sequence: a new holder has one answer from a
+// worker that runs a task of its predecessor, and the next call has none. Cause: the
+// worker's lease was taken to be over, as this holder had not extended it yet; the
+// earlier one had.
+func TestLeaseOfAnEarlierHolderIsNotOverAtOnce(t *testing.T) {
+	now := time.Hour
+	v := &VM{config: Config{LeaseMost: time.Second}, now: func() time.Duration { return now }}
+	h := &hand{vm: v}
+	if _, certain := h.leaseOver(now); certain {
+		t.Error("the lease of a worker that never answered is certain")
+	}
+	h.learn(now, worker.Reply{Clock: 5 * time.Minute})
+	now += 900 * time.Millisecond
+	if over, _ := h.leaseOver(now); over {
+		t.Error("over after 900 ms, the earlier holder may have extended it by a second")
+	}
+	now += 150 * time.Millisecond
+	if over, certain := h.leaseOver(now); !over || !certain {
+		t.Error("not over after 1.05 s")
+	}
+}
+
+// A worker's clock may be slow by 2%.
+func TestLeaseIsOverOnTheSlowestClock(t *testing.T) {
+	now := time.Hour
+	v := &VM{config: Config{LeaseMost: time.Second}, now: func() time.Duration { return now }}
+	h := &hand{vm: v}
+	h.learn(now, worker.Reply{Clock: 5 * time.Minute})
+	h.sentDeadline(5*time.Minute + 10*time.Second)
+	now += 10100 * time.Millisecond
+	if over, _ := h.leaseOver(now); over {
+		t.Error("over after 10.1 s, on a slow clock 9.9 s have passed of 10")
+	}
+	now += 150 * time.Millisecond
+	if over, _ := h.leaseOver(now); !over {
+		t.Error("not over after 10.25 s")
+	}
+}
