--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -203,12 +203,22 @@
 		if !j.rec.Transient || j.rec.Part || j.state.Final() || j.begun() {
 			continue
 		}
-		if now+s.remaining(j) > j.came+lateFactor*s.objective(j) {
+		if now+s.remaining(j) > j.came+lateFactor*s.objective(j) || s.tooLong(now, j) {
 			s.end(now, j, submission.Rejected, "it cannot be done in time")
 		}
 	}
 }
 
+// tooLong reports whether a submission has waited for so much of its caller's time that
+// an answer now serves the caller better: it can still try elsewhere.
+func (s *Shard) tooLong(now time.Duration, j *job) bool {
+	patience := j.rec.Patience
+	return patience > 0 && now-j.came > time.Duration(waitShare*float64(patience))
+}
+
+// waitShare is the share of its caller's time that a submission may wait untried.
+const waitShare = 0.4
+
 // lateFactor is how many times its objective a submission may take and still be
 // worth something to its caller.
 const lateFactor = 3
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -89,9 +89,11 @@
 	// Transient submissions are not stored. Their caller waits for the end and sends
 	// them again if it gets no answer; they may then run again from the start, but
 	// never twice at the same time.
-	Transient bool     `json:"r,omitempty"`
-	Part      bool     `json:"u,omitempty"` // other shards have the other tasks
-	Progress  Progress `json:"p,omitzero"`
+	Transient bool `json:"r,omitempty"`
+	Part      bool `json:"u,omitempty"` // other shards have the other tasks
+	// Patience is how long the caller of a transient submission waits; 0: not known.
+	Patience time.Duration `json:"w,omitempty"`
+	Progress Progress      `json:"p,omitzero"`
 }
 
 // Tasks is the number of tasks of all steps.
--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -44,9 +44,6 @@
 
 // Submit takes a submission, or says why not. It returns within ctx.
 func (v *VM) Submit(ctx context.Context, r *submission.Record) Outcome {
-	if v.stopping.Load() {
-		return Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "this entry VM stops"}
-	}
 	reply := make(chan Outcome, 1)
 	if !v.post(submitEvent{record: r, reply: reply}) {
 		return Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "this entry VM is overloaded"}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -129,11 +129,15 @@
 // Ready reports whether new callers should come here.
 func (v *VM) Ready() bool { return v.ready.Load() && !v.stopping.Load() }
 
+// Stopping reports whether Drain was called. The VM still takes submissions then: the
+// balancer needs some seconds to send callers elsewhere.
+func (v *VM) Stopping() bool { return v.stopping.Load() }
+
 // Catalog is the configuration in force; nil before the first.
 func (v *VM) Catalog() *catalog.Catalog { return v.catalog.Load() }
 
-// Drain gives up all shards and takes no more callers. Requests under way are
-// still answered. It returns when the shards are given up, or ctx ends.
+// Drain gives up all shards and is not ready any more. Submissions are still taken, and
+// those under way are answered. It returns when the shards are given up, or ctx ends.
 func (v *VM) Drain(ctx context.Context) {
 	v.stopping.Store(true)
 	done := make(chan struct{})
