--- a/internal/kept/relay/relay.go
+++ b/internal/kept/relay/relay.go
@@ -70,8 +70,13 @@
 	answered time.Duration // when a direct call was answered last
 	served   time.Duration // when any call was answered last
 	lost     time.Duration // since when no call is answered either way; 0: not so
+	count    func(answered bool)
 }
 
+// Count has each call counted by whether it was answered, on either way. It is to be
+// set before the first call.
+func (r *Router) Count(count func(answered bool)) { r.count = count }
+
 // New returns a router that begins with the direct way.
 func New(direct Transport, peers Peers, now func() time.Duration) *Router {
 	return &Router{direct: direct, peers: peers, now: now}
@@ -127,12 +132,18 @@
 	defer r.mu.Unlock()
 	r.served = r.now()
 	r.lost = 0
+	if r.count != nil {
+		r.count(true)
+	}
 	return rep, nil
 }
 
 func (r *Router) fail() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.count != nil {
+		r.count(false)
+	}
 	if r.lost == 0 {
 		r.lost = r.now()
 	}
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -190,16 +190,16 @@
 	s.reap(t.job)
 }
 
-// Listing takes a worker's answer to a hold that was sent at a time. It returns
-// how many ends in it were new.
-func (s *Shard) Listing(now time.Duration, id string, sent time.Duration, l worker.Listing) (fresh int) {
+// Listing takes a worker's answer to a hold that was sent at a time. It returns the
+// ends in it that were new.
+func (s *Shard) Listing(now time.Duration, id string, sent time.Duration, l worker.Listing) (fresh []worker.Ended) {
 	h, known := s.workers[id]
 	if !known {
-		return 0
+		return nil
 	}
 	if !s.scanned {
 		s.early[id] = earlyListing{sent: sent, listing: l}
-		return 0
+		return nil
 	}
 	if !h.listed {
 		h.listed = true
@@ -209,7 +209,7 @@
 	for _, e := range l.Ended {
 		if e.N > h.taken {
 			h.taken = e.N
-			fresh++
+			fresh = append(fresh, e)
 			s.ended(now, h, e)
 		}
 	}
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -66,6 +66,7 @@
 	blamed   *host         // the first worker on which a task of it failed
 	runBase  uint64        // run numbers begin above it
 	resumed  bool          // an earlier holder had it
+	offered  bool          // a start of it was sent
 }
 
 type stepState struct {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -344,6 +344,8 @@
 }
 
 func (s *Shard) start(now time.Duration, t *task, r *room) {
+	first := !t.job.offered
+	t.job.offered = true
 	t.state = starting
 	t.run = max(t.run, t.job.runBase) + 1
 	t.host = r.host
@@ -361,6 +363,8 @@
 		Spec:       t.job.rec.Spec,
 		Checkpoint: t.checkpoint,
 		Waited:     now - t.job.came,
+		Queue:      t.job.rec.Queue,
+		First:      first,
 	})
 }
 
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -15,6 +15,8 @@
 	Spec       string
 	Checkpoint string
 	Waited     time.Duration // since the submission came to this holder
+	Queue      string
+	First      bool // of the submission, here
 }
 
 // StopAction ends a run.
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -114,6 +114,13 @@
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
+	workers := 0
+	for _, h := range e.shards {
+		workers += len(h.hands)
+	}
+	e.vm.figures.heldWorkers.Update(float64(workers))
+	e.vm.figures.heldShards.Update(float64(len(e.shards)))
+	e.vm.figures.openHere.Update(float64(len(e.transients) + len(e.homes)))
 }
 
 // drive runs a shard that this VM holds.
@@ -134,6 +141,9 @@
 		}
 	}
 	for _, s := range a.Starts {
+		if s.First {
+			e.vm.figures.queue(s.Queue).firstStart.RecordDuration(s.Waited)
+		}
 		e.order(h, s.Worker.ID, func(hd *hand) {
 			hd.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
 		})
--- /dev/null
+++ b/internal/kept/vm/figures.go
@@ -0,0 +1,141 @@
+package vm
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportEvery = time.Second // between counters and the scrape registry
+
+// timeBuckets spread from a millisecond to half a minute.
+var timeBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// figures counts what an entry VM does. Queues, reasons and outcomes are few and known,
+// so the number of series is bounded. The engine alone counts by queue; counters without
+// labels may be used from any goroutine.
+type figures struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prometheus.Registry
+	queues   map[string]*queueFigures
+
+	starts       map[string]tally.Counter // by the worker's answer
+	ends         map[string]tally.Counter // of runs, by how
+	takeovers    tally.Counter
+	handovers    tally.Counter
+	adopted      tally.Counter
+	resumed      tally.Counter
+	suspected    tally.Counter
+	workersLost  tally.Counter
+	storeCalls   map[bool]tally.Counter // answered or not
+	heldShards   tally.Gauge
+	heldWorkers  tally.Gauge
+	openHere     tally.Gauge
+	droppedEvent tally.Counter
+}
+
+// queueFigures are those of one queue.
+type queueFigures struct {
+	taken      tally.Counter
+	firstStart tally.Histogram // from the holder's knowledge to the first start
+	response   tally.Histogram // from the caller's request to its answer
+	stored     tally.Histogram // from the caller's request to the record in the store
+	outcomes   map[string]tally.Counter
+	scope      tally.Scope
+}
+
+func newFigures(entryVM string) *figures {
+	registry := prometheus.NewRegistry()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "pumiceyard_kept",
+		Tags:   map[string]string{"entry_vm": entryVM},
+		CachedReporter: tallyprom.NewReporter(tallyprom.Options{
+			Registerer:       registry,
+			DefaultTimerType: tallyprom.HistogramTimerType,
+		}),
+		Separator: tallyprom.DefaultSeparator,
+	}, reportEvery)
+	f := &figures{
+		scope:        scope,
+		closer:       closer,
+		registry:     registry,
+		queues:       make(map[string]*queueFigures),
+		starts:       make(map[string]tally.Counter),
+		ends:         make(map[string]tally.Counter),
+		takeovers:    scope.Counter("shards_taken_total"),
+		handovers:    scope.Counter("shards_lost_total"),
+		adopted:      scope.Counter("submissions_adopted_total"),
+		resumed:      scope.Counter("submissions_resumed_total"),
+		suspected:    scope.Counter("peers_lost_total"),
+		workersLost:  scope.Counter("workers_lost_total"),
+		heldShards:   scope.Gauge("shards_held"),
+		heldWorkers:  scope.Gauge("workers_held"),
+		openHere:     scope.Gauge("submissions_open"),
+		droppedEvent: scope.Counter("events_dropped_total"),
+	}
+	f.storeCalls = map[bool]tally.Counter{
+		true:  scope.Tagged(map[string]string{"answered": "true"}).Counter("store_calls_total"),
+		false: scope.Tagged(map[string]string{"answered": "false"}).Counter("store_calls_total"),
+	}
+	return f
+}
+
+func (f *figures) close() { _ = f.closer.Close() }
+
+func (f *figures) handler() http.Handler {
+	return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{})
+}
+
+func (f *figures) queue(name string) *queueFigures {
+	q := f.queues[name]
+	if q == nil {
+		scope := f.scope.Tagged(map[string]string{"queue": name})
+		q = &queueFigures{
+			taken:      scope.Counter("submissions_taken_total"),
+			firstStart: scope.Histogram("first_start_seconds", timeBuckets),
+			response:   scope.Histogram("response_seconds", timeBuckets),
+			stored:     scope.Histogram("stored_seconds", timeBuckets),
+			outcomes:   make(map[string]tally.Counter),
+			scope:      scope,
+		}
+		f.queues[name] = q
+	}
+	return q
+}
+
+// ended counts a submission's answer: done, failed, refused, given_up or abandoned.
+func (q *queueFigures) ended(outcome string, took time.Duration) {
+	c := q.outcomes[outcome]
+	if c == nil {
+		c = q.scope.Tagged(map[string]string{"outcome": outcome}).Counter("submissions_ended_total")
+		q.outcomes[outcome] = c
+	}
+	c.Inc(1)
+	q.response.RecordDuration(took)
+}
+
+// start counts a worker's answer to a start.
+func (f *figures) start(answer string) {
+	c := f.starts[answer]
+	if c == nil {
+		c = f.scope.Tagged(map[string]string{"answer": answer}).Counter("starts_total")
+		f.starts[answer] = c
+	}
+	c.Inc(1)
+}
+
+// end counts the end of a run.
+func (f *figures) end(how string) {
+	c := f.ends[how]
+	if c == nil {
+		c = f.scope.Tagged(map[string]string{"how": how}).Counter("runs_ended_total")
+		f.ends[how] = c
+	}
+	c.Inc(1)
+}
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -90,6 +90,7 @@
 	}
 	e.placeWorkers(h)
 	e.scan(holding.Shard, h)
+	e.vm.figures.takeovers.Inc(1)
 	klog.InfoS("kept: shard taken", "shard", holding.Shard, "token", holding.Token, "revision", holding.Revision,
 		"workers", len(h.hands), "barrier_in", barrierAt-e.at)
 }
@@ -98,6 +99,7 @@
 	h.cancel()
 	delete(e.shards, h.holding.Shard)
 	e.wantWorkers()
+	e.vm.figures.handovers.Inc(1)
 	klog.InfoS("kept: shard lost", "shard", h.holding.Shard, "token", h.holding.Token,
 		"new_holder", now.Holder, "new_token", now.Token, "unfinished", len(h.core.Unfinished()))
 }
@@ -241,6 +243,7 @@
 	e.alignHands(h)
 	for _, r := range ev.records {
 		if _, known := h.core.Knows(r.Record.ID); !known {
+			e.vm.figures.adopted.Inc(1)
 			klog.InfoS("kept: adopted", "id", r.Record.ID, "shard", ev.shard, "token", ev.token,
 				"revision", r.Revision, "stored_under", r.Record.Token, "home", r.Record.Home)
 		}
@@ -320,8 +323,17 @@
 }
 
 func (ev listingEvent) apply(e *engine) {
-	if h := e.holder(ev.hand); h != nil {
-		h.core.Listing(e.at, ev.hand.info.Load().ID, ev.sent, ev.listing)
+	h := e.holder(ev.hand)
+	if h == nil {
+		return
+	}
+	id := ev.hand.info.Load().ID
+	for _, end := range h.core.Listing(e.at, id, ev.sent, ev.listing) {
+		e.vm.figures.end(end.How.String())
+		if end.How != worker.Completed {
+			klog.InfoS("kept: run ended", "id", end.Task.ID, "step", end.Task.Step, "index", end.Task.Index, "run", end.Run,
+				"worker", id, "how", end.How.String(), "number", end.N)
+		}
 	}
 }
 
@@ -348,6 +360,7 @@
 		return
 	}
 	id := ev.hand.info.Load().ID
+	e.vm.figures.workersLost.Inc(1)
 	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.hand.shard, "why", "it does not answer, and its lease is over")
 	h.core.WorkerLapsed(e.at, id)
 	e.alignHands(h)
@@ -359,6 +372,7 @@
 		return
 	}
 	id := ev.hand.info.Load().ID
+	e.vm.figures.start(ev.reply.Verdict.String())
 	if ev.reply.Verdict != worker.Accepted {
 		klog.InfoS("kept: start not accepted", "id", ev.task.ID, "step", ev.task.Step, "index", ev.task.Index, "run", ev.run,
 			"worker", id, "answer", ev.reply.Verdict)
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -111,6 +111,7 @@
 	if !h.looking {
 		delete(e.homes, h.record.ID)
 	}
+	e.vm.figures.queue(h.record.Queue).ended("refused", e.at-h.came)
 	klog.InfoS("kept: refused", "id", h.record.ID, "queue", h.record.Queue, "why", o.Why, "tries", h.tries, "waited", e.at-h.came)
 	e.answer(h, o)
 }
@@ -144,6 +145,9 @@
 		h.revision = ev.result.Revision
 		h.state = submission.Queued
 		h.changed = e.at
+		q := e.vm.figures.queue(ev.record.Queue)
+		q.taken.Inc(1)
+		q.stored.RecordDuration(e.at - h.came)
 		klog.InfoS("kept: accepted", "id", ev.record.ID, "queue", ev.record.Queue, "shard", h.shard, "token", ev.record.Token,
 			"revision", h.revision, "tasks", ev.record.Tasks(), "took", e.at-h.came, "tries", ev.result.Tries)
 		e.answer(h, Outcome{Kind: Taken})
@@ -364,6 +368,9 @@
 	h.state = state
 	h.changed = e.at
 	h.created = true
+	if state.Final() && h.record != nil {
+		e.vm.figures.queue(h.record.Queue).ended(state.String(), e.at-h.came)
+	}
 	if state.Final() {
 		h.record = nil // only its state is asked for from now on
 	}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -90,6 +90,7 @@
 
 func (ev peerLostEvent) apply(e *engine) {
 	if e.up[ev.name] {
+		e.vm.figures.suspected.Inc(1)
 		klog.InfoS("kept: peer lost", "peer", ev.name, "why", ev.why)
 	}
 	e.up[ev.name] = false
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -66,6 +66,7 @@
 	}
 	parts, refusal := e.divide(ev.record)
 	if refusal != nil {
+		e.vm.figures.queue(ev.record.Queue).ended("refused", 0)
 		klog.InfoS("kept: refused", "id", id, "queue", ev.record.Queue, "why", refusal.Why, "retry_after", refusal.RetryAfter)
 		ev.reply <- *refusal
 		return
@@ -78,6 +79,7 @@
 		waiters: []chan Outcome{ev.reply},
 	}
 	e.transients[id] = t
+	e.vm.figures.queue(ev.record.Queue).taken.Inc(1)
 	for _, p := range parts {
 		l := e.loads[p.shard]
 		klog.InfoS("kept: taken", "id", id, "queue", ev.record.Queue, "shard", p.shard, "holder", l.holder, "token", l.token,
@@ -144,6 +146,7 @@
 	case h == nil:
 		e.tellPeer(from, r.ID, r.Shard, submission.Unknown)
 	case resumed:
+		e.vm.figures.resumed.Inc(1)
 		klog.InfoS("kept: resumed", "id", r.ID, "home", from, "shard", r.Shard, "token", h.holding.Token)
 		h.core.Resume(e.at, r)
 	default:
@@ -214,6 +217,7 @@
 
 // giveUp tells the callers to send the submission again.
 func (e *engine) giveUp(t *transient, why string) {
+	e.vm.figures.queue(t.record.Queue).ended("given_up", e.at-t.came)
 	klog.InfoS("kept: given up", "id", t.record.ID, "why", why, "after", e.at-t.came, "parts", len(t.parts))
 	e.forgetTransient(t, Outcome{Kind: Unsure, Why: why})
 }
@@ -277,6 +281,7 @@
 	case submission.Rejected:
 		p.state = state
 		backlog := e.loads[p.shard].Backlog
+		e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
 		klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", "it cannot be done in time", "after", e.at-t.came, "backlog", backlog)
 		e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: "it cannot be done in time"})
 	case submission.Failed:
@@ -296,6 +301,7 @@
 func (e *engine) endTransient(t *transient, state submission.State) {
 	t.state = state
 	t.ended = e.at
+	e.vm.figures.queue(t.record.Queue).ended(state.String(), e.at-t.came)
 	klog.InfoS("kept: answered", "id", t.record.ID, "queue", t.record.Queue, "state", state.String(), "after", e.at-t.came, "parts", len(t.parts))
 	t.answer(Outcome{Kind: Ended, State: state})
 }
@@ -339,6 +345,7 @@
 	if t.state.Final() || len(t.waiters) > 0 {
 		return
 	}
+	e.vm.figures.queue(t.record.Queue).ended("abandoned", e.at-t.came)
 	klog.InfoS("kept: abandoned", "id", ev.id, "after", e.at-t.came, "why", "its caller has gone")
 	e.withdraw(t)
 	delete(e.transients, ev.id)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,15 +63,16 @@
 
 // VM is a running entry VM.
 type VM struct {
-	config Config
-	now    func() time.Duration
-	events *ring.Ring[event]
-	router *relay.Router
-	calls  *peerCalls
-	store  store.Store
-	intake *journal.Journal // new submissions
-	ends   *journal.Journal // ends and progress
-	server *link.Server
+	config  Config
+	now     func() time.Duration
+	events  *ring.Ring[event]
+	router  *relay.Router
+	calls   *peerCalls
+	store   store.Store
+	intake  *journal.Journal // new submissions
+	ends    *journal.Journal // ends and progress
+	server  *link.Server
+	figures *figures
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	ready    atomic.Bool // a shard takes submissions, and so does this VM
@@ -92,6 +94,8 @@
 	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents), wantWorkers: make(chan bool, 1)}
 	v.calls = newPeerCalls()
 	v.router = relay.New(c.Direct, v.calls, c.Now)
+	v.figures = newFigures(c.Name)
+	v.router.Count(func(answered bool) { v.figures.storeCalls[answered].Inc(1) })
 	v.store = c.Store(v.router)
 	v.intake = journal.New(journal.Settings{Name: "intake", Capacity: 4096, Flights: 4}, v.store)
 	v.ends = journal.New(journal.Settings{
@@ -133,6 +137,9 @@
 // balancer needs some seconds to send callers elsewhere.
 func (v *VM) Stopping() bool { return v.stopping.Load() }
 
+// Metrics serves counters and histograms in the usual scrape format.
+func (v *VM) Metrics() http.Handler { return v.figures.handler() }
+
 // Catalog is the configuration in force; nil before the first.
 func (v *VM) Catalog() *catalog.Catalog { return v.catalog.Load() }
 
@@ -157,6 +164,7 @@
 		klog.V(1).InfoS("kept: peers' listener", "why", err)
 	}
 	v.duties.Wait()
+	v.figures.close()
 	klog.InfoS("kept: stopped", "vm", v.config.Name)
 }
 
@@ -166,6 +174,7 @@
 	if v.events.TryPush(e) {
 		return true
 	}
+	v.figures.droppedEvent.Inc(1)
 	klog.InfoS("kept: event dropped, the ring is full")
 	return false
 }
