--- a/cmd/pumiceyard/caller.go
+++ b/cmd/pumiceyard/caller.go
@@ -48,7 +48,7 @@
 }
 
 func callerCommands() []*cobra.Command {
-	return []*cobra.Command{submitCommand(), ticketsCommand(), cancelCommand()}
+	return []*cobra.Command{submitCommand(), ticketsCommand(), cancelCommand(), keptCommand()}
 }
 
 func submitCommand() *cobra.Command {
--- a/cmd/pumiceyard/trying.go
+++ b/cmd/pumiceyard/trying.go
@@ -6,6 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/pumiceyard/pumiceyard/internal/tool/demo"
+	"github.com/pumiceyard/pumiceyard/internal/tool/keptsite"
 	"github.com/pumiceyard/pumiceyard/internal/tool/standin"
 )
 
@@ -22,7 +23,10 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			opt.Out = c.OutOrStdout()
-			return demo.Run(c.Context(), opt)
+			if err := demo.Run(c.Context(), opt); err != nil {
+				return err
+			}
+			return keptsite.Demo(c.Context(), c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
@@ -37,7 +41,10 @@
 }
 
 func standinCommand() *cobra.Command {
-	var opt standin.Options
+	var (
+		opt  standin.Options
+		kept bool
+	)
 	c := &cobra.Command{
 		Use:   "standin",
 		Short: "Run the platform's and the workers' stand-ins, for trying daemons by hand",
@@ -48,10 +55,14 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			opt.Out = c.OutOrStdout()
+			if kept {
+				return keptsite.Serve(c.Context(), opt.Listen, []string{"hall-a", "hall-b"}, max(opt.Workers/2, 1), c.OutOrStdout())
+			}
 			return standin.Run(c.Context(), opt)
 		},
 	}
 	c.Flags().StringVar(&opt.Deployment, "deployment", "tsagaan-shavar", "sample deployment: tsagaan-shavar or ventilsvaz")
+	c.Flags().BoolVar(&kept, "kept", false, "the store and workers of kept submissions, in the domains hall-a and hall-b")
 	c.Flags().IntVar(&opt.Workers, "workers", 16, "how many workers, over all failure domains")
 	c.Flags().StringVar(&opt.Listen, "listen", "127.0.0.1:7000", "address of the platform's service")
 	c.Flags().StringArrayVar(&opt.Entries, "entry", nil, "list an entry VM: name,domain,host:port (repeatable)")
--- a/cmd/pumiceyardd/main.go
+++ b/cmd/pumiceyardd/main.go
@@ -37,7 +37,7 @@
 		}
 		return run(c.Context(), s)
 	}
-	root.AddCommand(platform.Command())
+	root.AddCommand(keptCommand(), platform.Command())
 	if err := root.Execute(); err != nil {
 		root.PrintErrln("pumiceyardd:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/connection/submissions/submissions.go
@@ -0,0 +1,170 @@
+// Package submissions is the callers' own interface to submissions under their own
+// key: kept ones, and transient ones that are answered by their end.
+package submissions
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/vm"
+)
+
+// Entry is the entry VM behind the interface.
+type Entry interface {
+	Catalog() *catalog.Catalog
+	Submit(ctx context.Context, r *submission.Record) vm.Outcome
+	State(ctx context.Context, id submission.ID) (submission.State, error)
+	Cancel(ctx context.Context, id submission.ID) (submission.State, error)
+	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+const (
+	answerWithin = 30 * time.Second // unless the caller's own deadline comes first
+	keyMost      = 64               // bytes
+	tasksMost    = 4096
+)
+
+// Handler serves the interface.
+func Handler(e Entry) (path string, h http.Handler) {
+	return pumiceyardv1connect.NewSubmissionServiceHandler(&service{entry: e}, wire.HandlerOptions()...)
+}
+
+type service struct{ entry Entry }
+
+var (
+	errKey   = errors.New("key: 1 to 64 letters, digits, - or _")
+	errSteps = errors.New("steps: 1 or more, with 1 to 4096 tasks in all, each after earlier ones only")
+	errQueue = errors.New("queue: there is none of that name")
+	errStart = errors.New("no configuration has come yet; nothing has run")
+)
+
+func validKey(key string) bool {
+	if key == "" || len(key) > keyMost {
+		return false
+	}
+	for _, c := range key {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// SubmitWork implements the service.
+func (s *service) SubmitWork(ctx context.Context, req *connect.Request[pb.SubmitWorkRequest]) (*connect.Response[pb.SubmitWorkResponse], error) {
+	c := s.entry.Catalog()
+	if c == nil {
+		return nil, refusal(errStart, time.Second)
+	}
+	q := c.Queue(req.Msg.Queue)
+	if q == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errQueue)
+	}
+	rec, err := record(q, req.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	o := s.entry.Submit(ctx, rec)
+	switch o.Kind {
+	case vm.Taken:
+		return connect.NewResponse(&pb.SubmitWorkResponse{State: pb.WorkState_WORK_STATE_QUEUED}), nil
+	case vm.Ended:
+		return connect.NewResponse(&pb.SubmitWorkResponse{State: stateOf(o.State)}), nil
+	case vm.Busy:
+		return nil, refusal(errors.New("not run: "+o.Why), o.RetryAfter)
+	default:
+		return nil, connect.NewError(connect.CodeUnknown, errors.New("it may have run: "+o.Why))
+	}
+}
+
+// refusal says that nothing has run, and when to come back.
+func refusal(err error, after time.Duration) error {
+	out := connect.NewError(connect.CodeUnavailable, err)
+	out.Meta().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	return out
+}
+
+func record(q *catalog.Queue, m *pb.SubmitWorkRequest) (*submission.Record, error) {
+	if !validKey(m.Key) {
+		return nil, errKey
+	}
+	rec := &submission.Record{ID: submission.ID(m.Key), Queue: q.Name, Spec: m.Spec, Terms: q.Terms, Transient: m.Transient}
+	tasks := uint32(0)
+	for i, w := range m.Steps {
+		step := submission.Step{
+			Count:        int(w.Count),
+			CPUMilli:     int64(w.CpuMilli),
+			MemMB:        int64(w.MemoryMb),
+			GPU:          int64(w.Gpu),
+			Estimate:     time.Duration(w.EstimateMillis) * time.Millisecond,
+			Label:        w.Label,
+			MaxPerWorker: int(w.MostPerWorker),
+		}
+		for _, a := range w.After {
+			if int(a) >= i {
+				return nil, errSteps
+			}
+			step.After = append(step.After, int(a))
+		}
+		tasks += w.Count
+		if w.Count == 0 || tasks > tasksMost {
+			return nil, errSteps
+		}
+		rec.Steps = append(rec.Steps, step)
+	}
+	if tasks == 0 {
+		return nil, errSteps
+	}
+	return rec, nil
+}
+
+var states = map[submission.State]pb.WorkState{
+	submission.Queued:    pb.WorkState_WORK_STATE_QUEUED,
+	submission.Running:   pb.WorkState_WORK_STATE_RUNNING,
+	submission.Done:      pb.WorkState_WORK_STATE_DONE,
+	submission.Failed:    pb.WorkState_WORK_STATE_FAILED,
+	submission.Cancelled: pb.WorkState_WORK_STATE_CANCELLED,
+}
+
+func stateOf(s submission.State) pb.WorkState { return states[s] }
+
+// GetState implements the service.
+func (s *service) GetState(ctx context.Context, req *connect.Request[pb.GetStateRequest]) (*connect.Response[pb.GetStateResponse], error) {
+	state, err := s.entry.State(ctx, submission.ID(req.Msg.Key))
+	if err != nil {
+		return nil, refusal(err, time.Second)
+	}
+	return connect.NewResponse(&pb.GetStateResponse{State: stateOf(state)}), nil
+}
+
+// CancelWork implements the service.
+func (s *service) CancelWork(ctx context.Context, req *connect.Request[pb.CancelWorkRequest]) (*connect.Response[pb.CancelWorkResponse], error) {
+	state, err := s.entry.Cancel(ctx, submission.ID(req.Msg.Key))
+	if err != nil {
+		return nil, refusal(err, time.Second)
+	}
+	return connect.NewResponse(&pb.CancelWorkResponse{State: stateOf(state)}), nil
+}
+
+// CountWaiting implements the service.
+func (s *service) CountWaiting(ctx context.Context, req *connect.Request[pb.CountWaitingRequest]) (*connect.Response[pb.CountWaitingResponse], error) {
+	n, err := s.entry.Waiting(ctx, req.Msg.Queue)
+	if err != nil {
+		return nil, refusal(err, time.Second)
+	}
+	return connect.NewResponse(&pb.CountWaitingResponse{Waiting: uint32(n)}), nil
+}
--- /dev/null
+++ b/internal/connection/submissions/submissions_test.go
@@ -0,0 +1,135 @@
+package submissions_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/connection/submissions"
+	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/vm"
+)
+
+// entry answers as it is told.
+type entry struct {
+	catalog *catalog.Catalog
+	outcome vm.Outcome
+	state   submission.State
+	err     error
+	got     *submission.Record
+}
+
+func (e *entry) Catalog() *catalog.Catalog { return e.catalog }
+
+func (e *entry) Submit(_ context.Context, r *submission.Record) vm.Outcome {
+	e.got = r
+	return e.outcome
+}
+
+func (e *entry) State(context.Context, submission.ID) (submission.State, error) {
+	return e.state, e.err
+}
+
+func (e *entry) Cancel(context.Context, submission.ID) (submission.State, error) {
+	return e.state, e.err
+}
+
+func (e *entry) Waiting(context.Context, string) (int, error) { return 7, e.err }
+
+func newEntry() *entry {
+	return &entry{catalog: &catalog.Catalog{Queues: []catalog.Queue{{Name: "q", Terms: submission.Terms{Service: "desk", Attempts: 2}}}}}
+}
+
+func serve(t *testing.T, e submissions.Entry) string {
+	t.Helper()
+	path, h := submissions.Handler(e)
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func work(key string) client.Work {
+	return client.Work{Queue: "q", Key: key, Spec: "s", Steps: []client.WorkStep{
+		{Count: 2, CPUMilli: 500, Estimate: 40 * time.Millisecond},
+		{Count: 1, After: []uint32{0}},
+	}}
+}
+
+func TestSubmissionReadsBack(t *testing.T) {
+	e := newEntry()
+	k, err := client.NewKept(serve(t, e))
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := k.Submit(t.Context(), work("a-1"))
+	if err != nil || state != client.StateQueued {
+		t.Fatalf("%s, %v", state, err)
+	}
+	r := e.got
+	if r.ID != "a-1" || r.Queue != "q" || r.Tasks() != 3 || r.Terms.Service != "desk" || r.Steps[0].Estimate != 40*time.Millisecond || len(r.Steps[1].After) != 1 {
+		t.Errorf("the entry VM got %+v", r)
+	}
+	if n, err := k.Waiting(t.Context(), "q"); n != 7 || err != nil {
+		t.Errorf("%d wait, %v", n, err)
+	}
+}
+
+func TestWhatCannotBeTakenIsSaidAtOnce(t *testing.T) {
+	e := newEntry()
+	k, err := client.NewKept(serve(t, e))
+	if err != nil {
+		t.Fatal(err)
+	}
+	circle := work("b")
+	circle.Steps[0].After = []uint32{1}
+	other := work("b")
+	other.Queue = "none"
+	for name, w := range map[string]client.Work{"key": work("a b"), "empty": {Queue: "q", Key: "b"}, "circle": circle, "queue": other} {
+		if _, err := k.Submit(t.Context(), w); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+	if e.got != nil {
+		t.Error("the entry VM got a submission that cannot be read")
+	}
+}
+
+// Symptom: a caller takes a refusal for an unknown outcome. A refusal says that nothing
+// has run, and when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	e := newEntry()
+	e.outcome = vm.Outcome{Kind: vm.Busy, RetryAfter: 1500 * time.Millisecond, Why: "no room"}
+	k, err := client.NewKept(serve(t, e))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	_, err = k.Submit(ctx, work("a"))
+	var refused *client.NotRunError
+	if !errors.As(err, &refused) || refused.After != 2*time.Second {
+		t.Errorf("the error is %v", err)
+	}
+}
+
+// A VM that does not answer does not keep a caller from another one that does.
+func TestCallerGoesToTheNextVM(t *testing.T) {
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	e := newEntry()
+	e.state = submission.Done
+	k, err := client.NewKept(dead.URL, serve(t, e))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := k.Wait(t.Context(), "a"); s != client.StateDone || err != nil {
+		t.Errorf("%s, %v", s, err)
+	}
+}
--- /dev/null
+++ b/internal/kept/daemon/daemon.go
@@ -0,0 +1,249 @@
+// Package daemon runs an entry VM for kept and transient submissions on the project's
+// own protocols, by settings of its own.
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/connection/runhost"
+	"github.com/pumiceyard/pumiceyard/internal/connection/submissions"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store/kvcall"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/vm"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/process/setting"
+)
+
+// Settings are what one entry VM is told at its start.
+type Settings struct {
+	Name         string   `json:"name"`          // unique among the site's entry VMs
+	Domain       string   `json:"domain"`        // failure domain of this VM
+	Domains      []string `json:"domains"`       // all failure domains of the site
+	CallerListen string   `json:"caller_listen"` // host:port; also ready and metrics
+	PeerListen   string   `json:"peer_listen"`   // host:port
+	Store        string   `json:"store"`         // host:port of the platform's store
+	LeaseMillis  uint32   `json:"lease_millis"`  // longest lease of runs at a worker
+	StopMillis   uint32   `json:"stop_millis"`   // a planned stop takes submissions so long
+}
+
+// Defaults of settings.
+const (
+	DefaultLeaseMillis = 1000
+	DefaultStopMillis  = 2000
+	stopWithin         = 30 * time.Second // for requests under way
+	drainWithin        = 2 * time.Second  // for shards to be handed over
+)
+
+// LoadSettings reads and checks a settings file. Errors name the file and the field.
+func LoadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{LeaseMillis: DefaultLeaseMillis, StopMillis: DefaultStopMillis}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := s.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Validate reports the first setting that cannot be used.
+func (s *Settings) Validate() error {
+	switch {
+	case s.Name == "":
+		return &setting.Error{Field: "name", Problem: "is missing"}
+	case !slices.Contains(s.Domains, s.Domain):
+		return &setting.Error{Field: "domain", Problem: "is not among domains"}
+	case s.LeaseMillis < 500 || s.LeaseMillis > 60_000:
+		return &setting.Error{Field: "lease_millis", Problem: "is not from 500 to 60000"}
+	case s.StopMillis > 60_000:
+		return &setting.Error{Field: "stop_millis", Problem: "is over 60000"}
+	}
+	for field, address := range map[string]string{"caller_listen": s.CallerListen, "peer_listen": s.PeerListen, "store": s.Store} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return &setting.Error{Field: field, Problem: "is not host:port"}
+		}
+	}
+	return nil
+}
+
+// Where the lists lie in the store.
+const (
+	WorkerPrefix  = "pumiceyard/list/worker/"
+	CatalogPrefix = "pumiceyard/catalog/"
+	CatalogKey    = CatalogPrefix + "current"
+)
+
+// Catalog is the configuration of queues as operators write it.
+type Catalog struct {
+	Version uint64  `json:"version"` // higher than that before
+	Queues  []Queue `json:"queues"`
+}
+
+// Queue is one kind of work.
+type Queue struct {
+	Name         string  `json:"name"`
+	Service      string  `json:"service"` // of the workers that run it
+	Priority     int     `json:"priority"`
+	Attempts     int     `json:"attempts"`
+	Stretch      float64 `json:"stretch"`
+	TargetMillis uint32  `json:"target_millis"`
+}
+
+func decodeCatalog(it store.Item) (*catalog.Catalog, error) {
+	var w Catalog
+	if err := json.Unmarshal(it.Value, &w); err != nil {
+		return nil, err
+	}
+	c := &catalog.Catalog{Version: w.Version}
+	for _, q := range w.Queues {
+		c.Queues = append(c.Queues, catalog.Queue{
+			Name: q.Name,
+			Terms: submission.Terms{
+				Service:  q.Service,
+				Priority: q.Priority,
+				Attempts: max(q.Attempts, 1),
+				Stretch:  q.Stretch,
+				Target:   time.Duration(q.TargetMillis) * time.Millisecond,
+			},
+		})
+	}
+	return c, nil
+}
+
+func decodeWorker(it store.Item) (worker.Info, error) {
+	var info worker.Info
+	err := json.Unmarshal(it.Value, &info)
+	info.Revision = it.Revision
+	return info, err
+}
+
+// storeCalls makes the store's calls over HTTP.
+type storeCalls struct {
+	address string
+	client  *http.Client
+}
+
+const answerMost = 16 << 20 // bytes
+
+// Do implements relay.Transport.
+func (s *storeCalls) Do(ctx context.Context, c relay.Call) (relay.Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+s.address+c.Target, bytes.NewReader(c.Body))
+	if err != nil {
+		return relay.Reply{}, err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return relay.Reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	return relay.Reply{Status: resp.StatusCode, Body: body}, err
+}
+
+// Daemon is a running entry VM with its listeners.
+type Daemon struct {
+	VM       *vm.VM
+	settings *Settings
+	orders   *runhost.Client
+	http     *http.Server
+}
+
+// Start runs an entry VM until Stop or Kill.
+func Start(s *Settings) (*Daemon, error) {
+	peers, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := net.Listen("tcp", s.CallerListen)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, orders: runhost.NewClient()}
+	d.VM = vm.Start(vm.Config{
+		Name:        s.Name,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Domain:      s.Domain,
+		Domains:     s.Domains,
+		PeerAddress: peers.Addr().String(),
+		PeerListen:  peers,
+		Direct:      &storeCalls{address: s.Store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}},
+		Store:       func(t relay.Transport) store.Store { return &kvcall.Client{Calls: t} },
+		Orders:      d.orders,
+		Lists: vm.Lists{
+			WorkerPrefix:  WorkerPrefix,
+			DecodeWorker:  decodeWorker,
+			CatalogPrefix: CatalogPrefix,
+			CatalogKey:    CatalogKey,
+			DecodeCatalog: decodeCatalog,
+		},
+		LeaseMost: time.Duration(s.LeaseMillis) * time.Millisecond,
+	})
+	d.http = wire.NewServer(d.handler(), nil)
+	go func() {
+		if err := d.http.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "kept: callers' listener ended")
+		}
+	}()
+	return d, nil
+}
+
+func (d *Daemon) handler() http.Handler {
+	r := mux.NewRouter()
+	path, h := submissions.Handler(d.VM)
+	r.PathPrefix(path).Handler(h)
+	r.Handle("/metrics", d.VM.Metrics())
+	r.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.VM.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// Stop hands the shards over, takes submissions for some time more, answers those
+// under way and ends.
+func (d *Daemon) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopWithin)
+	defer cancel()
+	drain, drained := context.WithTimeout(ctx, drainWithin)
+	d.VM.Drain(drain)
+	drained()
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(d.settings.StopMillis) * time.Millisecond):
+	}
+	err := d.http.Shutdown(ctx)
+	d.VM.Stop()
+	d.orders.Close()
+	return err
+}
+
+// Kill ends the VM as if its process had died: nothing is handed over or answered.
+func (d *Daemon) Kill() {
+	_ = d.http.Close()
+	d.VM.Stop()
+	d.orders.Close()
+}
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -127,7 +127,7 @@
 	client := wire.NewClient(l.dial, nil)
 	defer client.Leave()
 	service := pumiceyardv1connect.NewKeptServiceClient(client.Client, "http://"+l.address,
-		connect.WithSendCompression(""), connect.WithAcceptCompression("gzip", nil, nil))
+		wire.ClientOptions()...)
 	guard := time.AfterFunc(l.settings.Open, func() {
 		cancel()
 		client.Leave()
@@ -228,7 +228,7 @@
 func NewServer(self *pb.KeptBeat, events Events) *Server {
 	s := &Server{self: self, events: events}
 	mux := http.NewServeMux()
-	mux.Handle(pumiceyardv1connect.NewKeptServiceHandler(s))
+	mux.Handle(pumiceyardv1connect.NewKeptServiceHandler(s, wire.HandlerOptions()...))
 	s.http = wire.NewServer(mux, nil)
 	return s
 }
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -67,7 +67,7 @@
 
 func (w *world) addHost(id, address string) {
 	info := worker.Info{ID: id, Service: "desk", Address: address, Domain: "a", CPUMilli: 16000, MemMB: 65536, Revision: uint64(len(w.hosts) + 1)}
-	w.hosts[id] = runhost.New(info, w.ledger, func(ref submission.TaskRef) runhost.Work { return w.works[ref.ID] })
+	w.hosts[id] = runhost.New(info, w.ledger, func(s worker.Start) runhost.Work { return w.works[s.Task.ID] })
 }
 
 // hold makes a new holder of the shard, which knows nothing.
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -34,6 +34,10 @@
 		reply chan int // buffered
 	}
 	drainEvent struct{ done chan struct{} }
+	holdsEvent struct {
+		shard string
+		reply chan bool // buffered
+	}
 	// abandonEvent says that a caller does not wait any more.
 	abandonEvent struct {
 		id    submission.ID
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -486,5 +486,9 @@
 	for _, c := range claims {
 		e.claim(c)
 	}
+	if len(claims) == 0 {
+		close(ev.done) // there is nothing to hand over, or nobody to take it
+		return
+	}
 	e.draining = ev.done
 }
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -113,6 +113,8 @@
 	*l = loadView{Load: load, holder: holder, token: token, at: e.at}
 }
 
+func (ev holdsEvent) apply(e *engine) { ev.reply <- e.shards[ev.shard] != nil }
+
 func (ev waitingEvent) apply(e *engine) {
 	n := 0
 	for _, l := range e.loads {
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -178,3 +178,9 @@
 	klog.InfoS("kept: event dropped, the ring is full")
 	return false
 }
+
+// Holds reports whether this VM holds a shard.
+func (v *VM) Holds(shard string) bool {
+	reply := make(chan bool, 1)
+	return v.post(holdsEvent{shard: shard, reply: reply}) && <-reply
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -45,12 +45,15 @@
 func (f *Fleet) Add(info worker.Info) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hosts[info.Address] = runhost.New(info, f.Ledger, func(ref submission.TaskRef) runhost.Work {
-		return f.works[ref.ID]
+	f.hosts[info.Address] = runhost.New(info, f.Ledger, func(s worker.Start) runhost.Work {
+		if w, set := f.works[s.Task.ID]; set {
+			return w
+		}
+		return runhost.WorkOf(s.Spec)
 	})
 }
 
-// SetWork says what the tasks of a submission do.
+// SetWork says what the tasks of a submission do, whatever their spec says.
 func (f *Fleet) SetWork(id submission.ID, w runhost.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -22,10 +23,25 @@
 
 // Work is what a task does.
 type Work struct {
-	CPUMilli int64
-	Time     time.Duration
-	Fails    bool
-	Hangs    bool
+	CPUMilli int64         `json:"cpu_milli"` // thousandths of a core
+	Time     time.Duration `json:"-"`
+	Fails    bool          `json:"fail,omitempty"`
+	Hangs    bool          `json:"hang,omitempty"`
+}
+
+// WorkOf reads what a task does from its spec:
+// {"run_millis":100,"cpu_milli":1000,"fail":false,"hang":false}. A spec that is
+// something else is a task that fails at once.
+func WorkOf(spec string) Work {
+	var w struct {
+		Work
+		RunMillis uint32 `json:"run_millis"`
+	}
+	if err := json.Unmarshal([]byte(spec), &w); err != nil {
+		return Work{Fails: true}
+	}
+	w.Time = time.Duration(w.RunMillis) * time.Millisecond
+	return w.Work
 }
 
 // Ledger counts what all workers of a test run, and finds second runs.
@@ -74,7 +90,7 @@
 // Host is one life of a worker.
 type Host struct {
 	Info   worker.Info
-	Works  func(submission.TaskRef) Work
+	Works  func(worker.Start) Work // what the task of an order does
 	Ledger *Ledger
 
 	token    uint64
@@ -86,7 +102,7 @@
 }
 
 // New returns a worker that has just started.
-func New(info worker.Info, ledger *Ledger, works func(submission.TaskRef) Work) *Host {
+func New(info worker.Info, ledger *Ledger, works func(worker.Start) Work) *Host {
 	return &Host{Info: info, Works: works, Ledger: ledger, barred: make(map[submission.TaskRef]uint64)}
 }
 
@@ -172,7 +188,7 @@
 			return reply
 		}
 	}
-	work := h.Works(s.Task)
+	work := h.Works(s)
 	switch {
 	case s.Deadline > 0 && now > s.Deadline:
 		reply.Verdict = worker.Late
--- /dev/null
+++ b/internal/tool/keptsite/keptsite.go
@@ -0,0 +1,266 @@
+// Package keptsite runs stand-ins for the store and the workers of kept submissions, for
+// trying daemons by hand, and a demonstration on them.
+package keptsite
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/connection/runhost"
+	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
+	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/fleet"
+	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
+)
+
+// Site is a running store with workers.
+type Site struct {
+	Store     *kvstore.Store
+	Fleet     *fleet.Fleet
+	StoreAddr string
+
+	servers []io.Closer
+}
+
+// Figures of the stand-ins.
+const (
+	storeDelay   = 2 * time.Millisecond // of each call, about a synced write
+	workerCores  = 16
+	workerMemory = 64 << 10 // MB
+	bodyMost     = 16 << 20 // bytes
+)
+
+// Service is what the stand-in's workers run.
+const Service = "booking-desk"
+
+// Queues are those of the stand-in's configuration.
+func Queues() daemon.Catalog {
+	return daemon.Catalog{Version: 1, Queues: []daemon.Queue{
+		{Name: "availability-check", Service: Service, Priority: 0, Attempts: 2, Stretch: 1.6, TargetMillis: 60},
+		{Name: "crew-assignment", Service: Service, Priority: 1, Attempts: 3, Stretch: 1.6, TargetMillis: 60},
+	}}
+}
+
+// Start runs the stand-ins on loopback: a store at an address and workers of each
+// failure domain at ports of the system's choice.
+func Start(listen string, domains []string, perDomain int) (*Site, error) {
+	s := &Site{Store: kvstore.New(), Fleet: fleet.New()}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	s.StoreAddr = l.Addr().String()
+	door := s.Store.Door(storeDelay)
+	server := &http.Server{Handler: storeHandler(door)}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	catalog, err := json.Marshal(Queues())
+	if err != nil {
+		return nil, err
+	}
+	s.Store.Put(daemon.CatalogKey, catalog)
+	for _, d := range domains {
+		for i := range perDomain {
+			if err := s.addWorker(d, fmt.Sprintf("%s-%d", d, i+1)); err != nil {
+				s.Stop()
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) addWorker(domain, id string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	info := worker.Info{
+		ID:       id,
+		Service:  Service,
+		Address:  l.Addr().String(),
+		Domain:   domain,
+		CPUMilli: workerCores * 1000,
+		MemMB:    workerMemory,
+	}
+	s.Fleet.Add(info)
+	server := runhost.NewServer(info, s.Fleet.From(domain))
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	value, err := json.Marshal(info)
+	if err != nil {
+		return err
+	}
+	s.Store.Put(daemon.WorkerPrefix+id, value)
+	return nil
+}
+
+// Stop ends the stand-ins.
+func (s *Site) Stop() {
+	for _, c := range s.servers {
+		_ = c.Close()
+	}
+}
+
+func storeHandler(door *kvstore.Door) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		reply, err := door.Do(r.Context(), relay.Call{Method: r.Method, Target: r.URL.Path, Body: body})
+		if err != nil {
+			return // the caller has gone
+		}
+		w.WriteHeader(reply.Status)
+		_, _ = w.Write(reply.Body)
+	})
+}
+
+// Serve runs the stand-ins until ctx ends.
+func Serve(ctx context.Context, listen string, domains []string, perDomain int, out io.Writer) error {
+	s, err := Start(listen, domains, perDomain)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	fmt.Fprintf(out, "store at %s, %d workers of 16 cores in each of %v, queues availability-check and crew-assignment\n", s.StoreAddr, perDomain, domains)
+	<-ctx.Done()
+	return nil
+}
+
+// Broken is a promise that the demonstration saw broken.
+type Broken struct{ Promise string }
+
+func (b *Broken) Error() string { return "broken promise: " + b.Promise }
+
+var errNotReady = errors.New("no entry VM became ready")
+
+// Demo shows a kept submission that outlives the death of its entry VM: two VMs, the
+// one that accepted the submission and runs it is killed, the other ends it.
+func Demo(ctx context.Context, out io.Writer) error {
+	oplog.Start(io.Discard, 0) // the lines below tell the story
+	began := time.Now()
+	say := func(format string, args ...any) {
+		fmt.Fprintf(out, "%6.2fs  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	}
+	s, err := Start("127.0.0.1:0", []string{"hall"}, 4)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	vms := make(map[string]*daemon.Daemon)
+	defer func() {
+		for _, d := range vms {
+			d.Kill()
+		}
+	}()
+	endpoints := make(map[string]string)
+	for _, name := range []string{"k1", "k2"} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		d, err := daemon.Start(&daemon.Settings{
+			Name:         name,
+			Domain:       "hall",
+			Domains:      []string{"hall"},
+			CallerListen: address,
+			PeerListen:   "127.0.0.1:0",
+			Store:        s.StoreAddr,
+			LeaseMillis:  daemon.DefaultLeaseMillis,
+		})
+		if err != nil {
+			return err
+		}
+		vms[name] = d
+		endpoints[name] = "http://" + address
+	}
+	say("kept submissions: two entry VMs, 4 workers, a store")
+	if err := awaitReady(ctx, vms); err != nil {
+		return err
+	}
+	return outlive(ctx, s, vms, endpoints, say)
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+const readyWithin = 10 * time.Second
+
+func awaitReady(ctx context.Context, vms map[string]*daemon.Daemon) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, d := range vms {
+		for !d.VM.Ready() {
+			select {
+			case <-ctx.Done():
+				return errNotReady
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+const demoKey = "crew-0001"
+
+// outlive submits at the holder of the shard, kills it, and waits for the end at the
+// other VM.
+func outlive(ctx context.Context, s *Site, vms map[string]*daemon.Daemon, endpoints map[string]string, say func(string, ...any)) error {
+	doomed, survivor := "k1", "k2"
+	if vms["k2"].VM.Holds("hall") {
+		doomed, survivor = survivor, doomed
+	}
+	first, err := client.NewKept(endpoints[doomed])
+	if err != nil {
+		return err
+	}
+	second, err := client.NewKept(endpoints[survivor])
+	if err != nil {
+		return err
+	}
+	work := client.Work{
+		Queue: "crew-assignment",
+		Key:   demoKey,
+		Spec:  `{"run_millis":900,"cpu_milli":6800}`,
+		Steps: []client.WorkStep{{Count: 6, CPUMilli: 6800, MemoryMB: 64, Estimate: 900 * time.Millisecond}},
+	}
+	if _, err := first.Submit(ctx, work); err != nil {
+		return err
+	}
+	say("%s has accepted submission %s of 6 tasks, 0.9 s each: it is stored", doomed, demoKey)
+	time.Sleep(300 * time.Millisecond)
+	vms[doomed].Kill()
+	delete(vms, doomed)
+	say("%s, which holds the workers, is killed", doomed)
+	state, err := second.Wait(ctx, demoKey)
+	if err != nil {
+		return err
+	}
+	starts := s.Fleet.Starts(demoKey)
+	say("at %s it is %s; its 6 tasks were started %d times", survivor, state, starts)
+	if state != client.StateDone {
+		return &Broken{"an accepted submission ends"}
+	}
+	if faults := s.Fleet.Faults(); len(faults) > 0 {
+		return &Broken{"no task runs twice at once: " + faults[0]}
+	}
+	return nil
+}
