What a partition held up is dropped at the heal

A stream with a gap of 1.2 s between frames now counts for nothing. Ruled out: a missing withdrawal (it is sent, and lost with the link).

--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
@@ -226,16 +227,25 @@
 	return f
 }
 
+// StaleAfter is the gap between frames of a stream after which what comes on it counts
+// for nothing. It is that between the beats of distant peers, four times.
+//
+// What was sent into a partition comes out of it at the heal, seconds later, on streams
+// that the sender has long left: a submission that was given up meanwhile, and that its
+// caller has sent to another VM, would run twice at once.
+const StaleAfter = 1200 * time.Millisecond
+
 // Server takes the streams of other entry VMs.
 type Server struct {
 	self   *pb.KeptBeat
 	events Events
 	http   *http.Server
+	now    func() time.Duration
 }
 
 // NewServer returns a server; Serve runs it.
-func NewServer(self *pb.KeptBeat, events Events) *Server {
-	s := &Server{self: self, events: events}
+func NewServer(self *pb.KeptBeat, events Events, now func() time.Duration) *Server {
+	s := &Server{self: self, events: events, now: now}
 	mux := http.NewServeMux()
 	mux.Handle(pumiceyardv1connect.NewKeptServiceHandler(s, wire.HandlerOptions()...))
 	s.http = wire.NewServer(mux, nil)
@@ -253,16 +263,25 @@
 // Close ends all streams.
 func (s *Server) Close() error { return s.http.Close() }
 
+var errStale = errors.New("the stream was held up")
+
 var errNoName = errors.New("the first frame names no entry VM")
 
 // Link implements the service: frames go to the events, each is answered by a beat.
 func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptBeat]) error {
 	from := ""
+	last := s.now()
 	for {
 		f, err := conn.Receive()
 		if err != nil {
 			return nil // the stream is over
 		}
+		now := s.now()
+		if now-last > StaleAfter {
+			klog.InfoS("kept: a stream was held up, what comes on it is dropped", "peer", from, "for", now-last)
+			return connect.NewError(connect.CodeAborted, errStale)
+		}
+		last = now
 		if from == "" {
 			if from = f.EntryVm; from == "" {
 				return connect.NewError(connect.CodeInvalidArgument, errNoName)
--- /dev/null
+++ b/internal/kept/link/link_test.go
@@ -0,0 +1,149 @@
+package link
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/standin/mesh"
+)
+
+type recorder struct {
+	mu     sync.Mutex
+	up     int
+	lost   []string
+	frames []*pb.KeptFrame
+}
+
+func (r *recorder) PeerUp(string, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.up++
+}
+
+func (r *recorder) PeerLost(_, why string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = append(r.lost, why)
+}
+
+func (r *recorder) Frame(_ string, f *pb.KeptFrame) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frames = append(r.frames, f)
+}
+
+func (r *recorder) queries() (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.frames {
+		for _, q := range f.Queries {
+			out = append(out, q.Id)
+		}
+	}
+	return out
+}
+
+func (r *recorder) counts() (up, lost int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.up, len(r.lost)
+}
+
+func query(id string) *pb.KeptFrame { return &pb.KeptFrame{Queries: []*pb.KeptRef{{Id: id}}} }
+
+// between runs a test with a server at "b:1" and a clock of the bubble.
+func between(t *testing.T, play func(ctx context.Context, m *mesh.Mesh, at *recorder, now func() time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		m := mesh.New()
+		at := &recorder{}
+		s := NewServer(&pb.KeptBeat{EntryVm: "b", Incarnation: 7}, at, now)
+		l := m.Listen("b:1", "b")
+		go func() { _ = s.Serve(l) }()
+		ctx, cancel := context.WithCancel(context.Background())
+		play(ctx, m, at, now)
+		cancel()
+		m.Kill("b:1")
+		_ = s.Close()
+	})
+}
+
+func settings(now func() time.Duration) Settings {
+	s := DefaultSettings()
+	s.Now = now
+	return s
+}
+
+func TestFramesArriveAndSilenceIsNoticed(t *testing.T) {
+	between(t, func(ctx context.Context, m *mesh.Mesh, at *recorder, now func() time.Duration) {
+		mine := &recorder{}
+		l := Open(ctx, settings(now), &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		defer l.Close()
+		time.Sleep(100 * time.Millisecond)
+		l.Send(query("x"))
+		time.Sleep(50 * time.Millisecond)
+		if got := at.queries(); !slices.Equal(got, []string{"x"}) {
+			t.Fatalf("arrived: %v", got)
+		}
+		m.Cut("b", true)
+		time.Sleep(900 * time.Millisecond)
+		if up, lost := mine.counts(); up != 1 || lost == 0 {
+			t.Errorf("after 0.9 s of silence: up %d times, lost %d times", up, lost)
+		}
+		m.Cut("b", false)
+		time.Sleep(600 * time.Millisecond)
+		if up, _ := mine.counts(); up != 2 {
+			t.Errorf("the link is not back 0.6 s after the heal")
+		}
+	})
+}
+
+// Symptom: a killed peer is taken to live for half a second, or one whose connection was
+// reset is taken to be dead. Sequence: a process is killed.
+func TestKilledPeerIsLostAtOnce(t *testing.T) {
+	between(t, func(ctx context.Context, m *mesh.Mesh, _ *recorder, now func() time.Duration) {
+		mine := &recorder{}
+		l := Open(ctx, settings(now), &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		defer l.Close()
+		time.Sleep(100 * time.Millisecond)
+		m.Kill("b:1")
+		time.Sleep(20 * time.Millisecond)
+		if _, lost := mine.counts(); lost == 0 {
+			t.Error("not noticed within 20 ms")
+		}
+	})
+}
+
+// Symptom: one task runs twice at once. Sequence: a home hands a submission over as a
+// partition begins, gives it up, and the caller sends it to another VM; at the heal the
+// first message comes out. Cause: bytes held up by a partition are delivered after it.
+func TestWhatAPartitionHeldUpIsDropped(t *testing.T) {
+	between(t, func(ctx context.Context, m *mesh.Mesh, at *recorder, _ func() time.Duration) {
+		client := wire.NewClient(m.Dialer("a:1", "a"), nil)
+		defer client.Leave()
+		conn := pumiceyardv1connect.NewKeptServiceClient(client.Client, "http://b:1", wire.ClientOptions()...).Link(ctx)
+		if err := conn.Send(&pb.KeptFrame{EntryVm: "a", Incarnation: 1}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if err := conn.Send(query("in time")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		_ = conn.Send(query("held up"))
+		_ = conn.Send(query("after it"))
+		time.Sleep(time.Second)
+		if got := at.queries(); !slices.Equal(got, []string{"in time"}) {
+			t.Errorf("arrived: %v", got)
+		}
+	})
+}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	e := newEngine(ctx, v)
-	v.server = link.NewServer(v.beat(), e)
+	v.server = link.NewServer(v.beat(), e, c.Now)
 	v.duty(func() {
 		if err := v.server.Serve(c.PeerListen); err != nil {
 			klog.ErrorS(err, "kept: peers' listener ended")
