--- a/spec/check.sh
+++ b/spec/check.sh
@@ -23,6 +23,14 @@
 holds|atmostonce|progress: the last ask ends, a worker fault|-DNT=1 -DLAST_ASK -DRECOVERERS=1
 holds|answer|answers are whole and reach their own callers|
 holds|lease|slots are never over-committed|
+holds|kept|kept submission: one run at a time, none after its end|
+fails|kept|no token at the worker: runs twice at once|-DNO_TOKEN
+fails|kept|start without an answer is not stopped first: runs twice at once|-DNO_STOP
+fails|kept|a stopped run may start: runs twice at once|-DNO_BAR
+fails|kept|new holder asks one worker only: runs twice at once|-DNO_LIST_ALL
+fails|kept|new holder does not wait for the old one's leases: runs twice at once|-DNO_AUTHORITY
+fails|kept|ends acknowledged before they are stored: starts after its end|-DNO_STORE_FIRST
+fails|kept|late creation does not see the final state: starts after its end|-DNO_FINAL_CHECK
 fails|atmostonce|reached: a recoverer's task starts|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=1
 fails|atmostonce|reached: a recoverer finds the close|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=2
 fails|atmostonce|reached: a recoverer adopts every task|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=3
