A fault soak with real processes

Entry VMs as processes behind proxies that delay, reset, silence and cut one way; pauses, kills, stops and starts by signals; promises checked by what callers and workers see.

--- a/client/kept.go
+++ b/client/kept.go
@@ -140,9 +140,7 @@
 	return &NotRunError{Why: c.Message(), After: time.Duration(seconds) * time.Second}
 }
 
-// Submit hands work in, at one VM after the other until one takes it or ctx ends. It
-// returns the state: of kept work queued, of transient work its end.
-func (k *Kept) Submit(ctx context.Context, w Work) (State, error) {
+func (w *Work) request() *pb.SubmitWorkRequest {
 	req := &pb.SubmitWorkRequest{Queue: w.Queue, Key: w.Key, Spec: w.Spec, Transient: w.Transient}
 	for _, s := range w.Steps {
 		req.Steps = append(req.Steps, &pb.WorkStep{
@@ -153,6 +151,13 @@
 			After:          s.After,
 		})
 	}
+	return req
+}
+
+// Submit hands work in, at one VM after the other until one takes it or ctx ends. It
+// returns the state: of kept work queued, of transient work its end.
+func (k *Kept) Submit(ctx context.Context, w Work) (State, error) {
+	req := w.request()
 	within := keptAttempt
 	if w.Transient {
 		within = 0
@@ -166,6 +171,17 @@
 	return workStates[r.State], nil
 }
 
+// SubmitOnce makes one attempt at one VM. A NotRunError says that the work has not run
+// and will not; any other error that it may have.
+func SubmitOnce(ctx context.Context, endpoint string, w Work) (State, error) {
+	s := pumiceyardv1connect.NewSubmissionServiceClient(http.DefaultClient, endpoint)
+	r, err := s.SubmitWork(ctx, connect.NewRequest(w.request()))
+	if err != nil {
+		return StateNone, notRun(err)
+	}
+	return workStates[r.Msg.State], nil
+}
+
 // State returns how far a submission is.
 func (k *Kept) State(ctx context.Context, key string) (State, error) {
 	r, err := try(ctx, k, keptAttempt, func(ctx context.Context, s pumiceyardv1connect.SubmissionServiceClient) (*connect.Response[pb.GetStateResponse], error) {
--- a/cmd/pumiceyard/trying.go
+++ b/cmd/pumiceyard/trying.go
@@ -11,7 +11,7 @@
 )
 
 func tryingCommands() []*cobra.Command {
-	return []*cobra.Command{demoCommand(), loadCommand(), standinCommand()}
+	return []*cobra.Command{demoCommand(), loadCommand(), standinCommand(), soakCommand()}
 }
 
 func demoCommand() *cobra.Command {
--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,9 +39,11 @@
 	Domains      []string `json:"domains"`       // all failure domains of the site
 	CallerListen string   `json:"caller_listen"` // host:port; also ready and metrics
 	PeerListen   string   `json:"peer_listen"`   // host:port
-	Store        string   `json:"store"`         // host:port of the platform's store
-	LeaseMillis  uint32   `json:"lease_millis"`  // longest lease of runs at a worker
-	StopMillis   uint32   `json:"stop_millis"`   // a planned stop takes submissions so long
+	// PeerAddress is what peers dial; empty: the peer listener's.
+	PeerAddress string `json:"peer_address,omitempty"`
+	Store       string `json:"store"`        // host:port of the platform's store
+	LeaseMillis uint32 `json:"lease_millis"` // longest lease of runs at a worker
+	StopMillis  uint32 `json:"stop_millis"`  // a planned stop takes submissions so long
 }
 
 // Defaults of settings.
@@ -187,7 +190,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Domain:      s.Domain,
 		Domains:     s.Domains,
-		PeerAddress: peers.Addr().String(),
+		PeerAddress: cmp.Or(s.PeerAddress, peers.Addr().String()),
 		PeerListen:  peers,
 		Direct:      &storeCalls{address: s.Store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}},
 		Store:       func(t relay.Transport) store.Store { return &kvcall.Client{Calls: t} },
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -94,6 +94,26 @@
 	return n
 }
 
+// StartsOf is how often the tasks of the submission of a name were started.
+func (f *Fleet) StartsOf(name string) int { return f.Starts(submission.ID(name)) }
+
+// DoneOnce reports whether each task of a submission that was started has completed.
+func (f *Fleet) DoneOnce(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	started := false
+	for ref := range f.Ledger.Starts {
+		if ref.ID != submission.ID(name) {
+			continue
+		}
+		started = true
+		if f.Ledger.Done(ref) == 0 {
+			return false
+		}
+	}
+	return started
+}
+
 // From returns the way of a VM of a domain to the workers.
 func (f *Fleet) From(domain string) worker.Orders { return &way{fleet: f, domain: domain} }
 
--- a/internal/tool/keptsite/keptsite.go
+++ b/internal/tool/keptsite/keptsite.go
@@ -53,6 +53,12 @@
 // Start runs the stand-ins on loopback: a store at an address and workers of each
 // failure domain at ports of the system's choice.
 func Start(listen string, domains []string, perDomain int) (*Site, error) {
+	return StartBehind(listen, domains, perDomain, func(address string) (string, error) { return address, nil })
+}
+
+// StartBehind runs the stand-ins with workers that are listed at other addresses than
+// their own, such as those of proxies.
+func StartBehind(listen string, domains []string, perDomain int, front func(address string) (string, error)) (*Site, error) {
 	s := &Site{Store: kvstore.New(), Fleet: fleet.New()}
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -70,7 +76,7 @@
 	s.Store.Put(daemon.CatalogKey, catalog)
 	for _, d := range domains {
 		for i := range perDomain {
-			if err := s.addWorker(d, fmt.Sprintf("%s-%d", d, i+1)); err != nil {
+			if err := s.addWorker(d, fmt.Sprintf("%s-%d", d, i+1), front); err != nil {
 				s.Stop()
 				return nil, err
 			}
@@ -79,7 +85,7 @@
 	return s, nil
 }
 
-func (s *Site) addWorker(domain, id string) error {
+func (s *Site) addWorker(domain, id string, front func(string) (string, error)) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -96,7 +102,11 @@
 	server := runhost.NewServer(info, s.Fleet.From(domain))
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
-	value, err := json.Marshal(info)
+	listed := info
+	if listed.Address, err = front(info.Address); err != nil {
+		return err
+	}
+	value, err := json.Marshal(listed)
 	if err != nil {
 		return err
 	}
@@ -167,7 +177,7 @@
 	}()
 	endpoints := make(map[string]string)
 	for _, name := range []string{"k1", "k2"} {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -193,7 +203,8 @@
 	return outlive(ctx, s, vms, endpoints, say)
 }
 
-func freeAddress() (string, error) {
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
