What is handed over again is still not new; a shard outside is looked at twice

Found by reading from the run numbers: only a submission given as new starts with run 1 under a second token. Ruled out on four logs: a second request of the caller, a start after a give-up.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -62,40 +62,44 @@
 
 // engine owns the state of an entry VM.
 type engine struct {
-	vm         *VM
-	ctx        context.Context
-	at         time.Duration // of this round
-	site       *site.Site
-	shards     map[string]*held
-	homes      map[submission.ID]*home // stored submissions
-	transients map[submission.ID]*transient
-	links      map[string]*link.Link
-	up         map[string]bool // peers whose link stands
-	loads      map[string]*loadView
-	workers    []worker.Info
-	claiming   map[string]bool
-	dividing   bool
-	loadAtMost time.Duration            // between messages about a changed load, on a site of this size
-	frames     map[string]*pb.KeptFrame // to be sent at the end of this round
-	prunedAt   time.Duration
-	draining   chan struct{}
+	vm           *VM
+	ctx          context.Context
+	at           time.Duration // of this round
+	site         *site.Site
+	shards       map[string]*held
+	homes        map[submission.ID]*home // stored submissions
+	transients   map[submission.ID]*transient
+	links        map[string]*link.Link
+	up           map[string]bool // peers whose link stands
+	incarnations map[string]uint64
+	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
+	loads        map[string]*loadView
+	workers      []worker.Info
+	claiming     map[string]bool
+	dividing     bool
+	loadAtMost   time.Duration            // between messages about a changed load, on a site of this size
+	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
+	prunedAt     time.Duration
+	draining     chan struct{}
 }
 
 func newEngine(ctx context.Context, v *VM) *engine {
 	c := v.config
 	self := site.Member{Name: c.Name, Incarnation: c.Incarnation, Domain: c.Domain, Address: c.PeerAddress, Weight: c.Weight}
 	return &engine{
-		vm:         v,
-		ctx:        ctx,
-		site:       site.New(site.DefaultSettings(), self, c.Domains, v.now()),
-		shards:     make(map[string]*held),
-		homes:      make(map[submission.ID]*home),
-		transients: make(map[submission.ID]*transient),
-		links:      make(map[string]*link.Link),
-		up:         make(map[string]bool),
-		loads:      make(map[string]*loadView),
-		claiming:   make(map[string]bool),
-		frames:     make(map[string]*pb.KeptFrame),
+		vm:           v,
+		ctx:          ctx,
+		site:         site.New(site.DefaultSettings(), self, c.Domains, v.now()),
+		shards:       make(map[string]*held),
+		homes:        make(map[submission.ID]*home),
+		transients:   make(map[submission.ID]*transient),
+		links:        make(map[string]*link.Link),
+		up:           make(map[string]bool),
+		incarnations: make(map[string]uint64),
+		probed:       make(map[string]time.Duration),
+		loads:        make(map[string]*loadView),
+		claiming:     make(map[string]bool),
+		frames:       make(map[string]*pb.KeptFrame),
 	}
 }
 
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -121,6 +121,7 @@
 		"token", c.To.Token, "revision", c.From.Revision, "why", c.Why)
 	domain := site.DomainOf(name)
 	foreign := c.To.Holder == e.vm.config.Name && domain != e.vm.config.Domain
+	confirmed := e.probed[name] > 0 && e.at-e.probed[name] < probeFresh
 	e.vm.duty(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, claimWithin)
 		defer cancel()
@@ -128,6 +129,10 @@
 			e.vm.post(claimedEvent{claim: c, err: errUnreachable})
 			return
 		}
+		if foreign && !confirmed {
+			e.vm.post(claimedEvent{claim: c, err: errFirstLook})
+			return
+		}
 		rev, err := e.vm.store.Commit(ctx, store.Txn{
 			Expect: []store.Condition{{Key: site.ShardKey(name), Revision: c.From.Revision}},
 			Put:    []store.Put{{Key: site.ShardKey(name), Value: site.Encode(c.To)}},
@@ -136,6 +141,13 @@
 	})
 }
 
+// errFirstLook puts a claim off until the site has been looked at twice, a second apart:
+// at a heal, workers of a domain can be reached some 400 ms before the links to its VMs
+// are back, and its shard would go to and fro.
+var errFirstLook = errors.New("a worker was reached for the first time; the holder may be back")
+
+const probeFresh = 4 * time.Second // between the two looks
+
 var errUnreachable = errors.New("no worker of the shard can be reached")
 
 // probeMost is how many workers of a failure domain are asked whether they can be
@@ -176,6 +188,9 @@
 func (ev claimedEvent) apply(e *engine) {
 	name := ev.claim.From.Shard
 	delete(e.claiming, name)
+	if errors.Is(ev.err, errFirstLook) {
+		e.probed[name] = e.at
+	}
 	if ev.err != nil {
 		klog.InfoS("kept: claim failed", "shard", name, "token", ev.claim.To.Token, "why", ev.err)
 		return
@@ -185,6 +200,7 @@
 		klog.ErrorS(err, "kept: a key of the site cannot be read")
 		return
 	}
+	delete(e.probed, name)
 	holding := e.site.Holding(name)
 	if h := e.shards[name]; h != nil && !e.site.Mine(holding) {
 		e.dropShard(h, holding)
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -76,6 +76,10 @@
 		klog.InfoS("kept: peer reached", "peer", ev.name, "incarnation", ev.incarnation)
 	}
 	e.up[ev.name] = true
+	if old := e.incarnations[ev.name]; old != 0 && old != ev.incarnation {
+		e.homeLost(ev.name) // its earlier process ended without being missed
+	}
+	e.incarnations[ev.name] = ev.incarnation
 	e.doubt(ev.name)
 	e.site.Suspect(ev.name, false)
 	for _, h := range e.shards {
@@ -107,9 +111,14 @@
 	e.up[ev.name] = false
 	e.site.Suspect(ev.name, true)
 	e.vm.calls.setReach(ev.name, false)
+	e.homeLost(ev.name)
+}
+
+// homeLost ends the transient submissions of a VM that cannot be reached.
+func (e *engine) homeLost(peer string) {
 	for name, h := range e.shards {
-		if n := h.core.HomeLost(e.at, ev.name); n > 0 {
-			klog.InfoS("kept: submissions ended, their home is lost", "home", ev.name, "shard", name, "submissions", n)
+		if n := h.core.HomeLost(e.at, peer); n > 0 {
+			klog.InfoS("kept: submissions ended, their home is lost", "home", peer, "shard", name, "submissions", n)
 		}
 	}
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -119,10 +119,12 @@
 
 // give hands a part to the holder of its shard.
 func (e *engine) give(p *part, l *loadView) {
-	resumed := p.token != 0 && p.token != l.token
 	if p.token == 0 {
 		p.record.Token = l.token
 	}
+	// Whoever is not the first holder has to look for runs of the first one, also when
+	// it is told for the second time as the first message was lost.
+	resumed := p.record.Token != l.token
 	p.token = l.token
 	p.holder = l.holder
 	p.asked = e.at
--- /dev/null
+++ b/internal/kept/vm/transient_test.go
@@ -0,0 +1,36 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Symptom: one task runs twice at once, both as its first run. Sequence: a shard gets a
+// new holder, the home hands a submission over as one that may have runs; the message is
+// lost, the holder says that it does not know it, and the home hands it over again.
+// Cause: the second time it was handed over as new, as this holder had been told of it.
+func TestHandedOverAgainIsStillNotNew(t *testing.T) {
+	e := &engine{at: time.Hour, shards: map[string]*held{}, frames: map[string]*pb.KeptFrame{}}
+	p := &part{record: &submission.Record{ID: "job"}, shard: "a/0"}
+	last := func(holder string) *pb.KeptAssign {
+		a := e.frame(holder).Assign
+		return a[len(a)-1]
+	}
+	e.give(p, &loadView{holder: "first", token: 3})
+	if last("first").Resumed {
+		t.Error("its first holder is to look for runs of an earlier one")
+	}
+	for range 2 {
+		e.give(p, &loadView{holder: "second", token: 4})
+		if !last("second").Resumed {
+			t.Error("the second holder is told that nothing of it has run")
+		}
+	}
+	e.give(p, &loadView{holder: "third", token: 5})
+	if r, err := submission.DecodeRecord("job", last("third").Record); err != nil || r.Token != 3 || !last("third").Resumed {
+		t.Errorf("the third holder gets %+v, %v", r, err)
+	}
+}
