--- a/cmd/pumiceyard/kept.go
+++ b/cmd/pumiceyard/kept.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/tool/logstory"
 )
 
 // keptCommand groups the commands for submissions under the caller's own key.
@@ -17,7 +19,7 @@
 		Short:   "Submit work under a key of your own, which is kept until it has ended",
 		GroupID: callers,
 	}
-	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting())
+	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting(), keptExplain())
 	return c
 }
 
@@ -137,3 +139,24 @@
 	flags.add(c)
 	return c
 }
+
+func keptExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain KEY LOG...",
+		Short: "Tell what became of a submission, from the logs of entry VMs",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var logs []logstory.Log
+			for _, path := range args[1:] {
+				f, err := os.Open(path)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				logs = append(logs, logstory.Log{Name: path, In: f})
+			}
+			_, err := logstory.Tell(args[0], logs, c.OutOrStdout())
+			return err
+		},
+	}
+}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -81,6 +81,8 @@
 
 	wantWorkers chan bool // whether a shard is held; the newest word counts
 
+	sweeps atomic.Bool // this VM removes final states
+
 	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
 
 	cancel context.CancelFunc
@@ -118,6 +120,7 @@
 	v.duty(func() { v.ends.Run(ctx) })
 	v.duty(func() { v.keepSession(ctx) })
 	v.duty(func() { v.watchSite(ctx) })
+	v.duty(func() { v.sweepFinals(ctx) })
 	v.duty(func() { v.watchWorkers(ctx) })
 	v.duty(func() { v.watchCatalog(ctx) })
 	v.duty(func() { ring.Loop(ctx, v.events, func() time.Duration { return tickBusy }, e.round) })
--- a/internal/kept/vm/vm_test.go
+++ b/internal/kept/vm/vm_test.go
@@ -283,3 +283,18 @@
 		}
 	})
 }
+
+// Final states stay for as long as callers ask, and not for ever.
+func TestFinalStatesAreRemoved(t *testing.T) {
+	testWorld(t, func(w *world) {
+		w.wantTaken(w.submit("a1", "kept", 1, runhost.Work{Time: 50 * ms}, false))
+		time.Sleep(2 * time.Minute)
+		if s := w.state("b1", "kept"); s != submission.Done {
+			t.Errorf("after two minutes it is %s", s)
+		}
+		time.Sleep(3 * time.Minute)
+		if it, err := w.store.Get(context.Background(), submission.FinalKey("kept")); err != nil || it.Revision != 0 {
+			t.Errorf("after five minutes its final state is still there (%v)", err)
+		}
+	})
+}
