--- /dev/null
+++ b/internal/kept/shard/listing.go
@@ -0,0 +1,268 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Listing takes a worker's answer to a hold that was sent at a time. It returns the
+// ends in it that were new.
+func (s *Shard) Listing(now time.Duration, id string, sent time.Duration, l worker.Listing) (fresh []worker.Ended) {
+	h, known := s.workers[id]
+	if !known {
+		return nil
+	}
+	if !s.scanned {
+		s.early[id] = earlyListing{sent: sent, listing: l}
+		return nil
+	}
+	if !h.listed {
+		h.listed = true
+		h.listedAt = now
+	}
+	h.answered = max(h.answered, sent)
+	for _, e := range l.Ended {
+		if e.N > h.taken {
+			h.taken = e.N
+			fresh = append(fresh, e)
+			s.ended(now, h, e)
+		}
+	}
+	if l.Clock >= h.clock { // answers overtake each other
+		h.clock = l.Clock
+		s.compare(now, h, sent, l)
+	}
+	s.acknowledge()
+	s.dirty = true
+	return fresh
+}
+
+// ended takes the end of a run.
+func (s *Shard) ended(now time.Duration, h *host, e worker.Ended) {
+	h.fullTill = 0
+	delete(h.strays, e.Task)
+	j, open := s.jobs[e.Task.ID]
+	if !open {
+		h.ends = append(h.ends, endEntry{n: e.N})
+		if now-h.listedAt < resumeWithin {
+			s.orphans[e.Task.ID] = append(s.orphans[e.Task.ID], orphanEnd{host: h, end: e, at: now})
+		}
+		return
+	}
+	h.ends = append(h.ends, endEntry{n: e.N, job: j})
+	if j.unsaved == 0 {
+		j.unsaved = now
+	}
+	t := j.task(e.Task.Task)
+	if t == nil {
+		return
+	}
+	s.endedTask(now, h, t, e)
+}
+
+func (s *Shard) endedTask(now time.Duration, h *host, t *task, e worker.Ended) {
+	current := t.host == h && t.run == e.Run && t.occupies()
+	if e.Run > t.run {
+		t.run = e.Run
+	}
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+	switch {
+	case e.How == worker.Completed:
+		s.completed(now, h, t, current)
+		return
+	case e.How == worker.Failed:
+		s.failedRun(now, h, t, e.Run)
+	}
+	if current {
+		s.release(now, t)
+	}
+	s.note(t)
+}
+
+// note tells the home of a transient submission how far a task is.
+func (s *Shard) note(t *task) {
+	if t.job.rec.Transient && !t.job.state.Final() && (t.state == complete || t.fails > 0) {
+		fails := t.fails
+		if t.state == complete {
+			fails = 0
+		}
+		s.out.Notes = append(s.out.Notes, NoteAction{Home: t.job.rec.Home, Task: t.ref, Fails: fails})
+	}
+}
+
+func (s *Shard) completed(now time.Duration, h *host, t *task, current bool) {
+	if current {
+		s.learn(now, h, t)
+	}
+	if t.state == complete {
+		return
+	}
+	if t.occupies() && !current {
+		s.stop(t, "another run has completed")
+	}
+	j := t.job
+	j.complete(t)
+	s.note(t)
+	if j.left == 0 && !j.state.Final() {
+		s.end(now, j, submission.Done, "all tasks have completed")
+	}
+	s.reap(j)
+}
+
+// failedRun counts a failed run. A task whose runs have failed as often as the
+// queue allows ends its submission.
+func (s *Shard) failedRun(now time.Duration, h *host, t *task, run uint64) {
+	if _, counted := t.failed[run]; counted {
+		return
+	}
+	if t.failed == nil {
+		t.failed = make(map[uint64]struct{})
+	}
+	t.failed[run] = struct{}{}
+	t.fails++
+	if first := t.job.blamed; first != nil && first != h {
+		first.record.pardon(t.job) // it fails on several workers: the fault is its own
+	} else {
+		t.job.blamed = h
+		h.record.failed(now, t.job)
+	}
+	t.avoid = h
+	if t.fails >= t.job.rec.Terms.Attempts && t.state != complete && !t.job.state.Final() {
+		s.end(now, t.job, submission.Failed, "a task has failed as often as its queue allows")
+	}
+}
+
+// compare holds what a worker lists as running against what should run there.
+func (s *Shard) compare(now time.Duration, h *host, sent time.Duration, l worker.Listing) {
+	listed := make(map[submission.TaskRef]bool, len(l.Running))
+	for _, r := range l.Running {
+		listed[r.Task] = true
+		s.found(now, h, r)
+	}
+	for ref := range h.strays {
+		if !listed[ref] {
+			delete(h.strays, ref)
+		}
+	}
+	for _, t := range s.on(h) {
+		if !listed[t.ref] {
+			s.absent(now, h, t, sent, l.Clock)
+		}
+	}
+}
+
+// found takes a run that a worker lists.
+func (s *Shard) found(now time.Duration, h *host, r worker.Running) {
+	j, open := s.jobs[r.Task.ID]
+	if !open {
+		s.stray(now, h, r)
+		return
+	}
+	t := j.task(r.Task.Task)
+	if t == nil || r.Run < t.run || t.state == complete {
+		s.stray(now, h, r)
+		return
+	}
+	if t.occupies() && t.host != h {
+		s.stray(now, h, r)
+		return
+	}
+	t.run = r.Run
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+	if r.Percent != t.percent || t.movedAt == 0 {
+		t.percent = r.Percent
+		t.movedAt = now
+	}
+	switch t.state {
+	case starting, unsure, astray:
+		s.nowRunning(now, h, t)
+	case over, waiting:
+		s.stray(now, h, r) // a late order that was carried out all the same
+	}
+}
+
+func (s *Shard) nowRunning(now time.Duration, h *host, t *task) {
+	if t.state == astray {
+		t.startedAt = 0 // how long it has run is not known
+	}
+	t.state = running
+	t.host = h
+	t.since = now
+	t.movedAt = now
+	j := t.job
+	if j.firstRun == 0 {
+		j.firstRun = now
+	}
+	if j.state == submission.Queued {
+		j.state = submission.Running
+		s.tell(j)
+	}
+}
+
+// stray stops a run that nobody wants. Soon after the worker was first reached the run
+// may be of a transient submission whose home has not handed it over yet.
+func (s *Shard) stray(now time.Duration, h *host, r worker.Running) {
+	st, known := h.strays[r.Task]
+	if !known || st.run != r.Run {
+		st = strayRun{run: r.Run, since: now}
+	}
+	if !st.asked && now-h.listedAt >= resumeWithin {
+		st.asked = true
+		s.out.Stops = append(s.out.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Why: "no such run is wanted"})
+	}
+	h.strays[r.Task] = st
+}
+
+// resume makes the stray runs of a submission its own. One that is being stopped
+// still runs for some time: the task must not start before it is gone.
+func (h *host) resume(now time.Duration, s *Shard, j *job) {
+	for ref, st := range h.strays {
+		t := j.task(ref.Task)
+		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete {
+			continue
+		}
+		delete(h.strays, ref)
+		t.run = st.run
+		if st.asked {
+			t.host = h
+			t.state = voiding
+			t.since = now
+			t.stopClock = 0
+			s.stop(t, "it was being stopped when its home handed it over")
+			continue
+		}
+		s.nowRunning(now, h, t)
+		t.startedAt = 0 // how long it has run is not known
+	}
+}
+
+// absent takes a run that a worker does not list, in an answer to a hold sent at
+// a time and given at a time of the worker's clock.
+func (s *Shard) absent(now time.Duration, h *host, t *task, sent, clock time.Duration) {
+	switch t.state {
+	case running:
+		// An answer counts only if its call left after the run was known: a hold that
+		// was waiting when the run began may answer without it.
+		if sent > t.since && clock >= t.clock {
+			s.release(now, t)
+		}
+	case unsure:
+		if sent >= t.since {
+			// The order may still come: the run must be made impossible first.
+			t.state = voiding
+			t.since = now
+			t.stopClock = 0
+			s.stop(t, "its start had no answer")
+		}
+	case voiding, ending:
+		if t.stopClock > 0 && sent >= t.stopAt && clock >= t.stopClock {
+			s.release(now, t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kept/shard/replies.go
@@ -0,0 +1,88 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// StartReply takes the answer to a start.
+func (s *Shard) StartReply(now time.Duration, id string, ref submission.TaskRef, run uint64, r worker.Reply) {
+	h, t := s.order(id, ref, run)
+	if t == nil {
+		return
+	}
+	if t.state != starting {
+		if r.Verdict == worker.Accepted && t.state == running {
+			t.clock = r.Clock
+		}
+		return
+	}
+	switch r.Verdict {
+	case worker.Accepted:
+		t.clock = r.Clock
+		s.nowRunning(now, h, t)
+	case worker.NoRoom:
+		h.fullTill = now + fullFor
+		s.release(now, t)
+	case worker.Unwell:
+		h.sickTill = now + sickFor
+		s.release(now, t)
+	case worker.Outrun, worker.Late:
+		s.release(now, t)
+	case worker.Malformed:
+		s.release(now, t)
+		s.end(now, t.job, submission.Failed, "a worker cannot read the task")
+	case worker.Fenced:
+		t.state = unsure // another holder decides; this one will learn it from the store
+		t.since = now
+	case worker.Gone:
+		s.WorkerGone(now, id)
+	case worker.Silent:
+		t.state = unsure
+		t.since = now
+		s.out.Looks = append(s.out.Looks, id)
+	}
+}
+
+// StopReply takes the answer to a stop. A stop without an answer is repeated.
+func (s *Shard) StopReply(now time.Duration, id string, ref submission.TaskRef, run uint64, r worker.Reply) {
+	h, known := s.workers[id]
+	if !known {
+		return
+	}
+	if r.Verdict == worker.Gone {
+		s.WorkerGone(now, id)
+		return
+	}
+	_, t := s.order(id, ref, run)
+	if t == nil || t.state != voiding && t.state != ending {
+		if st := h.strays[ref]; r.Verdict != worker.Accepted && st.run == run {
+			st.asked = false // the next listing repeats it
+			h.strays[ref] = st
+		}
+		return
+	}
+	if r.Verdict == worker.Accepted {
+		t.stopClock = r.Clock
+		t.stopAt = now
+		s.out.Looks = append(s.out.Looks, id)
+		return
+	}
+	t.since = now // Tick repeats it
+}
+
+// order finds a task by an order that was given for it.
+func (s *Shard) order(id string, ref submission.TaskRef, run uint64) (*host, *task) {
+	h, known := s.workers[id]
+	j, open := s.jobs[ref.ID]
+	if !known || !open {
+		return h, nil
+	}
+	t := j.task(ref.Task)
+	if t == nil || t.host != h || t.run != run {
+		return h, nil
+	}
+	return h, t
+}
--- /dev/null
+++ b/internal/kept/shard/transient.go
@@ -0,0 +1,113 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// orphanEnd is an end that was listed before its transient submission came from its
+// home. Without it the task would run again after a change of the holder.
+type orphanEnd struct {
+	host *host
+	end  worker.Ended
+	at   time.Duration
+}
+
+// Times after a change of the holder.
+const (
+	// The homes of transient submissions hand them to the new holder within some
+	// milliseconds; a home that is cut off does not.
+	resumeWithin = 600 * time.Millisecond
+	// An earlier holder that lives ends the runs of homes that it has lost within
+	// 800 ms; one that does not live lets them lapse within a second.
+	shortBarrier = 1300 * time.Millisecond
+)
+
+// sent handles a transient submission that is known here, as its caller has sent it
+// again. It reports false if it is to run again.
+func (s *Shard) sent(now time.Duration, r *submission.Record, state submission.State) bool {
+	j, open := s.jobs[r.ID]
+	switch {
+	case open && extentOf(j.rec) != extentOf(r):
+		// Another part of it was here: its runs end first.
+		if !j.state.Final() {
+			s.end(now, j, submission.Cancelled, "its caller has sent it again")
+		}
+		s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: submission.Cancelled})
+		return true
+	case open:
+		s.takeOverHome(r, state)
+		return true
+	case s.past[r.ID].part == extentOf(r) && (state == submission.Done || state == submission.Failed):
+		s.takeOverHome(r, state)
+		return true
+	default:
+		return false
+	}
+}
+
+// extent says which part of a submission a record is: parts of it may be given to
+// several shards.
+type extent struct{ first, count int }
+
+func extentOf(r *submission.Record) extent {
+	if len(r.Steps) == 0 {
+		return extent{}
+	}
+	return extent{first: r.Steps[0].First, count: r.Steps[0].Count}
+}
+
+// takeOverHome makes the VM at which a caller has asked again the submission's home.
+func (s *Shard) takeOverHome(r *submission.Record, state submission.State) {
+	if j := s.jobs[r.ID]; j != nil {
+		j.rec.Home = r.Home
+	}
+	s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: state})
+}
+
+// Resume takes a transient submission that its home had given to an earlier holder.
+// Some of its tasks may still run.
+func (s *Shard) Resume(now time.Duration, r *submission.Record) {
+	if state, known := s.Knows(r.ID); known && s.sent(now, r, state) {
+		return
+	}
+	j := newJob(now, Stored{Record: r}, s.runBase(r))
+	j.resumed = true
+	s.jobs[r.ID] = j
+	for _, t := range j.tasks {
+		if t.state == waiting && s.barred {
+			t.state = astray
+		}
+	}
+	for _, o := range s.orphans[r.ID] {
+		if t := j.task(o.end.Task.Task); t != nil {
+			s.endedTask(now, o.host, t, o.end)
+		}
+	}
+	delete(s.orphans, r.ID)
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		s.workers[id].resume(now, s, j)
+	}
+	if j.left == 0 && !j.state.Final() {
+		s.end(now, j, submission.Done, "all tasks have completed")
+	}
+	s.dirty = true
+}
+
+// HomeLost ends the transient submissions of an entry VM that cannot be reached:
+// nobody waits for them here, and their callers will send them to another VM, which
+// may give them to another shard. Without it one task would run twice at once.
+func (s *Shard) HomeLost(now time.Duration, home string) (ended int) {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if j.rec.Transient && j.rec.Home == home && !j.state.Final() {
+			s.end(now, j, submission.Cancelled, "its home is lost")
+			ended++
+		}
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/kept/site/decide.go
@@ -0,0 +1,235 @@
+package site
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Claim is a change of a shard's holder. It holds if the shard's key is still at
+// the revision.
+type Claim struct {
+	From Holding
+	To   Holding // without a revision
+	Why  string
+}
+
+// Decide returns the claims that are due.
+func (s *Site) Decide(now time.Duration) []Claim {
+	if s.leaving {
+		return nil
+	}
+	var out []Claim
+	taken := false
+	for _, h := range s.Holdings() {
+		v := s.shards[h.Shard]
+		if taken && !s.Mine(h) {
+			continue // first it is to be seen that this VM holds one more
+		}
+		var c Claim
+		var due bool
+		if s.Mine(h) {
+			c, due = s.giveBack(now, v)
+		} else {
+			c, due = s.takeOver(now, v)
+		}
+		if due {
+			v.claimedAt = now
+			taken = taken || c.To.Holder == s.self.Name
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// takeOver claims a shard whose holder is not there, when it is this VM's turn.
+func (s *Site) takeOver(now time.Duration, v *shardView) (Claim, bool) {
+	why, vacant := s.vacant(now, v.holding)
+	if !vacant {
+		v.vacantSince = 0
+		return Claim{}, false
+	}
+	if v.vacantSince == 0 {
+		v.vacantSince = now
+	}
+	if v.claimedAt > 0 && now-v.claimedAt < s.settings.Cooldown {
+		return Claim{}, false
+	}
+	rank := slices.Index(s.ranking(v.holding.Shard, v.holding.Holder), s.self.Name)
+	if rank < 0 {
+		return Claim{}, false
+	}
+	wait := time.Duration(rank) * s.settings.RankStep
+	if s.self.Domain != DomainOf(v.holding.Shard) {
+		wait += s.settings.Foreign
+		if now-s.startedAt < s.settings.Settle {
+			return Claim{}, false
+		}
+	}
+	if now-v.vacantSince < wait {
+		return Claim{}, false
+	}
+	return s.claim(v.holding, s.self, why), true
+}
+
+func (s *Site) vacant(now time.Duration, h Holding) (why string, vacant bool) {
+	if h.Holder == "" {
+		return "nobody holds it", true
+	}
+	m, there := s.members[h.Holder]
+	switch {
+	case s.Gone(h):
+		return "its holder has started again", true
+	case !there && (s.linked[h.Holder] || s.inGrace(now, h)):
+		return "", false
+	case now-s.steady < s.settings.Steady:
+		// This VM was cut off itself: its links are not back yet, whoever lives.
+		return "", false
+	case !there:
+		return "its holder's key has lapsed", true
+	case s.suspected[m.Name]:
+		return "the link to its holder is lost", true
+	default:
+		return "", false
+	}
+}
+
+func (s *Site) inGrace(now time.Duration, h Holding) bool {
+	l, known := s.lapsed[h.Holder]
+	return known && l.member.Incarnation == h.Incarnation && !s.suspected[h.Holder] && now-l.at < s.settings.Grace
+}
+
+// giveBack hands a shard of another domain to a VM of that domain, and one of several
+// shards to a VM with fewer, once such a VM has been there for a while.
+func (s *Site) giveBack(now time.Duration, v *shardView) (Claim, bool) {
+	heir, found := s.heir(v.holding.Shard)
+	why, better := "", false
+	if found {
+		why, better = s.betterAt(heir, v.holding.Shard)
+	}
+	if !better {
+		v.betterSince = 0
+		return Claim{}, false
+	}
+	if v.betterSince == 0 {
+		v.betterSince = now
+	}
+	if now-v.betterSince < s.settings.ReturnWait || now-v.claimedAt < s.settings.Cooldown {
+		return Claim{}, false
+	}
+	return s.claim(v.holding, heir, why), true
+}
+
+func (s *Site) betterAt(heir Member, shard string) (why string, better bool) {
+	domain := DomainOf(shard)
+	held := s.held()
+	switch {
+	case heir.Domain == domain && s.self.Domain != domain:
+		return "a VM of its own domain is there", true
+	case heir.Domain != domain:
+		return "", false
+	case burden(heir, held[heir.Name]+1) < burden(s.self, held[s.self.Name]):
+		return "another VM of its domain holds less", true
+	default:
+		return "", false
+	}
+}
+
+// held counts the shards of each entry VM.
+func (s *Site) held() map[string]int {
+	out := make(map[string]int)
+	for _, v := range s.shards {
+		out[v.holding.Holder]++
+	}
+	return out
+}
+
+// burden is how much a VM has to do with so many shards.
+func burden(m Member, shards int) float64 {
+	if m.Weight <= 0 {
+		return float64(shards)
+	}
+	return float64(shards) / m.Weight
+}
+
+// heir is who should hold a shard if this VM does not.
+func (s *Site) heir(shard string) (Member, bool) {
+	order := s.ranking(shard, s.self.Name)
+	if len(order) == 0 {
+		return Member{}, false
+	}
+	return s.members[order[0]], true
+}
+
+// HandOver returns the claims that give all shards of this VM to others.
+func (s *Site) HandOver() []Claim {
+	var out []Claim
+	for _, h := range s.Holdings() {
+		if !s.Mine(h) {
+			continue
+		}
+		if heir, found := s.heir(h.Shard); found {
+			out = append(out, s.claim(h, heir, "its holder stops"))
+		}
+	}
+	return out
+}
+
+func (s *Site) claim(from Holding, to Member, why string) Claim {
+	return Claim{
+		From: from,
+		To: Holding{
+			Shard:       from.Shard,
+			Holder:      to.Name,
+			Incarnation: to.Incarnation,
+			Token:       from.Token + 1,
+			Clean:       from.Holder == "" || s.Gone(from) || s.Mine(from),
+		},
+		Why: why,
+	}
+}
+
+// ranking orders the entry VMs that may hold a shard: those of its own failure
+// domain first, then those that have least to do, then by rendezvous hashing. A VM that is suspected, or the one
+// excepted, is left out.
+func (s *Site) ranking(shard, except string) []string {
+	var out []Member
+	for _, m := range s.members {
+		if m.Name != except && !s.suspected[m.Name] {
+			out = append(out, m)
+		}
+	}
+	if except == s.self.Name {
+		// This VM may have started again: then it is the holder that is gone.
+		if h := s.Holding(shard); !s.Mine(h) && h.Holder == s.self.Name {
+			out = append(out, s.self)
+		}
+	}
+	held := s.held()
+	slices.SortFunc(out, func(a, b Member) int { return compare(shard, held, a, b) })
+	names := make([]string, len(out))
+	for i := range out {
+		names[i] = out[i].Name
+	}
+	return names
+}
+
+func compare(shard string, held map[string]int, a, b Member) int {
+	domain := DomainOf(shard)
+	if own := a.Domain == domain; own != (b.Domain == domain) {
+		if own {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(burden(a, held[a.Name]+1), burden(b, held[b.Name]+1)),
+		cmp.Compare(score(shard, b.Name), score(shard, a.Name)),
+		strings.Compare(a.Name, b.Name),
+	)
+}
+
+func score(shard, name string) uint64 { return xxhash.Sum64String(shard + "\x00" + name) }
--- /dev/null
+++ b/internal/kept/vm/ends.go
@@ -0,0 +1,102 @@
+package vm
+
+import (
+	"fmt"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// guard is the condition that this VM still holds the shard.
+func (h *held) guard() *store.Condition {
+	return &store.Condition{Key: site.ShardKey(h.holding.Shard), Revision: h.holding.Revision}
+}
+
+func (e *engine) storeFinal(name string, h *held, f shard.FinalAction) {
+	token := h.holding.Token
+	klog.InfoS("kept: ended", "id", f.ID, "shard", name, "state", f.State.String(), "why", f.Why)
+	ok := e.vm.ends.Add(&journal.Row{
+		Txn:    finalTxn(f.ID, f.Revision, f.State),
+		Guard:  h.guard(),
+		Within: endsWithin,
+		Done: func(r journal.Result) {
+			e.vm.post(finalEvent{shard: name, id: string(f.ID), token: token, state: f.State, result: r})
+		},
+	})
+	if !ok {
+		// A later holder finds the ends still listed by the workers.
+		klog.InfoS("kept: an end waits in memory only, the journal is full", "id", f.ID)
+	}
+}
+
+// finalTxn replaces a submission's record by its final state.
+func finalTxn(id submission.ID, revision uint64, state submission.State) store.Txn {
+	return store.Txn{
+		Expect: []store.Condition{{Key: submission.OpenKey(id), Revision: revision}},
+		Put:    []store.Put{{Key: submission.FinalKey(id), Value: []byte(state.String())}},
+		Delete: []string{submission.OpenKey(id)},
+	}
+}
+
+func (ev finalEvent) apply(e *engine) {
+	h := e.shards[ev.shard]
+	if h == nil || h.holding.Token != ev.token {
+		return
+	}
+	id := submission.ID(ev.id)
+	if ev.result.Outcome == journal.Stored {
+		h.core.FinalStored(e.at, id)
+		return
+	}
+	klog.InfoS("kept: an end was not stored", "id", id, "shard", ev.shard, "outcome", fmt.Sprint(ev.result.Outcome))
+	if ev.result.Outcome == journal.Conflict && !guardBroken(ev.result, h) {
+		h.core.Lost(e.at, id)
+	}
+}
+
+// guardBroken reports whether a row failed because the shard has another holder.
+func guardBroken(r journal.Result, h *held) bool {
+	g := h.guard()
+	for _, it := range r.Items {
+		if it.Key == g.Key && it.Revision != g.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *engine) storeProgress(name string, h *held, s shard.SaveAction) {
+	token := h.holding.Token
+	id := string(s.Record.ID)
+	key := submission.OpenKey(s.Record.ID)
+	e.vm.ends.Add(&journal.Row{
+		Txn: store.Txn{
+			Expect: []store.Condition{{Key: key, Revision: s.Revision}},
+			Put:    []store.Put{{Key: key, Value: s.Record.Encode()}},
+		},
+		Guard:  h.guard(),
+		Within: endsWithin,
+		Done: func(r journal.Result) {
+			e.vm.post(savedEvent{shard: name, id: id, token: token, result: r})
+		},
+	})
+}
+
+func (ev savedEvent) apply(e *engine) {
+	h := e.shards[ev.shard]
+	if h == nil || h.holding.Token != ev.token {
+		return
+	}
+	id := submission.ID(ev.id)
+	switch {
+	case ev.result.Outcome == journal.Stored:
+		h.core.Saved(e.at, id, ev.result.Revision)
+	case ev.result.Outcome == journal.Conflict && !guardBroken(ev.result, h):
+		h.core.Lost(e.at, id)
+	}
+}
--- /dev/null
+++ b/internal/kept/vm/states.go
@@ -0,0 +1,244 @@
+package vm
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+func finalState(it store.Item) submission.State {
+	state, ok := submission.ParseState(string(it.Value))
+	if !ok || !state.Final() {
+		klog.InfoS("kept: a stored state cannot be read", "key", it.Key, "value", string(it.Value))
+		return submission.Unknown
+	}
+	return state
+}
+
+// askForStates asks holders about submissions that they have not told of for a
+// while: a message may have been lost with a link.
+func (e *engine) askForStates() {
+	for _, h := range e.homes {
+		if h.created && !h.state.Final() && e.at-max(h.asked, h.changed) > askAgain {
+			e.askHolder(h)
+		}
+	}
+}
+
+func (e *engine) askHolder(h *home) {
+	h.asked = e.at
+	if own := e.shards[h.shard]; own != nil {
+		e.tellOwn(h.record.ID, own)
+		return
+	}
+	holding := e.site.Holding(h.shard)
+	h.token = holding.Token
+	h.holder = holding.Holder
+	if h.holder == "" {
+		return
+	}
+	f := e.frame(h.holder)
+	f.Queries = append(f.Queries, &pb.KeptRef{Id: string(h.record.ID), Shard: h.shard})
+}
+
+// tellOwn takes the state of a submission from a shard that this VM holds itself.
+func (e *engine) tellOwn(id submission.ID, own *held) {
+	state, known := own.core.Knows(id)
+	if known {
+		e.learnState(id, own.holding.Shard, state)
+		return
+	}
+	if own.scannedAt > 0 {
+		e.lookUp(id)
+	}
+}
+
+// takeQuery answers a peer that asks how far a submission is.
+func (e *engine) takeQuery(from string, ref *pb.KeptRef) {
+	id := submission.ID(ref.Id)
+	if h := e.shards[ref.Shard]; h != nil {
+		if state, known := h.core.Knows(id); known {
+			e.tellPeer(from, id, ref.Shard, state)
+			return
+		}
+	}
+	if h := e.homes[id]; h != nil && h.state.Final() {
+		e.tellPeer(from, id, ref.Shard, h.state)
+		return
+	}
+	// The peer finds the answer in the store: this VM does not drive it (any more).
+	e.tellPeer(from, id, ref.Shard, submission.Unknown)
+}
+
+func (e *engine) tellPeer(peer string, id submission.ID, shard string, state submission.State) {
+	f := e.frame(peer)
+	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(state), Shard: shard})
+}
+
+// tellState tells a submission's home how far it is.
+func (e *engine) tellState(id submission.ID, shard, homeVM string, state submission.State) {
+	if homeVM == e.vm.config.Name {
+		e.learnState(id, shard, state)
+		return
+	}
+	e.tellPeer(homeVM, id, shard, state)
+}
+
+// learnState takes a word about a submission. Unknown says that the peer that was
+// asked does not drive it.
+func (e *engine) learnState(id submission.ID, shard string, state submission.State) {
+	if t := e.transients[id]; t != nil {
+		if p := t.part(shard); p != nil {
+			e.learnPart(t, p, state)
+		}
+		return
+	}
+	h := e.homes[id]
+	if h == nil {
+		if state == submission.Unknown || state == submission.Rejected {
+			return
+		}
+		h = &home{created: true, came: e.at}
+		e.homes[id] = h
+	}
+	if h.state.Final() {
+		return
+	}
+	if state != submission.Unknown {
+		e.answer(h, Outcome{Kind: Taken}) // its holder can only know it from the store
+	}
+	if state == submission.Unknown {
+		e.lookUp(id)
+		return
+	}
+	if state < h.state {
+		return // an older word that was overtaken
+	}
+	h.state = state
+	h.changed = e.at
+	h.created = true
+	if state.Final() && h.record != nil {
+		e.vm.figures.queue(h.record.Queue).ended(state.String(), e.at-h.came)
+	}
+	if state.Final() {
+		h.record = nil // only its state is asked for from now on
+	}
+}
+
+// lookup is what the store says of a submission.
+type lookup struct {
+	state    submission.State // Unknown: there is no such submission
+	record   *submission.Record
+	revision uint64
+}
+
+// lookUp reads a submission's state from the store.
+func (e *engine) lookUp(id submission.ID) {
+	h := e.homes[id]
+	if h != nil {
+		if h.looking {
+			return
+		}
+		h.looking = true
+	}
+	e.vm.duty(func() {
+		found, err := e.vm.readSubmission(e.ctx, id)
+		e.vm.post(lookedUpEvent{id: id, found: found, failed: err})
+	})
+}
+
+// readSubmission reads the record first: it is replaced by the final state in one
+// transaction, so one of the two is there at any time.
+func (v *VM) readSubmission(ctx context.Context, id submission.ID) (lookup, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupWithin)
+	defer cancel()
+	open, err := v.store.Get(ctx, submission.OpenKey(id))
+	if err != nil {
+		return lookup{}, err
+	}
+	if open.Revision > 0 {
+		r, err := submission.DecodeRecord(id, open.Value)
+		if err != nil {
+			return lookup{}, err
+		}
+		return lookup{state: submission.Queued, record: r, revision: open.Revision}, nil
+	}
+	final, err := v.store.Get(ctx, submission.FinalKey(id))
+	if err != nil {
+		return lookup{}, err
+	}
+	if final.Revision > 0 {
+		return lookup{state: finalState(final)}, nil
+	}
+	return lookup{}, nil
+}
+
+func (ev lookedUpEvent) apply(e *engine) {
+	h := e.homes[ev.id]
+	if h == nil {
+		return
+	}
+	h.looking = false
+	askers := h.askers
+	h.askers = nil
+	switch {
+	case ev.failed != nil:
+		klog.InfoS("kept: a submission's state could not be read", "id", ev.id, "why", ev.failed)
+		answerAll(askers, StateAnswer{Err: ErrUnavailable})
+		if !h.created && len(h.waiters) == 0 {
+			delete(e.homes, ev.id)
+		}
+	case ev.found.state.Final():
+		e.learnState(ev.id, h.shard, ev.found.state)
+		answerAll(askers, StateAnswer{State: h.state})
+	case ev.found.record != nil:
+		if h.record == nil {
+			h.record = ev.found.record
+		}
+		h.shard = ev.found.record.Shard
+		h.revision = ev.found.revision
+		h.created = true
+		h.state = max(h.state, submission.Queued)
+		h.changed = e.at
+		e.askHolder(h)
+		answerAll(askers, StateAnswer{State: h.state})
+	default:
+		if h.created {
+			klog.ErrorS(nil, "kept: a submission that was stored is not in the store", "id", ev.id, "shard", h.shard)
+		}
+		if len(h.waiters) == 0 {
+			delete(e.homes, ev.id)
+		}
+		answerAll(askers, StateAnswer{State: submission.Unknown})
+	}
+}
+
+func answerAll(askers []chan StateAnswer, a StateAnswer) {
+	for _, c := range askers {
+		c <- a
+	}
+}
+
+func (ev stateEvent) apply(e *engine) {
+	h := e.homes[ev.id]
+	if h != nil && h.state != submission.Unknown {
+		ev.reply <- StateAnswer{State: h.state}
+		return
+	}
+	for _, own := range e.shards {
+		if state, known := own.core.Knows(ev.id); known && state != submission.Unknown {
+			ev.reply <- StateAnswer{State: state}
+			return
+		}
+	}
+	if h == nil {
+		h = &home{came: e.at, changed: e.at}
+		e.homes[ev.id] = h
+	}
+	h.askers = append(h.askers, ev.reply)
+	e.lookUp(ev.id)
+}
--- /dev/null
+++ b/internal/kept/vm/workers.go
@@ -0,0 +1,210 @@
+package vm
+
+import (
+	"context"
+	"errors"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// wantWorkers has the list of workers followed while a shard is held.
+func (e *engine) wantWorkers() {
+	if len(e.shards) == 0 {
+		e.workers = nil // it will be out of date when the next shard is taken
+	}
+	select {
+	case <-e.vm.wantWorkers:
+	default:
+	}
+	e.vm.wantWorkers <- len(e.shards) > 0
+}
+
+func (ev workersEvent) apply(e *engine) {
+	if len(e.shards) == 0 {
+		return
+	}
+	e.workers = ev.list
+	for _, h := range e.shards {
+		e.placeWorkers(h)
+	}
+}
+
+// shardOf is the shard that a worker belongs to; "" if its domain is not divided yet.
+func (e *engine) shardOf(info worker.Info) string {
+	d, known := e.site.Division(info.Domain)
+	if !known {
+		return ""
+	}
+	return d.ShardOf(info.Address)
+}
+
+// divideDomains writes into how many shards a domain of a new site is divided.
+func (e *engine) divideDomains() {
+	for _, domain := range e.site.Undivided(e.at) {
+		if e.dividing {
+			return
+		}
+		e.dividing = true
+		e.vm.duty(func() {
+			err := e.vm.divide(e.ctx, domain)
+			e.vm.post(dividedEvent{domain: domain, err: err})
+		})
+	}
+}
+
+// divide counts the workers of a domain and writes its division, unless another VM has.
+func (v *VM) divide(ctx context.Context, domain string) error {
+	ctx, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, false)
+	if err != nil {
+		return err
+	}
+	workers := 0
+	for _, it := range items {
+		info, err := v.config.Lists.DecodeWorker(it)
+		if err != nil {
+			klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
+			continue
+		}
+		if info.Domain == domain {
+			workers++
+		}
+	}
+	d := site.Divide(domain, workers)
+	_, err = v.store.Commit(ctx, store.Txn{
+		Expect: []store.Condition{{Key: site.DomainKey(domain)}},
+		Put:    []store.Put{{Key: site.DomainKey(domain), Value: site.Encode(d)}},
+	})
+	if err == nil {
+		klog.InfoS("kept: domain divided", "domain", domain, "workers", workers, "shards", d.Shards)
+	}
+	return err
+}
+
+type dividedEvent struct {
+	domain string
+	err    error
+}
+
+func (ev dividedEvent) apply(e *engine) {
+	e.dividing = false
+	var conflict *store.ConflictError
+	if ev.err != nil && !errors.As(ev.err, &conflict) {
+		klog.InfoS("kept: a domain could not be divided", "domain", ev.domain, "why", ev.err)
+	}
+}
+
+// placeWorkers holds the workers of a shard.
+func (e *engine) placeWorkers(h *held) {
+	var own []worker.Info
+	for _, info := range e.workers {
+		if e.shardOf(info) == h.holding.Shard {
+			own = append(own, info)
+		}
+	}
+	h.core.Workers(e.at, own)
+	e.alignHands(h)
+	e.noteHands(h)
+}
+
+// alignHands makes the hands those of the workers that the core knows.
+func (e *engine) alignHands(h *held) {
+	known := make(map[string]bool)
+	for _, id := range h.core.WorkerIDs() {
+		known[id] = true
+		info, _ := h.core.WorkerInfo(id)
+		hd := h.hands[id]
+		if hd == nil {
+			h.hands[id] = startHand(h.ctx, e.vm, h.holding.Shard, info, h.holding.Token, &h.extend)
+			continue
+		}
+		hd.info.Store(&info)
+	}
+	for id, hd := range h.hands {
+		if !known[id] {
+			hd.cancel()
+			delete(h.hands, id)
+			klog.InfoS("kept: worker dropped", "worker", id, "shard", h.holding.Shard)
+		}
+	}
+}
+
+// holder returns the shard that a hand belongs to; nil if it is held no more.
+func (e *engine) holder(hd *hand) *held {
+	h := e.shards[hd.shard]
+	if h == nil || h.holding.Token != hd.token {
+		return nil
+	}
+	return h
+}
+
+func (ev listingEvent) apply(e *engine) {
+	h := e.holder(ev.hand)
+	if h == nil {
+		return
+	}
+	id := ev.hand.info.Load().ID
+	for _, end := range h.core.Listing(e.at, id, ev.sent, ev.listing) {
+		e.vm.figures.end(end.How.String())
+		if end.How != worker.Completed {
+			klog.InfoS("kept: run ended", "id", end.Task.ID, "step", end.Task.Step, "index", end.Task.Index, "run", end.Run,
+				"worker", id, "how", end.How.String(), "number", end.N)
+		}
+	}
+}
+
+func (ev fencedEvent) apply(e *engine) {
+	if h := e.holder(ev.hand); h != nil {
+		klog.InfoS("kept: a worker has seen a higher token", "worker", ev.hand.info.Load().ID, "shard", ev.hand.shard, "token", ev.hand.token)
+	}
+}
+
+func (ev goneEvent) apply(e *engine) {
+	h := e.holder(ev.hand)
+	if h == nil {
+		return
+	}
+	id := ev.hand.info.Load().ID
+	klog.InfoS("kept: worker gone", "worker", id, "shard", ev.hand.shard, "why", "another incarnation answers")
+	h.core.WorkerGone(e.at, id)
+	e.alignHands(h)
+}
+
+func (ev lapsedEvent) apply(e *engine) {
+	h := e.holder(ev.hand)
+	if h == nil {
+		return
+	}
+	id := ev.hand.info.Load().ID
+	e.vm.figures.workersLost.Inc(1)
+	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.hand.shard, "why", "it does not answer, and its lease is over")
+	h.core.WorkerLapsed(e.at, id)
+	e.alignHands(h)
+}
+
+func (ev startReplyEvent) apply(e *engine) {
+	h := e.holder(ev.hand)
+	if h == nil {
+		return
+	}
+	id := ev.hand.info.Load().ID
+	e.vm.figures.start(ev.reply.Verdict.String())
+	if ev.reply.Verdict != worker.Accepted {
+		klog.InfoS("kept: start not accepted", "id", ev.task.ID, "step", ev.task.Step, "index", ev.task.Index, "run", ev.run,
+			"worker", id, "answer", ev.reply.Verdict)
+	}
+	h.core.StartReply(e.at, id, ev.task, ev.run, ev.reply)
+	e.alignHands(h)
+}
+
+func (ev stopReplyEvent) apply(e *engine) {
+	if h := e.holder(ev.hand); h != nil {
+		h.core.StopReply(e.at, ev.hand.info.Load().ID, ev.task, ev.run, ev.reply)
+		e.alignHands(h)
+	}
+}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -15,7 +15,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -50,21 +49,6 @@
 
 var domains = []string{"hall-a", "hall-b"}
 
-// process is one entry VM as a process of its own.
-type process struct {
-	name     string
-	settings string // file
-	callers  string // URL
-	peer     *proxy
-	store    *proxy
-	logPath  string
-
-	starting sync.Mutex // held while a new process is started
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
-}
-
 type soak struct {
 	opt     Options
 	rand    *rand.Rand
@@ -190,45 +174,6 @@
 	return p.run(s.opt.Daemon)
 }
 
-// run starts the VM's process.
-func (p *process) run(binary string) error {
-	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	cmd := exec.Command(binary, "kept", "--settings", p.settings)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		_ = log.Close()
-		return err
-	}
-	exited := make(chan struct{})
-	go func() {
-		_ = cmd.Wait() // a killed process has an error, which says nothing
-		_ = log.Close()
-		close(exited)
-	}()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cmd, p.exited = cmd, exited
-	return nil
-}
-
-func (p *process) signal(sig syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(sig) // it may have ended already
-	}
-}
-
-// life is closed when the present process has ended.
-func (p *process) life() chan struct{} {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.exited
-}
-
 var errNotReady = errors.New("soak: the VMs did not become ready")
 
 // awaitReady waits until a transient submission is answered at each VM.
@@ -303,99 +248,6 @@
 	}
 }
 
-// inject makes faults, one after the other and overlapping, until ctx ends.
-func (s *soak) inject(ctx context.Context) {
-	var under sync.WaitGroup
-	defer under.Wait()
-	for ctx.Err() == nil {
-		s.faults++
-		fault := s.draw()
-		under.Go(fault)
-		select {
-		case <-ctx.Done():
-		case <-time.After(faultPause + time.Duration(s.rand.IntN(600))*time.Millisecond):
-		}
-	}
-}
-
-// draw picks a fault; the seed decides which and how long.
-func (s *soak) draw() func() {
-	p := s.vms[s.rand.IntN(len(s.vms))]
-	w := s.workers[s.rand.IntN(len(s.workers))]
-	d := time.Duration(s.rand.Int64N(int64(faultMost)))
-	choices := []func(){
-		func() { s.restart(p, syscall.SIGKILL) },
-		func() { s.restart(p, syscall.SIGTERM) },
-		func() { s.pause(p, d) },
-		func() { p.signal(syscall.SIGHUP) },
-		func() { during(d, p.store, func(x *proxy) { x.toTarget, x.toCaller = true, true }) },
-		func() { during(d, p.store, func(x *proxy) { x.toCaller = true }) },
-		func() { during(d, p.store, func(x *proxy) { x.delay = 120 * time.Millisecond }) },
-		func() { during(d, p.store, func(x *proxy) { x.refuse = true }) },
-		func() { p.store.reset() },
-		func() { during(d, p.peer, func(x *proxy) { x.toTarget, x.toCaller = true, true }) },
-		func() { during(d, p.peer, func(x *proxy) { x.toCaller = true }) },
-		func() { p.peer.reset() },
-		func() { during(d, w, func(x *proxy) { x.toTarget, x.toCaller = true, true }) },
-		func() { during(d, w, func(x *proxy) { x.toCaller = true }) },
-		func() { w.reset() },
-		func() { s.storeOut(d) },
-	}
-	return choices[s.rand.IntN(len(choices))]
-}
-
-func during(d time.Duration, p *proxy, fault func(*proxy)) {
-	p.set(fault)
-	time.Sleep(d)
-	p.heal()
-}
-
-// storeOut silences the store for all VMs.
-func (s *soak) storeOut(d time.Duration) {
-	for _, p := range s.vms {
-		p.store.set(func(x *proxy) { x.toCaller = true })
-	}
-	time.Sleep(d)
-	for _, p := range s.vms {
-		p.store.heal()
-	}
-}
-
-// pause stops a process and lets it go on.
-func (s *soak) pause(p *process, d time.Duration) {
-	p.signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	p.signal(syscall.SIGCONT)
-}
-
-// restart ends a process and starts it again.
-func (s *soak) restart(p *process, sig syscall.Signal) {
-	life := p.life()
-	p.signal(sig)
-	p.signal(syscall.SIGCONT)
-	<-life
-	time.Sleep(restartPause)
-	p.starting.Lock()
-	defer p.starting.Unlock()
-	if p.life() != life {
-		return // another fault has started it meanwhile
-	}
-	if err := p.run(s.opt.Daemon); err != nil {
-		fmt.Fprintf(s.opt.Out, "%s does not start: %v\n", p.name, err)
-	}
-}
-
-func (s *soak) heal() {
-	for _, p := range s.vms {
-		p.signal(syscall.SIGCONT)
-		p.store.heal()
-		p.peer.heal()
-	}
-	for _, w := range s.workers {
-		w.heal()
-	}
-}
-
 // judge waits for the end of all that was accepted, and checks what ran.
 func (s *soak) judge(ctx context.Context) error {
 	var all []string
