--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -141,11 +141,17 @@
 		return silent
 	}
 	w.fleet.mu.Lock()
+	now := time.Since(w.fleet.began)
+	// All workers get to the present, or a run that has ended by itself on a worker that
+	// nobody has called since would still count as running.
+	for _, other := range w.fleet.hosts {
+		other.Advance(now)
+	}
 	h, gone := w.reach(to)
 	answered := h != nil
 	reply := silent
 	if h != nil {
-		reply, answered = call(h, time.Since(w.fleet.began))
+		reply, answered = call(h, now)
 	}
 	w.fleet.mu.Unlock()
 	if gone {
