Only the present holder's rejection counts; what was rejected and is handed over again does not run

An earlier holder that does not know yet rejects what waits in its queue, the home answers "not run", and the next holder, which has been given the submission, starts it. A second way to the same: a home hands over again what is being rejected. Words about submissions carry the speaker's token, submissions a serial.

--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -34,9 +34,10 @@
 // endedJob is what is remembered of a submission that has ended here. A message
 // or an answer of the store that left before its end would start it again.
 type endedJob struct {
-	state submission.State
-	part  extent
-	at    time.Duration
+	state  submission.State
+	part   extent
+	serial uint64
+	at     time.Duration
 }
 
 // pastFor is how long ended submissions are remembered. Calls of the store that
@@ -177,7 +178,7 @@
 // room any more.
 func (s *Shard) settled(now time.Duration, j *job) {
 	j.stored = true
-	s.past[j.rec.ID] = endedJob{state: j.state, part: extentOf(j.rec), at: now}
+	s.past[j.rec.ID] = endedJob{state: j.state, part: extentOf(j.rec), serial: j.rec.Serial, at: now}
 	s.acknowledge()
 	s.reap(j)
 	s.dirty = true
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -281,3 +281,27 @@
 		t.Errorf("%d starts of 4 tasks", n)
 	}
 }
+
+// Symptom: as above. Sequence: a home hands a submission over a second time, as its link
+// was lost, while its rejection is on the way. Cause would be: taking it for a new one.
+func TestRejectedSubmissionHandedOverAgainDoesNotRun(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.assign(w.submission("long", 2, runhost.Work{Time: 2 * time.Second, CPUMilli: 8000}))
+	w.run(20 * ms)
+	rec := w.submission("short", 1, runhost.Work{Time: 60 * ms})
+	rec.Serial = 7
+	w.assign(rec)
+	w.run(600 * ms)
+	w.want("short", submission.Rejected)
+	w.assign(rec)
+	w.run(3 * time.Second)
+	if w.runs("short") != 0 {
+		t.Error("it was rejected and has run")
+	}
+	again := *rec
+	again.Serial = 8 // its caller has sent it again
+	w.assign(&again)
+	w.run(300 * ms)
+	w.want("short", submission.Done)
+}
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -42,6 +42,11 @@
 	case open:
 		s.takeOverHome(r, state)
 		return true
+	case s.past[r.ID].serial == r.Serial:
+		// Its home hands it over again, not knowing of its end: it must not run after
+		// the caller was told that it has not.
+		s.takeOverHome(r, state)
+		return true
 	case s.past[r.ID].part == extentOf(r) && (state == submission.Done || state == submission.Failed):
 		s.takeOverHome(r, state)
 		return true
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -91,6 +91,9 @@
 	// never twice at the same time.
 	Transient bool `json:"r,omitempty"`
 	Part      bool `json:"u,omitempty"` // other shards have the other tasks
+	// Serial tells the hand-ins of a transient submission apart: a caller that sends it
+	// again makes a new one, a home that hands it over again does not.
+	Serial uint64 `json:"z,omitempty"`
 	// Patience is how long the caller of a transient submission waits; 0: not known.
 	Patience time.Duration `json:"w,omitempty"`
 	Progress Progress      `json:"p,omitzero"`
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -77,6 +77,7 @@
 	workers      []worker.Info
 	claiming     map[string]bool
 	dividing     bool
+	serial       uint64                   // of transient submissions taken here
 	loadAtMost   time.Duration            // between messages about a changed load, on a site of this size
 	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
 	prunedAt     time.Duration
@@ -180,7 +181,7 @@
 		e.tellNote(n)
 	}
 	for _, s := range a.States {
-		e.tellState(s.ID, name, s.Home, s.State)
+		e.tellState(s.ID, s.Home, stateWord{shard: name, token: h.holding.Token, state: s.State})
 	}
 }
 
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -134,14 +134,14 @@
 		e.learnNote(ref, int(n.Fails))
 	}
 	for _, s := range f.States {
-		e.learnState(submission.ID(s.Id), s.Shard, submission.State(s.State))
+		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State)})
 	}
 	for _, ref := range f.Queries {
 		e.takeQuery(ev.from, ref)
 	}
 	for _, ref := range f.Cancelled {
 		if ref.Shard == "" {
-			e.learnState(submission.ID(ref.Id), "", submission.Cancelled)
+			e.learnState(submission.ID(ref.Id), stateWord{state: submission.Cancelled})
 		}
 		e.stopCancelled(ref)
 	}
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -49,7 +49,7 @@
 func (e *engine) tellOwn(id submission.ID, own *held) {
 	state, known := own.core.Knows(id)
 	if known {
-		e.learnState(id, own.holding.Shard, state)
+		e.learnState(id, stateWord{shard: own.holding.Shard, token: own.holding.Token, state: state})
 		return
 	}
 	if own.scannedAt > 0 {
@@ -60,43 +60,55 @@
 // takeQuery answers a peer that asks how far a submission is.
 func (e *engine) takeQuery(from string, ref *pb.KeptRef) {
 	id := submission.ID(ref.Id)
+	word := stateWord{shard: ref.Shard}
 	if h := e.shards[ref.Shard]; h != nil {
+		word.token = h.holding.Token
 		if state, known := h.core.Knows(id); known {
-			e.tellPeer(from, id, ref.Shard, state)
+			word.state = state
+			e.tellPeer(from, id, word)
 			return
 		}
 	}
 	if h := e.homes[id]; h != nil && h.state.Final() {
-		e.tellPeer(from, id, ref.Shard, h.state)
+		word.state = h.state
+		e.tellPeer(from, id, word)
 		return
 	}
 	// The peer finds the answer in the store: this VM does not drive it (any more).
-	e.tellPeer(from, id, ref.Shard, submission.Unknown)
+	e.tellPeer(from, id, word)
 }
 
-func (e *engine) tellPeer(peer string, id submission.ID, shard string, state submission.State) {
+// stateWord is what a VM says of a submission, or of the part of it that a shard has.
+type stateWord struct {
+	shard string
+	token uint64 // under which the speaker holds the shard; 0: it does not
+	state submission.State
+}
+
+func (e *engine) tellPeer(peer string, id submission.ID, w stateWord) {
 	f := e.frame(peer)
-	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(state), Shard: shard})
+	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(w.state), Shard: w.shard, Token: w.token})
 }
 
 // tellState tells a submission's home how far it is.
-func (e *engine) tellState(id submission.ID, shard, homeVM string, state submission.State) {
+func (e *engine) tellState(id submission.ID, homeVM string, w stateWord) {
 	if homeVM == e.vm.config.Name {
-		e.learnState(id, shard, state)
+		e.learnState(id, w)
 		return
 	}
-	e.tellPeer(homeVM, id, shard, state)
+	e.tellPeer(homeVM, id, w)
 }
 
 // learnState takes a word about a submission. Unknown says that the peer that was
 // asked does not drive it.
-func (e *engine) learnState(id submission.ID, shard string, state submission.State) {
+func (e *engine) learnState(id submission.ID, w stateWord) {
 	if t := e.transients[id]; t != nil {
-		if p := t.part(shard); p != nil {
-			e.learnPart(t, p, state)
+		if p := t.part(w.shard); p != nil {
+			e.learnPart(t, p, w.token, w.state)
 		}
 		return
 	}
+	state := w.state
 	h := e.homes[id]
 	if h == nil {
 		if state == submission.Unknown || state == submission.Rejected {
@@ -193,7 +205,7 @@
 			delete(e.homes, ev.id)
 		}
 	case ev.found.state.Final():
-		e.learnState(ev.id, h.shard, ev.found.state)
+		e.learnState(ev.id, stateWord{shard: h.shard, state: ev.found.state})
 		answerAll(askers, StateAnswer{State: h.state})
 	case ev.found.record != nil:
 		if h.record == nil {
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -71,6 +71,11 @@
 		ev.reply <- *refusal
 		return
 	}
+	e.serial++
+	ev.record.Serial = e.vm.config.Incarnation + e.serial
+	for _, p := range parts {
+		p.record.Serial = ev.record.Serial
+	}
 	t := &transient{
 		record:  ev.record,
 		parts:   parts,
@@ -146,7 +151,7 @@
 	h := e.shards[r.Shard]
 	switch {
 	case h == nil:
-		e.tellPeer(from, r.ID, r.Shard, submission.Unknown)
+		e.tellPeer(from, r.ID, stateWord{shard: r.Shard, token: r.Token})
 	case resumed:
 		e.vm.figures.resumed.Inc(1)
 		klog.InfoS("kept: resumed", "id", r.ID, "home", from, "shard", r.Shard, "token", h.holding.Token)
@@ -210,7 +215,7 @@
 	p.asked = e.at
 	if own := e.shards[p.shard]; own != nil {
 		state, _ := own.core.Knows(t.record.ID)
-		e.learnPart(t, p, state)
+		e.learnPart(t, p, own.holding.Token, state)
 		return
 	}
 	f := e.frame(p.holder)
@@ -265,10 +270,18 @@
 }
 
 // learnPart takes a holder's word about a part.
-func (e *engine) learnPart(t *transient, p *part, state submission.State) {
+//
+// An earlier holder that does not know yet that it was replaced may reject what it has in
+// its queue, while the next one, which has been given the part, starts it: the caller
+// would be told that it has not run. What such a holder says counts only if it says that
+// the part has ended.
+func (e *engine) learnPart(t *transient, p *part, token uint64, state submission.State) {
 	if t.state.Final() || p.state.Final() {
 		return
 	}
+	if token != p.token && state != submission.Done && state != submission.Failed {
+		return
+	}
 	p.changed = e.at
 	switch state {
 	case submission.Unknown:
--- a/internal/kept/vm/transient_test.go
+++ b/internal/kept/vm/transient_test.go
@@ -34,3 +34,19 @@
 		t.Errorf("the third holder gets %+v, %v", r, err)
 	}
 }
+
+// Symptom: a caller is told that its submission has not run, and it runs. Sequence: a
+// shard gets a new holder, which is given the submission; the earlier one does not know
+// yet that it was replaced, and rejects what waits in its queue. Cause: the home took the
+// word of whoever named the shard.
+func TestRejectionByAnEarlierHolderCountsForNothing(t *testing.T) {
+	p := &part{record: &submission.Record{ID: "job", Token: 3}, shard: "a/0", token: 4, holder: "second", state: submission.Queued}
+	tr := &transient{record: p.record, parts: []*part{p}, waiters: []chan Outcome{make(chan Outcome, 1)}}
+	e := &engine{at: time.Hour, transients: map[submission.ID]*transient{"job": tr}, loads: map[string]*loadView{"a/0": {token: 4}}}
+	for _, state := range []submission.State{submission.Rejected, submission.Cancelled, submission.Unknown, submission.Running} {
+		e.learnState("job", stateWord{shard: "a/0", token: 3, state: state})
+	}
+	if len(tr.waiters[0]) > 0 || p.state != submission.Queued || e.transients["job"] == nil {
+		t.Errorf("the home believed it: %s", p.state)
+	}
+}
