--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -79,6 +79,8 @@
 	ready    atomic.Bool // a shard takes submissions, and so does this VM
 	stopping atomic.Bool
 
+	leaving     chan struct{} // closed when this VM is about to stop
+	leaveOnce   sync.Once
 	wantWorkers chan bool // whether a shard is held; the newest word counts
 
 	sweeps atomic.Bool // this VM removes final states
@@ -94,7 +96,7 @@
 	if c.Now == nil {
 		c.Now = clock.Now
 	}
-	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents), wantWorkers: make(chan bool, 1)}
+	v := &VM{config: c, now: c.Now, events: ring.New[event](ringEvents), wantWorkers: make(chan bool, 1), leaving: make(chan struct{})}
 	v.calls = newPeerCalls()
 	v.router = relay.New(c.Direct, v.calls, c.Now)
 	v.figures = newFigures(c.Name)
@@ -151,6 +153,7 @@
 // those under way are answered. It returns when the shards are given up, or ctx ends.
 func (v *VM) Drain(ctx context.Context) {
 	v.stopping.Store(true)
+	v.leaveOnce.Do(func() { close(v.leaving) })
 	done := make(chan struct{})
 	if !v.post(drainEvent{done: done}) {
 		return
--- a/internal/kept/vm/vm_test.go
+++ b/internal/kept/vm/vm_test.go
@@ -298,3 +298,22 @@
 		}
 	})
 }
+
+// Symptom: a shard is without a holder when VMs stop one after the other. Sequence: a VM
+// is told to stop, and serves on for two seconds; the next one that stops hands its shard
+// to the first. Cause: its key was still there.
+func TestNoShardIsHandedToAVMThatStops(t *testing.T) {
+	testWorld(t, func(w *world) {
+		holder := w.holderOf("a")
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		w.vms[other(holder)].Drain(ctx)
+		time.Sleep(500 * ms)
+		w.vms[holder].Drain(ctx)
+		time.Sleep(500 * ms)
+		if h := w.holderOf("a"); h[:1] != "b" {
+			t.Errorf("it is held by %s, which stops", h)
+		}
+		w.wantEnd(w.submit(holder, "job", 2, runhost.Work{Time: 100 * ms}, true), submission.Done)
+	})
+}
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -243,7 +243,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		err := v.holdSession(ctx, self)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errLeaving) {
 			return
 		}
 		klog.InfoS("kept: session lost", "vm", v.config.Name, "why", err)
@@ -265,7 +265,13 @@
 	klog.InfoS("kept: session opened", "vm", self.Name, "lease", lease)
 	pause := sessionKeep
 	for ctx.Err() == nil {
-		sleep(ctx, pause)
+		select {
+		case <-v.leaving:
+			return v.endSession(ctx, lease)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
 		pause = sessionKeep
 		err := v.store.Keep(ctx, lease)
 		if errors.Is(err, store.ErrNoLease) {
@@ -282,4 +288,15 @@
 	return nil
 }
 
+// endSession takes this VM's key away, so that nobody hands it a shard while it stops.
+// Its links stand, and it serves its callers on.
+func (v *VM) endSession(ctx context.Context, lease uint64) error {
+	if err := v.store.Revoke(ctx, lease); err != nil {
+		klog.InfoS("kept: session not ended, its key lapses by itself", "why", err)
+	}
+	return errLeaving
+}
+
+var errLeaving = errors.New("this VM stops")
+
 var errKeyGone = errors.New("the key is gone though its lease stands")
