--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -41,7 +41,7 @@
 // Config is what an entry VM is made of.
 type Config struct {
 	Name        string
-	Incarnation uint64 // of this process; higher than that of any earlier one
+	Incarnation uint64 // of this process; no other process of the site ever has the same
 	Domain      string
 	Domains     []string // all failure domains of the site
 	PeerAddress string   // where peers reach this VM
