--- a/internal/tool/keptsite/keptsite.go
+++ b/internal/tool/keptsite/keptsite.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
@@ -203,9 +205,12 @@
 	return outlive(ctx, s, vms, endpoints, say)
 }
 
-// FreeAddress returns a loopback address that nothing listens on.
+// FreeAddress returns a loopback address that nothing listens on, with an IP of its own:
+// on a shared one another socket may be given the port before it is used.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(64+pid>>8&63), byte(pid), byte(1+addresses.Add(1)%250))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		return "", err
 	}
@@ -213,6 +218,8 @@
 	return l.Addr().String(), nil
 }
 
+var addresses atomic.Uint32 // given out by this process
+
 const readyWithin = 10 * time.Second
 
 func awaitReady(ctx context.Context, vms map[string]*daemon.Daemon) error {
