One piece where two stood: HTTP calls of a store, the objective, the workers of a domain

Read over as a whole. Behaviour is meant to stay as it is; no bound or assertion changed. Twice and now once: the HTTP way to a store (adapter and daemon), a submission's objective and the late factor (home and shard), reading a domain's workers (division and probe; the probe passed over unreadable entries without a line), waiting for a state (state, cancel), and the connection that falls silent (pipe, mesh). A drop that followHoldings does anyway is gone.

--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -143,29 +142,6 @@
 	return info, err
 }
 
-// storeCalls makes the store's calls over HTTP.
-type storeCalls struct {
-	address string
-	client  *http.Client
-}
-
-const answerMost = 16 << 20 // bytes
-
-// Do implements relay.Transport.
-func (s *storeCalls) Do(ctx context.Context, c relay.Call) (relay.Reply, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+s.address+c.Target, bytes.NewReader(c.Body))
-	if err != nil {
-		return relay.Reply{}, err
-	}
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return relay.Reply{}, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
-	return relay.Reply{Status: resp.StatusCode, Body: body}, err
-}
-
 // Daemon is a running entry VM with its listeners.
 type Daemon struct {
 	VM       *vm.VM
@@ -192,7 +168,7 @@
 		Domains:     s.Domains,
 		PeerAddress: cmp.Or(s.PeerAddress, peers.Addr().String()),
 		PeerListen:  peers,
-		Direct:      &storeCalls{address: s.Store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}},
+		Direct:      &relay.HTTP{Address: s.Store, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}},
 		Store:       func(t relay.Transport) store.Store { return &kvcall.Client{Calls: t} },
 		Orders:      d.orders,
 		Lists: vm.Lists{
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -42,7 +42,6 @@
 // strayRun is a run that a worker lists and whose submission is not known here.
 type strayRun struct {
 	run   uint64
-	since time.Duration
 	asked bool // a stop was sent
 }
 
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -35,9 +35,7 @@
 	failed     map[uint64]struct{} // runs that ended as failed
 	fails      int                 // of them, with those stored earlier
 	checkpoint string
-	percent    int
-	movedAt    time.Duration // when percent changed last
-	avoid      *host         // where it last failed or stood still
+	avoid      *host // where it last failed
 }
 
 // occupies reports whether the task takes room at its host.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -175,10 +175,6 @@
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
-	if r.Percent != t.percent || t.movedAt == 0 {
-		t.percent = r.Percent
-		t.movedAt = now
-	}
 	switch t.state {
 	case starting, unsure, astray:
 		s.nowRunning(now, h, t)
@@ -194,7 +190,6 @@
 	t.state = running
 	t.host = h
 	t.since = now
-	t.movedAt = now
 	j := t.job
 	if j.firstRun == 0 {
 		j.firstRun = now
@@ -210,7 +205,7 @@
 func (s *Shard) stray(now time.Duration, h *host, r worker.Running) {
 	st, known := h.strays[r.Task]
 	if !known || st.run != r.Run {
-		st = strayRun{run: r.Run, since: now}
+		st = strayRun{run: r.Run}
 	}
 	if !st.asked && now-h.listedAt >= resumeWithin {
 		st.asked = true
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -174,7 +174,7 @@
 		if ends > r.deadline {
 			r.band = 1
 		}
-		if ends > j.came+lateFactor*objective {
+		if ends > j.came+submission.LateFactor*objective {
 			r.band = 2
 		}
 		list = append(list, r)
@@ -203,7 +203,7 @@
 		if !j.rec.Transient || j.rec.Part || j.state.Final() || j.begun() {
 			continue
 		}
-		if now+s.remaining(j) > j.came+lateFactor*s.objective(j) || s.tooLong(now, j) {
+		if now+s.remaining(j) > j.came+submission.LateFactor*s.objective(j) || s.tooLong(now, j) {
 			s.end(now, j, submission.Rejected, "it cannot be done in time")
 		}
 	}
@@ -219,10 +219,6 @@
 // waitShare is the share of its caller's time that a submission may wait untried.
 const waitShare = 0.4
 
-// lateFactor is how many times its objective a submission may take and still be
-// worth something to its caller.
-const lateFactor = 3
-
 func (j *job) startable() bool {
 	for _, t := range j.tasks {
 		if t.state == waiting && j.due(t) {
@@ -234,8 +230,7 @@
 
 // objective is the time in which a submission should be done.
 func (s *Shard) objective(j *job) time.Duration {
-	terms := &j.rec.Terms
-	return time.Duration(terms.Stretch*float64(j.chain(s.factor(j.rec.Queue)))) + terms.Target
+	return j.rec.Terms.Objective(j.chain(s.factor(j.rec.Queue)))
 }
 
 // remaining is the time a submission takes if all its tasks start now.
@@ -312,7 +307,7 @@
 		if !s.fits(now, t, r) {
 			continue
 		}
-		cost := s.cost(now, t, r)
+		cost := s.cost(t, r)
 		if best == nil || cost < bestCost || cost == bestCost && r.cpu < best.cpu {
 			best, bestCost = r, cost
 		}
@@ -353,8 +348,6 @@
 	t.startedAt = now
 	t.clock = 0
 	t.stopClock = 0
-	t.percent = 0
-	t.movedAt = now
 	r.take(t)
 	s.out.Starts = append(s.out.Starts, StartAction{
 		Worker:     r.host.info,
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -12,7 +12,6 @@
 // Shard is the state of a shard at its holder.
 type Shard struct {
 	settings Settings
-	name     string
 	token    uint64
 
 	scanned   bool          // the records in the store are known
@@ -51,12 +50,11 @@
 
 // New returns a shard under a token that its holder has just acquired. Runs that
 // an earlier holder has started are over by barrierAt, unless a worker lists them.
-func New(now time.Duration, s Settings, name string, token uint64, barrierAt time.Duration) *Shard {
+func New(now time.Duration, s Settings, token uint64, barrierAt time.Duration) *Shard {
 	return &Shard{
 		shortAt:   min(now+shortBarrier, barrierAt),
 		orphans:   make(map[submission.ID][]orphanEnd),
 		settings:  s,
-		name:      name,
 		token:     token,
 		barrierAt: barrierAt,
 		barred:    true,
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -100,7 +100,7 @@
 	rec := w.submission("a", 6, runhost.Work{Time: 900 * ms})
 	w.assign(rec)
 	w.run(100 * ms)
-	w.shard = New(w.now, DefaultSettings(), "a", 2, w.now+1100*ms)
+	w.shard = New(w.now, DefaultSettings(), 2, w.now+1100*ms)
 	clear(w.seen)
 	var known []worker.Info
 	for _, h := range w.hosts {
--- a/internal/kept/shard/trust.go
+++ b/internal/kept/shard/trust.go
@@ -105,7 +105,7 @@
 }
 
 // cost ranks workers for a task: how much longer it takes there.
-func (s *Shard) cost(_ time.Duration, t *task, r *room) float64 {
+func (s *Shard) cost(t *task, r *room) float64 {
 	slow := r.host.record.slow
 	if slow == 0 {
 		slow = 1
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -92,12 +92,10 @@
 
 // Settings of a shard.
 type Settings struct {
-	LeaseMost time.Duration // longest lease of runs, by the worker's rules
 	SaveAfter time.Duration // an unfinished submission's ends are stored after this, to be acknowledged
-	Stall     time.Duration // shortest time without progress after which a task is started elsewhere
 }
 
 // DefaultSettings are for workers with leases of a second.
 func DefaultSettings() Settings {
-	return Settings{LeaseMost: time.Second, SaveAfter: 1500 * time.Millisecond, Stall: 500 * time.Millisecond}
+	return Settings{SaveAfter: 1500 * time.Millisecond}
 }
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -76,7 +76,7 @@
 	if !clean {
 		barrier += 9 * time.Second
 	}
-	w.shard = New(w.now, DefaultSettings(), "a", token, barrier)
+	w.shard = New(w.now, DefaultSettings(), token, barrier)
 	clear(w.seen)
 	w.list()
 	w.shard.Records(w.now, nil)
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -70,6 +70,16 @@
 	Target   time.Duration `json:"t"`
 }
 
+// LateFactor is how many times its objective a submission may take and still be of use
+// to its caller.
+const LateFactor = 3
+
+// Objective is the time in which a submission should be done whose longest chain of steps
+// takes so long.
+func (t *Terms) Objective(chain time.Duration) time.Duration {
+	return time.Duration(t.Stretch*float64(chain)) + t.Target
+}
+
 // Progress is what has been stored of an unfinished submission's runs.
 type Progress struct {
 	Done   []Task       `json:"d,omitempty"` // tasks that have ended well
--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -36,12 +36,6 @@
 	Err   error
 }
 
-// CancelAnswer is the final state of a submission that was to be cancelled.
-type CancelAnswer struct {
-	State submission.State
-	Err   error
-}
-
 // Submit takes a submission, or says why not. It returns within ctx.
 func (v *VM) Submit(ctx context.Context, r *submission.Record) Outcome {
 	reply := make(chan Outcome, 1)
@@ -60,21 +54,18 @@
 // State returns how far a submission is.
 func (v *VM) State(ctx context.Context, id submission.ID) (submission.State, error) {
 	reply := make(chan StateAnswer, 1)
-	if !v.post(stateEvent{id: id, reply: reply}) {
-		return submission.Unknown, ErrUnavailable
-	}
-	select {
-	case a := <-reply:
-		return a.State, a.Err
-	case <-ctx.Done():
-		return submission.Unknown, ErrUnavailable
-	}
+	return v.ask(ctx, stateEvent{id: id, reply: reply}, reply)
 }
 
 // Cancel ends a submission and returns its final state.
 func (v *VM) Cancel(ctx context.Context, id submission.ID) (submission.State, error) {
-	reply := make(chan CancelAnswer, 1)
-	if !v.post(cancelEvent{id: id, reply: reply}) {
+	reply := make(chan StateAnswer, 1)
+	return v.ask(ctx, cancelEvent{id: id, reply: reply}, reply)
+}
+
+// ask posts an event and waits for its answer.
+func (v *VM) ask(ctx context.Context, ev event, reply chan StateAnswer) (submission.State, error) {
+	if !v.post(ev) {
 		return submission.Unknown, ErrUnavailable
 	}
 	select {
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -51,17 +51,17 @@
 	id    submission.ID
 	state submission.State
 	err   error
-	reply chan CancelAnswer
+	reply chan StateAnswer
 }
 
 func (ev cancelledEvent) apply(e *engine) {
 	if ev.err != nil {
 		klog.InfoS("kept: cancellation not stored", "id", ev.id, "why", ev.err)
-		ev.reply <- CancelAnswer{Err: ErrUnavailable}
+		ev.reply <- StateAnswer{Err: ErrUnavailable}
 		return
 	}
 	klog.InfoS("kept: cancelled", "id", ev.id, "state", ev.state.String())
-	ev.reply <- CancelAnswer{State: ev.state}
+	ev.reply <- StateAnswer{State: ev.state}
 	if ev.state != submission.Cancelled {
 		return
 	}
--- a/internal/kept/vm/ends.go
+++ b/internal/kept/vm/ends.go
@@ -74,7 +74,7 @@
 	token := h.holding.Token
 	id := string(s.Record.ID)
 	key := submission.OpenKey(s.Record.ID)
-	e.vm.ends.Add(&journal.Row{
+	ok := e.vm.ends.Add(&journal.Row{
 		Txn: store.Txn{
 			Expect: []store.Condition{{Key: key, Revision: s.Revision}},
 			Put:    []store.Put{{Key: key, Value: s.Record.Encode()}},
@@ -85,6 +85,9 @@
 			e.vm.post(savedEvent{shard: name, id: id, token: token, result: r})
 		},
 	})
+	if !ok {
+		klog.InfoS("kept: progress is not stored, the journal is full", "id", s.Record.ID)
+	}
 }
 
 func (ev savedEvent) apply(e *engine) {
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -123,8 +123,6 @@
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
-	all := e.site.Holdings()
-	e.vm.sweeps.Store(len(all) > 0 && e.site.Mine(all[0]))
 	workers := 0
 	for _, h := range e.shards {
 		workers += len(h.hands)
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -27,7 +27,7 @@
 	}
 	cancelEvent struct {
 		id    submission.ID
-		reply chan CancelAnswer // buffered
+		reply chan StateAnswer // buffered
 	}
 	waitingEvent struct {
 		queue string
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -46,7 +46,9 @@
 // followHoldings takes up the shards that this VM holds by the store, and drops
 // those that it does not. sent is when the store was asked.
 func (e *engine) followHoldings(sent time.Duration) {
-	for _, holding := range e.site.Holdings() {
+	all := e.site.Holdings()
+	e.vm.sweeps.Store(len(all) > 0 && e.site.Mine(all[0]))
+	for _, holding := range all {
 		h := e.shards[holding.Shard]
 		mine := e.site.Mine(holding)
 		if h != nil && (!mine || h.holding.Token != holding.Token) {
@@ -69,10 +71,8 @@
 	if !holding.Clean {
 		barrierAt += authorityOver
 	}
-	settings := shard.DefaultSettings()
-	settings.LeaseMost = e.vm.config.LeaseMost
 	h := &held{
-		core:      shard.New(e.at, settings, holding.Shard, holding.Token, barrierAt),
+		core:      shard.New(e.at, shard.DefaultSettings(), holding.Token, barrierAt),
 		holding:   holding,
 		hands:     make(map[string]*hand),
 		confirmed: e.at,
@@ -156,18 +156,13 @@
 // cut off looks from outside as if its VMs had died; its own holder serves on there,
 // and a holder outside could not reach any worker and would end all runs after the cut.
 func (v *VM) reachesDomain(ctx context.Context, domain string) bool {
-	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, true)
+	workers, err := v.workersOf(ctx, domain, true)
 	if err != nil {
 		return false
 	}
+	workers = workers[:min(len(workers), probeMost)]
 	answers := make(chan bool, probeMost)
-	asked := 0
-	for _, it := range items {
-		info, err := v.config.Lists.DecodeWorker(it)
-		if err != nil || info.Domain != domain || asked == probeMost {
-			continue
-		}
-		asked++
+	for _, info := range workers {
 		v.duty(func() {
 			ctx, cancel := context.WithTimeout(ctx, holdWithin)
 			defer cancel()
@@ -175,7 +170,7 @@
 			answers <- r.Verdict != worker.Silent
 		})
 	}
-	for range asked {
+	for range workers {
 		if <-answers {
 			return true
 		}
@@ -199,10 +194,6 @@
 		return
 	}
 	delete(e.probed, name)
-	holding := e.site.Holding(name)
-	if h := e.shards[name]; h != nil && !e.site.Mine(holding) {
-		e.dropShard(h, holding)
-	}
 	e.followHoldings(0)
 	e.rehome()
 }
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -12,10 +12,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
-// lateFactor is how many times its objective a submission may take and still be of
-// use to its caller.
-const lateFactor = 3
-
 // candidates returns the shards that can take a submission, or why none does.
 func (e *engine) candidates(r *submission.Record) ([]candidate, *Outcome) {
 	var out []candidate
@@ -36,7 +32,7 @@
 	if len(out) == 0 {
 		return nil, &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "no shard can be reached"}
 	}
-	useful := lateFactor * (time.Duration(r.Terms.Stretch*float64(longestEstimate(r))) + r.Terms.Target)
+	useful := submission.LateFactor * r.Terms.Objective(longestEstimate(r))
 	least := slices.MinFunc(out, func(a, b candidate) int { return cmp.Compare(a.backlog, b.backlog) }).backlog
 	if least > useful {
 		return nil, &Outcome{Kind: Busy, RetryAfter: least, Why: "it could not be done in time"}
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -60,11 +60,28 @@
 func (v *VM) divide(ctx context.Context, domain string) error {
 	ctx, cancel := context.WithTimeout(ctx, claimWithin)
 	defer cancel()
-	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, false)
+	workers, err := v.workersOf(ctx, domain, false)
 	if err != nil {
 		return err
 	}
-	workers := 0
+	d := site.Divide(domain, len(workers))
+	_, err = v.store.Commit(ctx, store.Txn{
+		Expect: []store.Condition{{Key: site.DomainKey(domain)}},
+		Put:    []store.Put{{Key: site.DomainKey(domain), Value: site.Encode(d)}},
+	})
+	if err == nil {
+		klog.InfoS("kept: domain divided", "domain", domain, "workers", len(workers), "shards", d.Shards)
+	}
+	return err
+}
+
+// workersOf reads the workers of a failure domain from their list.
+func (v *VM) workersOf(ctx context.Context, domain string, stale bool) ([]worker.Info, error) {
+	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, stale)
+	if err != nil {
+		return nil, err
+	}
+	var out []worker.Info
 	for _, it := range items {
 		info, err := v.config.Lists.DecodeWorker(it)
 		if err != nil {
@@ -72,18 +89,10 @@
 			continue
 		}
 		if info.Domain == domain {
-			workers++
+			out = append(out, info)
 		}
 	}
-	d := site.Divide(domain, workers)
-	_, err = v.store.Commit(ctx, store.Txn{
-		Expect: []store.Condition{{Key: site.DomainKey(domain)}},
-		Put:    []store.Put{{Key: site.DomainKey(domain), Value: site.Encode(d)}},
-	})
-	if err == nil {
-		klog.InfoS("kept: domain divided", "domain", domain, "workers", workers, "shards", d.Shards)
-	}
-	return err
+	return out, nil
 }
 
 type dividedEvent struct {
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/standin/pipe"
 )
 
 // Mesh joins VMs. It is safe for concurrent use.
@@ -62,47 +63,14 @@
 
 // conn is one end of a connection between two VMs.
 type conn struct {
-	net.Conn
-	mesh        *Mesh
-	from, to    string // addresses
-	fromDomain  string
-	toDomain    string
-	silent      chan struct{}
-	ended       chan struct{}
-	silenceOnce sync.Once
-	endOnce     sync.Once
-}
-
-func (c *conn) isSilent() bool {
-	select {
-	case <-c.silent:
-		return true
-	default:
-		return false
-	}
-}
-
-func (c *conn) Write(b []byte) (int, error) {
-	if c.isSilent() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	for c.isSilent() && err == nil {
-		n, err = c.Conn.Read(b)
-	}
-	if c.isSilent() {
-		<-c.ended
-		return 0, net.ErrClosed
-	}
-	return n, err
+	*pipe.Conn
+	mesh       *Mesh
+	from, to   string // addresses
+	fromDomain string
+	toDomain   string
 }
 
 func (c *conn) Close() error {
-	c.endOnce.Do(func() { close(c.ended) })
 	c.mesh.mu.Lock()
 	delete(c.mesh.conns, c)
 	c.mesh.mu.Unlock()
@@ -126,8 +94,8 @@
 			return nil, errRefused
 		}
 		a, b := net.Pipe()
-		mine := &conn{Conn: a, mesh: m, from: address, to: to, fromDomain: domain, toDomain: l.domain, silent: make(chan struct{}), ended: make(chan struct{})}
-		theirs := &conn{Conn: b, mesh: m, from: address, to: to, fromDomain: domain, toDomain: l.domain, silent: make(chan struct{}), ended: make(chan struct{})}
+		mine := &conn{Conn: pipe.Wrap(a), mesh: m, from: address, to: to, fromDomain: domain, toDomain: l.domain}
+		theirs := &conn{Conn: pipe.Wrap(b), mesh: m, from: address, to: to, fromDomain: domain, toDomain: l.domain}
 		select {
 		case l.accept <- theirs:
 		case <-l.closed:
@@ -174,7 +142,7 @@
 	}
 	for c := range m.conns {
 		if (c.fromDomain == domain) != (c.toDomain == domain) {
-			c.silenceOnce.Do(func() { close(c.silent) })
+			c.Silence()
 		}
 	}
 }
--- a/internal/standin/pipe/pipe.go
+++ b/internal/standin/pipe/pipe.go
@@ -15,7 +15,7 @@
 	closed chan struct{}
 
 	mu    sync.Mutex
-	conns []*conn // client sides, oldest first
+	conns []*Conn // client sides, oldest first
 }
 
 // New returns a network without connections.
@@ -26,7 +26,7 @@
 // Dial opens a connection to the server.
 func (n *Network) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, server := net.Pipe()
-	c := &conn{Conn: client, silent: make(chan struct{}), ended: make(chan struct{})}
+	c := Wrap(client)
 	n.mu.Lock()
 	n.conns = append(n.conns, c)
 	n.mu.Unlock()
@@ -53,7 +53,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.conns {
-		c.once.Do(func() { close(c.silent) })
+		c.Silence()
 	}
 }
 
@@ -76,8 +76,8 @@
 // Addr implements net.Listener.
 func (n *Network) Addr() net.Addr { return &net.IPAddr{} }
 
-// conn is the client's side of a connection.
-type conn struct {
+// Conn is one side of a connection, which can fall silent.
+type Conn struct {
 	net.Conn
 	once   sync.Once
 	silent chan struct{}
@@ -85,7 +85,16 @@
 	ended  chan struct{}
 }
 
-func (c *conn) isSilent() bool {
+// Wrap makes a connection one that can fall silent.
+func Wrap(c net.Conn) *Conn {
+	return &Conn{Conn: c, silent: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// Silence makes the connection swallow what is written and what arrives, for good and
+// without an error.
+func (c *Conn) Silence() { c.once.Do(func() { close(c.silent) }) }
+
+func (c *Conn) isSilent() bool {
 	select {
 	case <-c.silent:
 		return true
@@ -94,7 +103,8 @@
 	}
 }
 
-func (c *conn) Write(b []byte) (int, error) {
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
 	if c.isSilent() {
 		return len(b), nil
 	}
@@ -102,7 +112,7 @@
 }
 
 // Read drops what arrives once the connection is silent, until it is closed.
-func (c *conn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	for c.isSilent() && err == nil {
 		n, err = c.Conn.Read(b)
@@ -114,7 +124,8 @@
 	return n, err
 }
 
-func (c *conn) Close() error {
+// Close implements net.Conn.
+func (c *Conn) Close() error {
 	c.close.Do(func() { close(c.ended) })
 	return c.Conn.Close()
 }
