Load tool: lines of faults at the same moment are written one at a time

Cause: each fault of a profile is told by a goroutine of its own, and all wrote to the output without a guard. Ruled out: the site under test (both stacks end in run.say). After: a mutex on the output, and a test that writes 50 lines at once; it fails without it.

--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -48,6 +48,7 @@
 	accounts  map[string]*account
 	began     time.Time
 	collector collector
+	saying    sync.Mutex // of opt.Out: faults at the same moment are told by a goroutine each
 }
 
 // Run drives the load, writes the reports, and returns an error when a promise
@@ -81,6 +82,8 @@
 }
 
 func (r *run) say(format string, args ...any) {
+	r.saying.Lock()
+	defer r.saying.Unlock()
 	fmt.Fprintf(r.opt.Out, format+"\n", args...)
 }
 
--- a/internal/tool/load/load_test.go
+++ b/internal/tool/load/load_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -324,3 +325,19 @@
 		}
 	}
 }
+
+// Symptom: the race detector stops a run, or lines of the output are mixed. Sequence: a
+// profile has two faults at the same moment. Cause: each fault is told by a goroutine of
+// its own, and the writer was not guarded.
+func TestFaultsAtTheSameMomentAreToldInWholeLines(t *testing.T) {
+	var out bytes.Buffer
+	r := &run{opt: Options{Out: &out}}
+	var under sync.WaitGroup
+	for range 50 {
+		under.Go(func() { r.say("fault %s", "begins") })
+	}
+	under.Wait()
+	if want := strings.Repeat("fault begins\n", 50); out.String() != want {
+		t.Errorf("lines are mixed:\n%s", out.String())
+	}
+}
