Questions for a state wait for an end that comes soon, at any VM

Cause: callers ask when their last task has ended, some milliseconds before that is known here, were told 'running', and asked again 250 ms later; at a VM other than the home (half of the questions) the answer was as old as the last 700 ms. Besides, a home that had started again, and knew a submission from its holder's word only, showed 'running' for ever when the word of the end was lost: it did not know whom to ask. Ruled out: late starts (first start at 12 ms half of the time) and the store (accepted after 6 ms); the ends were there 68 to 300 ms after acceptance, the answers 250 ms later. On the sites themselves nothing is stored, nothing changes.

--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -51,10 +51,35 @@
 	}
 }
 
-// State returns how far a submission is.
+// endWait is how long a question for a state waits for the end: well within what callers
+// wait for an answer (1.5 s), and longer than an end takes to come from its worker (20 ms;
+// 250 ms beside a slow store).
+const endWait = 300 * time.Millisecond
+
+// State returns how far a submission is. If it has not ended yet, the answer waits up to
+// endWait for the end: callers ask when their tasks have ended, some milliseconds before
+// that is known here, and would ask again a quarter of a second later.
 func (v *VM) State(ctx context.Context, id submission.ID) (submission.State, error) {
+	ended := make(chan struct{})
+	state, err := v.stateNow(ctx, id, ended)
+	if err != nil || state == submission.Unknown || state.Final() {
+		return state, err
+	}
+	timer := time.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	case <-ctx.Done():
+		return state, nil
+	}
+	return v.stateNow(ctx, id, nil)
+}
+
+// stateNow asks the engine; ended, if not nil, is closed at the submission's end.
+func (v *VM) stateNow(ctx context.Context, id submission.ID, ended chan struct{}) (submission.State, error) {
 	reply := make(chan StateAnswer, 1)
-	return v.ask(ctx, stateEvent{id: id, reply: reply}, reply)
+	return v.ask(ctx, stateEvent{id: id, reply: reply, ended: ended}, reply)
 }
 
 // Cancel ends a submission and returns its final state.
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -39,6 +39,7 @@
 	core      *shard.Shard
 	holding   site.Holding
 	hands     map[string]*hand
+	asked     map[submission.ID][]string // VMs that asked for an unfinished submission
 	cancel    context.CancelFunc
 	ctx       context.Context
 	extend    atomic.Bool
@@ -179,7 +180,9 @@
 		e.tellNote(n)
 	}
 	for _, s := range a.States {
-		e.tellState(s.ID, s.Home, stateWord{shard: name, token: h.holding.Token, state: s.State})
+		w := stateWord{shard: name, token: h.holding.Token, state: s.State}
+		e.tellState(s.ID, s.Home, w)
+		e.tellAskers(h, s, w)
 	}
 }
 
@@ -253,4 +256,7 @@
 			delete(e.homes, id)
 		}
 	}
+	for _, h := range e.shards {
+		h.forgetAskers()
+	}
 }
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -24,6 +24,7 @@
 	stateEvent struct {
 		id    submission.ID
 		reply chan StateAnswer // buffered
+		ended chan struct{}    // closed at its end; nil: the caller does not wait for it
 	}
 	cancelEvent struct {
 		id    submission.ID
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -75,6 +75,7 @@
 		core:      shard.New(e.at, shard.DefaultSettings(), holding.Token, barrierAt),
 		holding:   holding,
 		hands:     make(map[string]*hand),
+		asked:     make(map[submission.ID][]string),
 		confirmed: e.at,
 	}
 	h.extend.Store(true)
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -15,6 +15,7 @@
 
 // home is a submission that came, or was asked for, at this VM.
 type home struct {
+	id       submission.ID
 	record   *submission.Record // nil: only its state is known here
 	revision uint64
 	created  bool // its record is in the store
@@ -28,6 +29,7 @@
 	tries    int
 	waiters  []chan Outcome
 	askers   []chan StateAnswer
+	watchers []chan struct{} // closed at the end: callers that wait for it
 	looking  bool
 }
 
@@ -57,7 +59,7 @@
 	}
 	h := e.homes[id]
 	if h == nil {
-		h = &home{}
+		h = &home{id: id}
 		e.homes[id] = h
 	}
 	h.record = ev.record
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
@@ -32,7 +35,7 @@
 func (e *engine) askHolder(h *home) {
 	h.asked = e.at
 	if own := e.shards[h.shard]; own != nil {
-		e.tellOwn(h.record.ID, own)
+		e.tellOwn(h.id, own)
 		return
 	}
 	holding := e.site.Holding(h.shard)
@@ -42,7 +45,7 @@
 		return
 	}
 	f := e.frame(h.holder)
-	f.Queries = append(f.Queries, &pb.KeptRef{Id: string(h.record.ID), Shard: h.shard})
+	f.Queries = append(f.Queries, &pb.KeptRef{Id: string(h.id), Shard: h.shard})
 }
 
 // tellOwn takes the state of a submission from a shard that this VM holds itself.
@@ -66,6 +69,9 @@
 		if state, known := h.core.Knows(id); known {
 			word.state = state
 			e.tellPeer(from, id, word)
+			if !state.Final() {
+				h.asks(id, from)
+			}
 			return
 		}
 	}
@@ -114,7 +120,7 @@
 		if state == submission.Unknown || state == submission.Rejected {
 			return
 		}
-		h = &home{created: true, came: e.at}
+		h = &home{id: id, shard: w.shard, created: true, came: e.at}
 		e.homes[id] = h
 	}
 	if h.state.Final() {
@@ -138,6 +144,10 @@
 	}
 	if state.Final() {
 		h.record = nil // only its state is asked for from now on
+		for _, ended := range h.watchers {
+			close(ended)
+		}
+		h.watchers = nil
 	}
 }
 
@@ -235,22 +245,82 @@
 	}
 }
 
+// watchOwn keeps a caller that waits for the end of a submission whose home is another
+// VM, and that a shard of this one has.
+func (e *engine) watchOwn(ev stateEvent, own *held, state submission.State) {
+	if state.Final() {
+		return
+	}
+	h := &home{id: ev.id, shard: own.holding.Shard, token: own.holding.Token, created: true, state: state, came: e.at, changed: e.at}
+	h.watch(ev.ended)
+	e.homes[ev.id] = h
+	own.asks(ev.id, e.vm.config.Name)
+}
+
+// asks notes a VM that asked for a submission which has not ended: it is told of the end
+// as the home is, since callers ask at other VMs than the one that they handed it in at.
+func (h *held) asks(id submission.ID, entryVM string) {
+	if asked := h.asked[id]; len(asked) < watchersMost && !slices.Contains(asked, entryVM) {
+		h.asked[id] = append(asked, entryVM)
+	}
+}
+
+// tellAskers tells the VMs that asked for a submission of its end.
+func (e *engine) tellAskers(h *held, s shard.StateAction, w stateWord) {
+	if !s.State.Final() {
+		return
+	}
+	for _, entryVM := range h.asked[s.ID] {
+		if entryVM != s.Home {
+			e.tellState(s.ID, entryVM, w)
+		}
+	}
+	delete(h.asked, s.ID)
+}
+
+// forgetAskers drops what no end will be told of any more.
+func (h *held) forgetAskers() {
+	maps.DeleteFunc(h.asked, func(id submission.ID, _ []string) bool {
+		state, known := h.core.Knows(id)
+		return !known || state.Final()
+	})
+}
+
+// watch keeps a caller that waits for the end. Beyond watchersMost the oldest waits in
+// vain until its time is over, and is answered with the state as it was.
+func (h *home) watch(ended chan struct{}) {
+	if ended == nil || h.state.Final() {
+		return
+	}
+	if len(h.watchers) == watchersMost {
+		h.watchers = h.watchers[1:]
+	}
+	h.watchers = append(h.watchers, ended)
+}
+
+// watchersMost bounds the callers that wait for one submission: a caller asks a few times
+// a second at most, and one that has gone is not taken off the list before the end.
+const watchersMost = 8 // also of the VMs that asked
+
 func (ev stateEvent) apply(e *engine) {
 	h := e.homes[ev.id]
 	if h != nil && h.state != submission.Unknown {
+		h.watch(ev.ended)
 		ev.reply <- StateAnswer{State: h.state}
 		return
 	}
 	for _, own := range e.shards {
 		if state, known := own.core.Knows(ev.id); known && state != submission.Unknown {
+			e.watchOwn(ev, own, state)
 			ev.reply <- StateAnswer{State: state}
 			return
 		}
 	}
 	if h == nil {
-		h = &home{came: e.at, changed: e.at}
+		h = &home{id: ev.id, came: e.at, changed: e.at}
 		e.homes[ev.id] = h
 	}
+	h.watch(ev.ended)
 	h.askers = append(h.askers, ev.reply)
 	e.lookUp(ev.id)
 }
