--- a/internal/kept/vm/vm_test.go
+++ b/internal/kept/vm/vm_test.go
@@ -37,7 +37,7 @@
 
 func TestStoredSubmissionIsSeenAtEveryVM(t *testing.T) {
 	testWorld(t, func(w *world) {
-		w.wantTaken(w.submit("a1", "kept", 2, runhost.Work{Time: 300 * ms}, false))
+		w.wantTaken(w.submit("a1", "kept", 2, runhost.Work{Time: 800 * ms}, false))
 		if s := w.state("b1", "kept"); s != submission.Queued && s != submission.Running {
 			t.Errorf("it is %s at another VM", s)
 		}
