Tasks of steps that have not begun do not count as waiting for room

Cause: a shard's load counted every waiting task, also those whose step cannot begin yet, and the intake compared the backlog with the longest step in place of the longest chain. After: only tasks that could start count; the chain decides. Test: a submission of 21 steps beside free workers, 0 tasks fitted before, 3 now.

--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -165,21 +165,3 @@
 	}
 	return p
 }
-
-// chain is the longest run of estimates along the steps that depend on each other.
-func (j *job) chain(factor float64) time.Duration {
-	longest := make([]time.Duration, len(j.rec.Steps))
-	var most time.Duration
-	for i := range j.rec.Steps {
-		step := &j.rec.Steps[i]
-		var before time.Duration
-		for _, a := range step.After {
-			if a >= 0 && a < i {
-				before = max(before, longest[a])
-			}
-		}
-		longest[i] = before + time.Duration(float64(step.Estimate)*factor)
-		most = max(most, longest[i])
-	}
-	return most
-}
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -230,11 +230,13 @@
 
 // objective is the time in which a submission should be done.
 func (s *Shard) objective(j *job) time.Duration {
-	return j.rec.Terms.Objective(j.chain(s.factor(j.rec.Queue)))
+	return j.rec.Terms.Objective(s.remaining(j))
 }
 
 // remaining is the time a submission takes if all its tasks start now.
-func (s *Shard) remaining(j *job) time.Duration { return j.chain(s.factor(j.rec.Queue)) }
+func (s *Shard) remaining(j *job) time.Duration {
+	return time.Duration(float64(j.rec.Chain()) * s.factor(j.rec.Queue))
+}
 
 // room is what is free at a worker.
 type room struct {
@@ -381,7 +383,7 @@
 		}
 		factor := s.factor(j.rec.Queue)
 		for _, t := range j.tasks {
-			if t.state == waiting {
+			if t.state == waiting && j.due(t) {
 				work += factor * float64(t.step.Estimate) * float64(t.step.CPUMilli)
 				l.QueuedMilli += t.step.CPUMilli
 			}
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -305,3 +305,27 @@
 	w.run(300 * ms)
 	w.want("short", submission.Done)
 }
+
+// Symptom: submissions are refused while workers are free. Sequence: some submissions with
+// many steps are under way, the first step of each is running. Cause: the tasks of their
+// later steps, which nothing can start yet, counted as waiting for room.
+func TestTasksOfLaterStepsDoNotWaitForRoom(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	rec := w.submission("a", 1, runhost.Work{Time: 500 * ms})
+	for i := range 20 {
+		next := rec.Steps[0]
+		next.Count = 4
+		next.After = []int{i}
+		rec.Steps = append(rec.Steps, next)
+	}
+	w.assign(rec)
+	w.run(50 * ms)
+	load := w.shard.Load(w.now)
+	if load.Fit(6800) != 3 {
+		t.Errorf("%d tasks fit beside one running, want 3", load.Fit(6800))
+	}
+	if load.Backlog > 0 {
+		t.Errorf("a backlog of %v while nothing waits for room", load.Backlog)
+	}
+}
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -85,8 +85,8 @@
 	Ready       bool
 	FreeMilli   []int64        // free processor of each usable worker with room, thousandths of a core
 	RoomMilli   int64          // processor of all usable workers
-	QueuedMilli int64          // of the tasks that wait
-	Backlog     time.Duration  // time that the waiting work takes on all usable workers
+	QueuedMilli int64          // of the tasks that wait for room; not of those whose step has not begun
+	Backlog     time.Duration  // time that these take on all usable workers
 	Waiting     map[string]int // submissions of each queue of which no task has started
 }
 
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -118,6 +118,24 @@
 	return n
 }
 
+// Chain is the longest run of estimates along the steps that depend on each other.
+func (r *Record) Chain() time.Duration {
+	longest := make([]time.Duration, len(r.Steps))
+	var most time.Duration
+	for i := range r.Steps {
+		step := &r.Steps[i]
+		var before time.Duration
+		for _, a := range step.After {
+			if a >= 0 && a < i {
+				before = max(before, longest[a])
+			}
+		}
+		longest[i] = before + step.Estimate
+		most = max(most, longest[i])
+	}
+	return most
+}
+
 // Has reports whether a task is one of the record's.
 func (r *Record) Has(t Task) bool {
 	if t.Step < 0 || t.Step >= len(r.Steps) {
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -32,7 +32,7 @@
 	if len(out) == 0 {
 		return nil, &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "no shard can be reached"}
 	}
-	useful := submission.LateFactor * r.Terms.Objective(longestEstimate(r))
+	useful := submission.LateFactor * r.Terms.Objective(r.Chain())
 	least := slices.MinFunc(out, func(a, b candidate) int { return cmp.Compare(a.backlog, b.backlog) }).backlog
 	if least > useful {
 		return nil, &Outcome{Kind: Busy, RetryAfter: least, Why: "it could not be done in time"}
