pumiceyard top: holders, workers, room, queues and calls of the store as they change

What: a command that reads the metrics addresses of entry VMs and shows three tables each second; gauges a held shard for workers, room, free and waiting processor behind it. Why metrics alone: they are there already, cost nothing while nobody looks, and work when the VM takes no submissions; an interface of its own would be a second source of the same. Tests: sums of outcomes, shards that were lost, a VM that does not answer, counts of a VM that has started again, options.

--- a/cmd/pumiceyard/operator.go
+++ b/cmd/pumiceyard/operator.go
@@ -95,7 +95,7 @@
 }
 
 func operatorCommands() []*cobra.Command {
-	return []*cobra.Command{statusCommand(), explainCommand(), reasonsCommand(), keysCommand(), settingsCommand()}
+	return []*cobra.Command{statusCommand(), topCommand(), explainCommand(), reasonsCommand(), keysCommand(), settingsCommand()}
 }
 
 func statusCommand() *cobra.Command {
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 )
 
 const reportEvery = time.Second // between counters and the scrape registry
@@ -24,6 +26,7 @@
 	closer   io.Closer
 	registry *prometheus.Registry
 	queues   map[string]*queueFigures
+	shards   map[string]*shardFigures
 
 	starts       map[string]tally.Counter // by the worker's answer
 	ends         map[string]tally.Counter // of runs, by how
@@ -66,6 +69,7 @@
 		closer:       closer,
 		registry:     registry,
 		queues:       make(map[string]*queueFigures),
+		shards:       make(map[string]*shardFigures),
 		starts:       make(map[string]tally.Counter),
 		ends:         make(map[string]tally.Counter),
 		takeovers:    scope.Counter("shards_taken_total"),
@@ -109,6 +113,40 @@
 	return q
 }
 
+// shardFigures are those of a shard that this VM holds, or held: all 0.
+type shardFigures struct {
+	workers, room, free, queued tally.Gauge
+}
+
+func (f *figures) shard(name string) *shardFigures {
+	s := f.shards[name]
+	if s == nil {
+		scope := f.scope.Tagged(map[string]string{"shard": name})
+		s = &shardFigures{
+			workers: scope.Gauge("shard_workers"),
+			room:    scope.Gauge("shard_room_cores"),
+			free:    scope.Gauge("shard_free_cores"),
+			queued:  scope.Gauge("shard_queued_cores"),
+		}
+		f.shards[name] = s
+	}
+	return s
+}
+
+// set shows the workers of a shard and their room.
+func (s *shardFigures) set(workers int, l *shard.Load) {
+	var free int64
+	for _, milli := range l.FreeMilli {
+		free += milli
+	}
+	s.workers.Update(float64(workers))
+	s.room.Update(float64(l.RoomMilli) / milliPerCore)
+	s.free.Update(float64(free) / milliPerCore)
+	s.queued.Update(float64(l.QueuedMilli) / milliPerCore)
+}
+
+const milliPerCore = 1000
+
 // ended counts a submission's answer: done, failed, refused, given_up or abandoned.
 func (q *queueFigures) ended(outcome string, took time.Duration) {
 	c := q.outcomes[outcome]
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -99,6 +99,7 @@
 	delete(e.shards, h.holding.Shard)
 	e.wantWorkers()
 	e.vm.figures.handovers.Inc(1)
+	e.vm.figures.shard(h.holding.Shard).set(0, &shard.Load{})
 	klog.InfoS("kept: shard lost", "shard", h.holding.Shard, "token", h.holding.Token,
 		"new_holder", now.Holder, "new_token", now.Token, "unfinished", len(h.core.Unfinished()))
 }
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -70,6 +70,7 @@
 		}
 		h.loadAt = e.at
 		h.load = load
+		e.vm.figures.shard(name).set(len(h.hands), &load)
 		e.takeLoad(e.vm.config.Name, name, h.holding.Token, load)
 		out := &pb.KeptLoad{
 			Shard:       name,
--- /dev/null
+++ b/internal/tool/top/sample.go
@@ -0,0 +1,143 @@
+// Package top shows what the entry VMs of a site do while it changes: who holds which
+// shard, how much room the workers have, what waits, and how much the store is used. It
+// reads the VMs' metrics addresses and asks nothing else of them.
+package top
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// Sample is what an entry VM said of itself.
+type Sample struct {
+	EntryVM     string
+	At          time.Time
+	Shards      map[string]Shard // that it holds
+	Queues      map[string]Queue
+	Open        float64 // submissions at their home here
+	StoreCalls  float64 // since it started
+	Unanswered  float64 // of them
+	ShardsTaken float64 // since it started
+	PeersLost   float64 // since it started
+}
+
+// Shard is the room of a shard's workers.
+type Shard struct {
+	Workers    float64
+	RoomCores  float64 // of all usable workers
+	FreeCores  float64
+	QueueCores float64 // that the tasks waiting for room take
+}
+
+// Queue counts a queue's submissions since the VM started.
+type Queue struct {
+	Taken, Done, Failed, Refused float64
+}
+
+// ReadError says that a VM's metrics could not be read.
+type ReadError struct {
+	URL string
+	Err error
+}
+
+func (e *ReadError) Error() string { return fmt.Sprintf("metrics of %s: %v", e.URL, e.Err) }
+func (e *ReadError) Unwrap() error { return e.Err }
+
+// Read takes a sample from a metrics URL.
+func Read(ctx context.Context, client *http.Client, url string) (*Sample, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, &ReadError{url, err}
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, &ReadError{url, err}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, &ReadError{url, fmt.Errorf("status %s", res.Status)}
+	}
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(res.Body)
+	if err != nil {
+		return nil, &ReadError{url, err}
+	}
+	return sampleOf(families, time.Now()), nil
+}
+
+// prefix begins the names of all metrics that are read.
+const prefix = "pumiceyard_kept_"
+
+func sampleOf(families map[string]*dto.MetricFamily, at time.Time) *Sample {
+	s := &Sample{At: at, Shards: make(map[string]Shard), Queues: make(map[string]Queue)}
+	each := func(name string, take func(value float64, labels map[string]string)) {
+		f := families[prefix+name]
+		if f == nil {
+			return // counted for the first time later
+		}
+		for _, m := range f.Metric {
+			labels := make(map[string]string, len(m.Label))
+			for _, l := range m.Label {
+				labels[l.GetName()] = l.GetValue()
+			}
+			s.EntryVM = labels["entry_vm"]
+			take(m.GetCounter().GetValue()+m.GetGauge().GetValue(), labels)
+		}
+	}
+	sum := func(to *float64) func(float64, map[string]string) {
+		return func(v float64, _ map[string]string) { *to += v }
+	}
+	each("submissions_open", sum(&s.Open))
+	each("shards_taken_total", sum(&s.ShardsTaken))
+	each("peers_lost_total", sum(&s.PeersLost))
+	each("store_calls_total", func(v float64, labels map[string]string) {
+		s.StoreCalls += v
+		if labels["answered"] != "true" {
+			s.Unanswered += v
+		}
+	})
+	shard := func(set func(*Shard, float64)) func(float64, map[string]string) {
+		return func(v float64, labels map[string]string) {
+			sh := s.Shards[labels["shard"]]
+			set(&sh, v)
+			s.Shards[labels["shard"]] = sh
+		}
+	}
+	each("shard_workers", shard(func(sh *Shard, v float64) { sh.Workers = v }))
+	each("shard_room_cores", shard(func(sh *Shard, v float64) { sh.RoomCores = v }))
+	each("shard_free_cores", shard(func(sh *Shard, v float64) { sh.FreeCores = v }))
+	each("shard_queued_cores", shard(func(sh *Shard, v float64) { sh.QueueCores = v }))
+	each("submissions_taken_total", func(v float64, labels map[string]string) {
+		q := s.Queues[labels["queue"]]
+		q.Taken += v
+		s.Queues[labels["queue"]] = q
+	})
+	each("submissions_ended_total", func(v float64, labels map[string]string) {
+		q := s.Queues[labels["queue"]]
+		q.end(labels["outcome"], v)
+		s.Queues[labels["queue"]] = q
+	})
+	for name, sh := range s.Shards {
+		if sh.Workers == 0 {
+			delete(s.Shards, name) // it was held earlier
+		}
+	}
+	return s
+}
+
+func (q *Queue) end(outcome string, n float64) {
+	switch outcome {
+	case "done":
+		q.Done += n
+	case "failed", "cancelled":
+		q.Failed += n
+	default:
+		q.Refused += n // refused, given up or abandoned
+	}
+}
--- /dev/null
+++ b/internal/tool/top/top_test.go
@@ -0,0 +1,99 @@
+package top
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// vmMetrics are a VM's metrics at its n-th read.
+func vmMetrics(name, shard string, n int) string {
+	return fmt.Sprintf(`# TYPE pumiceyard_kept_submissions_open gauge
+pumiceyard_kept_submissions_open{entry_vm="%[1]s"} 3
+# TYPE pumiceyard_kept_store_calls_total counter
+pumiceyard_kept_store_calls_total{entry_vm="%[1]s",answered="true"} %[3]d
+pumiceyard_kept_store_calls_total{entry_vm="%[1]s",answered="false"} 2
+# TYPE pumiceyard_kept_shard_workers gauge
+pumiceyard_kept_shard_workers{entry_vm="%[1]s",shard="%[2]s"} 12
+pumiceyard_kept_shard_workers{entry_vm="%[1]s",shard="lost/0"} 0
+# TYPE pumiceyard_kept_shard_room_cores gauge
+pumiceyard_kept_shard_room_cores{entry_vm="%[1]s",shard="%[2]s"} 192
+pumiceyard_kept_shard_room_cores{entry_vm="%[1]s",shard="lost/0"} 0
+# TYPE pumiceyard_kept_submissions_ended_total counter
+pumiceyard_kept_submissions_ended_total{entry_vm="%[1]s",queue="desk",outcome="done"} %[3]d
+pumiceyard_kept_submissions_ended_total{entry_vm="%[1]s",queue="desk",outcome="abandoned"} 1
+`, name, shard, 100*n)
+}
+
+func TestSampleKeepsHeldShardsAndSumsOutcomes(t *testing.T) {
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, vmMetrics("a1", "a/0", 1))
+	}))
+	defer vm.Close()
+	s, err := Read(context.Background(), http.DefaultClient, vm.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Shards) != 1 || s.Shards["a/0"].RoomCores != 192 {
+		t.Errorf("shards %+v, want a/0 alone with 192 cores", s.Shards)
+	}
+	if s.StoreCalls != 102 || s.Unanswered != 2 {
+		t.Errorf("%v calls of the store, %v unanswered, want 102 and 2", s.StoreCalls, s.Unanswered)
+	}
+	if q := s.Queues["desk"]; q.Done != 100 || q.Refused != 1 {
+		t.Errorf("queue %+v, want 100 done and 1 refused", q)
+	}
+}
+
+// Symptom: nothing is shown of a site while one VM is down. Sequence: one of two VMs does
+// not answer. The other is shown, and the first named with its reason.
+func TestVMThatDoesNotAnswerIsNamed(t *testing.T) {
+	reads := 0
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reads++
+		fmt.Fprint(w, vmMetrics("a1", "a/0", reads))
+	}))
+	defer up.Close()
+	down := httptest.NewServer(http.NotFoundHandler())
+	defer down.Close()
+	var out bytes.Buffer
+	err := Run(context.Background(), Options{URLs: []string{up.URL, down.URL}, Every: time.Millisecond, Count: 2, Out: &out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	for _, want := range []string{"a/0    a1      12", "no answer: metrics of " + down.URL, "404 Not Found"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not shown in:\n%s", want, text)
+		}
+	}
+}
+
+func TestRateOfAVMThatStartedAgainIsNotShown(t *testing.T) {
+	calls := func(s *Sample) float64 { return s.StoreCalls }
+	began := time.Now()
+	before := &Sample{At: began, StoreCalls: 500}
+	if r := rate(before, &Sample{At: began.Add(time.Second), StoreCalls: 20}, calls); r != unknown {
+		t.Errorf("rate %s of a count that fell", r)
+	}
+	if r := rate(before, &Sample{At: began.Add(2 * time.Second), StoreCalls: 600}, calls); r != "50.0" {
+		t.Errorf("rate %s, want 50.0", r)
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	good := Options{URLs: []string{"http://x"}, Every: time.Second}
+	if err := good.Validate(); err != nil {
+		t.Error(err)
+	}
+	for _, bad := range []Options{{Every: time.Second}, {URLs: good.URLs}, {URLs: good.URLs, Every: 1, Count: -1}} {
+		if bad.Validate() == nil {
+			t.Errorf("%+v passed", bad)
+		}
+	}
+}
