Homes count what waits for a holder out of reach

A domain was cut off; VMs elsewhere still had its load, under a second old, stored submissions for its shard, and their holder never heard of them. Holders alone counted what waits. Ruled out: submissions that a holder had and did not start (it counts them until the first run); the store's answer (the count does not use it). The test fails without the telling.

--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -218,6 +218,9 @@
 		f.Assign = append(f.Assign, w.Assign...)
 		f.States = append(f.States, w.States...)
 		f.Queries = append(f.Queries, w.Queries...)
+		if w.Unplaced != nil {
+			f.Unplaced = w.Unplaced // the newest replaces the others
+		}
 		f.Cancelled = append(f.Cancelled, w.Cancelled...)
 		f.Loads = append(f.Loads, w.Loads...)
 		f.Calls = append(f.Calls, w.Calls...)
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -78,8 +78,11 @@
 	workers      []worker.Info
 	claiming     map[string]bool
 	dividing     bool
-	serial       uint64                   // of transient submissions taken here
-	loadAtMost   time.Duration            // between messages about a changed load, on a site of this size
+	serial       uint64                       // of transient submissions taken here
+	loadAtMost   time.Duration                // between messages about a changed load, on a site of this size
+	unplaced     map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
+	unplacedAt   time.Duration
+	toldUnplaced bool                     // what peers were told last is not 0
 	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
 	prunedAt     time.Duration
 	draining     chan struct{}
@@ -101,6 +104,7 @@
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
 		claiming:     make(map[string]bool),
+		unplaced:     make(map[string]map[string]uint32),
 		frames:       make(map[string]*pb.KeptFrame),
 	}
 }
@@ -121,6 +125,7 @@
 	e.askForStates()
 	e.finishDrain()
 	e.tellLoads()
+	e.tellUnplaced()
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -112,11 +112,3 @@
 }
 
 func (ev holdsEvent) apply(e *engine) { ev.reply <- e.shards[ev.shard] != nil }
-
-func (ev waitingEvent) apply(e *engine) {
-	n := 0
-	for _, l := range e.loads {
-		n += l.Waiting[ev.queue]
-	}
-	ev.reply <- n
-}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -27,7 +27,7 @@
 		e.vm.calls.reply(r)
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes) > 0 {
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes) > 0 || f.Unplaced != nil {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
@@ -109,6 +109,7 @@
 		klog.InfoS("kept: peer lost", "peer", ev.name, "why", ev.why)
 	}
 	e.up[ev.name] = false
+	delete(e.unplaced, ev.name)
 	e.site.Suspect(ev.name, true)
 	e.vm.calls.setReach(ev.name, false)
 	e.homeLost(ev.name)
@@ -148,6 +149,9 @@
 	for _, l := range f.Loads {
 		e.takeLoad(ev.from, l.Shard, l.Token, loadOf(l))
 	}
+	if f.Unplaced != nil {
+		e.unplaced[ev.from] = f.Unplaced.ByQueue
+	}
 	for _, c := range f.Calls {
 		e.relay(ev.from, c)
 	}
--- /dev/null
+++ b/internal/kept/vm/waiting_test.go
@@ -0,0 +1,45 @@
+package vm
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+func (w *world) waiting(at, queue string) int {
+	w.t.Helper()
+	n, err := w.vms[at].Waiting(context.Background(), queue)
+	if err != nil {
+		w.t.Error(err)
+	}
+	return n
+}
+
+// Symptom: a queue passes for empty while submissions that were accepted five seconds ago
+// have not begun. Sequence: a domain is cut off; in the same second its shard is the one
+// with room, and a VM elsewhere stores a submission for it, of which the holder never
+// hears. Cause: holders alone counted what waits, and the last word of this one was 0.
+func TestWaitingCountsWhatItsHolderHasNotHeardOf(t *testing.T) {
+	testWorld(t, func(w *world) {
+		filler := w.submit("a1", "fill", 6, runhost.Work{Time: 2 * time.Second}, true)
+		time.Sleep(500 * ms)
+		w.cut("b", true)
+		w.wantTaken(w.submit("a1", "kept", 2, runhost.Work{Time: 100 * ms}, false))
+		time.Sleep(5 * time.Second)
+		for _, at := range []string{"a1", "a2"} {
+			if n := w.waiting(at, "q"); n != 1 {
+				t.Errorf("%d wait by the word of %s, want 1", n, at)
+			}
+		}
+		w.cut("b", false)
+		time.Sleep(4 * time.Second)
+		for _, at := range []string{"a1", "a2", "b1", "b2"} {
+			if n := w.waiting(at, "q"); n != 0 {
+				t.Errorf("%d wait by the word of %s after the heal, want 0", n, at)
+			}
+		}
+		<-filler
+	})
+}
