An own change is known by its value at the first answer; a call in doubt is not refused

Sequence: the store loses answers. The progress of a submission is stored and the answer lost; the router makes the call again through a peer, which finds the record changed.

dropped the submission and acknowledged all its ends; the record had only the first of them. By reading beside it: a call that the store turned away on one way and that had no answer on the other was returned as turned away; a submission would be refused as not run that was stored. After: a row knows its own value at any answer; the router returns a refusal only if no way went unanswered. Both tests failed before.

--- a/internal/kept/journal/journal.go
+++ b/internal/kept/journal/journal.go
@@ -251,10 +251,11 @@
 
 // ownValue reports whether an earlier, unanswered transaction has written the
 // row: the key that it puts under a condition holds the row's own value.
+//
+// It may be the first one, as far as this journal knows: a call without an answer is made
+// again by way of a peer. Taken for somebody else's change, a stored progress would make
+// its holder drop the submission and acknowledge its ends, and the next holder repeat them.
 func ownValue(r *Row, now map[string]store.Item) (uint64, bool) {
-	if r.sure {
-		return 0, false
-	}
 	for _, p := range r.Txn.Put {
 		it, known := now[p.Key]
 		if !known || it.Revision == 0 || !bytes.Equal(it.Value, p.Value) {
--- a/internal/kept/journal/journal_test.go
+++ b/internal/kept/journal/journal_test.go
@@ -119,3 +119,31 @@
 		})
 	}
 }
+
+// twice makes each call two times and returns the second answer, as a router does whose
+// direct call was carried out without an answer and which then asked a peer.
+type twice struct{ door relay.Transport }
+
+func (w twice) Do(ctx context.Context, c relay.Call) (relay.Reply, error) {
+	if _, err := w.door.Do(ctx, c); err != nil {
+		return relay.Reply{}, err
+	}
+	return w.door.Do(ctx, c)
+}
+
+// Symptom: tasks that were done run a second time after a takeover, some seconds after the
+// store lost answers. Sequence: a holder stores the progress of a submission; the direct
+// call is carried out and its answer lost; the same call through a peer finds the record
+// changed. Cause: the change was taken for somebody else's, as this was the first
+// transaction that the journal knew of; the holder dropped the submission and acknowledged
+// all its ends, of which the record has only the first.
+func TestFirstAnswerMayBeOfASecondCall(t *testing.T) {
+	journalWorld(t, func(w *world) {
+		w.journal.store = &kvcall.Client{Calls: twice{w.door}}
+		w.create("a", time.Second)
+		w.await(1)
+		if r := w.results["a"]; r.Outcome != Stored || r.Revision == 0 {
+			t.Errorf("%+v, want it stored", r)
+		}
+	})
+}
--- a/internal/kept/relay/relay.go
+++ b/internal/kept/relay/relay.go
@@ -55,6 +55,9 @@
 	downAfter    = 500 * time.Millisecond  // failures all the while say that it is not
 )
 
+// ErrNotSent says that a call has not left: there is no peer to send it to.
+var ErrNotSent = errors.New("no peer reaches the store")
+
 var errNoWay = errors.New("neither the store nor a peer that reaches it answers")
 
 // Router picks the way for each call. It is safe for concurrent use.
@@ -101,30 +104,46 @@
 	return r.lost > 0 && r.now()-r.lost > downAfter
 }
 
-// Do makes a call.
+// Do makes a call. An answer that turns it away says that nothing was done, so it is
+// returned only if no way was tried without an answer: a call that is turned away on one
+// way may have been carried out on the other.
 func (r *Router) Do(ctx context.Context, c Call) (Reply, error) {
+	var unanswered error
 	if r.viaPeer(c) {
-		if rep, err := r.tryPeer(ctx, c); err == nil && !rep.TurnedAway() {
+		rep, err := r.tryPeer(ctx, c)
+		if err == nil && !rep.TurnedAway() {
 			return r.serve(rep)
 		}
+		unanswered = carriedOut(err, unanswered)
 	}
 	rep, err := r.tryDirect(ctx, c)
 	if err == nil && !rep.TurnedAway() {
 		return r.serve(rep)
 	}
+	unanswered = carriedOut(err, unanswered)
 	if ctx.Err() == nil && r.peers.Reach() {
-		if rep2, err2 := r.tryPeer(ctx, c); err2 == nil && !rep2.TurnedAway() {
+		rep2, err2 := r.tryPeer(ctx, c)
+		if err2 == nil && !rep2.TurnedAway() {
 			return r.serve(rep2)
 		}
+		unanswered = carriedOut(err2, unanswered)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return Reply{}, ctx.Err()
 	}
 	r.fail()
-	if err != nil {
-		return Reply{}, err
+	if unanswered != nil {
+		return Reply{}, unanswered
 	}
-	return rep, nil
+	return rep, err
+}
+
+// carriedOut returns the error of a try that may have been carried out, or the earlier one.
+func carriedOut(err, earlier error) error {
+	if err == nil || errors.Is(err, ErrNotSent) {
+		return earlier
+	}
+	return err
 }
 
 func (r *Router) serve(rep Reply) (Reply, error) {
--- a/internal/kept/relay/relay_test.go
+++ b/internal/kept/relay/relay_test.go
@@ -115,3 +115,38 @@
 		}
 	})
 }
+
+// Symptom: a submission is refused as not run, and runs. Sequence: the store turns the
+// direct call away; the peer's call is carried out and its answer lost (or the other way
+// round). Cause: the answer of the one way was returned for both.
+func TestCallThatOneWayTurnsAwayMayHaveBeenCarriedOutOnTheOther(t *testing.T) {
+	for _, silent := range []string{"peer", "direct"} {
+		ways(t, func(r *Router, direct, peers *way) {
+			direct.status, peers.status = 503, 503
+			direct.silent, peers.silent = silent == "direct", silent == "peer"
+			for range 3 {
+				if status, err := do(r); err == nil {
+					t.Errorf("%s without an answer: status %d says that nothing was done", silent, status)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// A call that no peer could be sent is surely not carried out by one.
+func TestCallThatWasNotSentIsNotInDoubt(t *testing.T) {
+	ways(t, func(r *Router, direct, _ *way) {
+		direct.status = 503
+		r.peers = noPeer{}
+		if status, err := do(r); status != 503 || err != nil {
+			t.Errorf("%d, %v, want the refusal", status, err)
+		}
+	})
+}
+
+// noPeer loses its last peer between the look and the call.
+type noPeer struct{}
+
+func (noPeer) Reach() bool                             { return true }
+func (noPeer) Do(context.Context, Call) (Reply, error) { return Reply{}, ErrNotSent }
--- a/internal/kept/vm/peercalls.go
+++ b/internal/kept/vm/peercalls.go
@@ -29,8 +29,6 @@
 	}
 }
 
-var errNoPeer = errors.New("no peer reaches the store")
-
 // Reach implements relay.Peers.
 func (p *peerCalls) Reach() bool {
 	p.mu.Lock()
@@ -47,7 +45,7 @@
 func (p *peerCalls) Do(ctx context.Context, c relay.Call) (relay.Reply, error) {
 	l, seq, answer := p.open()
 	if l == nil {
-		return relay.Reply{}, errNoPeer
+		return relay.Reply{}, relay.ErrNotSent
 	}
 	defer p.close(seq)
 	left := c.Wait
@@ -56,7 +54,7 @@
 	}
 	call := &pb.KeptCall{Seq: seq, Method: c.Method, Target: c.Target, Body: c.Body, WaitNs: int64(left)}
 	if !l.Send(&pb.KeptFrame{Calls: []*pb.KeptCall{call}}) {
-		return relay.Reply{}, errNoPeer
+		return relay.Reply{}, relay.ErrNotSent
 	}
 	select {
 	case <-ctx.Done():
