One place for an entry VM's stop and signals

Cause: the order of a stop (hand over, wait for callers to go elsewhere, shut down) and the signal loop stood twice, in platform/ and the kept daemon, with other waits; the daemon waited its quiet time after the handover, the platform beside it. Signals are caught before the start, with a test of one that comes during it.

--- a/cmd/pumiceyardd/kept.go
+++ b/cmd/pumiceyardd/kept.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
 	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/serve"
 )
 
 // keptCommand runs an entry VM for submissions under their callers' own keys.
@@ -36,28 +35,20 @@
 }
 
 func serveKept(ctx context.Context, path string, s *daemon.Settings) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	d, err := daemon.Start(s)
-	if err != nil {
-		return err
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return d.Stop(context.Background())
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				klog.InfoS("kept: stopping", "signal", sig.String())
-				return d.Stop(context.Background())
-			}
-			// Addresses and names hold for the life of a process; the file is checked
-			// so that a mistake shows before the next start.
-			if _, err := daemon.LoadSettings(path); err != nil {
-				klog.ErrorS(err, "kept: the settings in force stay")
-				continue
-			}
-			klog.InfoS("kept: settings read again", "path", path)
+	start := func() (serve.StopFunc, error) {
+		d, err := daemon.Start(s)
+		if err != nil {
+			return nil, err
 		}
+		return d.Stop, nil
 	}
+	return serve.UntilSignal(ctx, start, func() {
+		// Addresses and names hold for the life of a process; the file is checked so
+		// that a mistake shows before the next start.
+		if _, err := daemon.LoadSettings(path); err != nil {
+			klog.ErrorS(err, "kept: the settings in force stay")
+			return
+		}
+		klog.InfoS("kept: settings read again", "path", path)
+	})
 }
--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,13 +15,13 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/runhost"
 	"github.com/pumiceyard/pumiceyard/internal/connection/submissions"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
+	"github.com/pumiceyard/pumiceyard/internal/kept/serve"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store/kvcall"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -181,11 +180,7 @@
 		LeaseMost: time.Duration(s.LeaseMillis) * time.Millisecond,
 	})
 	d.http = wire.NewServer(d.handler(), nil)
-	go func() {
-		if err := d.http.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "kept: callers' listener ended")
-		}
-	}()
+	serve.Listen(d.http, callers)
 	return d, nil
 }
 
@@ -205,19 +200,13 @@
 // Stop hands the shards over, takes submissions for some time more, answers those
 // under way and ends.
 func (d *Daemon) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, stopWithin)
-	defer cancel()
-	drain, drained := context.WithTimeout(ctx, drainWithin)
-	d.VM.Drain(drain)
-	drained()
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Duration(d.settings.StopMillis) * time.Millisecond):
-	}
-	err := d.http.Shutdown(ctx)
-	d.VM.Stop()
-	d.orders.Close()
-	return err
+	defer d.orders.Close()
+	entry := serve.Entry{VM: d.VM, Callers: d.http}
+	return entry.Stop(ctx, serve.Times{
+		Within:   stopWithin,
+		Handover: drainWithin,
+		Quiet:    time.Duration(d.settings.StopMillis) * time.Millisecond,
+	})
 }
 
 // Kill ends the VM as if its process had died: nothing is handed over or answered.
--- /dev/null
+++ b/internal/kept/serve/serve_test.go
@@ -0,0 +1,43 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Symptom: a process ends at a planned stop without handing anything over. Sequence: the
+// signal comes while it starts. Cause would be: signals are caught after the start only.
+func TestSignalDuringTheStartStopsInOrder(t *testing.T) {
+	reloaded := make(chan struct{}, 1)
+	stopped := errors.New("stopped in order")
+	start := func() (StopFunc, error) {
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+			if err := syscall.Kill(syscall.Getpid(), sig); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return func(context.Context) error { return stopped }, nil
+	}
+	if err := UntilSignal(context.Background(), start, func() { reloaded <- struct{}{} }); !errors.Is(err, stopped) {
+		t.Errorf("it returned %v", err)
+	}
+}
+
+// The end of the context stops as a signal does, with a context that still lives.
+func TestEndOfTheContextStops(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	start := func() (StopFunc, error) {
+		return func(ctx context.Context) error { return ctx.Err() }, nil
+	}
+	if err := UntilSignal(ctx, start, func() {}); err != nil {
+		t.Errorf("it stopped with a context that has ended: %v", err)
+	}
+	failed := errors.New("no start")
+	if err := UntilSignal(context.Background(), func() (StopFunc, error) { return nil, failed }, nil); !errors.Is(err, failed) {
+		t.Errorf("it returned %v", err)
+	}
+}
