--- a/internal/kept/vm/site_bench_test.go
+++ b/internal/kept/vm/site_bench_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"syscall"
 	"testing"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/fleet"
@@ -117,3 +121,33 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkLogs is the processor of a site under load with a line for each decision, as the
+// daemon writes them, over that without lines. The two take turns, as the machine may be
+// busy with other work.
+func BenchmarkLogs(b *testing.B) {
+	for b.Loop() {
+		var with, without time.Duration
+		for range 3 {
+			log := oplog.Start(io.Discard, 0)
+			with += loadedSite(b)
+			log.Stop()
+			klog.SetLogger(klog.Logger{}) // writes nothing
+			without += loadedSite(b)
+			klog.ClearLogger()
+		}
+		b.ReportMetric(float64(with)/float64(without), "with/without")
+	}
+}
+
+// loadedSite is the processor that eight VMs take for four seconds of full load.
+func loadedSite(b *testing.B) time.Duration {
+	w := benchWorld(b, 8, 48)
+	cpu := coresUsed()
+	w.load(140, 4*time.Second)
+	used := coresUsed() - cpu
+	for name := range w.vms {
+		w.kill(name)
+	}
+	return used
+}
