--- /dev/null
+++ b/internal/request/job/world_vm_test.go
@@ -0,0 +1,296 @@
+package job
+
+import (
+	"slices"
+
+	"github.com/pumiceyard/pumiceyard/internal/request/reason"
+	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
+)
+
+// vm is an entry VM as a driver of submissions: the steps of package home
+// around the job machine.
+type vm struct {
+	w        *world
+	name     string
+	inc      uint64
+	cut      bool // the others can not reach it
+	jobs     map[ticket.ID]*entry
+	sessions map[*owner]*session
+}
+
+type entry struct {
+	job *Job
+	sub *submission
+}
+
+// session is one stream between a home and an owner.
+type session struct {
+	vm      *vm
+	inc     uint64
+	owner   *owner
+	life    int // of the owner
+	out, in uint64
+	left    bool // the owner has learnt that it ended
+}
+
+// start begins a new life of the VM: nothing is kept, the incarnation is new.
+func (v *vm) start() {
+	for _, s := range v.sessions {
+		s.left = true
+	}
+	v.inc, v.jobs, v.sessions = v.w.next(), map[ticket.ID]*entry{}, map[*owner]*session{}
+}
+
+// lives reports whether the VM of an incarnation can be reached from v.
+func (w *world) lives(v *vm, inc uint64) *vm {
+	for _, o := range w.vms {
+		if o.inc == inc && (o == v || (!o.cut && !v.cut)) {
+			return o
+		}
+	}
+	return nil
+}
+
+func (w *world) isHome(v *vm, s *submission) bool {
+	return v.name == s.home && (v.inc == s.id.Incarnation || w.removed == homeIncarnation)
+}
+
+// submit routes a submission that reached v.
+func (w *world) submit(v *vm, s *submission) {
+	if w.isHome(v, s) {
+		v.drive(s, false)
+		return
+	}
+	target := w.lives(v, s.id.Incarnation)
+	if target != nil && s.driver != 0 && s.driver != target.inc {
+		if target = w.lives(v, s.driver); target == nil {
+			target = w.lives(v, s.id.Incarnation)
+		}
+	}
+	if target == nil {
+		v.drive(s, true)
+		return
+	}
+	w.send(&packet{doubles: true, arrive: func() { target.drive(s, !w.isHome(target, s)) }})
+}
+
+// drive attaches to a submission, or takes it.
+func (v *vm) drive(s *submission, recovery bool) {
+	e := v.jobs[s.id]
+	if e != nil {
+		author := e.job.Superseded()
+		if author == 0 || v.w.lives(v, author) != nil {
+			if a := e.job.Answer(); a != nil {
+				v.w.answered(s, a)
+			}
+			return
+		}
+	}
+	spec := Spec{ID: s.id, Inputs: make([][]byte, tasksEach), Deadline: v.w.now.Add(deadlineIn), SettleFor: settleIn}
+	names := v.w.candidates()
+	spec.Closers = names[:2]
+	var used ticket.Generation
+	if e != nil {
+		used = e.job.Generation()
+	}
+	e = &entry{sub: s}
+	v.jobs[s.id] = e
+	if !recovery && used == (ticket.Generation{}) {
+		e.job = New(spec, v.inc)
+		return
+	}
+	v.w.tally.recoveries++
+	if v.w.removed == askAll {
+		names = names[:1]
+	}
+	var a Actions
+	e.job, a = Recover(spec, v.inc, names, false, used)
+	v.act(e, a)
+}
+
+// act carries out what a job decided.
+func (v *vm) act(e *entry, a Actions) {
+	for _, s := range a.Seal {
+		v.seal(e, s)
+	}
+	for _, f := range a.Follow {
+		v.follow(e, f)
+	}
+	for _, name := range a.Withdraw {
+		for o, s := range v.sessions {
+			if o.name == name {
+				v.w.send(&packet{stream: s.out, arrive: func() { s.owner.withdraw(s, e.sub) }})
+			}
+		}
+	}
+	if a.Answer != nil {
+		v.w.answered(e.sub, a.Answer)
+	}
+}
+
+// alive reports whether e is still what this life of the VM drives.
+func (v *vm) alive(inc uint64, e *entry) bool { return v.inc == inc && v.jobs[e.sub.id] == e }
+
+func (v *vm) seal(e *entry, s Seal) {
+	w, inc := v.w, v.inc
+	k := w.worker(s.Worker)
+	life := k.life(e.sub)
+	gone := func() {
+		if !v.alive(inc, e) {
+			return
+		}
+		if s.Closed != "" {
+			v.act(e, e.job.CloseFailed(s.Gen))
+			return
+		}
+		v.act(e, e.job.Unreachable(s.Worker, s.Gen))
+	}
+	reply := func(r SealReply) {
+		if v.alive(inc, e) {
+			v.sealed(e, s, r)
+		}
+	}
+	if s.Closed == closedNotRun && w.removed == closeFirst {
+		reply(SealReply{Worker: s.Worker, Asked: s.Gen, Sealed: true, Highest: s.Gen})
+		return
+	}
+	w.send(&packet{doubles: true, lost: gone, arrive: func() {
+		if k.dead || k.inc != life {
+			w.send(&packet{arrive: gone})
+			return
+		}
+		r := k.seal(e.sub, s)
+		w.send(&packet{doubles: true, lost: gone, arrive: func() { reply(r) }})
+	}})
+}
+
+// sealed passes a seal's answer on, as package home does.
+func (v *vm) sealed(e *entry, s Seal, r SealReply) {
+	author := r.Highest.Author
+	if !r.Sealed && author != v.inc && v.w.lives(v, author) == nil && e.job.Generation().Less(r.Highest) {
+		v.w.tally.recoveries++
+		v.act(e, e.job.TakeOver(r.Highest, v.w.candidates(), false))
+		return
+	}
+	if s.Closed != "" {
+		v.act(e, e.job.Closed(r))
+		return
+	}
+	v.act(e, e.job.Sealed(r))
+}
+
+func (v *vm) follow(e *entry, f Follow) {
+	w, inc := v.w, v.inc
+	k := w.worker(f.Worker)
+	gone := func() {
+		if v.alive(inc, e) {
+			v.act(e, e.job.FollowLost(f.Worker, f.Indexes))
+		}
+	}
+	life := k.life(e.sub)
+	w.send(&packet{lost: func() { v.followAgain(inc, e, f) }, arrive: func() {
+		if k.dead || k.inc != life {
+			w.send(&packet{arrive: gone})
+			return
+		}
+		rest := Follow{Worker: f.Worker}
+		for _, index := range f.Indexes {
+			r := k.tasks[taskKey{e.sub, index}]
+			if r.State == RecordRunning {
+				rest.Indexes = append(rest.Indexes, index)
+				continue
+			}
+			w.send(&packet{doubles: true, arrive: func() {
+				if v.alive(inc, e) {
+					v.ended(e, *r)
+				}
+			}})
+		}
+		if len(rest.Indexes) < len(f.Indexes) {
+			v.followAgain(inc, e, rest)
+			return
+		}
+		k.waits = append(k.waits, func() { v.followAgain(inc, e, rest) })
+	}})
+}
+
+func (v *vm) followAgain(inc uint64, e *entry, f Follow) {
+	if v.alive(inc, e) && len(f.Indexes) > 0 && e.job.Answer() == nil {
+		v.follow(e, f)
+	}
+}
+
+func (v *vm) ended(e *entry, r Record) {
+	if r.State == RecordDone {
+		v.act(e, e.job.Done(r.Index, r.Output))
+		return
+	}
+	v.act(e, e.job.Failed(r.Index, reason.TaskFailed, r.Failure))
+}
+
+// assign hands tasks of a submission to an owner.
+func (v *vm) assign(s *submission, o *owner) {
+	e := v.jobs[s.id]
+	if e == nil || len(o.leases) == 0 {
+		return
+	}
+	ss := v.sessions[o]
+	if ss == nil {
+		ss = &session{vm: v, inc: v.inc, owner: o, life: o.life, out: v.w.next(), in: v.w.next()}
+		v.sessions[o] = ss
+	}
+	var names []string
+	for _, k := range v.w.workers {
+		if o.leases[k] != nil {
+			names = append(names, k.name)
+		}
+	}
+	indexes := e.job.Assign(o.name, names, offerLimit)
+	gen := e.job.Generation()
+	for _, index := range indexes {
+		x := offer{session: ss, sub: s, gen: gen, index: index, allowed: names}
+		v.w.send(&packet{stream: ss.out, arrive: func() { o.take(x) }, lost: func() { v.leave(ss) }})
+	}
+}
+
+// leave ends a session on the home's side. The owner learns of it later.
+func (v *vm) leave(ss *session) {
+	if v.inc != ss.inc || v.sessions[ss.owner] != ss {
+		return
+	}
+	delete(v.sessions, ss.owner)
+	v.w.send(&packet{arrive: func() { ss.left = true }})
+	for _, s := range v.w.subs {
+		if e := v.jobs[s.id]; e != nil {
+			v.act(e, e.job.OwnerLost(ss.owner.name))
+		}
+	}
+}
+
+// result brings an owner's word on one task.
+func (v *vm) result(x offer, worker string, r *Record, code reason.Code) {
+	e := v.jobs[x.sub.id]
+	switch {
+	case v.inc != x.session.inc || e == nil:
+	case code == reason.LeaseLost:
+		v.act(e, e.job.Lost(x.session.owner.name, x.gen, []uint32{x.index}, worker))
+	case r != nil:
+		v.ended(e, *r)
+	default:
+		v.act(e, e.job.NotStarted(x.session.owner.name, x.gen, x.index, code, worker))
+	}
+}
+
+// candidates names the workers that may run any submission: all.
+func (w *world) candidates() []string {
+	var names []string
+	for _, k := range w.workers {
+		names = append(names, k.name)
+	}
+	return names
+}
+
+func (w *world) worker(name string) *worker {
+	i := slices.IndexFunc(w.workers, func(k *worker) bool { return k.name == name })
+	return w.workers[i]
+}
