A property of stored submissions under random faults, and tests of steps, labels, attempts

What: random plays on the shard's core with a store whose writes may be late: submissions of up to three steps, takeovers clean or not, workers born again, cut, late and lost orders, cancels. Checked: no second run at once, no start after an acknowledged end, none before its steps or beyond its attempts, and each submission ends as it should.

--- /dev/null
+++ b/internal/kept/shard/limits_test.go
@@ -0,0 +1,73 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// Symptom: a task has more failed runs than its queue allows. Sequence: it fails once, that
+// is stored, and the shard gets a new holder. Cause would be: counting from nothing there.
+func TestFailedRunsCountUnderTheNextHolder(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	rec := w.submission("a", 1, runhost.Work{Time: 50 * ms, Fails: true})
+	rec.Transient = false
+	rec.Progress.Note(submission.Task{}, 1)
+	w.hold(2, true)
+	w.shard.Records(w.now, []Stored{{Record: rec, Revision: 7}})
+	w.run(2 * time.Second)
+	w.want("a", submission.Failed)
+	if n := w.runs("a"); n != 1 {
+		t.Errorf("%d runs, one of two allowed had failed before", n)
+	}
+}
+
+// Steps start when those before them are done, also under a holder that adopts them.
+func TestStepsStartInOrder(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	rec := w.submission("a", 2, runhost.Work{Time: 100 * ms})
+	rec.Transient = false
+	second := rec.Steps[0]
+	second.After = []int{0}
+	rec.Steps = append(rec.Steps, second)
+	w.shard.Assign(w.now, Stored{Record: rec, Revision: 7})
+	w.run(60 * ms)
+	if n := w.runs("a"); n != 2 {
+		t.Fatalf("%d starts while the first step runs, want its 2", n)
+	}
+	w.hold(2, true)
+	w.shard.Records(w.now, []Stored{{Record: rec, Revision: 7}})
+	w.run(time.Second)
+	w.want("a", submission.Done)
+	if n := w.runs("a"); n != 4 {
+		t.Errorf("%d starts of 4 tasks", n)
+	}
+}
+
+// A step that wants a label, and not more than one of its tasks on a worker, waits for the
+// workers that have it.
+func TestLabelsAndTheMostOnOneWorkerHold(t *testing.T) {
+	w := newWorld(t, 3)
+	w.hosts["w0"].Info.Labels = []string{"fast"}
+	w.hosts["w1"].Info.Labels = []string{"fast"}
+	w.list()
+	w.run(100 * ms)
+	rec := w.submission("a", 4, runhost.Work{Time: 100 * ms, CPUMilli: 1000})
+	rec.Steps[0].Label = "fast"
+	rec.Steps[0].MaxPerWorker = 1
+	w.assign(rec)
+	w.run(50 * ms)
+	began := map[string]int{}
+	for _, s := range w.starts {
+		began[s.Worker.ID]++
+	}
+	if began["w0"] != 1 || began["w1"] != 1 || began["w2"] != 0 {
+		t.Errorf("started on %v, want one each on w0 and w1", began)
+	}
+	w.run(time.Second)
+	w.want("a", submission.Done)
+}
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -37,6 +37,7 @@
 	// late decides that a start has no answer and is carried out later.
 	late    func(StartAction) time.Duration
 	pending []pendingStart
+	records *records // nil: all writes are done at once
 }
 
 type pendingStart struct {
@@ -121,8 +122,8 @@
 func (w *world) step() {
 	w.now += testTick
 	for _, p := range w.pending {
-		if p.at <= w.now {
-			w.hosts[p.worker].Start(w.now, p.order)
+		if h := w.hosts[p.worker]; h != nil && p.at <= w.now {
+			h.Start(w.now, p.order)
 		}
 	}
 	w.pending = slices.DeleteFunc(w.pending, func(p pendingStart) bool { return p.at <= w.now })
@@ -147,6 +148,9 @@
 	l, r := h.Hold(w.now, worker.Hold{Token: w.shard.Token(), Seen: w.seen[id], Deadline: w.now + time.Second})
 	if r.Verdict == worker.Accepted {
 		w.answers[id] = w.now
+		if w.records != nil {
+			w.records.listed[id] = slices.Clone(l.Ended)
+		}
 		w.shard.Listing(w.now, id, w.now, l)
 	}
 }
@@ -159,6 +163,10 @@
 	for _, s := range a.States {
 		w.states[s.ID] = s.State
 	}
+	if w.records != nil {
+		w.records.take(w, a)
+		a.Finals, a.Saves = nil, nil
+	}
 	for _, f := range a.Finals {
 		w.finals[f.ID] = f.State
 		w.shard.FinalStored(w.now, f.ID)
