--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -298,9 +298,10 @@
 	h.watchers = append(h.watchers, ended)
 }
 
-// watchersMost bounds the callers that wait for one submission: a caller asks a few times
-// a second at most, and one that has gone is not taken off the list before the end.
-const watchersMost = 8 // also of the VMs that asked
+// watchersMost bounds the callers that wait for the end of one submission, and the VMs that
+// are told of it. A caller asks a few times a second at most; one that has gone is not
+// taken off the list before the end.
+const watchersMost = 8
 
 func (ev stateEvent) apply(e *engine) {
 	h := e.homes[ev.id]
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,7 +115,8 @@
 			CatalogPrefix: "config/",
 			CatalogKey:    "config/catalog",
 			DecodeCatalog: func(it store.Item) (*catalog.Catalog, error) {
-				return &catalog.Catalog{Version: it.Revision}, nil
+				version, err := strconv.ParseUint(string(it.Value), 10, 64)
+				return &catalog.Catalog{Version: version}, err
 			},
 		},
 		LeaseMost: time.Second,
