Hands follow the core at one place; a submission's chain is worked out once

Cause, from reading the change again: after each answer to a start or stop the engine matched all workers of the shard with its hands, though only the end of a worker's life changes them, and a worker that the core forgot by time kept its hand until some answer came. Beside it: the chain of a record was summed two to four times a job and round, the jobs were sorted twice a tick, and a sorted list of workers was sorted again. Behaviour: the same, but that the hand of a forgotten worker goes in the same round. Tests: unchanged, pass.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -122,6 +122,9 @@
 // WorkerIDs returns the known workers, in order.
 func (s *Shard) WorkerIDs() []string { return slices.Sorted(maps.Keys(s.workers)) }
 
+// WorkerCount is the number of known workers.
+func (s *Shard) WorkerCount() int { return len(s.workers) }
+
 // WorkerInfo returns what is known of a worker.
 func (s *Shard) WorkerInfo(id string) (worker.Info, bool) {
 	h, known := s.workers[id]
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -55,7 +55,8 @@
 	why      string
 	tasks    []*task
 	steps    []stepState
-	left     int // tasks that have not completed
+	chain    time.Duration // by the caller's estimates
+	left     int           // tasks that have not completed
 	came     time.Duration
 	firstRun time.Duration // 0: none yet
 	saving   bool
@@ -73,7 +74,7 @@
 }
 
 func newJob(now time.Duration, r Stored, runBase uint64) *job {
-	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now, runBase: runBase}
+	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now, runBase: runBase, chain: r.Record.Chain()}
 	for si := range r.Record.Steps {
 		step := &r.Record.Steps[si]
 		j.steps = append(j.steps, stepState{first: len(j.tasks), left: step.Count})
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -23,10 +23,10 @@
 		j := s.jobs[id]
 		s.repeatOrders(now, j)
 		s.saveProgress(now, j)
+		s.rejectHopeless(now, j)
 	}
 	s.forget(now)
 	s.forgetPast(now)
-	s.rejectHopeless(now)
 	s.place(now)
 }
 
@@ -194,18 +194,15 @@
 	return out
 }
 
-// rejectHopeless ends the transient submissions of which nothing has run and which
-// cannot be done any more while their callers have a use for them. Their callers
-// learn at once that they have not run.
-func (s *Shard) rejectHopeless(now time.Duration) {
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		j := s.jobs[id]
-		if !j.rec.Transient || j.rec.Part || j.state.Final() || j.begun() {
-			continue
-		}
-		if now+s.remaining(j) > j.came+submission.LateFactor*s.objective(j) || s.tooLong(now, j) {
-			s.end(now, j, submission.Rejected, "it cannot be done in time")
-		}
+// rejectHopeless ends a transient submission of which nothing has run and which cannot be
+// done any more while its caller has a use for it. The caller learns at once that it has
+// not run.
+func (s *Shard) rejectHopeless(now time.Duration, j *job) {
+	if !j.rec.Transient || j.rec.Part || j.state.Final() || j.begun() {
+		return
+	}
+	if now+s.remaining(j) > j.came+submission.LateFactor*s.objective(j) || s.tooLong(now, j) {
+		s.end(now, j, submission.Rejected, "it cannot be done in time")
 	}
 }
 
@@ -235,7 +232,7 @@
 
 // remaining is the time a submission takes if all its tasks start now.
 func (s *Shard) remaining(j *job) time.Duration {
-	return time.Duration(float64(j.rec.Chain()) * s.factor(j.rec.Queue))
+	return time.Duration(float64(j.chain) * s.factor(j.rec.Queue))
 }
 
 // room is what is free at a worker.
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -145,6 +145,9 @@
 		e.scan(name, h)
 	}
 	h.core.Tick(e.at)
+	if h.core.WorkerCount() != len(h.hands) {
+		e.alignHands(h) // it has dropped a worker; new ones come with the list only
+	}
 	e.carryOut(name, h, h.core.Take())
 }
 
--- a/internal/kept/vm/hands.go
+++ b/internal/kept/vm/hands.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
-	"strings"
 
 	"k8s.io/klog/v2"
 
@@ -31,7 +29,6 @@
 		info.Revision = 0
 		list = append(list, info)
 	}
-	slices.SortFunc(list, func(a, b worker.Info) int { return strings.Compare(a.ID, b.ID) })
 	value, err := json.Marshal(list)
 	if err != nil {
 		klog.ErrorS(err, "kept: the workers of a shard have no JSON form", "shard", h.holding.Shard)
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -181,7 +181,6 @@
 	id := ev.hand.info.Load().ID
 	klog.InfoS("kept: worker gone", "worker", id, "shard", ev.hand.shard, "why", "another incarnation answers")
 	h.core.WorkerGone(e.at, id)
-	e.alignHands(h)
 }
 
 func (ev lapsedEvent) apply(e *engine) {
@@ -193,7 +192,6 @@
 	e.vm.figures.workersLost.Inc(1)
 	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.hand.shard, "why", "it does not answer, and its lease is over")
 	h.core.WorkerLapsed(e.at, id)
-	e.alignHands(h)
 }
 
 func (ev startReplyEvent) apply(e *engine) {
@@ -208,12 +206,10 @@
 			"worker", id, "answer", ev.reply.Verdict)
 	}
 	h.core.StartReply(e.at, id, ev.task, ev.run, ev.reply)
-	e.alignHands(h)
 }
 
 func (ev stopReplyEvent) apply(e *engine) {
 	if h := e.holder(ev.hand); h != nil {
 		h.core.StopReply(e.at, ev.hand.info.Load().ID, ev.task, ev.run, ev.reply)
-		e.alignHands(h)
 	}
 }
