--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Outcome is how a job ended.
@@ -189,7 +191,7 @@
 		if a.Outcome != NotRun || retry >= c.opt.NotRunRetries || a.RetryAfter == 0 {
 			return a, nil
 		}
-		if !sleep(ctx, jitter(a.RetryAfter)) {
+		if !pause.For(ctx, jitter(a.RetryAfter)) {
 			return a, nil
 		}
 	}
@@ -237,7 +239,7 @@
 			first = false
 			body, _ = json.Marshal(submitBody{j.Template, j.Tasks, uint32(j.Deadline.Milliseconds()), false})
 		}
-		if !sleep(ctx, jitter(backoff)) {
+		if !pause.For(ctx, jitter(backoff)) {
 			return nil, &UnresolvedError{Ticket: ticket, Cause: err}
 		}
 		backoff = min(2*backoff, lastBackoff)
@@ -425,14 +427,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/client/kept.go
+++ b/client/kept.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // State is how far a submission under the caller's own key is.
@@ -95,7 +96,6 @@
 // try calls one VM after the other until one answers, as long as ctx lasts. within
 // bounds one attempt; 0: ctx does.
 func try[R any](ctx context.Context, k *Kept, within time.Duration, call func(context.Context, pumiceyardv1connect.SubmissionServiceClient) (*connect.Response[R], error)) (*R, error) {
-	var last error
 	for i := 0; ; i++ {
 		attempt, cancel := ctx, context.CancelFunc(func() {})
 		if within > 0 {
@@ -106,14 +106,11 @@
 		if err == nil {
 			return resp.Msg, nil
 		}
-		last = err
 		if definite(err) {
 			return nil, err
 		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.Join(ctx.Err(), notRun(last))
-		case <-time.After(k.pause):
+		if !pause.For(ctx, k.pause) {
+			return nil, errors.Join(ctx.Err(), notRun(err))
 		}
 	}
 }
@@ -200,10 +197,8 @@
 		if err != nil || s.Final() || s == StateNone {
 			return s, err
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, keptPoll) {
 			return s, ctx.Err()
-		case <-time.After(keptPoll):
 		}
 	}
 }
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
@@ -125,10 +125,7 @@
 		client.Leave()
 		client = e.dial.client()
 		service = e.dial.service(client, address)
-		select {
-		case <-ctx.Done():
-		case <-time.After(e.settings.RedialDelay):
-		}
+		pause.For(ctx, e.settings.RedialDelay)
 	}
 }
 
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
@@ -80,10 +81,7 @@
 	defer close(l.done)
 	for ctx.Err() == nil {
 		l.connect(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(l.settings.RedialDelay):
-		}
+		pause.For(ctx, l.settings.RedialDelay)
 	}
 }
 
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -163,25 +163,32 @@
 // only, which bounds its cost. It leaves the list of workers out of an advert that the home has already:
 // the list is long and changes seldom.
 func (s *session) brief(m *pb.Advert, beat bool) *pb.Advert {
-	brief := &pb.Advert{
+	brief := ForSession(m, s.taken.Load())
+	if beat {
+		brief.Usage, brief.Periodic = m.Usage, true
+	}
+	if m.WorkersVersion == s.version {
+		brief.Workers = nil
+	}
+	s.version = m.WorkersVersion
+	return brief
+}
+
+// ForSession is an owner's advert with the count of tasks that one session has brought,
+// without what accounts use.
+func ForSession(m *pb.Advert, takenTasks uint64) *pb.Advert {
+	return &pb.Advert{
 		Incarnation:    m.Incarnation,
 		Domain:         m.Domain,
+		Workers:        m.Workers,
 		FreeSlots:      m.FreeSlots,
 		QueuedTasks:    m.QueuedTasks,
 		Draining:       m.Draining,
 		WorkersVersion: m.WorkersVersion,
 		Slots:          m.Slots,
 		Largest:        m.Largest,
-		TakenTasks:     s.taken.Load(),
-	}
-	if beat {
-		brief.Usage, brief.Periodic = m.Usage, true
-	}
-	if m.WorkersVersion != s.version {
-		s.version = m.WorkersVersion
-		brief.Workers = m.Workers
+		TakenTasks:     takenTasks,
 	}
-	return brief
 }
 
 func joinResponses(waiting []*pb.RunResponse) *pb.RunResponse {
--- a/internal/connection/submissions/submissions.go
+++ b/internal/connection/submissions/submissions.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -94,7 +93,7 @@
 // refusal says that nothing has run, and when to come back.
 func refusal(err error, after time.Duration) error {
 	out := connect.NewError(connect.CodeUnavailable, err)
-	out.Meta().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	out.Meta().Set("Retry-After", vm.RetrySeconds(after))
 	return out
 }
 
--- a/internal/connection/upstream/control.go
+++ b/internal/connection/upstream/control.go
@@ -9,6 +9,7 @@
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Control makes short calls to workers, with or without their lease: seal,
@@ -86,10 +87,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(c.settings.RedialDelay):
-		}
+		pause.For(ctx, c.settings.RedialDelay)
 	}
 	return nil, last
 }
--- a/internal/kept/journal/journal.go
+++ b/internal/kept/journal/journal.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
@@ -154,10 +155,8 @@
 		if len(batch) == 0 {
 			return
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, min(time.Duration(try)*retryPause, retryMost)) {
 			return
-		case <-time.After(min(time.Duration(try)*retryPause, retryMost)):
 		}
 	}
 }
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -18,6 +18,7 @@
 	"github.com/pumiceyard/pumiceyard/api/pumiceyard/v1/pumiceyardv1connect"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/kept/clock"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 )
 
@@ -121,10 +122,7 @@
 		}
 		l.events.PeerLost(l.name, why)
 		l.out.Drain() // what waited is out of date when the peer is back
-		select {
-		case <-ctx.Done():
-		case <-time.After(l.settings.Redial):
-		}
+		pause.For(ctx, l.settings.Redial)
 	}
 }
 
--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -27,6 +28,13 @@
 	Why        string
 }
 
+// RetrySeconds is a time to come back after, in the whole seconds that a caller is told; 1
+// at least.
+func RetrySeconds(after time.Duration) string {
+	seconds := int64((after + time.Second - 1) / time.Second)
+	return strconv.FormatInt(max(seconds, 1), 10)
+}
+
 // ErrUnavailable says that neither a peer nor the store could be asked.
 var ErrUnavailable = errors.New("kept: the state cannot be read now")
 
@@ -79,25 +87,33 @@
 // stateNow asks the engine; ended, if not nil, is closed at the submission's end.
 func (v *VM) stateNow(ctx context.Context, id submission.ID, ended chan struct{}) (submission.State, error) {
 	reply := make(chan StateAnswer, 1)
-	return v.ask(ctx, stateEvent{id: id, reply: reply, ended: ended}, reply)
+	return v.askState(ctx, stateEvent{id: id, reply: reply, ended: ended}, reply)
 }
 
 // Cancel ends a submission and returns its final state.
 func (v *VM) Cancel(ctx context.Context, id submission.ID) (submission.State, error) {
 	reply := make(chan StateAnswer, 1)
-	return v.ask(ctx, cancelEvent{id: id, reply: reply}, reply)
+	return v.askState(ctx, cancelEvent{id: id, reply: reply}, reply)
+}
+
+func (v *VM) askState(ctx context.Context, ev event, reply chan StateAnswer) (submission.State, error) {
+	a, err := ask(ctx, v, ev, reply)
+	if err != nil {
+		return submission.Unknown, err
+	}
+	return a.State, a.Err
 }
 
 // ask posts an event and waits for its answer.
-func (v *VM) ask(ctx context.Context, ev event, reply chan StateAnswer) (submission.State, error) {
+func ask[A any](ctx context.Context, v *VM, ev event, reply chan A) (answer A, err error) {
 	if !v.post(ev) {
-		return submission.Unknown, ErrUnavailable
+		return answer, ErrUnavailable
 	}
 	select {
-	case a := <-reply:
-		return a.State, a.Err
+	case answer = <-reply:
+		return answer, nil
 	case <-ctx.Done():
-		return submission.Unknown, ErrUnavailable
+		return answer, ErrUnavailable
 	}
 }
 
@@ -105,13 +121,5 @@
 // may be some hundred milliseconds old.
 func (v *VM) Waiting(ctx context.Context, queue string) (int, error) {
 	reply := make(chan int, 1)
-	if !v.post(waitingEvent{queue: queue, reply: reply}) {
-		return 0, ErrUnavailable
-	}
-	select {
-	case n := <-reply:
-		return n, nil
-	case <-ctx.Done():
-		return 0, ErrUnavailable
-	}
+	return ask(ctx, v, waitingEvent{queue: queue, reply: reply}, reply)
 }
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -10,6 +10,7 @@
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 func (ev cancelEvent) apply(e *engine) {
@@ -40,7 +41,7 @@
 		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
-			sleep(ctx, watchPause)
+			pause.For(ctx, watchPause)
 		}
 	}
 }
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -149,31 +149,22 @@
 
 // ended counts a submission's answer: done, failed, refused, given_up or abandoned.
 func (q *queueFigures) ended(outcome string, took time.Duration) {
-	c := q.outcomes[outcome]
-	if c == nil {
-		c = q.scope.Tagged(map[string]string{"outcome": outcome}).Counter("submissions_ended_total")
-		q.outcomes[outcome] = c
-	}
-	c.Inc(1)
+	count(q.outcomes, q.scope, "submissions_ended_total", "outcome", outcome)
 	q.response.RecordDuration(took)
 }
 
 // start counts a worker's answer to a start.
-func (f *figures) start(answer string) {
-	c := f.starts[answer]
-	if c == nil {
-		c = f.scope.Tagged(map[string]string{"answer": answer}).Counter("starts_total")
-		f.starts[answer] = c
-	}
-	c.Inc(1)
-}
+func (f *figures) start(answer string) { count(f.starts, f.scope, "starts_total", "answer", answer) }
 
 // end counts the end of a run.
-func (f *figures) end(how string) {
-	c := f.ends[how]
+func (f *figures) end(how string) { count(f.ends, f.scope, "runs_ended_total", "how", how) }
+
+// count adds one to the counter of a tag's value, which is made when it comes first.
+func count(known map[string]tally.Counter, scope tally.Scope, name, tag, value string) {
+	c := known[value]
 	if c == nil {
-		c = f.scope.Tagged(map[string]string{"how": how}).Counter("runs_ended_total")
-		f.ends[how] = c
+		c = scope.Tagged(map[string]string{tag: value}).Counter(name)
+		known[value] = c
 	}
 	c.Inc(1)
 }
--- a/internal/kept/vm/hand.go
+++ b/internal/kept/vm/hand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Times of the talk with a worker.
@@ -66,7 +67,7 @@
 			continue
 		case worker.Fenced:
 			h.vm.post(fencedEvent{hand: h})
-			sleep(ctx, 4*holdPause)
+			pause.For(ctx, 4*holdPause)
 			continue
 		case worker.Gone:
 			h.vm.post(goneEvent{hand: h})
@@ -76,7 +77,7 @@
 			lapsed = true
 			h.vm.post(lapsedEvent{hand: h})
 		}
-		sleep(ctx, holdPause)
+		pause.For(ctx, holdPause)
 	}
 }
 
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -13,6 +13,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Times of the writes of a holder.
@@ -218,7 +219,7 @@
 				e.vm.post(scannedEvent{shard: name, token: token, records: recordsOf(name, items), known: known})
 				return
 			}
-			sleep(h.ctx, scanPause)
+			pause.For(h.ctx, scanPause)
 		}
 	})
 }
--- a/internal/kept/vm/site_bench_test.go
+++ b/internal/kept/vm/site_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"syscall"
@@ -14,9 +13,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
-	"github.com/pumiceyard/pumiceyard/internal/standin/fleet"
-	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
-	"github.com/pumiceyard/pumiceyard/internal/standin/mesh"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -43,31 +39,16 @@
 
 // benchWorld is a site in real time, after its shards have holders.
 func benchWorld(b *testing.B, vms, workers int) *world {
-	w := &world{
-		began:   time.Now(),
-		store:   kvstore.New(),
-		fleet:   fleet.New(),
-		mesh:    mesh.New(),
-		vms:     make(map[string]*VM),
-		doors:   make(map[string]*kvstore.Door),
-		domains: []string{"a", "b", "c", "d"},
-	}
-	w.store.Put("config/catalog", []byte("1"))
+	w := newWorld(b, "a", "b", "c", "d")
 	for i := range workers {
-		info := worker.Info{
+		w.addWorker(worker.Info{
 			ID:       fmt.Sprintf("w%d", i),
 			Service:  "desk",
 			Address:  fmt.Sprintf("worker%d", i),
 			Domain:   w.domains[i%len(w.domains)],
 			CPUMilli: 16000,
 			MemMB:    65536,
-		}
-		w.fleet.Add(info)
-		value, err := json.Marshal(info)
-		if err != nil {
-			b.Fatal(err)
-		}
-		w.store.Put("workers/"+info.ID, value)
+		})
 	}
 	for i := range vms {
 		w.boot(fmt.Sprintf("%s%d", w.domains[i%len(w.domains)], i))
@@ -88,8 +69,10 @@
 	for time.Since(began) < span {
 		due := int(time.Since(began).Seconds() * float64(rate))
 		for ; sent < due; sent++ {
-			rec, v := benchRecord(submission.ID(fmt.Sprintf("s%d", sent))), vms[sent%len(vms)]
-			w.fleet.SetWork(rec.ID, runhost.Work{Time: rec.Steps[0].Estimate, CPUMilli: rec.Steps[0].CPUMilli})
+			work := runhost.Work{Time: 100 * ms, CPUMilli: 6800}
+			rec, v := equalTasks(submission.ID(fmt.Sprintf("s%d", sent)), 4, work), vms[sent%len(vms)]
+			rec.Transient = true
+			w.fleet.SetWork(rec.ID, work)
 			go func() { ended <- v.Submit(context.Background(), rec) }()
 		}
 		time.Sleep(2 * ms)
@@ -103,16 +86,6 @@
 	return float64(done) / float64(max(sent, 1))
 }
 
-func benchRecord(id submission.ID) *submission.Record {
-	return &submission.Record{
-		ID:        id,
-		Queue:     "q",
-		Steps:     []submission.Step{{Count: 4, CPUMilli: 6800, MemMB: 64, Estimate: 100 * ms}},
-		Terms:     submission.Terms{Service: "desk", Attempts: 2, Stretch: 1.6, Target: 60 * ms},
-		Transient: true,
-	}
-}
-
 // coresUsed is the processor time of this process.
 func coresUsed() time.Duration {
 	var u syscall.Rusage
--- a/internal/kept/vm/sweep.go
+++ b/internal/kept/vm/sweep.go
@@ -8,6 +8,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Final states are removed when nobody asks for them any more. The holder of the site's
@@ -23,7 +24,7 @@
 func (v *VM) sweepFinals(ctx context.Context) {
 	seen := make(map[string]time.Duration)
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		pause.For(ctx, sweepEvery)
 		if !v.sweeps.Load() {
 			clear(seen)
 			continue
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,6 +12,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Times of watches and of the session.
@@ -61,7 +64,7 @@
 			continue
 		}
 		failures++
-		sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+		rest(ctx, failures)
 	}
 }
 
@@ -78,13 +81,13 @@
 			rev = max(rev, c.Revision)
 			f.some(sent, c.Events)
 			if f.pause > 0 && len(c.Events) > 0 {
-				sleep(ctx, f.pause)
+				pause.For(ctx, f.pause)
 			}
 		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
 			return err
 		default:
 			failures++
-			sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+			rest(ctx, failures)
 		}
 	}
 }
@@ -111,11 +114,9 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+// rest waits after so many failures in a row.
+func rest(ctx context.Context, failures int) {
+	pause.For(ctx, min(time.Duration(failures)*watchPause, watchMost))
 }
 
 func (v *VM) watchSite(ctx context.Context) {
@@ -194,19 +195,12 @@
 func (v *VM) followWorkers(ctx context.Context) {
 	list := make(map[string]worker.Info)
 	take := func(it store.Item) {
-		info, err := v.config.Lists.DecodeWorker(it)
-		if err != nil {
-			klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
-			return
+		if info, ok := v.readWorker(it); ok {
+			list[it.Key] = info
 		}
-		list[it.Key] = info
 	}
 	send := func() {
-		all := make([]worker.Info, 0, len(list))
-		for _, info := range list {
-			all = append(all, info)
-		}
-		v.post(workersEvent{list: all})
+		v.post(workersEvent{list: slices.Collect(maps.Values(list))})
 	}
 	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: workersPause}
 	f.whole = func(_ time.Duration, items []store.Item) {
@@ -248,7 +242,7 @@
 		}
 		klog.InfoS("kept: session lost", "vm", v.config.Name, "why", err)
 		failures++
-		sleep(ctx, min(time.Duration(failures)*watchPause, watchMost))
+		rest(ctx, failures)
 	}
 }
 
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -83,18 +83,23 @@
 	}
 	var out []worker.Info
 	for _, it := range items {
-		info, err := v.config.Lists.DecodeWorker(it)
-		if err != nil {
-			klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
-			continue
-		}
-		if info.Domain == domain {
+		if info, ok := v.readWorker(it); ok && info.Domain == domain {
 			out = append(out, info)
 		}
 	}
 	return out, nil
 }
 
+// readWorker reads an entry of the list of workers. One that cannot be read is left out.
+func (v *VM) readWorker(it store.Item) (info worker.Info, ok bool) {
+	info, err := v.config.Lists.DecodeWorker(it)
+	if err != nil {
+		klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
+		return worker.Info{}, false
+	}
+	return info, true
+}
+
 type dividedEvent struct {
 	domain string
 	err    error
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -26,7 +26,7 @@
 // world is a site of two failure domains, a and b, with two entry VMs and three workers
 // each, in a test's bubble.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	began   time.Time
 	store   *kvstore.Store
 	fleet   *fleet.Fleet
@@ -40,17 +40,7 @@
 func testWorld(t *testing.T, play func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{
-			t:       t,
-			began:   time.Now(),
-			store:   kvstore.New(),
-			fleet:   fleet.New(),
-			mesh:    mesh.New(),
-			vms:     make(map[string]*VM),
-			doors:   make(map[string]*kvstore.Door),
-			domains: []string{"a", "b"},
-		}
-		w.store.Put("config/catalog", []byte("1"))
+		w := newWorld(t, "a", "b")
 		for _, d := range w.domains {
 			for i := range 3 {
 				w.addWorker(worker.Info{
@@ -77,6 +67,22 @@
 	})
 }
 
+// newWorld is a site without VMs and workers.
+func newWorld(t testing.TB, domains ...string) *world {
+	w := &world{
+		t:       t,
+		began:   time.Now(),
+		store:   kvstore.New(),
+		fleet:   fleet.New(),
+		mesh:    mesh.New(),
+		vms:     make(map[string]*VM),
+		doors:   make(map[string]*kvstore.Door),
+		domains: domains,
+	}
+	w.store.Put("config/catalog", []byte("1"))
+	return w
+}
+
 func (w *world) addWorker(info worker.Info) {
 	w.fleet.Add(info)
 	value, err := json.Marshal(info)
@@ -153,13 +159,8 @@
 func (w *world) submit(at string, id submission.ID, tasks int, work runhost.Work, transient bool) chan Outcome {
 	work.CPUMilli = 6800
 	w.fleet.SetWork(id, work)
-	rec := &submission.Record{
-		ID:        id,
-		Queue:     "q",
-		Steps:     []submission.Step{{Count: tasks, CPUMilli: work.CPUMilli, MemMB: 64, Estimate: work.Time}},
-		Terms:     submission.Terms{Service: "desk", Attempts: 2, Stretch: 1.6, Target: 60 * ms},
-		Transient: transient,
-	}
+	rec := equalTasks(id, tasks, work)
+	rec.Transient = transient
 	out := make(chan Outcome, 1)
 	v := w.vms[at]
 	go func() {
@@ -170,6 +171,16 @@
 	return out
 }
 
+// equalTasks is the record of a submission of one step.
+func equalTasks(id submission.ID, tasks int, work runhost.Work) *submission.Record {
+	return &submission.Record{
+		ID:    id,
+		Queue: "q",
+		Steps: []submission.Step{{Count: tasks, CPUMilli: work.CPUMilli, MemMB: 64, Estimate: work.Time}},
+		Terms: submission.Terms{Service: "desk", Attempts: 2, Stretch: 1.6, Target: 60 * ms},
+	}
+}
+
 func (w *world) wantEnd(out chan Outcome, state submission.State) {
 	w.t.Helper()
 	if o := <-out; o.Kind != Ended || o.State != state {
--- a/internal/process/entry/control.go
+++ b/internal/process/entry/control.go
@@ -9,6 +9,7 @@
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire/fleetwire"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/control"
 	"github.com/pumiceyard/pumiceyard/internal/process/distribution"
 	"github.com/pumiceyard/pumiceyard/internal/process/fairness"
@@ -149,7 +150,7 @@
 // reconcileLeases holds and gives back leases as time passes: a peer that was
 // given the time to answer, and did not, is no event.
 func (vm *VM) reconcileLeases(ctx context.Context) {
-	for pause(ctx, millis(vm.settings.BeatMillis)) {
+	for pause.For(ctx, millis(vm.settings.BeatMillis)) {
 		vm.workers.reconcile()
 	}
 }
@@ -174,7 +175,7 @@
 		case <-vm.listWanted:
 		}
 		vm.control.ListRead(vm.readList(ctx))
-		if !pause(ctx, listPause) {
+		if !pause.For(ctx, listPause) {
 			return
 		}
 	}
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/connection/caller"
+	"github.com/pumiceyard/pumiceyard/internal/connection/peer"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/request/reason"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
@@ -22,18 +23,7 @@
 
 // on returns the advert with the count of this session.
 func (c *takenCounter) on(m *pb.Advert) *pb.Advert {
-	return &pb.Advert{
-		Incarnation:    m.Incarnation,
-		Domain:         m.Domain,
-		Workers:        m.Workers,
-		FreeSlots:      m.FreeSlots,
-		QueuedTasks:    m.QueuedTasks,
-		Draining:       m.Draining,
-		WorkersVersion: m.WorkersVersion,
-		Slots:          m.Slots,
-		Largest:        m.Largest,
-		TakenTasks:     c.n.Load(),
-	}
+	return peer.ForSession(m, c.n.Load())
 }
 
 // steps returns this VM's timeline of a submission.
--- a/internal/process/entry/plan.go
+++ b/internal/process/entry/plan.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/fleet"
 	"github.com/pumiceyard/pumiceyard/internal/process/power"
 	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
@@ -104,7 +105,7 @@
 		m, err := p.vm.store.Watch(ctx, storeclient.ForPower, planKeyPrefix+p.vm.settings.Domain, version, watchWait)
 		if err != nil {
 			p.askPeers(ctx)
-			pause(ctx, watchRetry)
+			pause.For(ctx, watchRetry)
 			continue
 		}
 		if m.Changed {
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // drainPoll is how often a planned stop looks whether everything has ended.
@@ -38,7 +40,7 @@
 	vm.router.StopTickets()
 	// Without this wait the balancer would send callers here until its next
 	// look at readiness, and each would be refused as draining.
-	pause(ctx, millis(vm.settings.UnreadyMillis))
+	pause.For(ctx, millis(vm.settings.UnreadyMillis))
 	vm.draining.Store(true)
 	vm.control.Leave()
 	vm.router.Drain()
@@ -58,19 +60,9 @@
 // forwarded answer was sent.
 func (vm *VM) waitIdle(ctx context.Context) bool {
 	for vm.home.Busy() || vm.holder.Busy() || vm.peerSide.Serving() > 0 {
-		if !pause(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			return false
 		}
 	}
 	return true
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -137,7 +138,7 @@
 // do makes a call after a trip, and brings its answer after another.
 func (w *way) do(ctx context.Context, to worker.Info, call func(h *runhost.Host, now time.Duration) (worker.Reply, bool)) worker.Reply {
 	silent := worker.Reply{Verdict: worker.Silent}
-	if !wait(ctx, trip) {
+	if !pause.For(ctx, trip) {
 		return silent
 	}
 	w.fleet.mu.Lock()
@@ -161,21 +162,12 @@
 		<-ctx.Done()
 		return silent
 	}
-	if !wait(ctx, trip) {
+	if !pause.For(ctx, trip) {
 		return silent
 	}
 	return reply
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // Start implements worker.Orders.
 func (w *way) Start(ctx context.Context, to worker.Info, s worker.Start) worker.Reply {
 	return w.do(ctx, to, func(h *runhost.Host, now time.Duration) (worker.Reply, bool) {
@@ -204,7 +196,7 @@
 		if r.Verdict != worker.Accepted || len(listing.Ended) > 0 || !time.Now().Before(until) {
 			return listing, r
 		}
-		if !wait(ctx, poll) {
+		if !pause.For(ctx, poll) {
 			return worker.Listing{}, worker.Reply{Verdict: worker.Silent}
 		}
 	}
--- a/internal/standin/site/await.go
+++ b/internal/standin/site/await.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // AwaitRevision waits until each entry VM has a revision in force.
@@ -30,10 +31,8 @@
 		if len(unheld) == 0 {
 			return s.awaitPower(ctx)
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, awaitPoll) {
 			return fmt.Errorf("nobody holds %v: %w", unheld, ctx.Err())
-		case <-time.After(awaitPoll):
 		}
 	}
 }
@@ -81,10 +80,8 @@
 		if waiting == "" {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, awaitPoll) {
 			return fmt.Errorf("%s is not there yet: %w", waiting, ctx.Err())
-		case <-time.After(awaitPoll):
 		}
 	}
 }
--- a/internal/tool/demo/outage.go
+++ b/internal/tool/demo/outage.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/storeclient"
 	platformstandin "github.com/pumiceyard/pumiceyard/internal/standin/platform"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
-	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // outageHalf is half the time for which the platform is out.
@@ -20,10 +20,10 @@
 // meanwhile. What the killed VM had taken may end as unknown; every job of the
 // others goes on.
 func (r *run) storeOutage(ctx context.Context) error {
-	workload.Pause(ctx, 2*settle)
+	pause.For(ctx, 2*settle)
 	r.say("the platform is out: no store, no list of VMs")
 	r.site.Platform.SetFaults(platformstandin.Faults{Outage: true})
-	workload.Pause(ctx, settle)
+	pause.For(ctx, settle)
 	if err := r.refusedPublication(ctx); err != nil {
 		return err
 	}
@@ -31,7 +31,7 @@
 		return err
 	}
 	r.outage.settled = time.Now()
-	workload.Pause(ctx, outageHalf)
+	pause.For(ctx, outageHalf)
 	r.outage.ended = time.Now()
 	r.site.Platform.SetFaults(platformstandin.Faults{})
 	r.say("the platform is back")
@@ -41,7 +41,7 @@
 	if err := r.await(ctx, r.site.AwaitReady); err != nil {
 		return err
 	}
-	workload.Pause(ctx, 2*settle)
+	pause.For(ctx, 2*settle)
 	return nil
 }
 
--- a/internal/tool/demo/partition.go
+++ b/internal/tool/demo/partition.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
-	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
 
 // Times of the partition scenario.
@@ -53,17 +53,17 @@
 
 // partition cuts a failure domain off, publishes outside meanwhile, and heals.
 func (r *run) partition(ctx context.Context) error {
-	workload.Pause(ctx, 4*settle)
+	pause.For(ctx, 4*settle)
 	r.say("cutting %s off from the other failure domains and from the platform", r.cut.domain)
 	r.site.Cut(r.cut.domain)
 	r.cut.began = time.Now()
-	workload.Pause(ctx, cutFor/2)
+	pause.For(ctx, cutFor/2)
 	revision, err := r.publishAgain(ctx, "demo-during-cut")
 	if err != nil {
 		return fmt.Errorf("publishing outside of the cut: %w", err)
 	}
 	r.say("revision %d is published outside; %s can not know", revision, r.cut.domain)
-	workload.Pause(ctx, cutFor/2)
+	pause.For(ctx, cutFor/2)
 	old := r.lowestRevision()
 	r.cut.ended = time.Now()
 	r.site.Heal(r.cut.domain)
@@ -78,7 +78,7 @@
 	if err := r.await(ctx, r.site.AwaitReady); err != nil {
 		return err
 	}
-	workload.Pause(ctx, 4*settle)
+	pause.For(ctx, 4*settle)
 	if low := r.lowestRevision(); low < revision {
 		return fmt.Errorf("an entry VM went back to revision %d from %d", low, revision)
 	}
--- a/internal/tool/demo/power.go
+++ b/internal/tool/demo/power.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/standin/worker"
 	"github.com/pumiceyard/pumiceyard/internal/tool/verdict"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
@@ -135,7 +136,7 @@
 // lowerCap publishes the lower cap and waits until every failure domain keeps to
 // it. From then on the draw is held against it.
 func (r *run) lowerCap(ctx context.Context) {
-	if !workload.Pause(ctx, r.opt.Load*lowerAfter/percent) {
+	if !pause.For(ctx, r.opt.Load*lowerAfter/percent) {
 		return
 	}
 	d := r.withCap()
@@ -149,7 +150,7 @@
 		return
 	}
 	for !r.keeps(d) {
-		if !workload.Pause(ctx, verdict.DrawInterval) {
+		if !pause.For(ctx, verdict.DrawInterval) {
 			return
 		}
 	}
--- a/internal/tool/demo/scenario.go
+++ b/internal/tool/demo/scenario.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
@@ -79,13 +80,13 @@
 // crash kills one entry VM and one worker, a third of the load apart.
 func (r *run) crash(ctx context.Context) error {
 	third := r.opt.Load / 3
-	if !workload.Pause(ctx, third) {
+	if !pause.For(ctx, third) {
 		return ctx.Err()
 	}
 	victim := r.site.Entries()[2]
 	r.say("killing entry VM %s (%s): its jobs lose their home, its workers their lease holder", victim.Name, victim.Domain)
 	r.site.KillEntry(victim)
-	if !workload.Pause(ctx, third) {
+	if !pause.For(ctx, third) {
 		return ctx.Err()
 	}
 	w := r.site.Workers()[7]
@@ -102,7 +103,7 @@
 
 // rollingRestart stops each entry VM as planned and replaces it by a new one.
 func (r *run) rollingRestart(ctx context.Context) error {
-	workload.Pause(ctx, settle)
+	pause.For(ctx, settle)
 	for i, old := range r.site.Entries() {
 		fresh, err := r.replace(ctx, old)
 		if err != nil {
@@ -113,7 +114,7 @@
 	if err := r.await(ctx, r.site.AwaitReady); err != nil {
 		return err
 	}
-	workload.Pause(ctx, settle)
+	pause.For(ctx, settle)
 	return nil
 }
 
--- a/internal/tool/keptsite/keptsite.go
+++ b/internal/tool/keptsite/keptsite.go
@@ -20,6 +20,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/standin/fleet"
 	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
 )
@@ -227,10 +228,8 @@
 	defer cancel()
 	for _, d := range vms {
 		for !d.VM.Ready() {
-			select {
-			case <-ctx.Done():
+			if !pause.For(ctx, 10*time.Millisecond) {
 				return errNotReady
-			case <-time.After(10 * time.Millisecond):
 			}
 		}
 	}
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
 )
@@ -170,7 +171,7 @@
 
 // progress prints a line each period.
 func (r *run) progress(ctx context.Context) {
-	for workload.Pause(ctx, progressPeriod) {
+	for pause.For(ctx, progressPeriod) {
 		c := r.collector.counts()
 		r.say("%5.1fs  %d under way, %d complete, %d failed, %d not run, %d unknown, %d without an answer",
 			time.Since(r.began).Seconds(), c.underWay, c.ended[client.Complete], c.ended[client.Failed],
--- a/internal/tool/load/local.go
+++ b/internal/tool/load/local.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/process/entry"
 	"github.com/pumiceyard/pumiceyard/internal/request/ticket"
 	"github.com/pumiceyard/pumiceyard/internal/standin/site"
@@ -170,11 +171,11 @@
 	for i := range faults {
 		under.Go(func() {
 			f := &faults[i]
-			if !workload.Pause(ctx, f.At()) {
+			if !pause.For(ctx, f.At()) {
 				return
 			}
 			l.note(time.Since(began), l.begin(f), say)
-			if f.For() > 0 && workload.Pause(ctx, f.For()) {
+			if f.For() > 0 && pause.For(ctx, f.For()) {
 				l.note(time.Since(began), l.end(f), say)
 			}
 		})
--- a/internal/tool/operate/publish.go
+++ b/internal/tool/operate/publish.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/connection/operator"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 	"github.com/pumiceyard/pumiceyard/internal/tool/exit"
 	"github.com/pumiceyard/pumiceyard/internal/version/document"
 	"github.com/pumiceyard/pumiceyard/internal/version/publication"
@@ -96,10 +97,8 @@
 		if waiting == 0 {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, awaitPoll) {
 			return s.notInForce(revision, w)
-		case <-time.After(awaitPoll):
 		}
 	}
 }
--- a/internal/tool/top/show.go
+++ b/internal/tool/top/show.go
@@ -153,27 +153,33 @@
 // unknown stands where there is no earlier sample to count from.
 const unknown = "-"
 
-// rate is how fast a count grew. A count that fell is of a VM that has started again.
-func rate(before, now *Sample, count func(*Sample) float64) string {
+// growth is how fast a count grew. It is not known without an earlier sample, or if the
+// count fell: then the VM has started again.
+func growth(before, now *Sample, count func(*Sample) float64) (perSecond float64, known bool) {
 	if before == nil || count(now) < count(before) {
-		return unknown
+		return 0, false
 	}
-	return fmt.Sprintf("%.1f", (count(now)-count(before))/now.At.Sub(before.At).Seconds())
+	return (count(now) - count(before)) / now.At.Sub(before.At).Seconds(), true
+}
+
+func rate(before, now *Sample, count func(*Sample) float64) string {
+	return perSecond(growth(before, now, count))
 }
 
 // queueRate sums a queue's rate over the VMs that were read twice.
 func queueRate(before, now map[string]*Sample, name string, count func(Queue) float64) string {
-	sum, known := 0.0, false
+	sum, read := 0.0, false
 	for url, s := range now {
-		b := before[url]
-		if b == nil || count(s.Queues[name]) < count(b.Queues[name]) {
-			continue
-		}
-		known = true
-		sum += (count(s.Queues[name]) - count(b.Queues[name])) / s.At.Sub(b.At).Seconds()
+		v, known := growth(before[url], s, func(s *Sample) float64 { return count(s.Queues[name]) })
+		sum += v
+		read = read || known
 	}
+	return perSecond(sum, read)
+}
+
+func perSecond(v float64, known bool) string {
 	if !known {
 		return unknown
 	}
-	return fmt.Sprintf("%.1f", sum)
+	return fmt.Sprintf("%.1f", v)
 }
--- a/internal/tool/workload/schedule.go
+++ b/internal/tool/workload/schedule.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // Arrival is one job of a schedule.
@@ -131,7 +133,7 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		due := began.Add(a.At)
-		if !Pause(ctx, time.Until(due)) || !held.enter(ctx, places) {
+		if !pause.For(ctx, time.Until(due)) || !held.enter(ctx, places) {
 			return held
 		}
 		jobs.Go(func() {
@@ -159,18 +161,3 @@
 	h.Longest = max(h.Longest, time.Since(from))
 	return true
 }
-
-// Pause waits and reports whether the context still goes on.
-func Pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
