kept losses: what was not served in time, by cause, from the logs

Change: 'pumiceyard kept losses LOG...' follows each hand-in through the lines taken, start, answered, refused, given up, abandoned and counts causes by queue and by phase. The line 'taken' names the objective.

--- a/cmd/pumiceyard/kept.go
+++ b/cmd/pumiceyard/kept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/tool/logstory"
+	"github.com/pumiceyard/pumiceyard/internal/tool/losses"
 )
 
 // keptCommand groups the commands for submissions under the caller's own key.
@@ -19,7 +21,7 @@
 		Short:   "Submit work under a key of your own, which is kept until it has ended",
 		GroupID: callers,
 	}
-	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting(), keptExplain())
+	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting(), keptExplain(), keptLosses())
 	return c
 }
 
@@ -147,16 +149,61 @@
 		Args:  cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
 			var logs []logstory.Log
-			for _, path := range args[1:] {
-				f, err := os.Open(path)
-				if err != nil {
-					return err
-				}
-				defer f.Close()
-				logs = append(logs, logstory.Log{Name: path, In: f})
+			files, err := openAll(args[1:])
+			defer closeAll(files)
+			for i, f := range files {
+				logs = append(logs, logstory.Log{Name: args[i+1], In: f})
+			}
+			if err != nil {
+				return err
 			}
-			_, err := logstory.Tell(args[0], logs, c.OutOrStdout())
+			_, err = logstory.Tell(args[0], logs, c.OutOrStdout())
 			return err
 		},
 	}
 }
+
+func keptLosses() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "losses LOG...",
+		Short: "Count the submissions that were not served in time by cause, from the logs of entry VMs",
+		Args:  cobra.MinimumNArgs(1),
+	}
+	every := c.Flags().Duration("every", 0, "one table for each such span of time; 0: one for all")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		files, err := openAll(args)
+		defer closeAll(files)
+		if err != nil {
+			return err
+		}
+		logs := make([]io.Reader, len(files))
+		for i, f := range files {
+			logs[i] = f
+		}
+		account, err := losses.Read(logs, *every)
+		if err != nil {
+			return err
+		}
+		return account.Write(c.OutOrStdout(), *every > 0)
+	}
+	return c
+}
+
+// openAll opens files for reading. Those that were opened before an error are returned.
+func openAll(paths []string) ([]*os.File, error) {
+	var out []*os.File
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, f)
+	}
+	return out, nil
+}
+
+func closeAll(files []*os.File) {
+	for _, f := range files {
+		_ = f.Close() // it was only read
+	}
+}
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -88,7 +88,7 @@
 	for _, p := range parts {
 		l := e.loads[p.shard]
 		klog.InfoS("kept: taken", "id", id, "queue", ev.record.Queue, "shard", p.shard, "holder", l.holder, "token", l.token,
-			"tasks", p.record.Tasks(), "of", ev.record.Tasks(), "free", l.Fit(largestTask(p.record)), "sent", l.sent, "backlog", l.Backlog, "load_age", e.at-l.at)
+			"tasks", p.record.Tasks(), "of", ev.record.Tasks(), "objective", ev.record.Terms.Objective(ev.record.Chain()), "free", l.Fit(largestTask(p.record)), "sent", l.sent, "backlog", l.Backlog, "load_age", e.at-l.at)
 		l.sent += int64(demand(p.record)) * largestTask(p.record)
 		e.give(p, l)
 	}
--- /dev/null
+++ b/internal/tool/losses/losses_test.go
@@ -0,0 +1,61 @@
+package losses
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+const logged = `I0605 19:37:51.000000    1 x.go:1] "kept: taken" id="a" queue="q" objective="100ms"
+I0605 19:37:51.001000    1 x.go:1] "kept: start" id="a" run=1
+I0605 19:37:51.050000    1 x.go:1] "kept: answered" id="a" queue="q" after="50ms"
+I0605 19:37:51.000000    1 x.go:1] "kept: taken" id="b" queue="q" objective="100ms"
+I0605 19:37:51.090000    1 x.go:1] "kept: start" id="b" run=1
+I0605 19:37:51.150000    1 x.go:1] "kept: answered" id="b" queue="q" after="150ms"
+I0605 19:37:51.000000    1 x.go:1] "kept: taken" id="c" queue="r" objective="100ms"
+I0605 19:37:51.001000    1 x.go:1] "kept: start" id="c" run=2
+I0605 19:37:51.150000    1 x.go:1] "kept: answered" id="c" queue="r" after="150ms"
+I0605 19:37:51.000000    1 x.go:1] "kept: taken" id="d" queue="r" objective="100ms"
+I0605 19:37:51.400000    1 x.go:1] "kept: refused" id="d" queue="r" why="it cannot be done in time" after="400ms"
+I0605 19:37:53.000000    1 x.go:1] "kept: refused" id="d" queue="r" why="no shard can be reached"
+I0605 19:37:53.000000    1 x.go:1] "kept: taken" id="e" queue="r" objective="100ms"
+I0605 19:37:54.000000    1 x.go:1] "kept: shard taken" shard="a/0"
+`
+
+func TestEachHandInHasOneCause(t *testing.T) {
+	a, err := Read([]io.Reader{strings.NewReader(logged)}, 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[Row]int{
+		{Queue: "q", Cause: InTime}:                                        1,
+		{Queue: "q", Cause: Waited}:                                        1,
+		{Queue: "r", Cause: Reran}:                                         1,
+		{Queue: "r", Cause: RefusedLate, Why: "it cannot be done in time"}: 1,
+		{Phase: 2 * time.Second, Queue: "r", Cause: RefusedSoon, Why: "no shard can be reached"}: 1,
+		{Phase: 2 * time.Second, Queue: "r", Cause: NoEnd}:                                       1,
+	}
+	if len(a.Count) != len(want) || a.Total != 6 {
+		t.Errorf("%d hand-ins: %v", a.Total, a.Count)
+	}
+	for row, n := range want {
+		if a.Count[row] != n {
+			t.Errorf("%v: %d, want %d", row, a.Count[row], n)
+		}
+	}
+}
+
+func TestTableNamesQueuesAndShares(t *testing.T) {
+	a, err := Read([]io.Reader{strings.NewReader(logged)}, 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := a.Write(&out, false); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "refused after a wait") || !strings.Contains(out.String(), "0.1667") {
+		t.Error(out.String())
+	}
+}
