The decisions of the kept engine in one package: policy

Cause: admission, order, placement, trust and the dividing over shards stood in shard and vm, with thresholds among the code that carries them out; none could be switched off to see what it is worth. What waits at a shard is told by band and priority, in place of one sum; it is not used yet (by_priority is off).

--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/submissions"
 	"github.com/pumiceyard/pumiceyard/internal/connection/wire"
 	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/serve"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
@@ -42,6 +43,8 @@
 	Store       string `json:"store"`        // host:port of the platform's store
 	LeaseMillis uint32 `json:"lease_millis"` // longest lease of runs at a worker
 	StopMillis  uint32 `json:"stop_millis"`  // a planned stop takes submissions so long
+	// Policy are the thresholds of decisions; what is absent has its default.
+	Policy policy.Settings `json:"policy,omitzero"`
 }
 
 // Defaults of settings.
@@ -58,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Settings{LeaseMillis: DefaultLeaseMillis, StopMillis: DefaultStopMillis}
+	s := &Settings{LeaseMillis: DefaultLeaseMillis, StopMillis: DefaultStopMillis, Policy: policy.Defaults()}
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
@@ -87,7 +90,7 @@
 			return &setting.Error{Field: field, Problem: "is not host:port"}
 		}
 	}
-	return nil
+	return s.Policy.Validate()
 }
 
 // Where the lists lie in the store.
@@ -178,6 +181,7 @@
 			DecodeCatalog: decodeCatalog,
 		},
 		LeaseMost: time.Duration(s.LeaseMillis) * time.Millisecond,
+		Policy:    s.Policy,
 	})
 	d.http = wire.NewServer(d.handler(), nil)
 	serve.Listen(d.http, callers)
--- /dev/null
+++ b/internal/kept/policy/admit.go
@@ -0,0 +1,51 @@
+package policy
+
+import "time"
+
+// Reason is why a submission is refused; "": it is not.
+type Reason string
+
+// The reasons. A refused submission has not run, and will not.
+const (
+	NoShard   Reason = "no_shard_reachable"
+	Forecast  Reason = "forecast_too_late"
+	Hopeless  Reason = "too_late_by_now"
+	OutOfTime Reason = "waited_its_share"
+)
+
+// Refused reports whether there is a reason.
+func (r Reason) Refused() bool { return r != "" }
+
+// Admit decides, when a submission comes, whether one of the shards that can be reached
+// would do it while its caller has a use for the answer.
+func (s *Settings) Admit(now time.Duration, w *Work, shards []Candidate) Reason {
+	if len(shards) == 0 {
+		return NoShard
+	}
+	if s.Band(now+leastWait(shards), w) == TooLate {
+		return Forecast
+	}
+	return ""
+}
+
+// leastWait is the time until a task would start at the shard where it would start first.
+func leastWait(shards []Candidate) time.Duration {
+	least := shards[0].Wait
+	for _, c := range shards[1:] {
+		least = min(least, c.Wait)
+	}
+	return least
+}
+
+// KeepWaiting decides whether a submission of which nothing has begun goes on waiting for
+// room at its shard.
+func (s *Settings) KeepWaiting(now time.Duration, w *Work) Reason {
+	switch {
+	case s.Band(now, w) == TooLate:
+		return Hopeless
+	case s.WaitShare > 0 && w.Patience > 0 && now-w.Came > time.Duration(s.WaitShare*float64(w.Patience)):
+		return OutOfTime
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/kept/policy/order.go
@@ -0,0 +1,87 @@
+package policy
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Work is what the order and the admission of a submission depend on.
+type Work struct {
+	ID        submission.ID
+	Priority  int           // of its queue; 0 comes first
+	Came      time.Duration // when it came
+	Objective time.Duration // in which it should be done, since it came
+	Takes     time.Duration // if all its tasks start now
+	Patience  time.Duration // how long its caller waits, since it came; 0: not known
+	Begun     bool          // a task of it was given to a worker
+}
+
+// Band says whether a submission can still be done in time.
+type Band uint8
+
+// The bands, in the order in which they are served.
+const (
+	InTime  Band = iota
+	Late         // within submission.LateFactor times its objective
+	TooLate      // of little use to its caller
+)
+
+// Band returns the band of a submission that would start at a time.
+func (s *Settings) Band(start time.Duration, w *Work) Band {
+	takes := time.Duration(s.Margin * float64(w.Takes))
+	switch {
+	case start+takes <= w.Came+w.Objective:
+		return InTime
+	case start+w.Takes <= w.Came+submission.LateFactor*w.Objective:
+		return Late
+	default:
+		return TooLate
+	}
+}
+
+// Urgency is a submission's place in the order of its shard.
+type Urgency struct {
+	band     Band
+	priority int
+	begun    bool
+	deadline time.Duration
+	id       submission.ID
+}
+
+// Urgency returns the place of a submission in the order of its shard, now.
+func (s *Settings) Urgency(now time.Duration, w *Work) Urgency {
+	u := Urgency{priority: w.Priority, deadline: w.Came + w.Objective, id: w.ID}
+	if s.Bands {
+		u.band = s.Band(now, w)
+	}
+	if s.BegunFirst {
+		u.begun = w.Begun
+	}
+	return u
+}
+
+// Compare orders submissions, the most pressing first: by band, by priority, what has begun
+// first, then by the objective's end. The identity decides between equals, so that the
+// order is the same each time.
+func (u Urgency) Compare(other Urgency) int {
+	return cmp.Or(
+		cmp.Compare(u.band, other.band),
+		cmp.Compare(u.priority, other.priority),
+		-compareBool(u.begun, other.begun),
+		cmp.Compare(u.deadline, other.deadline),
+		cmp.Compare(u.id, other.id),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/internal/kept/policy/settings.go
@@ -0,0 +1,115 @@
+package policy
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Settings are the thresholds of all decisions. Operators can leave them alone; each can be
+// set, and each mechanism be switched off, to measure what it is worth on a site.
+type Settings struct {
+	// StartHoldMillis is for how long after its start a VM keeps submissions that it can
+	// give to no shard yet, in ms; 0: it refuses them. It answers the restart of all VMs
+	// at once: shards are recovered 80 to 250 ms after the first start.
+	StartHoldMillis int `json:"start_hold_millis"`
+	// ByPriority has a submission wait, in forecasts, only for what comes before it in its
+	// shard's order; off: for all that waits there. It answers overload by queues of a
+	// lower priority.
+	ByPriority bool `json:"by_priority"`
+	// Bands has what can still be done in time come before what cannot; off: the order is
+	// by priority and deadline only. It answers overload: time spent on what is late
+	// already makes the next one late too.
+	Bands bool `json:"bands"`
+	// Margin is how many times its expected run time a submission must have left to count
+	// as in time. It answers overload: by the deadline alone, each starts when it just
+	// fails to make it.
+	Margin float64 `json:"margin"`
+	// BegunFirst has a submission of which a task was started come before those of the
+	// same band and priority that have not begun.
+	BegunFirst bool `json:"begun_first"`
+	// WaitShare is the share of its caller's time that a submission may wait untried; the
+	// caller can still try elsewhere in what is left. 0: all of it.
+	WaitShare float64 `json:"wait_share"`
+	// OwnReserve is the share of the room of the own failure domain that is kept free of
+	// its neighbours' balance: above it the own domain is taken, as it is nearer and
+	// cannot be cut off from this VM.
+	OwnReserve float64 `json:"own_reserve"`
+	// Spread divides a wide submission that fits into no shard over several.
+	Spread bool `json:"spread"`
+	// Eject leaves a worker alone that fails what completes elsewhere.
+	Eject bool `json:"eject"`
+	// FastFirst gives tasks to the workers first on which runs take less time.
+	FastFirst bool `json:"fast_first"`
+	// BestFit takes, of equally fast workers, the one that a task fills best; off: the one
+	// with most room.
+	BestFit bool `json:"best_fit"`
+	// LearnPace corrects estimates by how long runs of the same queue took.
+	LearnPace bool `json:"learn_pace"`
+}
+
+// Defaults are the settings that measured best on all sites played.
+func Defaults() Settings {
+	return Settings{
+		StartHoldMillis: 0,
+		ByPriority:      false,
+		Bands:           true,
+		Margin:          1,
+		BegunFirst:      false,
+		WaitShare:       0.4,
+		OwnReserve:      0.1,
+		Spread:          true,
+		Eject:           true,
+		FastFirst:       true,
+		BestFit:         true,
+		LearnPace:       true,
+	}
+}
+
+// SettingError says which policy setting cannot be used, and why.
+type SettingError struct {
+	Name string // "" if the name itself cannot be told
+	Why  string
+}
+
+func (e *SettingError) Error() string { return fmt.Sprintf("policy setting %q: %s", e.Name, e.Why) }
+
+// Parse changes the defaults by settings given as text, by their names in JSON.
+func Parse(text map[string]string) (Settings, error) {
+	s := Defaults()
+	for _, name := range slices.Sorted(maps.Keys(text)) {
+		body := fmt.Sprintf("{%s:%s}", strconv.Quote(name), text[name])
+		d := json.NewDecoder(bytes.NewReader([]byte(body)))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&s); err != nil {
+			return Settings{}, &SettingError{Name: name, Why: strings.TrimPrefix(err.Error(), "json: ")}
+		}
+	}
+	return s, s.Validate()
+}
+
+// Validate reports the first setting that is out of its range.
+func (s *Settings) Validate() error {
+	switch {
+	case s.StartHoldMillis < 0 || s.StartHoldMillis > 10_000:
+		return &SettingError{Name: "start_hold_millis", Why: "is not from 0 to 10000"}
+	case s.Margin < 0.5 || s.Margin > 5:
+		return &SettingError{Name: "margin", Why: "is not from 0.5 to 5"}
+	case s.WaitShare < 0 || s.WaitShare > 1:
+		return &SettingError{Name: "wait_share", Why: "is not from 0 to 1"}
+	case s.OwnReserve < 0 || s.OwnReserve > 1:
+		return &SettingError{Name: "own_reserve", Why: "is not from 0 to 1"}
+	default:
+		return nil
+	}
+}
+
+// StartHold is StartHoldMillis as a time.
+func (s *Settings) StartHold() time.Duration {
+	return time.Duration(s.StartHoldMillis) * time.Millisecond
+}
--- /dev/null
+++ b/internal/kept/policy/split.go
@@ -0,0 +1,86 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Candidate is a shard that could take tasks of a submission.
+type Candidate struct {
+	Shard string
+	Own   bool          // of this VM's failure domain
+	Free  int           // tasks that fit now
+	Room  int           // tasks that fit in all
+	Wait  time.Duration // until one more task would start, if none fits now
+}
+
+// Portion is the number of a submission's tasks that a shard gets.
+type Portion struct {
+	Shard string
+	Tasks int
+}
+
+// Split decides which shards get how many of equal tasks. All go to one shard if one
+// has room for them. Otherwise those that fit nowhere are spread so that all shards
+// end at about the same time; each is task long. Without the spread a wide submission
+// waits for its last tasks in one shard while others have room.
+func (s *Settings) Split(shards []Candidate, tasks int, divisible bool, task time.Duration) []Portion {
+	if len(shards) == 0 || tasks == 0 {
+		return nil
+	}
+	order := slices.Clone(shards)
+	slices.SortFunc(order, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Wait, b.Wait), cmp.Compare(a.Shard, b.Shard))
+	})
+	for _, c := range order {
+		if c.Own && float64(c.Free-tasks) >= s.OwnReserve*float64(c.Room) {
+			return []Portion{{c.Shard, tasks}}
+		}
+	}
+	if order[0].Free >= tasks {
+		return []Portion{{order[0].Shard, tasks}}
+	}
+	if !divisible || tasks == 1 || !s.Spread {
+		return []Portion{{soonest(order, make([]int, len(order)), task), tasks}}
+	}
+	return spread(order, tasks, task)
+}
+
+func spread(order []Candidate, tasks int, task time.Duration) []Portion {
+	given := make([]int, len(order))
+	left := tasks
+	for i, c := range order {
+		given[i] = min(c.Free, left)
+		left -= given[i]
+	}
+	queued := make([]int, len(order))
+	for ; left > 0; left-- {
+		name := soonest(order, queued, task)
+		i := slices.IndexFunc(order, func(c Candidate) bool { return c.Shard == name })
+		queued[i]++
+		given[i]++
+	}
+	var out []Portion
+	for i, c := range order {
+		if given[i] > 0 {
+			out = append(out, Portion{c.Shard, given[i]})
+		}
+	}
+	return out
+}
+
+// soonest is the shard where one more task would begin first.
+func soonest(order []Candidate, queued []int, task time.Duration) string {
+	best, bestWait := "", time.Duration(0)
+	for i, c := range order {
+		wait := c.Wait + task*time.Duration(queued[i])/time.Duration(max(c.Room, 1))
+		if c.Room == 0 {
+			wait += time.Hour
+		}
+		if best == "" || wait < bestWait {
+			best, bestWait = c.Shard, wait
+		}
+	}
+	return best
+}
--- a/internal/kept/vm/split_test.go
+++ b/internal/kept/policy/split_test.go
@@ -1,4 +1,4 @@
-package vm
+package policy
 
 import (
 	"fmt"
@@ -10,11 +10,13 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-func shardsOf(free, room []int) []candidate {
-	var out []candidate
+var settings = Defaults()
+
+func shardsOf(free, room []int) []Candidate {
+	var out []Candidate
 	for i := range free {
 		f := min(free[i], room[i%len(room)])
-		out = append(out, candidate{shard: fmt.Sprint(i), own: i == 0, free: f, room: room[i%len(room)], backlog: time.Duration(i) * time.Millisecond})
+		out = append(out, Candidate{Shard: fmt.Sprint(i), Own: i == 0, Free: f, Room: room[i%len(room)], Wait: time.Duration(i) * time.Millisecond})
 	}
 	return out
 }
@@ -32,12 +34,12 @@
 			shards := shardsOf(free, room)
 			total, given := 0, 0
 			for _, c := range shards {
-				total += c.free
+				total += c.Free
 			}
-			for _, p := range split(shards, tasks, true, 100*time.Millisecond) {
-				given += p.tasks
+			for _, p := range settings.Split(shards, tasks, true, 100*time.Millisecond) {
+				given += p.Tasks
 				for _, c := range shards {
-					if c.shard == p.shard && total >= tasks && p.tasks > c.free {
+					if c.Shard == p.Shard && total >= tasks && p.Tasks > c.Free {
 						return false
 					}
 				}
@@ -46,18 +48,18 @@
 		}, counts, rooms, gen.IntRange(1, 40)))
 	properties.Property("what waits for each other stays together", prop.ForAll(
 		func(free, room []int, tasks int) bool {
-			p := split(shardsOf(free, room), tasks, false, 100*time.Millisecond)
-			return len(p) == 1 && p[0].tasks == tasks
+			p := settings.Split(shardsOf(free, room), tasks, false, 100*time.Millisecond)
+			return len(p) == 1 && p[0].Tasks == tasks
 		}, counts, rooms, gen.IntRange(1, 40)))
 	properties.TestingRun(t)
 }
 
 func TestOwnDomainComesFirstWhileItKeepsAReserve(t *testing.T) {
-	shards := []candidate{{shard: "own", own: true, free: 10, room: 28}, {shard: "other", free: 20, room: 28}}
-	if p := split(shards, 4, true, time.Second); len(p) != 1 || p[0].shard != "own" {
+	shards := []Candidate{{Shard: "own", Own: true, Free: 10, Room: 28}, {Shard: "other", Free: 20, Room: 28}}
+	if p := settings.Split(shards, 4, true, time.Second); len(p) != 1 || p[0].Shard != "own" {
 		t.Errorf("%+v", p)
 	}
-	if p := split(shards, 9, true, time.Second); len(p) != 1 || p[0].shard != "other" {
+	if p := settings.Split(shards, 9, true, time.Second); len(p) != 1 || p[0].Shard != "other" {
 		t.Errorf("%+v", p)
 	}
 }
--- /dev/null
+++ b/internal/kept/policy/trust.go
@@ -0,0 +1,152 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// Trust is what runs on a worker have shown of it. Its zero value is that of a worker of
+// which nothing is known.
+type Trust struct {
+	streak    int           // failed runs since the last that completed
+	last      submission.ID // whose run failed last; "": none
+	slow      float64       // how much longer runs take here than elsewhere; 0: not known
+	ejected   time.Duration // until when it gets nothing
+	ejections int
+}
+
+// A worker that fails what completes elsewhere is left alone for a while. Without it a
+// worker that fails all at once draws all work, as it always has room. Sound workers
+// fail two runs in a thousand, so two failures of different submissions without a
+// completed run between them are enough; one makes it the last choice, for one task at
+// a time.
+const (
+	streakMost = 2               // failed runs in a row, of different submissions
+	ejectFirst = 2 * time.Second // doubled with each ejection
+	ejectMost  = 8 * time.Second
+	slowWeight = 0.2 // of a new run in the mean
+	slowFloor  = 0.5
+	doubtCost  = 10 // of a worker whose last run failed
+)
+
+// Failed notes a failed run of a submission.
+func (r *Trust) Failed(now time.Duration, id submission.ID) {
+	if r.last == id {
+		return // counted
+	}
+	r.last = id
+	r.streak++
+	if r.streak >= streakMost && now >= r.ejected {
+		r.ejected = now + min(ejectFirst<<r.ejections, ejectMost)
+		r.ejections = min(r.ejections+1, 4)
+	}
+}
+
+// Pardon takes back a failure of a submission that failed elsewhere too.
+func (r *Trust) Pardon(id submission.ID) {
+	if r.last != id || r.streak == 0 {
+		return
+	}
+	r.last = ""
+	r.streak--
+	r.ejected = 0
+}
+
+// Completed notes a run and the ratio of its time to the expected one.
+func (r *Trust) Completed(ratio float64) {
+	r.streak = 0
+	r.last = ""
+	r.ejections = 0
+	if r.slow == 0 {
+		r.slow = 1
+	}
+	r.slow += (ratio - r.slow) * slowWeight
+}
+
+// Admits reports whether a worker may get a task beside those it has.
+func (s *Settings) Admits(now time.Duration, r *Trust, beside int) bool {
+	if !s.Eject {
+		return true
+	}
+	if now < r.ejected {
+		return false
+	}
+	return r.streak == 0 || beside == 0
+}
+
+// Place is a worker as a choice for a task.
+type Place struct {
+	Trust  *Trust
+	Remote bool // the task's data is elsewhere
+	Avoid  bool // the task failed there before
+}
+
+// Cost ranks workers for a task, the lowest first: how much longer it takes there.
+func (s *Settings) Cost(p Place) float64 {
+	slow := p.Trust.slow
+	if slow == 0 || !s.FastFirst {
+		slow = 1
+	}
+	cost := max(slow, slowFloor)
+	if p.Remote {
+		cost *= remoteFactor
+	}
+	if p.Trust.streak > 0 && s.Eject {
+		cost *= doubtCost
+	}
+	if p.Avoid {
+		cost *= avoidFactor
+	}
+	return float64(int(cost * costSteps))
+}
+
+const (
+	remoteFactor = 1.5 // time of a task away from its data, by the platform's figures
+	avoidFactor  = 100 // where it failed before: last choice
+	costSteps    = 5   // differences under a fifth are noise
+)
+
+// Better reports whether a worker with some processor left is preferred to another that
+// costs the same.
+func (s *Settings) Better(left, otherLeft int64) bool {
+	if s.BestFit {
+		return left < otherLeft
+	}
+	return left > otherLeft
+}
+
+// Pace is how long a queue's tasks take, against their callers' estimates. Its zero value
+// trusts the estimates.
+type Pace struct {
+	factor float64
+	runs   int
+}
+
+// Learning of a queue's pace.
+const (
+	paceWeight = 0.05
+	paceEarly  = 10 // runs for which the plain mean is used
+	paceMost   = 4  // a run counts as at most so many times the usual one
+)
+
+// Factor is by how much to multiply estimates.
+func (p *Pace) Factor() float64 {
+	if p == nil || p.runs == 0 {
+		return 1
+	}
+	return p.factor
+}
+
+// Learn takes the time of a run that has completed, as a share of its estimate. It returns
+// that share against the queue's pace: above 1 the run was slow.
+func (s *Settings) Learn(p *Pace, ratio float64) float64 {
+	factor := p.Factor()
+	if !s.LearnPace {
+		return ratio
+	}
+	p.runs++
+	weight := max(paceWeight, 1/float64(min(p.runs, paceEarly)+1))
+	p.factor = factor + (min(ratio, paceMost*factor)-factor)*weight
+	return ratio / factor
+}
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
@@ -22,7 +23,7 @@
 	ends     []endEntry    // taken into account and not acknowledged, by number
 	fullTill time.Duration // it refused a run for want of room
 	sickTill time.Duration // it refused a run as it is not in order
-	record   trust
+	record   policy.Trust
 	strays   map[submission.TaskRef]strayRun
 }
 
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
@@ -153,40 +154,19 @@
 	}
 }
 
-// byUrgency returns the submissions with tasks that may start, the most pressing
-// first: those that can still reach their objective, then those that can be done
-// within three times of it, then the others; within each, by the queue's priority
-// and the time left.
+// byUrgency returns the submissions with tasks that may start, the most pressing first.
 func (s *Shard) byUrgency(now time.Duration) []*job {
 	type ranked struct {
-		job      *job
-		band     int
-		deadline time.Duration
+		job     *job
+		urgency policy.Urgency
 	}
 	var list []ranked
 	for _, j := range s.jobs {
-		if j.state.Final() || !j.startable() {
-			continue
-		}
-		objective := s.objective(j)
-		r := ranked{job: j, deadline: j.came + objective}
-		ends := now + s.remaining(j)
-		if ends > r.deadline {
-			r.band = 1
+		if !j.state.Final() && j.startable() {
+			list = append(list, ranked{job: j, urgency: s.settings.Policy.Urgency(now, s.work(j))})
 		}
-		if ends > j.came+submission.LateFactor*objective {
-			r.band = 2
-		}
-		list = append(list, r)
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(
-			cmp.Compare(a.band, b.band),
-			cmp.Compare(a.job.rec.Terms.Priority, b.job.rec.Terms.Priority),
-			cmp.Compare(a.deadline, b.deadline),
-			cmp.Compare(a.job.rec.ID, b.job.rec.ID),
-		)
-	})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return a.urgency.Compare(b.urgency) })
 	out := make([]*job, len(list))
 	for i := range list {
 		out[i] = list[i].job
@@ -194,28 +174,31 @@
 	return out
 }
 
-// rejectHopeless ends a transient submission of which nothing has run and which cannot be
-// done any more while its caller has a use for it. The caller learns at once that it has
-// not run.
+// work is a submission as the policy sees it.
+func (s *Shard) work(j *job) *policy.Work {
+	takes := s.remaining(j)
+	return &policy.Work{
+		ID:        j.rec.ID,
+		Priority:  j.rec.Terms.Priority,
+		Came:      j.came,
+		Objective: j.rec.Terms.Objective(takes),
+		Takes:     takes,
+		Patience:  j.rec.Patience,
+		Begun:     j.offered,
+	}
+}
+
+// rejectHopeless ends a transient submission of which nothing has run and that is not worth
+// waiting for any more. The caller learns at once that it has not run.
 func (s *Shard) rejectHopeless(now time.Duration, j *job) {
 	if !j.rec.Transient || j.rec.Part || j.state.Final() || j.begun() {
 		return
 	}
-	if now+s.remaining(j) > j.came+submission.LateFactor*s.objective(j) || s.tooLong(now, j) {
-		s.end(now, j, submission.Rejected, "it cannot be done in time")
+	if reason := s.settings.Policy.KeepWaiting(now, s.work(j)); reason.Refused() {
+		s.end(now, j, submission.Rejected, string(reason))
 	}
 }
 
-// tooLong reports whether a submission has waited for so much of its caller's time that
-// an answer now serves the caller better: it can still try elsewhere.
-func (s *Shard) tooLong(now time.Duration, j *job) bool {
-	patience := j.rec.Patience
-	return patience > 0 && now-j.came > time.Duration(waitShare*float64(patience))
-}
-
-// waitShare is the share of its caller's time that a submission may wait untried.
-const waitShare = 0.4
-
 func (j *job) startable() bool {
 	for _, t := range j.tasks {
 		if t.state == waiting && j.due(t) {
@@ -225,11 +208,6 @@
 	return false
 }
 
-// objective is the time in which a submission should be done.
-func (s *Shard) objective(j *job) time.Duration {
-	return j.rec.Terms.Objective(s.remaining(j))
-}
-
 // remaining is the time a submission takes if all its tasks start now.
 func (s *Shard) remaining(j *job) time.Duration {
 	return time.Duration(float64(j.chain) * s.factor(j.rec.Queue))
@@ -306,8 +284,12 @@
 		if !s.fits(now, t, r) {
 			continue
 		}
-		cost := s.cost(t, r)
-		if best == nil || cost < bestCost || cost == bestCost && r.cpu < best.cpu {
+		cost := s.settings.Policy.Cost(policy.Place{
+			Trust:  &r.host.record,
+			Remote: t.step.DataRack != "" && t.step.DataRack != r.host.info.Rack,
+			Avoid:  t.avoid == r.host,
+		})
+		if best == nil || cost < bestCost || cost == bestCost && s.settings.Policy.Better(r.cpu, best.cpu) {
 			best, bestCost = r, cost
 		}
 	}
@@ -325,7 +307,7 @@
 	case step.MaxPerWorker > 0 && r.byTasks[stepKey{t.ref.ID, t.ref.Step}] >= step.MaxPerWorker:
 		return false
 	default:
-		return r.host.record.admits(now, s.runsOn(r))
+		return s.settings.Policy.Admits(now, &r.host.record, s.runsOn(r))
 	}
 }
 
@@ -337,6 +319,22 @@
 	return n
 }
 
+func (s *Shard) factor(queue string) float64 { return s.pace[queue].Factor() }
+
+// learn takes the time of a run that has completed.
+func (s *Shard) learn(now time.Duration, h *host, t *task) {
+	if t.startedAt == 0 || t.step.Estimate <= 0 {
+		return
+	}
+	queue := t.job.rec.Queue
+	p := s.pace[queue]
+	if p == nil {
+		p = &policy.Pace{}
+		s.pace[queue] = p
+	}
+	h.record.Completed(s.settings.Policy.Learn(p, float64(now-t.startedAt)/float64(t.step.Estimate)))
+}
+
 func (s *Shard) start(now time.Duration, t *task, r *room) {
 	first := !t.job.offered
 	t.job.offered = true
@@ -369,31 +367,56 @@
 		}
 	}
 	for _, r := range s.rooms(now) {
-		if r.host.record.admits(now, s.runsOn(r)) {
+		if s.settings.Policy.Admits(now, &r.host.record, s.runsOn(r)) {
 			l.FreeMilli = append(l.FreeMilli, r.cpu)
 		}
 	}
-	var work float64 // thousandths of a core times nanoseconds
 	for _, j := range s.jobs {
 		if j.firstRun == 0 && !j.state.Final() {
 			l.Waiting[j.rec.Queue]++
 		}
+	}
+	l.Queued = s.queued(now, l.RoomMilli)
+	return l
+}
+
+// queued sums what waits for room by band and priority.
+func (s *Shard) queued(now time.Duration, room int64) []Queued {
+	type key struct {
+		band     policy.Band
+		priority int
+	}
+	sums := make(map[key]*Queued)
+	for _, j := range s.jobs {
+		if j.state.Final() || !j.startable() {
+			continue
+		}
+		k := key{s.settings.Policy.Band(now, s.work(j)), j.rec.Terms.Priority}
+		q := sums[k]
+		if q == nil {
+			q = &Queued{Band: k.band, Priority: k.priority}
+			sums[k] = q
+		}
 		factor := s.factor(j.rec.Queue)
 		for _, t := range j.tasks {
 			if t.state == waiting && j.due(t) {
-				work += factor * float64(t.step.Estimate) * float64(t.step.CPUMilli)
-				l.QueuedMilli += t.step.CPUMilli
+				q.Milli += t.step.CPUMilli
+				q.Takes += time.Duration(factor * float64(t.step.Estimate) * float64(t.step.CPUMilli) / float64(max(room, 1)))
 			}
 		}
 	}
-	if l.RoomMilli > 0 {
-		l.Backlog = time.Duration(work / float64(l.RoomMilli))
+	out := make([]Queued, 0, len(sums))
+	for _, q := range sums {
+		out = append(out, *q)
 	}
-	return l
+	slices.SortFunc(out, func(a, b Queued) int {
+		return cmp.Or(cmp.Compare(a.Band, b.Band), cmp.Compare(a.Priority, b.Priority))
+	})
+	return out
 }
 
-// Fit is how many tasks of a size could start beside those that wait.
-func (l *Load) Fit(milli int64) int {
+// Fit is how many tasks of a size could start beside what is served before them.
+func (l *Load) Fit(milli, ahead int64) int {
 	if milli <= 0 {
 		return 0
 	}
@@ -401,5 +424,5 @@
 	for _, free := range l.FreeMilli {
 		n += int(free / milli)
 	}
-	return max(n-int((l.QueuedMilli+milli-1)/milli), 0)
+	return max(n-int((ahead+milli-1)/milli), 0)
 }
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
@@ -24,7 +25,7 @@
 	early   map[string]earlyListing       // listings that came before the records
 	orphans map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
 	shortAt time.Duration                 // when runs of transient submissions that nobody lists are over
-	pace    map[string]*pace              // by queue
+	pace    map[string]*policy.Pace       // by queue
 	out     Actions
 	pruneAt time.Duration
 	dirty   bool // something may start
@@ -62,7 +63,7 @@
 		workers:   make(map[string]*host),
 		early:     make(map[string]earlyListing),
 		past:      make(map[submission.ID]endedJob),
-		pace:      make(map[string]*pace),
+		pace:      make(map[string]*policy.Pace),
 	}
 }
 
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -322,10 +322,11 @@
 	w.assign(rec)
 	w.run(50 * ms)
 	load := w.shard.Load(w.now)
-	if load.Fit(6800) != 3 {
-		t.Errorf("%d tasks fit beside one running, want 3", load.Fit(6800))
+	milli, takes := load.Ahead(0, true)
+	if load.Fit(6800, milli) != 3 {
+		t.Errorf("%d tasks fit beside one running, want 3", load.Fit(6800, milli))
 	}
-	if load.Backlog > 0 {
-		t.Errorf("a backlog of %v while nothing waits for room", load.Backlog)
+	if takes > 0 || milli > 0 {
+		t.Errorf("%d thousandths of a core and %v ahead while nothing waits for room", milli, takes)
 	}
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
@@ -82,20 +83,41 @@
 
 // Load is what others need to know to send submissions here.
 type Load struct {
-	Ready       bool
-	FreeMilli   []int64        // free processor of each usable worker with room, thousandths of a core
-	RoomMilli   int64          // processor of all usable workers
-	QueuedMilli int64          // of the tasks that wait for room; not of those whose step has not begun
-	Backlog     time.Duration  // time that these take on all usable workers
-	Waiting     map[string]int // submissions of each queue of which no task has started
+	Ready     bool
+	FreeMilli []int64        // free processor of each usable worker with room, thousandths of a core
+	RoomMilli int64          // processor of all usable workers
+	Queued    []Queued       // what waits for room, in the order in which it is served
+	Waiting   map[string]int // submissions of each queue of which no task has started
+}
+
+// Queued is what waits for room in one band at one priority, but for tasks whose step has
+// not begun.
+type Queued struct {
+	Band     policy.Band
+	Priority int
+	Milli    int64         // processor, thousandths of a core
+	Takes    time.Duration // on all usable workers
+}
+
+// Ahead is what is served before a submission of some priority that comes now and can be
+// done in time. With all, everything that waits counts.
+func (l *Load) Ahead(priority int, all bool) (milli int64, takes time.Duration) {
+	for _, q := range l.Queued {
+		if all || q.Band == policy.InTime && q.Priority <= priority {
+			milli += q.Milli
+			takes += q.Takes
+		}
+	}
+	return milli, takes
 }
 
 // Settings of a shard.
 type Settings struct {
+	Policy    policy.Settings
 	SaveAfter time.Duration // an unfinished submission's ends are stored after this, to be acknowledged
 }
 
 // DefaultSettings are for workers with leases of a second.
 func DefaultSettings() Settings {
-	return Settings{SaveAfter: 1500 * time.Millisecond}
+	return Settings{Policy: policy.Defaults(), SaveAfter: 1500 * time.Millisecond}
 }
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -142,7 +142,8 @@
 	s.workers.Update(float64(workers))
 	s.room.Update(float64(l.RoomMilli) / milliPerCore)
 	s.free.Update(float64(free) / milliPerCore)
-	s.queued.Update(float64(l.QueuedMilli) / milliPerCore)
+	queued, _ := l.Ahead(0, true)
+	s.queued.Update(float64(queued) / milliPerCore)
 }
 
 const milliPerCore = 1000
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -73,7 +73,7 @@
 		barrierAt += authorityOver
 	}
 	h := &held{
-		core:      shard.New(e.at, shard.DefaultSettings(), holding.Token, barrierAt),
+		core:      shard.New(e.at, e.shardSettings(), holding.Token, barrierAt),
 		holding:   holding,
 		hands:     make(map[string]*hand),
 		asked:     make(map[submission.ID][]string),
@@ -95,6 +95,12 @@
 		"workers", len(h.hands), "barrier_in", barrierAt-e.at)
 }
 
+func (e *engine) shardSettings() shard.Settings {
+	s := shard.DefaultSettings()
+	s.Policy = e.vm.config.Policy
+	return s
+}
+
 func (e *engine) dropShard(h *held, now site.Holding) {
 	h.cancel()
 	delete(e.shards, h.holding.Shard)
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -81,7 +81,7 @@
 		return
 	}
 	need := demand(rec)
-	name := split(shards, need, false, longestEstimate(rec))[0].shard
+	name := e.vm.config.Policy.Split(shards, need, false, longestEstimate(rec))[0].Shard
 	holding := e.site.Holding(name)
 	rec.Shard = name
 	rec.Token = holding.Token
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -1,45 +1,66 @@
 package vm
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
 // candidates returns the shards that can take a submission, or why none does.
-func (e *engine) candidates(r *submission.Record) ([]candidate, *Outcome) {
-	var out []candidate
+func (e *engine) candidates(r *submission.Record) ([]policy.Candidate, *Outcome) {
+	p := &e.vm.config.Policy
+	var out []policy.Candidate
 	size := largestTask(r)
 	for _, name := range slices.Sorted(maps.Keys(e.loads)) {
 		if !e.reachable(name) {
 			continue
 		}
 		l := e.loads[name]
-		out = append(out, candidate{
-			shard:   name,
-			own:     site.DomainOf(name) == e.vm.config.Domain,
-			free:    max(l.Fit(size)-int(l.sent/size), 0),
-			room:    int(l.RoomMilli / size),
-			backlog: l.Backlog,
+		ahead, wait := l.Ahead(r.Terms.Priority, !p.ByPriority)
+		out = append(out, policy.Candidate{
+			Shard: name,
+			Own:   site.DomainOf(name) == e.vm.config.Domain,
+			Free:  max(l.Fit(size, ahead)-int(l.sent/size), 0),
+			Room:  int(l.RoomMilli / size),
+			Wait:  wait,
 		})
 	}
-	if len(out) == 0 {
-		return nil, &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "no shard can be reached"}
-	}
-	useful := submission.LateFactor * r.Terms.Objective(r.Chain())
-	least := slices.MinFunc(out, func(a, b candidate) int { return cmp.Compare(a.backlog, b.backlog) }).backlog
-	if least > useful {
-		return nil, &Outcome{Kind: Busy, RetryAfter: least, Why: "it could not be done in time"}
+	if reason := p.Admit(e.at, e.work(r), out); reason.Refused() {
+		return nil, &Outcome{Kind: Busy, RetryAfter: comeBack(out), Why: string(reason)}
 	}
 	return out, nil
 }
 
+// work is a submission that has just come, as the policy sees it.
+func (e *engine) work(r *submission.Record) *policy.Work {
+	return &policy.Work{
+		ID:        r.ID,
+		Priority:  r.Terms.Priority,
+		Came:      e.at,
+		Objective: r.Terms.Objective(r.Chain()),
+		Takes:     r.Chain(),
+		Patience:  r.Patience,
+	}
+}
+
+// comeBack is when a caller that is refused should try again.
+func comeBack(shards []policy.Candidate) time.Duration {
+	if len(shards) == 0 {
+		return retryAfter
+	}
+	least := shards[0].Wait
+	for _, c := range shards[1:] {
+		least = min(least, c.Wait)
+	}
+	return least
+}
+
 // largestTask is the processor that a task takes, thousandths of a core.
 func largestTask(r *submission.Record) int64 {
 	size := int64(1)
@@ -73,13 +94,19 @@
 		e.vm.figures.shard(name).set(len(h.hands), &load)
 		e.takeLoad(e.vm.config.Name, name, h.holding.Token, load)
 		out := &pb.KeptLoad{
-			Shard:       name,
-			Token:       h.holding.Token,
-			Ready:       load.Ready,
-			RoomMilli:   load.RoomMilli,
-			QueuedMilli: load.QueuedMilli,
-			BacklogNs:   int64(load.Backlog),
-			Waiting:     make(map[string]uint32, len(load.Waiting)),
+			Shard:     name,
+			Token:     h.holding.Token,
+			Ready:     load.Ready,
+			RoomMilli: load.RoomMilli,
+			Waiting:   make(map[string]uint32, len(load.Waiting)),
+		}
+		for _, q := range load.Queued {
+			out.Queued = append(out.Queued, &pb.KeptQueued{
+				Band:     uint32(q.Band),
+				Priority: int32(q.Priority),
+				Milli:    q.Milli,
+				TakesNs:  int64(q.Takes),
+			})
 		}
 		for _, free := range load.FreeMilli {
 			out.FreeMilli = append(out.FreeMilli, uint32(max(free, 0)))
@@ -96,7 +123,7 @@
 
 func sameLoad(a, b shard.Load) bool {
 	return a.Ready == b.Ready && slices.Equal(a.FreeMilli, b.FreeMilli) && a.RoomMilli == b.RoomMilli &&
-		a.Backlog == b.Backlog && maps.Equal(a.Waiting, b.Waiting)
+		slices.Equal(a.Queued, b.Queued) && maps.Equal(a.Waiting, b.Waiting)
 }
 
 func (e *engine) takeLoad(holder, name string, token uint64, load shard.Load) {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
@@ -171,11 +172,9 @@
 
 func loadOf(l *pb.KeptLoad) shard.Load {
 	out := shard.Load{
-		Ready:       l.Ready,
-		RoomMilli:   l.RoomMilli,
-		QueuedMilli: l.QueuedMilli,
-		Backlog:     time.Duration(l.BacklogNs),
-		Waiting:     make(map[string]int, len(l.Waiting)),
+		Ready:     l.Ready,
+		RoomMilli: l.RoomMilli,
+		Waiting:   make(map[string]int, len(l.Waiting)),
 	}
 	for _, free := range l.FreeMilli {
 		out.FreeMilli = append(out.FreeMilli, int64(free))
@@ -183,5 +182,13 @@
 	for q, n := range l.Waiting {
 		out.Waiting[q] = int(n)
 	}
+	for _, q := range l.Queued {
+		out.Queued = append(out.Queued, shard.Queued{
+			Band:     policy.Band(q.Band),
+			Priority: int(q.Priority),
+			Milli:    q.Milli,
+			Takes:    time.Duration(q.TakesNs),
+		})
+	}
 	return out
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
@@ -87,8 +88,9 @@
 	e.vm.figures.queue(ev.record.Queue).taken.Inc(1)
 	for _, p := range parts {
 		l := e.loads[p.shard]
+		ahead, wait := l.Ahead(ev.record.Terms.Priority, false)
 		klog.InfoS("kept: taken", "id", id, "queue", ev.record.Queue, "shard", p.shard, "holder", l.holder, "token", l.token,
-			"tasks", p.record.Tasks(), "of", ev.record.Tasks(), "objective", ev.record.Terms.Objective(ev.record.Chain()), "free", l.Fit(largestTask(p.record)), "sent", l.sent, "backlog", l.Backlog, "load_age", e.at-l.at)
+			"tasks", p.record.Tasks(), "of", ev.record.Tasks(), "objective", ev.record.Terms.Objective(ev.record.Chain()), "free", l.Fit(largestTask(p.record), ahead), "sent", l.sent, "wait", wait, "load_age", e.at-l.at)
 		l.sent += int64(demand(p.record)) * largestTask(p.record)
 		e.give(p, l)
 	}
@@ -102,21 +104,21 @@
 		return nil, refusal
 	}
 	divisible := len(r.Steps) == 1 && r.Steps[0].MaxPerWorker == 0
-	portions := split(shards, demand(r), divisible, longestEstimate(r))
+	portions := e.vm.config.Policy.Split(shards, demand(r), divisible, longestEstimate(r))
 	if len(portions) == 1 {
-		r.Shard = portions[0].shard
+		r.Shard = portions[0].Shard
 		return []*part{{record: r, shard: r.Shard, changed: e.at}}, nil
 	}
 	var parts []*part
 	first := r.Steps[0].First
 	for _, portion := range portions {
 		piece := *r
-		piece.Shard = portion.shard
+		piece.Shard = portion.Shard
 		piece.Steps = slices.Clone(r.Steps)
 		piece.Steps[0].First = first
-		piece.Steps[0].Count = portion.tasks
+		piece.Steps[0].Count = portion.Tasks
 		piece.Part = true
-		first += portion.tasks
+		first += portion.Tasks
 		parts = append(parts, &part{record: &piece, shard: piece.Shard, changed: e.at})
 	}
 	return parts, nil
@@ -295,10 +297,10 @@
 		e.giveUp(t, "a holder has ended it")
 	case submission.Rejected:
 		p.state = state
-		backlog := e.loads[p.shard].Backlog
+		_, backlog := e.loads[p.shard].Ahead(t.record.Terms.Priority, true)
 		e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
-		klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", "it cannot be done in time", "after", e.at-t.came, "backlog", backlog)
-		e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: "it cannot be done in time"})
+		klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "backlog", backlog)
+		e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: string(policy.Hopeless)})
 	case submission.Failed:
 		p.state = state
 		e.withdraw(t)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -23,6 +23,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/clock"
 	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
@@ -51,6 +52,7 @@
 	Store       func(relay.Transport) store.Store // the store, over a way of making calls
 	Orders      worker.Orders
 	Lists       Lists
+	Policy      policy.Settings
 	Weight      float64       // processor of this VM, in cores; 0: not known
 	LeaseMost   time.Duration // longest lease of runs at a worker
 	Now         func() time.Duration
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/catalog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store/kvcall"
@@ -101,6 +102,7 @@
 	}
 	w.vms[name] = Start(Config{
 		Name:        name,
+		Policy:      policy.Defaults(),
 		Incarnation: w.lives,
 		Domain:      domain,
 		Domains:     w.domains,
--- a/internal/tool/keptsite/keptsite.go
+++ b/internal/tool/keptsite/keptsite.go
@@ -18,6 +18,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/connection/runhost"
 	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
 	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/pause"
@@ -192,6 +193,7 @@
 			PeerListen:   "127.0.0.1:0",
 			Store:        s.StoreAddr,
 			LeaseMillis:  daemon.DefaultLeaseMillis,
+			Policy:       policy.Defaults(),
 		})
 		if err != nil {
 			return err
