Entries of another writer name no worker; two mechanisms to be measured, both off

Cause: an entry of the list of workers whose state is not known passed for one that takes tasks, one without room, address or service for a worker; one key of the site that could not be read hid all others from a VM that starts; one route or stored worker of another type lost the rest. An entry that had been readable stayed in use. Change: the adapter refuses such entries with a typed reason, logged once a key; an entry that turns unreadable takes nothing new while what runs there is held; workers of services that no configuration names are not held; lists are read element by element; a division of a domain has bounds. Beside it, off by default until measured: start_hold_millis (submissions wait for the first shards after a start) and take_back (a divided submission of which nothing has begun is refused as a whole). Frames that wait are joined with all their fields (test).

--- a/internal/kept/catalog/catalog.go
+++ b/internal/kept/catalog/catalog.go
@@ -21,7 +21,10 @@
 type Catalog struct {
 	Version uint64
 	Queues  []Queue
-	Limits  Limits
+	// Services are those that workers may belong to; empty: any. Entries of the list of
+	// workers that name another service count as no workers.
+	Services []string
+	Limits   Limits
 }
 
 // Limits bound what callers may send.
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -224,6 +224,7 @@
 		f.Calls = append(f.Calls, w.Calls...)
 		f.Replies = append(f.Replies, w.Replies...)
 		f.Notes = append(f.Notes, w.Notes...)
+		f.TakenBack = append(f.TakenBack, w.TakenBack...)
 	}
 	return f
 }
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -42,6 +42,10 @@
 	OwnReserve float64 `json:"own_reserve"`
 	// Spread divides a wide submission that fits into no shard over several.
 	Spread bool `json:"spread"`
+	// TakeBack has a home take a divided submission back of which no part has begun, when it
+	// is not worth waiting for any more. It answers overload: two in a hundred submissions
+	// waited to the end of their callers' time without a word.
+	TakeBack bool `json:"take_back"`
 	// Eject leaves a worker alone that fails what completes elsewhere.
 	Eject bool `json:"eject"`
 	// FastFirst gives tasks to the workers first on which runs take less time.
@@ -64,6 +68,7 @@
 		WaitShare:       0.4,
 		OwnReserve:      0.1,
 		Spread:          true,
+		TakeBack:        false,
 		Eject:           true,
 		FastFirst:       true,
 		BestFit:         true,
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -74,7 +74,7 @@
 }
 
 func newJob(now time.Duration, r Stored, runBase uint64) *job {
-	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now, runBase: runBase, chain: r.Record.Chain()}
+	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now - r.Record.Age, runBase: runBase, chain: r.Record.Chain()}
 	for si := range r.Record.Steps {
 		step := &r.Record.Steps[si]
 		j.steps = append(j.steps, stepState{first: len(j.tasks), left: step.Count})
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -103,6 +103,20 @@
 	s.dirty = true
 }
 
+// TakeBack rejects a transient submission if nothing of it has begun; otherwise its home is
+// told how far it is.
+func (s *Shard) TakeBack(now time.Duration, id submission.ID) {
+	j, open := s.jobs[id]
+	switch {
+	case !open || !j.rec.Transient || j.state.Final():
+		return // its home has been told, or asks
+	case j.begun():
+		s.tell(j)
+	default:
+		s.end(now, j, submission.Rejected, "its home takes it back")
+	}
+}
+
 // HomeLost ends the transient submissions of an entry VM that cannot be reached:
 // nobody waits for them here, and their callers will send them to another VM, which
 // may give them to another shard. Without it one task would run twice at once.
--- a/internal/kept/site/keys.go
+++ b/internal/kept/site/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -30,9 +31,15 @@
 // core; a single holder of 88 workers took 0.43.
 const workersPerShard = 24
 
+// shardsMost bounds the shards of a domain: 24,000 workers. More is no division that was
+// written here.
+const shardsMost = 1000
+
+var errDivision = errors.New("a domain has from 1 to 1000 shards")
+
 // Divide returns the division of a domain with so many workers.
 func Divide(domain string, workers int) Division {
-	return Division{Domain: domain, Shards: max((workers+workersPerShard-1)/workersPerShard, 1)}
+	return Division{Domain: domain, Shards: min(max((workers+workersPerShard-1)/workersPerShard, 1), shardsMost)}
 }
 
 // ShardName names a shard of a failure domain.
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -14,6 +14,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -118,6 +119,9 @@
 	if err := json.Unmarshal(e.Value, &d); err != nil {
 		return &DecodeError{Key: e.Key, Err: err}
 	}
+	if d.Shards < 1 || d.Shards > shardsMost {
+		return &DecodeError{Key: e.Key, Err: errDivision}
+	}
 	s.divisions[domain] = d
 	for i := range d.Shards {
 		name := ShardName(domain, i)
@@ -201,7 +205,8 @@
 	return nil
 }
 
-// Reset takes the whole of the site's keys in place of all that was known.
+// Reset takes the whole of the site's keys in place of all that was known. A key that cannot
+// be read does not keep the others from being taken.
 func (s *Site) Reset(now time.Duration, items []store.Item) error {
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
@@ -212,12 +217,11 @@
 			s.lapse(now, m.Name)
 		}
 	}
+	var failed error
 	for _, it := range items {
-		if err := s.Apply(now, store.Event{Item: it}); err != nil {
-			return err
-		}
+		failed = errors.Join(failed, s.Apply(now, store.Event{Item: it}))
 	}
-	return nil
+	return failed
 }
 
 // Suspect says whether the link to an entry VM is lost.
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -106,6 +106,9 @@
 	Serial uint64 `json:"z,omitempty"`
 	// Patience is how long the caller of a transient submission waits; 0: not known.
 	Patience time.Duration `json:"w,omitempty"`
+	// Age is for how long a transient submission had been at its home when it was handed to
+	// the holder: its objective runs from when it came.
+	Age      time.Duration `json:"y,omitempty"`
 	Progress Progress      `json:"p,omitzero"`
 }
 
--- /dev/null
+++ b/internal/kept/vm/early_test.go
@@ -0,0 +1,82 @@
+package vm
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+func holdsEarly() policy.Settings {
+	p := policy.Defaults()
+	p.StartHoldMillis = 1000
+	return p
+}
+
+// Symptom: callers are refused for a quarter of a second after all VMs were off. Sequence:
+// all VMs lose power and start again; submissions come at once, the shards are recovered
+// some hundred milliseconds later. Cause: a VM refused what it could give to no shard yet.
+func TestSubmissionsWaitForTheFirstShards(t *testing.T) {
+	testWorldWith(t, holdsEarly(), func(w *world) {
+		names := []string{"a1", "a2", "b1", "b2"}
+		for _, name := range names {
+			w.kill(name)
+		}
+		time.Sleep(time.Second)
+		var outs []chan Outcome
+		for i, name := range names {
+			w.boot(name)
+			outs = append(outs, w.submit(name, submission.ID(fmt.Sprint("early-", i)), 1, runhost.Work{Time: 500 * ms}, true))
+		}
+		for _, out := range outs {
+			w.wantEnd(out, submission.Done)
+		}
+	})
+}
+
+// Symptom: a VM that is cut off from everything keeps its callers waiting. Sequence: it is
+// up for some time, then it is cut off, and a submission comes. What cannot be served is
+// refused at once.
+func TestOnlyTheFirstMomentsOfAVMAreWaitedFor(t *testing.T) {
+	testWorldWith(t, holdsEarly(), func(w *world) {
+		for _, name := range []string{"a2", "b1", "b2"} {
+			w.kill(name)
+		}
+		w.cut("a", true)
+		time.Sleep(10 * time.Second)
+		began := time.Now()
+		o := <-w.submit("a1", "job", 1, runhost.Work{Time: 500 * ms}, true)
+		if took := time.Since(began); o.Kind != Busy || took > 50*ms {
+			t.Errorf("%+v after %v, want a refusal at once", o, took)
+		}
+	})
+}
+
+// Symptom: a submission runs for a caller that has left. Sequence: it comes to a VM that
+// has just started, waits for the first shard, and its caller goes. Cause would be: it is
+// kept where nobody looks for it.
+func TestACallerMayGoBeforeAShardIsKnown(t *testing.T) {
+	testWorldWith(t, holdsEarly(), func(w *world) {
+		for _, name := range []string{"a1", "a2", "b1", "b2"} {
+			w.kill(name)
+		}
+		time.Sleep(time.Second)
+		w.boot("a1")
+		w.fleet.SetWork("job", runhost.Work{CPUMilli: 6800, Time: 5 * time.Second})
+		rec := equalTasks("job", 1, runhost.Work{CPUMilli: 6800, Time: 5 * time.Second})
+		rec.Transient = true
+		ctx, cancel := context.WithTimeout(context.Background(), 5*ms)
+		defer cancel()
+		if o := w.vms["a1"].Submit(ctx, rec); o.Kind != Unsure {
+			t.Errorf("%+v", o)
+		}
+		time.Sleep(2 * time.Second)
+		if n := w.fleet.Starts("job"); n != 0 {
+			t.Errorf("%d starts for a caller that had gone", n)
+		}
+	})
+}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -70,12 +70,15 @@
 	shards       map[string]*held
 	homes        map[submission.ID]*home // stored submissions
 	transients   map[submission.ID]*transient
+	early        []submitEvent // came before the shards are known
+	startedAt    time.Duration
 	links        map[string]*link.Link
 	up           map[string]bool // peers whose link stands
 	incarnations map[string]uint64
 	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
 	loads        map[string]*loadView
 	workers      []worker.Info
+	services     map[string]bool // that any configuration has named
 	claiming     map[string]bool
 	dividing     bool
 	serial       uint64                       // of transient submissions taken here
@@ -98,12 +101,14 @@
 		shards:       make(map[string]*held),
 		homes:        make(map[submission.ID]*home),
 		transients:   make(map[submission.ID]*transient),
+		startedAt:    v.now(),
 		links:        make(map[string]*link.Link),
 		up:           make(map[string]bool),
 		incarnations: make(map[string]uint64),
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
 		claiming:     make(map[string]bool),
+		services:     make(map[string]bool),
 		unplaced:     make(map[string]map[string]uint32),
 		frames:       make(map[string]*pb.KeptFrame),
 	}
@@ -121,6 +126,7 @@
 	for name, h := range e.shards {
 		e.drive(name, h)
 	}
+	e.releaseEarly()
 	e.moveTransients()
 	e.askForStates()
 	e.finishDrain()
@@ -209,12 +215,7 @@
 	if e.vm.Catalog() == nil {
 		return false
 	}
-	for name := range e.loads {
-		if e.reachable(name) {
-			return true
-		}
-	}
-	return false
+	return e.anyReachable()
 }
 
 // reachable reports whether the holder of a shard can be told of submissions.
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -19,7 +19,8 @@
 type (
 	submitEvent struct {
 		record *submission.Record
-		reply  chan Outcome // buffered
+		reply  chan Outcome  // buffered
+		came   time.Duration // set by the engine
 	}
 	stateEvent struct {
 		id    submission.ID
@@ -54,8 +55,9 @@
 		items  []store.Item
 		events []store.Event
 	}
-	workersEvent struct{ list []worker.Info }
-	createdEvent struct {
+	workersEvent  struct{ list []worker.Info }
+	servicesEvent struct{ names []string }
+	createdEvent  struct {
 		record *submission.Record
 		result journal.Result
 	}
--- /dev/null
+++ b/internal/kept/vm/foreign_test.go
@@ -0,0 +1,64 @@
+package vm
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// Symptom: a worker gets tasks though its entry does not name a worker any more. Sequence:
+// another writer overwrites the entry of a worker with something that cannot be read; a
+// run goes on there. Cause: the last readable entry stayed in use. What runs is still held.
+func TestAnEntryThatTurnsUnreadableTakesNothingNew(t *testing.T) {
+	testWorld(t, func(w *world) {
+		out := w.submit("a1", "long", 6, runhost.Work{Time: 2 * time.Second}, true)
+		time.Sleep(200 * ms)
+		w.store.Put("workers/w-a0", []byte("not an entry"))
+		w.wantEnd(out, submission.Done)
+		before := w.fleet.StartsOn("w-a0")
+		for i := range 5 {
+			w.wantEnd(w.submit("a1", submission.ID(rune('a'+i)), 4, runhost.Work{Time: 50 * ms}, true), submission.Done)
+		}
+		if n := w.fleet.StartsOn("w-a0") - before; n != 0 {
+			t.Errorf("%d starts on it", n)
+		}
+		if n := w.fleet.Starts("long"); n != 6 {
+			t.Errorf("%d starts of 6 tasks: what ran there was repeated", n)
+		}
+	})
+}
+
+// Symptom: room is told that no submission can use, and calls go to an address where no
+// worker is. Sequence: an entry names a service that no configuration names.
+func TestEntriesOfUnknownServicesAreNotHeld(t *testing.T) {
+	testWorld(t, func(w *world) {
+		value, err := json.Marshal(worker.Info{ID: "w-a9", Service: "elsewhere", Address: "nowhere", Domain: "a", CPUMilli: 16000, MemMB: 65536})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.store.Put("workers/w-a9", value)
+		time.Sleep(2 * time.Second)
+		holder := w.vms[w.holderOf("a")]
+		if n := handsOf(holder, "a/0"); n != 3 {
+			t.Errorf("%d workers are held, want 3", n)
+		}
+	})
+}
+
+// handsOf counts the workers that a VM holds of a shard.
+func handsOf(v *VM, shard string) int {
+	reply := make(chan int, 1)
+	v.post(handsEvent{shard: shard, reply: reply})
+	return <-reply
+}
+
+type handsEvent struct {
+	shard string
+	reply chan int
+}
+
+func (ev handsEvent) apply(e *engine) { ev.reply <- len(e.shards[ev.shard].hands) }
--- a/internal/kept/vm/hands.go
+++ b/internal/kept/vm/hands.go
@@ -76,10 +76,19 @@
 	if err != nil || it.Revision == 0 {
 		return nil, err
 	}
-	var list []worker.Info
-	if err := json.Unmarshal(it.Value, &list); err != nil {
+	var rows []json.RawMessage
+	if err := json.Unmarshal(it.Value, &rows); err != nil {
 		klog.ErrorS(err, "kept: the stored workers of a shard cannot be read", "shard", name)
 		return nil, nil
 	}
+	var list []worker.Info
+	for _, row := range rows {
+		var info worker.Info
+		if err := json.Unmarshal(row, &info); err != nil {
+			klog.ErrorS(err, "kept: a stored worker of a shard cannot be read, the others hold", "shard", name)
+			continue
+		}
+		list = append(list, info)
+	}
 	return list, nil
 }
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -42,6 +42,14 @@
 )
 
 func (ev submitEvent) apply(e *engine) {
+	ev.came = e.at
+	if !e.holdEarly(ev) {
+		e.decide(ev)
+	}
+}
+
+// decide takes a submission, or refuses it.
+func (e *engine) decide(ev submitEvent) {
 	id := ev.record.ID
 	if ev.record.Transient {
 		e.submitTransient(ev)
@@ -63,7 +71,7 @@
 		e.homes[id] = h
 	}
 	h.record = ev.record
-	h.came = e.at
+	h.came = ev.came
 	h.changed = e.at
 	h.waiters = append(h.waiters, ev.reply)
 	e.create(h)
@@ -72,7 +80,7 @@
 // create picks a shard and stores the record.
 func (e *engine) create(h *home) {
 	rec := h.record
-	shards, refusal := e.candidates(rec)
+	shards, refusal := e.candidates(rec, h.came)
 	if refusal == nil && e.vm.router.Down() {
 		refusal = &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: "the store does not answer"}
 	}
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -13,8 +13,16 @@
 )
 
 // candidates returns the shards that can take a submission, or why none does.
-func (e *engine) candidates(r *submission.Record) ([]policy.Candidate, *Outcome) {
-	p := &e.vm.config.Policy
+func (e *engine) candidates(r *submission.Record, came time.Duration) ([]policy.Candidate, *Outcome) {
+	shards := e.reachableShards(r)
+	if reason := e.vm.config.Policy.Admit(e.at, e.work(r, came), shards); reason.Refused() {
+		return nil, &Outcome{Kind: Busy, RetryAfter: comeBack(shards), Why: string(reason)}
+	}
+	return shards, nil
+}
+
+// reachableShards returns what the shards that can be reached could take of a submission.
+func (e *engine) reachableShards(r *submission.Record) []policy.Candidate {
 	var out []policy.Candidate
 	size := largestTask(r)
 	for _, name := range slices.Sorted(maps.Keys(e.loads)) {
@@ -22,7 +30,7 @@
 			continue
 		}
 		l := e.loads[name]
-		ahead, wait := l.Ahead(r.Terms.Priority, !p.ByPriority)
+		ahead, wait := l.Ahead(r.Terms.Priority, !e.vm.config.Policy.ByPriority)
 		out = append(out, policy.Candidate{
 			Shard: name,
 			Own:   site.DomainOf(name) == e.vm.config.Domain,
@@ -31,18 +39,15 @@
 			Wait:  wait,
 		})
 	}
-	if reason := p.Admit(e.at, e.work(r), out); reason.Refused() {
-		return nil, &Outcome{Kind: Busy, RetryAfter: comeBack(out), Why: string(reason)}
-	}
-	return out, nil
+	return out
 }
 
-// work is a submission that has just come, as the policy sees it.
-func (e *engine) work(r *submission.Record) *policy.Work {
+// work is a submission that came at a time and has not begun, as the policy sees it.
+func (e *engine) work(r *submission.Record, came time.Duration) *policy.Work {
 	return &policy.Work{
 		ID:        r.ID,
 		Priority:  r.Terms.Priority,
-		Came:      e.at,
+		Came:      came,
 		Objective: r.Terms.Objective(r.Chain()),
 		Takes:     r.Chain(),
 		Patience:  r.Patience,
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -28,7 +28,7 @@
 		e.vm.calls.reply(r)
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes) > 0 || f.Unplaced != nil {
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack) > 0 || f.Unplaced != nil {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
@@ -147,6 +147,9 @@
 		}
 		e.stopCancelled(ref)
 	}
+	for _, ref := range f.TakenBack {
+		e.takeBackPart(ref)
+	}
 	for _, l := range f.Loads {
 		e.takeLoad(ev.from, l.Shard, l.Token, loadOf(l))
 	}
--- /dev/null
+++ b/internal/kept/vm/takeback.go
@@ -0,0 +1,117 @@
+package vm
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// A submission that is divided over shards is refused as a whole or not at all, and only
+// its home knows all parts. When no part of it has begun and it is not worth waiting for
+// any more, its home takes the parts back. Each holder answers for certain: the part is
+// rejected, or has begun. Either all parts are rejected, and the caller is refused, or some
+// have begun, and the others are given out anew.
+//
+// Without it such a submission waits to the end of its caller's time: under overload two in
+// a hundred submissions ended so, and none of their callers learnt that nothing had run.
+
+// takeBackWithin is up to when the holders answer. A message that was lost is not waited
+// for: the parts that came back are given out again.
+const takeBackWithin = 250 * time.Millisecond
+
+// reconsider takes a divided submission back when its time is over, and gives parts that
+// came back out again when others have begun.
+func (e *engine) reconsider(t *transient) {
+	if !e.vm.config.Policy.TakeBack || len(t.parts) < 2 || t.state.Final() {
+		return
+	}
+	switch {
+	case t.takenBackAt == 0 && !t.anyBegun():
+		if reason := e.vm.config.Policy.KeepWaiting(e.at, e.work(t.record, t.came)); reason.Refused() {
+			e.takeBack(t, reason)
+		}
+	case t.takenBackAt > 0 && t.anyReturned() && (t.anyBegun() || e.at-t.takenBackAt > takeBackWithin):
+		e.giveOutAgain(t)
+	}
+}
+
+func (t *transient) anyBegun() bool {
+	return slices.ContainsFunc(t.parts, func(p *part) bool {
+		return p.moves > 0 || p.state == submission.Running || p.state == submission.Done
+	})
+}
+
+func (t *transient) anyReturned() bool {
+	return slices.ContainsFunc(t.parts, func(p *part) bool { return p.state == submission.Rejected })
+}
+
+func (t *transient) allReturned() bool {
+	return !slices.ContainsFunc(t.parts, func(p *part) bool { return p.state != submission.Rejected })
+}
+
+func (e *engine) takeBack(t *transient, reason policy.Reason) {
+	t.takenBackAt = e.at
+	klog.InfoS("kept: taken back", "id", t.record.ID, "queue", t.record.Queue, "parts", len(t.parts), "why", reason, "after", e.at-t.came)
+	for _, p := range t.parts {
+		if p.state.Final() {
+			continue
+		}
+		if own := e.shards[p.shard]; own != nil {
+			own.core.TakeBack(e.at, t.record.ID)
+			continue
+		}
+		f := e.frame(p.holder)
+		f.TakenBack = append(f.TakenBack, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
+	}
+}
+
+// giveOutAgain hands the parts that came back to the shards that do them soonest. A shard
+// has one part of a submission at most.
+func (e *engine) giveOutAgain(t *transient) {
+	for _, p := range t.parts {
+		if p.state != submission.Rejected {
+			continue
+		}
+		l := e.shardFor(t, p)
+		if l == nil {
+			e.giveUp(t, "a part of it came back and no shard can be reached")
+			return
+		}
+		e.serial++
+		p.record.Serial = e.vm.config.Incarnation + e.serial
+		p.record.Shard = p.shard
+		p.state = submission.Queued
+		p.token = 0
+		p.changed = e.at
+		klog.InfoS("kept: given out again", "id", t.record.ID, "shard", p.shard, "holder", l.holder, "token", l.token, "tasks", p.record.Tasks())
+		e.give(t, p, l)
+	}
+	t.takenBackAt = 0
+}
+
+// shardFor chooses the shard that a part is given to next; nil if there is none.
+func (e *engine) shardFor(t *transient, p *part) *loadView {
+	shards := e.reachableShards(p.record)
+	shards = slices.DeleteFunc(shards, func(c policy.Candidate) bool {
+		other := t.part(c.Shard)
+		return other != nil && other != p
+	})
+	portions := e.vm.config.Policy.Split(shards, p.record.Tasks(), false, longestEstimate(p.record))
+	if len(portions) == 0 {
+		return nil
+	}
+	p.shard = portions[0].Shard
+	return e.loads[p.shard]
+}
+
+// takeBackPart answers a home that takes a part back.
+func (e *engine) takeBackPart(ref *pb.KeptRef) {
+	if h := e.shards[ref.Shard]; h != nil {
+		h.core.TakeBack(e.at, submission.ID(ref.Id))
+	}
+}
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -40,6 +40,8 @@
 	came    time.Duration
 	ended   time.Duration
 	waiters []chan Outcome
+	// takenBackAt is when its parts were taken back, while that is not decided; 0: it is.
+	takenBackAt time.Duration
 }
 
 // part is what one shard has of it.
@@ -65,10 +67,10 @@
 		t.waiters = append(t.waiters, ev.reply)
 		return
 	}
-	parts, refusal := e.divide(ev.record)
+	parts, refusal := e.divide(ev.record, ev.came)
 	if refusal != nil {
-		e.vm.figures.queue(ev.record.Queue).ended("refused", 0)
-		klog.InfoS("kept: refused", "id", id, "queue", ev.record.Queue, "why", refusal.Why, "retry_after", refusal.RetryAfter)
+		e.vm.figures.queue(ev.record.Queue).ended("refused", e.at-ev.came)
+		klog.InfoS("kept: refused", "id", id, "queue", ev.record.Queue, "why", refusal.Why, "after", e.at-ev.came, "retry_after", refusal.RetryAfter)
 		ev.reply <- *refusal
 		return
 	}
@@ -81,7 +83,7 @@
 		record:  ev.record,
 		parts:   parts,
 		state:   submission.Queued,
-		came:    e.at,
+		came:    ev.came,
 		waiters: []chan Outcome{ev.reply},
 	}
 	e.transients[id] = t
@@ -92,14 +94,14 @@
 		klog.InfoS("kept: taken", "id", id, "queue", ev.record.Queue, "shard", p.shard, "holder", l.holder, "token", l.token,
 			"tasks", p.record.Tasks(), "of", ev.record.Tasks(), "objective", ev.record.Terms.Objective(ev.record.Chain()), "free", l.Fit(largestTask(p.record), ahead), "sent", l.sent, "wait", wait, "load_age", e.at-l.at)
 		l.sent += int64(demand(p.record)) * largestTask(p.record)
-		e.give(p, l)
+		e.give(t, p, l)
 	}
 }
 
 // divide makes the parts of a submission. Steps that wait for each other stay together.
-func (e *engine) divide(r *submission.Record) ([]*part, *Outcome) {
+func (e *engine) divide(r *submission.Record, came time.Duration) ([]*part, *Outcome) {
 	r.Home = e.vm.config.Name
-	shards, refusal := e.candidates(r)
+	shards, refusal := e.candidates(r, came)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -125,7 +127,8 @@
 }
 
 // give hands a part to the holder of its shard.
-func (e *engine) give(p *part, l *loadView) {
+func (e *engine) give(t *transient, p *part, l *loadView) {
+	p.record.Age = e.at - t.came
 	if p.token == 0 {
 		p.record.Token = l.token
 	}
@@ -178,6 +181,7 @@
 			}
 			e.watchHolder(t, p)
 		}
+		e.reconsider(t)
 		if t.state.Final() && e.at-t.ended > answersFor {
 			delete(e.transients, t.record.ID)
 		}
@@ -191,7 +195,7 @@
 		return
 	}
 	klog.InfoS("kept: given to a new holder", "id", t.record.ID, "shard", p.shard, "holder", l.holder, "token", l.token, "from", p.holder)
-	e.give(p, l)
+	e.give(t, p, l)
 }
 
 // watchHolder asks a holder that has said nothing for a while, and gives up on one that
@@ -297,10 +301,9 @@
 		e.giveUp(t, "a holder has ended it")
 	case submission.Rejected:
 		p.state = state
-		_, backlog := e.loads[p.shard].Ahead(t.record.Terms.Priority, true)
-		e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
-		klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "backlog", backlog)
-		e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: string(policy.Hopeless)})
+		if t.allReturned() {
+			e.refuseTransient(t, p)
+		}
 	case submission.Failed:
 		p.state = state
 		e.withdraw(t)
@@ -315,6 +318,15 @@
 	}
 }
 
+// refuseTransient tells the callers of a submission, of which nothing has begun, when to come
+// again.
+func (e *engine) refuseTransient(t *transient, p *part) {
+	_, backlog := e.loads[p.shard].Ahead(t.record.Terms.Priority, true)
+	e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
+	klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "backlog", backlog, "parts", len(t.parts))
+	e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: string(policy.Hopeless)})
+}
+
 func (e *engine) endTransient(t *transient, state submission.State) {
 	t.state = state
 	t.ended = e.at
@@ -355,6 +367,10 @@
 // apply ends a transient submission that no caller waits for any more.
 func (ev abandonEvent) apply(e *engine) {
 	t := e.transients[ev.id]
+	if e.dropEarly(ev.reply) {
+		klog.InfoS("kept: abandoned", "id", ev.id, "why", "its caller has gone before a shard was known")
+		return
+	}
 	if t == nil {
 		return
 	}
--- a/internal/kept/vm/transient_test.go
+++ b/internal/kept/vm/transient_test.go
@@ -19,17 +19,17 @@
 		a := e.frame(holder).Assign
 		return a[len(a)-1]
 	}
-	e.give(p, &loadView{holder: "first", token: 3})
+	e.give(&transient{}, p, &loadView{holder: "first", token: 3})
 	if last("first").Resumed {
 		t.Error("its first holder is to look for runs of an earlier one")
 	}
 	for range 2 {
-		e.give(p, &loadView{holder: "second", token: 4})
+		e.give(&transient{}, p, &loadView{holder: "second", token: 4})
 		if !last("second").Resumed {
 			t.Error("the second holder is told that nothing of it has run")
 		}
 	}
-	e.give(p, &loadView{holder: "third", token: 5})
+	e.give(&transient{}, p, &loadView{holder: "third", token: 5})
 	if r, err := submission.DecodeRecord("job", last("third").Record); err != nil || r.Token != 3 || !last("third").Resumed {
 		t.Errorf("the third holder gets %+v, %v", r, err)
 	}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -87,6 +87,8 @@
 
 	sweeps atomic.Bool // this VM removes final states
 
+	unreadable onceKeys // entries of the list of workers
+
 	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
 
 	cancel context.CancelFunc
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -145,6 +145,7 @@
 			return
 		}
 		v.catalog.Store(c)
+		v.post(servicesEvent{names: c.Services})
 		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
 	}
 	f := &follower{vm: v, prefix: v.config.Lists.CatalogPrefix, wait: catalogWait}
@@ -195,8 +196,14 @@
 func (v *VM) followWorkers(ctx context.Context) {
 	list := make(map[string]worker.Info)
 	take := func(it store.Item) {
-		if info, ok := v.readWorker(it); ok {
+		info, ok := v.readWorker(it)
+		switch known, there := list[it.Key]; {
+		case ok:
 			list[it.Key] = info
+		case there:
+			// What it says now names no worker to use; what runs there is still held.
+			known.Leaving = true
+			list[it.Key] = known
 		}
 	}
 	send := func() {
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"k8s.io/klog/v2"
 
@@ -90,14 +91,71 @@
 	return out, nil
 }
 
-// readWorker reads an entry of the list of workers. One that cannot be read is left out.
+// readWorker reads an entry of the list of workers. One that names no worker to use is left
+// out, and logged when it is read first.
 func (v *VM) readWorker(it store.Item) (info worker.Info, ok bool) {
 	info, err := v.config.Lists.DecodeWorker(it)
-	if err != nil {
-		klog.ErrorS(err, "kept: a worker's entry cannot be read", "key", it.Key)
-		return worker.Info{}, false
+	if err == nil {
+		v.unreadable.forget(it.Key)
+		return info, true
+	}
+	if v.unreadable.first(it.Key) {
+		klog.ErrorS(err, "kept: an entry of the list names no worker to use", "key", it.Key, "revision", it.Revision)
+	}
+	return worker.Info{}, false
+}
+
+// onceKeys remembers the keys of entries that were complained of: such an entry is read
+// again with each look at the list.
+type onceKeys struct {
+	mu   sync.Mutex
+	seen map[string]struct{}
+}
+
+// onceMost bounds the memory that foreign entries take. Beyond it they are not logged.
+const onceMost = 1024
+
+func (o *onceKeys) first(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, known := o.seen[key]; known || len(o.seen) >= onceMost {
+		return false
 	}
-	return info, true
+	if o.seen == nil {
+		o.seen = make(map[string]struct{})
+	}
+	o.seen[key] = struct{}{}
+	return true
+}
+
+func (o *onceKeys) forget(key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.seen, key)
+}
+
+// apply notes which services the configuration names. What an earlier one named stays: its
+// workers may still run tasks.
+func (ev servicesEvent) apply(e *engine) {
+	added := false
+	for _, name := range ev.names {
+		if !e.services[name] {
+			e.services[name] = true
+			added = true
+		}
+	}
+	if !added {
+		return
+	}
+	for _, h := range e.shards {
+		e.placeWorkers(h)
+	}
+}
+
+// serves reports whether a worker belongs to a service that the configuration names. It is
+// not asked before there is a configuration.
+func (e *engine) serves(info worker.Info) bool {
+	return len(e.services) == 0 || e.services[info.Service]
 }
 
 type dividedEvent struct {
@@ -117,7 +175,7 @@
 func (e *engine) placeWorkers(h *held) {
 	var own []worker.Info
 	for _, info := range e.workers {
-		if e.shardOf(info) == h.holding.Shard {
+		if e.shardOf(info) == h.holding.Shard && e.serves(info) {
 			own = append(own, info)
 		}
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -29,6 +29,7 @@
 	works map[submission.ID]runhost.Work
 	cut   map[string]bool // domains of workers that nobody outside reaches
 	lose  func(worker.Start) bool
+	on    map[string]int // starts by worker
 }
 
 // New returns a fleet without workers.
@@ -39,6 +40,7 @@
 		hosts:  make(map[string]*runhost.Host),
 		works:  make(map[submission.ID]runhost.Work),
 		cut:    make(map[string]bool),
+		on:     make(map[string]int),
 	}
 }
 
@@ -95,6 +97,13 @@
 	return n
 }
 
+// StartsOn is how many starts a worker has taken.
+func (f *Fleet) StartsOn(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.on[id]
+}
+
 // StartsOf is how often the tasks of the submission of a name were started.
 func (f *Fleet) StartsOf(name string) int { return f.Starts(submission.ID(name)) }
 
@@ -172,6 +181,9 @@
 func (w *way) Start(ctx context.Context, to worker.Info, s worker.Start) worker.Reply {
 	return w.do(ctx, to, func(h *runhost.Host, now time.Duration) (worker.Reply, bool) {
 		r := h.Start(now, s)
+		if r.Verdict == worker.Accepted {
+			w.fleet.on[to.ID]++
+		}
 		return r, w.fleet.lose == nil || !w.fleet.lose(s)
 	})
 }
