Progress of runs decides whether they are moved; off until measured

Cause: a worker that hangs while it answers calls, or turns several times slower, is waited for: one such task makes its whole submission late. Change: move_still starts a task elsewhere whose percent does not change while a run as expected would gain 0.3 of its work (0.3 s at least), and leaves its worker alone if nothing else goes on there; move_slow does so where the total by its percent is 2.5 times that of its siblings on other workers and a new start would be done sooner. priority_first: what is late comes before what is in time and of a lower priority. All off by default.

--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -43,7 +43,8 @@
 
 // Urgency is a submission's place in the order of its shard.
 type Urgency struct {
-	band     Band
+	rank     Band // before the priority
+	band     Band // after it
 	priority int
 	begun    bool
 	deadline time.Duration
@@ -53,8 +54,12 @@
 // Urgency returns the place of a submission in the order of its shard, now.
 func (s *Settings) Urgency(now time.Duration, w *Work) Urgency {
 	u := Urgency{priority: w.Priority, deadline: w.Came + w.Objective, id: w.ID}
-	if s.Bands {
-		u.band = s.Band(now, w)
+	switch band := s.Band(now, w); {
+	case !s.Bands:
+	case s.PriorityFirst && band == Late:
+		u.band = Late
+	default:
+		u.rank = band
 	}
 	if s.BegunFirst {
 		u.begun = w.Begun
@@ -67,8 +72,9 @@
 // order is the same each time.
 func (u Urgency) Compare(other Urgency) int {
 	return cmp.Or(
-		cmp.Compare(u.band, other.band),
+		cmp.Compare(u.rank, other.rank),
 		cmp.Compare(u.priority, other.priority),
+		cmp.Compare(u.band, other.band),
 		-compareBool(u.begun, other.begun),
 		cmp.Compare(u.deadline, other.deadline),
 		cmp.Compare(u.id, other.id),
--- /dev/null
+++ b/internal/kept/policy/progress.go
@@ -0,0 +1,96 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Progress is how far a run was seen to be. Its zero value is that of a run that was not
+// seen yet.
+type Progress struct {
+	percent int           // of its work, as its worker last said
+	since   time.Duration // when it was first seen there
+	at      time.Duration // when it was last seen
+}
+
+// See takes what a worker says of a run, in an answer to a call that left at a time.
+func (p *Progress) See(sent time.Duration, percent int) {
+	if sent < p.at {
+		return // overtaken
+	}
+	if p.at == 0 || percent != p.percent {
+		p.percent = percent
+		p.since = sent
+	}
+	p.at = sent
+}
+
+// A run whose progress does not change stands still. One that runs as expected gains
+// stillShare of its work in the time that is waited for; a run that takes three times as
+// long gains a tenth, which is still seen in whole percents. Listings come each 250 ms, so
+// less than stillLeast could be one that was missed.
+const (
+	stillShare = 0.3
+	stillLeast = 300 * time.Millisecond
+)
+
+// StandsStill reports whether a run has made no progress for so long that its worker must be
+// taken for hung: its tasks stand still while it answers calls.
+func (s *Settings) StandsStill(p Progress, expected time.Duration) bool {
+	if !s.MoveStill || p.at == 0 || p.percent >= 100 {
+		return false
+	}
+	return p.at-p.since >= max(stillLeast, time.Duration(stillShare*float64(expected)))
+}
+
+// Pacing of a run that has made some progress.
+const (
+	seenLeast = 4 // percent; below it the rounding to whole percents weighs too much
+)
+
+// Total is how long a run would take in all if it goes on as it did, known once it has made
+// some progress. age is its age when it was last seen.
+func (p Progress) Total(age time.Duration) (total time.Duration, known bool) {
+	if p.percent < seenLeast || age <= 0 {
+		return 0, false
+	}
+	return age * 100 / time.Duration(p.percent), true
+}
+
+// Age is the age of a run that was started at a time, when it was last seen.
+func (p Progress) Age(started time.Duration) time.Duration { return p.at - started }
+
+// MovedAfter reports whether a run has made progress after another one did so last.
+func (p Progress) MovedAfter(other Progress) bool { return p.since > other.since+stillLeast/2 }
+
+// Run is a run under way, with what its siblings tell of the submission.
+type Run struct {
+	Total    time.Duration   // it would take in all, as it goes on
+	Left     time.Duration   // of that
+	Siblings []time.Duration // what tasks of the same step take or took on other workers
+}
+
+// A run is moved if it would be done sooner from the start on a worker like those of its
+// siblings. Tasks of a step differ by a sixth and workers by a half; slowMost is beyond
+// both, so that only a sick worker's runs are moved. moveCost is for the stop, its listing
+// and the new start.
+const (
+	slowMost = 2.5
+	moveCost = 60 * time.Millisecond
+)
+
+// IsHeldUp reports whether a run's worker holds it up, by what its siblings take elsewhere.
+// Estimates are no ground for it: they are off by a half, and by the same factor for all
+// tasks of a submission.
+func (s *Settings) IsHeldUp(r Run) bool {
+	if !s.MoveSlow || len(r.Siblings) == 0 {
+		return false
+	}
+	usual := median(r.Siblings)
+	return float64(r.Total) > slowMost*float64(usual) && r.Left > usual+moveCost
+}
+
+func median(d []time.Duration) time.Duration {
+	sorted := slices.Sorted(slices.Values(d))
+	return sorted[len(sorted)/2]
+}
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -26,6 +26,9 @@
 	// by priority and deadline only. It answers overload: time spent on what is late
 	// already makes the next one late too.
 	Bands bool `json:"bands"`
+	// PriorityFirst has what is late, but of use, come before what is in time and of a lower
+	// priority. Only what is too late comes after all others.
+	PriorityFirst bool `json:"priority_first"`
 	// Margin is how many times its expected run time a submission must have left to count
 	// as in time. It answers overload: by the deadline alone, each starts when it just
 	// fails to make it.
@@ -48,6 +51,12 @@
 	TakeBack bool `json:"take_back"`
 	// Eject leaves a worker alone that fails what completes elsewhere.
 	Eject bool `json:"eject"`
+	// MoveStill starts tasks elsewhere that stand still at their worker, and leaves the worker
+	// alone for a while. It answers workers that hang while they answer calls.
+	MoveStill bool `json:"move_still"`
+	// MoveSlow starts tasks elsewhere that would be done sooner there, by what their siblings
+	// take. It answers workers that turn several times slower.
+	MoveSlow bool `json:"move_slow"`
 	// FastFirst gives tasks to the workers first on which runs take less time.
 	FastFirst bool `json:"fast_first"`
 	// BestFit takes, of equally fast workers, the one that a task fills best; off: the one
@@ -63,6 +72,7 @@
 		StartHoldMillis: 0,
 		ByPriority:      false,
 		Bands:           true,
+		PriorityFirst:   false,
 		Margin:          1,
 		BegunFirst:      false,
 		WaitShare:       0.4,
@@ -70,6 +80,8 @@
 		Spread:          true,
 		TakeBack:        false,
 		Eject:           true,
+		MoveStill:       false,
+		MoveSlow:        false,
 		FastFirst:       true,
 		BestFit:         true,
 		LearnPace:       true,
@@ -103,8 +115,8 @@
 	switch {
 	case s.StartHoldMillis < 0 || s.StartHoldMillis > 10_000:
 		return &SettingError{Name: "start_hold_millis", Why: "is not from 0 to 10000"}
-	case s.Margin < 0.5 || s.Margin > 5:
-		return &SettingError{Name: "margin", Why: "is not from 0.5 to 5"}
+	case s.Margin < 0.2 || s.Margin > 5:
+		return &SettingError{Name: "margin", Why: "is not from 0.2 to 5"}
 	case s.WaitShare < 0 || s.WaitShare > 1:
 		return &SettingError{Name: "wait_share", Why: "is not from 0 to 1"}
 	case s.OwnReserve < 0 || s.OwnReserve > 1:
--- a/internal/kept/policy/trust.go
+++ b/internal/kept/policy/trust.go
@@ -38,11 +38,23 @@
 	r.last = id
 	r.streak++
 	if r.streak >= streakMost && now >= r.ejected {
-		r.ejected = now + min(ejectFirst<<r.ejections, ejectMost)
-		r.ejections = min(r.ejections+1, 4)
+		r.eject(now)
 	}
 }
 
+// Hung notes that tasks stand still at a worker. It gets nothing for a while, longer each
+// time.
+func (r *Trust) Hung(now time.Duration) {
+	if now >= r.ejected {
+		r.eject(now)
+	}
+}
+
+func (r *Trust) eject(now time.Duration) {
+	r.ejected = now + min(ejectFirst<<r.ejections, ejectMost)
+	r.ejections = min(r.ejections+1, 4)
+}
+
 // Pardon takes back a failure of a submission that failed elsewhere too.
 func (r *Trust) Pardon(id submission.ID) {
 	if r.last != id || r.streak == 0 {
@@ -66,7 +78,7 @@
 
 // Admits reports whether a worker may get a task beside those it has.
 func (s *Settings) Admits(now time.Duration, r *Trust, beside int) bool {
-	if !s.Eject {
+	if !s.Eject && !s.MoveStill {
 		return true
 	}
 	if now < r.ejected {
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
@@ -29,6 +30,9 @@
 	host       *host         // in starting, running, unsure, voiding, ending
 	since      time.Duration // of the state
 	startedAt  time.Duration
+	progress   policy.Progress     // of the run
+	took       time.Duration       // of the run that completed; 0: not known
+	moves      int                 // runs that were stopped as their worker held them up
 	clock      time.Duration       // the worker's when it accepted the run; 0: not known
 	stopClock  time.Duration       // the worker's when it acknowledged the stop
 	stopAt     time.Duration       // when that acknowledgement came
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -97,6 +97,9 @@
 func (s *Shard) completed(now time.Duration, h *host, t *task, current bool) {
 	if current {
 		s.learn(now, h, t)
+		if t.startedAt > 0 {
+			t.took = now - t.startedAt
+		}
 	}
 	if t.state == complete {
 		return
@@ -142,6 +145,7 @@
 	for _, r := range l.Running {
 		listed[r.Task] = true
 		s.found(now, h, r)
+		s.watchProgress(now, h, sent, r)
 	}
 	for ref := range h.strays {
 		if !listed[ref] {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -345,6 +345,7 @@
 	t.startedAt = now
 	t.clock = 0
 	t.stopClock = 0
+	t.progress = policy.Progress{}
 	r.take(t)
 	s.out.Starts = append(s.out.Starts, StartAction{
 		Worker:     r.host.info,
--- /dev/null
+++ b/internal/kept/shard/progress.go
@@ -0,0 +1,97 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// movesMost is how often a task is started elsewhere as its worker holds it up. More than
+// two in a row say that the fault is the task's own.
+const movesMost = 2
+
+// watchProgress takes how far a worker says that a run is, and starts the task elsewhere if
+// the worker holds it up.
+//
+// A worker may hang or turn slow while it answers calls: what it has does not end in time,
+// and one slow task is enough to make its submission late.
+func (s *Shard) watchProgress(now time.Duration, h *host, sent time.Duration, r worker.Running) {
+	j, open := s.jobs[r.Task.ID]
+	if !open || j.state.Final() {
+		return
+	}
+	t := j.task(r.Task.Task)
+	if t == nil || t.state != running || t.host != h || t.run != r.Run || sent < t.since {
+		return
+	}
+	t.progress.See(sent, r.Percent)
+	if t.startedAt == 0 || t.moves >= movesMost {
+		return // an earlier holder started it, or it was moved before
+	}
+	p := &s.settings.Policy
+	expected := time.Duration(float64(t.step.Estimate) * s.factor(j.rec.Queue))
+	if p.StandsStill(t.progress, expected) {
+		if !s.anyGoesOn(h, t) {
+			h.record.Hung(now)
+		}
+		s.move(now, t, "it stands still at its worker")
+		return
+	}
+	if total, known := t.progress.Total(sent - t.startedAt); known {
+		age := sent - t.startedAt
+		if p.IsHeldUp(policy.Run{Total: total, Left: total - age, Siblings: s.siblings(now, t)}) && s.roomElsewhere(now, t) {
+			s.move(now, t, "its worker is slower than those of its siblings")
+		}
+	}
+}
+
+// anyGoesOn reports whether another run at the worker has made progress since this one
+// stands still. Then the fault is the task's own.
+func (s *Shard) anyGoesOn(h *host, t *task) bool {
+	return slices.ContainsFunc(s.on(h), func(other *task) bool {
+		return other != t && other.progress.MovedAfter(t.progress)
+	})
+}
+
+// siblings is what other tasks of the same step take on other workers, as far as is known.
+func (s *Shard) siblings(now time.Duration, t *task) []time.Duration {
+	var out []time.Duration
+	for _, other := range t.job.tasks {
+		if other == t || other.step != t.step {
+			continue
+		}
+		if other.state == complete && other.took > 0 {
+			out = append(out, other.took)
+			continue
+		}
+		if other.state != running || other.host == t.host || other.startedAt == 0 {
+			continue
+		}
+		if total, known := other.progress.Total(other.progress.Age(other.startedAt)); known {
+			out = append(out, total)
+		}
+	}
+	return out
+}
+
+// roomElsewhere reports whether a worker other than its own could take a task now.
+func (s *Shard) roomElsewhere(now time.Duration, t *task) bool {
+	for _, r := range s.rooms(now) {
+		if r.host != t.host && s.fits(now, t, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// move stops a run; the task starts elsewhere once it is certain that it does not run.
+func (s *Shard) move(now time.Duration, t *task, why string) {
+	t.moves++
+	t.avoid = t.host
+	t.state = voiding
+	t.since = now
+	t.stopClock = 0
+	s.stop(t, why)
+}
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
@@ -32,6 +33,9 @@
 	starts  []StartAction
 	stops   []StopAction
 	works   map[submission.ID]runhost.Work
+	hung    map[string]bool // workers on which tasks stand still
+	slow    map[string]int  // by how many times tasks take longer at a worker
+	policy  policy.Settings
 	// silent decides that the answer to a start is lost, though it was carried out.
 	silent func(StartAction) bool
 	// late decides that a start has no answer and is carried out later.
@@ -58,6 +62,9 @@
 		states:  make(map[submission.ID]submission.State),
 		finals:  make(map[submission.ID]submission.State),
 		works:   make(map[submission.ID]runhost.Work),
+		hung:    make(map[string]bool),
+		slow:    make(map[string]int),
+		policy:  policy.Defaults(),
 	}
 	for i := range workers {
 		w.addHost(fmt.Sprintf("w%d", i), fmt.Sprintf("10.0.0.%d:80", i))
@@ -68,7 +75,12 @@
 
 func (w *world) addHost(id, address string) {
 	info := worker.Info{ID: id, Service: "desk", Address: address, Domain: "a", CPUMilli: 16000, MemMB: 65536, Revision: uint64(len(w.hosts) + 1)}
-	w.hosts[id] = runhost.New(info, w.ledger, func(s worker.Start) runhost.Work { return w.works[s.Task.ID] })
+	w.hosts[id] = runhost.New(info, w.ledger, func(s worker.Start) runhost.Work {
+		work := w.works[s.Task.ID]
+		work.Hangs = work.Hangs || w.hung[id]
+		work.Time *= time.Duration(max(w.slow[id], 1))
+		return work
+	})
 }
 
 // hold makes a new holder of the shard, which knows nothing.
@@ -77,7 +89,9 @@
 	if !clean {
 		barrier += 9 * time.Second
 	}
-	w.shard = New(w.now, DefaultSettings(), token, barrier)
+	settings := DefaultSettings()
+	settings.Policy = w.policy
+	w.shard = New(w.now, settings, token, barrier)
 	clear(w.seen)
 	w.list()
 	w.shard.Records(w.now, nil)
