--- a/internal/kept/policy/split.go
+++ b/internal/kept/policy/split.go
@@ -13,6 +13,7 @@
 	Free  int           // tasks that fit now
 	Room  int           // tasks that fit in all
 	Wait  time.Duration // until one more task would start, if none fits now
+	Queue time.Duration // that all that waits there takes, also what is served later
 }
 
 // Portion is the number of a submission's tasks that a shard gets.
@@ -31,7 +32,7 @@
 	}
 	order := slices.Clone(shards)
 	slices.SortFunc(order, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Wait, b.Wait), cmp.Compare(a.Shard, b.Shard))
+		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Wait, b.Wait), cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Shard, b.Shard))
 	})
 	for _, c := range order {
 		if c.Own && float64(c.Free-tasks) >= s.OwnReserve*float64(c.Room) {
@@ -70,17 +71,21 @@
 	return out
 }
 
-// soonest is the shard where one more task would begin first.
+// soonest is the shard where one more task would begin first. Of equal ones it is the one
+// with less to do in all: what comes first everywhere would otherwise always go to the same
+// shard.
 func soonest(order []Candidate, queued []int, task time.Duration) string {
-	best, bestWait := "", time.Duration(0)
+	best := -1
+	var bestWait, bestQueue time.Duration
 	for i, c := range order {
-		wait := c.Wait + task*time.Duration(queued[i])/time.Duration(max(c.Room, 1))
+		mine := task * time.Duration(queued[i]) / time.Duration(max(c.Room, 1))
+		wait, queue := c.Wait+mine, c.Queue+mine
 		if c.Room == 0 {
 			wait += time.Hour
 		}
-		if best == "" || wait < bestWait {
-			best, bestWait = c.Shard, wait
+		if best < 0 || cmp.Or(cmp.Compare(wait, bestWait), cmp.Compare(queue, bestQueue)) < 0 {
+			best, bestWait, bestQueue = i, wait, queue
 		}
 	}
-	return best
+	return order[best].Shard
 }
--- a/internal/kept/policy/split_test.go
+++ b/internal/kept/policy/split_test.go
@@ -63,3 +63,13 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// Symptom: one shard is sent all urgent work while others have less to do. Sequence: no shard
+// has room, and what comes first waits nowhere. Cause: of equal shards the first by name was
+// taken, whatever else waits there.
+func TestEqualWaitsAreDecidedByAllThatWaits(t *testing.T) {
+	shards := []Candidate{{Shard: "a", Room: 28, Queue: 300 * time.Millisecond}, {Shard: "b", Room: 28, Queue: 100 * time.Millisecond}}
+	if p := settings.Split(shards, 1, true, time.Second); len(p) != 1 || p[0].Shard != "b" {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -72,6 +73,7 @@
 	transients   map[submission.ID]*transient
 	early        []submitEvent // came before the shards are known
 	startedAt    time.Duration
+	turns        policy.Turns // of callers that were refused here
 	links        map[string]*link.Link
 	up           map[string]bool // peers whose link stands
 	incarnations map[string]uint64
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -16,7 +16,7 @@
 func (e *engine) candidates(r *submission.Record, came time.Duration) ([]policy.Candidate, *Outcome) {
 	shards := e.reachableShards(r)
 	if reason := e.vm.config.Policy.Admit(e.at, e.work(r, came), shards); reason.Refused() {
-		return nil, &Outcome{Kind: Busy, RetryAfter: comeBack(shards), Why: string(reason)}
+		return nil, &Outcome{Kind: Busy, RetryAfter: e.comeBack(r, shards), Why: string(reason)}
 	}
 	return shards, nil
 }
@@ -30,13 +30,17 @@
 			continue
 		}
 		l := e.loads[name]
+		_, queue := l.Ahead(0, true)
 		ahead, wait := l.Ahead(r.Terms.Priority, !e.vm.config.Policy.ByPriority)
+		// What this VM has sent there since the shard's last word counts as waiting there.
+		sent := time.Duration(float64(longestEstimate(r)) * float64(l.sent) / float64(max(l.RoomMilli, 1)))
 		out = append(out, policy.Candidate{
 			Shard: name,
 			Own:   site.DomainOf(name) == e.vm.config.Domain,
 			Free:  max(l.Fit(size, ahead)-int(l.sent/size), 0),
 			Room:  int(l.RoomMilli / size),
-			Wait:  wait,
+			Wait:  wait + sent,
+			Queue: queue + sent,
 		})
 	}
 	return out
@@ -54,8 +58,8 @@
 	}
 }
 
-// comeBack is when a caller that is refused should try again.
-func comeBack(shards []policy.Candidate) time.Duration {
+// comeBack is after what time a caller that is refused should try again.
+func (e *engine) comeBack(r *submission.Record, shards []policy.Candidate) time.Duration {
 	if len(shards) == 0 {
 		return retryAfter
 	}
@@ -63,7 +67,21 @@
 	for _, c := range shards[1:] {
 		least = min(least, c.Wait)
 	}
-	return least
+	return e.turns.ComeBack(e.at, least, e.workTime(r))
+}
+
+// workTime is the time that a submission's work takes on this VM's share of all room.
+func (e *engine) workTime(r *submission.Record) time.Duration {
+	var room int64
+	for _, l := range e.loads {
+		room += l.RoomMilli
+	}
+	var work float64 // thousandths of a core times nanoseconds
+	for i := range r.Steps {
+		s := &r.Steps[i]
+		work += float64(s.Count) * float64(s.CPUMilli) * float64(s.Estimate)
+	}
+	return time.Duration(work / float64(max(room, 1)) * float64(len(e.links)+1))
 }
 
 // largestTask is the processor that a task takes, thousandths of a core.
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -302,7 +302,7 @@
 	case submission.Rejected:
 		p.state = state
 		if t.allReturned() {
-			e.refuseTransient(t, p)
+			e.refuseTransient(t)
 		}
 	case submission.Failed:
 		p.state = state
@@ -320,11 +320,11 @@
 
 // refuseTransient tells the callers of a submission, of which nothing has begun, when to come
 // again.
-func (e *engine) refuseTransient(t *transient, p *part) {
-	_, backlog := e.loads[p.shard].Ahead(t.record.Terms.Priority, true)
+func (e *engine) refuseTransient(t *transient) {
+	after := e.comeBack(t.record, e.reachableShards(t.record))
 	e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
-	klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "backlog", backlog, "parts", len(t.parts))
-	e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: max(retryAfter, backlog), Why: string(policy.Hopeless)})
+	klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "retry_after", after, "parts", len(t.parts))
+	e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: after, Why: string(policy.Hopeless)})
 }
 
 func (e *engine) endTransient(t *transient, state submission.State) {
