Progress counts from when an answer comes; orders that keep half-started work apart, off

A hold waits up to 250 ms for an end; the age of a run was taken from when the hold left, so its siblings passed for several times faster. Test: TestAnswersThatWaitedTellOfTheirOwnTime, 2 tasks moved without the change.

--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -16,6 +17,7 @@
 	Takes     time.Duration // if all its tasks start now
 	Patience  time.Duration // how long its caller waits, since it came; 0: not known
 	Begun     bool          // a task of it was given to a worker
+	Left      float64       // work of the tasks that have not started, cores times seconds
 }
 
 // Band says whether a submission can still be done in time.
@@ -47,6 +49,7 @@
 	band     Band // after it
 	priority int
 	begun    bool
+	size     int // of the work left, as a power of two
 	deadline time.Duration
 	id       submission.ID
 }
@@ -56,11 +59,15 @@
 	u := Urgency{priority: w.Priority, deadline: w.Came + w.Objective, id: w.ID}
 	switch band := s.Band(now, w); {
 	case !s.Bands:
+	case s.KeepBegun && w.Begun && band == Late:
 	case s.PriorityFirst && band == Late:
 		u.band = Late
 	default:
 		u.rank = band
 	}
+	if s.SmallFirst && w.Left > 0 {
+		_, u.size = math.Frexp(w.Left)
+	}
 	if s.BegunFirst {
 		u.begun = w.Begun
 	}
@@ -68,7 +75,7 @@
 }
 
 // Compare orders submissions, the most pressing first: by band, by priority, what has begun
-// first, then by the objective's end. The identity decides between equals, so that the
+// first, by the size of what is left, then by the objective's end. The identity decides between equals, so that the
 // order is the same each time.
 func (u Urgency) Compare(other Urgency) int {
 	return cmp.Or(
@@ -76,6 +83,7 @@
 		cmp.Compare(u.priority, other.priority),
 		cmp.Compare(u.band, other.band),
 		-compareBool(u.begun, other.begun),
+		cmp.Compare(u.size, other.size),
 		cmp.Compare(u.deadline, other.deadline),
 		cmp.Compare(u.id, other.id),
 	)
--- a/internal/kept/policy/progress.go
+++ b/internal/kept/policy/progress.go
@@ -13,16 +13,13 @@
 	at      time.Duration // when it was last seen
 }
 
-// See takes what a worker says of a run, in an answer to a call that left at a time.
-func (p *Progress) See(sent time.Duration, percent int) {
-	if sent < p.at {
-		return // overtaken
-	}
+// See takes what a worker says of a run, at the time when its answer came.
+func (p *Progress) See(now time.Duration, percent int) {
 	if p.at == 0 || percent != p.percent {
 		p.percent = percent
-		p.since = sent
+		p.since = now
 	}
-	p.at = sent
+	p.at = now
 }
 
 // A run whose progress does not change stands still. One that runs as expected gains
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -36,6 +36,16 @@
 	// BegunFirst has a submission of which a task was started come before those of the
 	// same band and priority that have not begun.
 	BegunFirst bool `json:"begun_first"`
+	// KeepBegun has a submission of which a task was started stay among those that are in time
+	// until it is too late; off: it falls behind them, half done, once it is late.
+	KeepBegun bool `json:"keep_begun"`
+	// WholeStarts has a submission start only if all its tasks find room, unless everything
+	// before it in the order has started. It answers overload: half-started submissions take
+	// room from each other, and none ends in time.
+	WholeStarts bool `json:"whole_starts"`
+	// SmallFirst has what takes less work come before what takes twice as much, within a band
+	// and priority.
+	SmallFirst bool `json:"small_first"`
 	// WaitShare is the share of its caller's time that a submission may wait untried; the
 	// caller can still try elsewhere in what is left. 0: all of it.
 	WaitShare float64 `json:"wait_share"`
@@ -75,6 +85,9 @@
 		PriorityFirst:   false,
 		Margin:          1,
 		BegunFirst:      false,
+		KeepBegun:       false,
+		WholeStarts:     false,
+		SmallFirst:      false,
 		WaitShare:       0.4,
 		OwnReserve:      0.1,
 		Spread:          true,
--- a/internal/kept/shard/progress.go
+++ b/internal/kept/shard/progress.go
@@ -26,7 +26,8 @@
 	if t == nil || t.state != running || t.host != h || t.run != r.Run || sent < t.since {
 		return
 	}
-	t.progress.See(sent, r.Percent)
+	// A hold waits for an end before it answers: what it says is of now, not of when it left.
+	t.progress.See(now, r.Percent)
 	if t.startedAt == 0 || t.moves >= movesMost {
 		return // an earlier holder started it, or it was moved before
 	}
@@ -39,8 +40,8 @@
 		s.move(now, t, "it stands still at its worker")
 		return
 	}
-	if total, known := t.progress.Total(sent - t.startedAt); known {
-		age := sent - t.startedAt
+	age := now - t.startedAt
+	if total, known := t.progress.Total(age); known {
 		if p.IsHeldUp(policy.Run{Total: total, Left: total - age, Siblings: s.siblings(now, t)}) && s.roomElsewhere(now, t) {
 			s.move(now, t, "its worker is slower than those of its siblings")
 		}
--- a/internal/kept/shard/progress_test.go
+++ b/internal/kept/shard/progress_test.go
@@ -80,3 +80,31 @@
 		t.Errorf("%d workers have room, want all 4", n)
 	}
 }
+
+// Symptom: tasks are moved off sound workers. Sequence: a short run ends right after another
+// start at its worker; the next hold leaves at once, waits for an end, and answers a quarter of a second later with what has been done by then.
+// Cause: the age of the run was taken from when the hold left, so that its siblings passed
+// for many times faster.
+func TestAnswersThatWaitedTellOfTheirOwnTime(t *testing.T) {
+	w := sickWorld(t)
+	w.waits["w1"] = 250 * ms
+	w.hosts["w1"].Info.Labels = []string{"patient", "pair"}
+	w.hosts["w2"].Info.Labels = []string{"pair"}
+	w.list()
+	w.run(300 * ms)
+	short := w.submission("short", 1, runhost.Work{Time: 40 * ms})
+	short.Steps[0].Label = "patient"
+	w.assign(short)
+	w.run(20 * ms)
+	pair := w.submission("a", 2, runhost.Work{Time: 900 * ms})
+	pair.Steps[0].Label = "pair"
+	pair.Steps[0].MaxPerWorker = 1
+	w.assign(pair)
+	w.hosts["w3"].Info.Labels = []string{"pair"}
+	w.list()
+	w.run(2 * time.Second)
+	w.want("a", submission.Done)
+	if len(w.stops) != 0 {
+		t.Errorf("%d tasks were moved off sound workers", len(w.stops))
+	}
+}
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -36,6 +36,8 @@
 	hung    map[string]bool // workers on which tasks stand still
 	slow    map[string]int  // by how many times tasks take longer at a worker
 	policy  policy.Settings
+	waits   map[string]time.Duration // for an end, before a worker answers a hold
+	left    map[string]time.Duration // when the hold left that waits at a worker
 	// silent decides that the answer to a start is lost, though it was carried out.
 	silent func(StartAction) bool
 	// late decides that a start has no answer and is carried out later.
@@ -64,6 +66,8 @@
 		works:   make(map[submission.ID]runhost.Work),
 		hung:    make(map[string]bool),
 		slow:    make(map[string]int),
+		left:    make(map[string]time.Duration),
+		waits:   make(map[string]time.Duration),
 		policy:  policy.Defaults(),
 	}
 	for i := range workers {
@@ -159,13 +163,23 @@
 		}
 		return
 	}
+	sent := w.now
+	if w.waits[id] > 0 {
+		if left, waiting := w.left[id]; waiting && w.now-left < w.waits[id] && !h.HasEnded() {
+			return
+		}
+		if left, waiting := w.left[id]; waiting {
+			sent = left
+		}
+		w.left[id] = w.now
+	}
 	l, r := h.Hold(w.now, worker.Hold{Token: w.shard.Token(), Seen: w.seen[id], Deadline: w.now + time.Second})
 	if r.Verdict == worker.Accepted {
 		w.answers[id] = w.now
 		if w.records != nil {
 			w.records.listed[id] = slices.Clone(l.Ended)
 		}
-		w.shard.Listing(w.now, id, w.now, l)
+		w.shard.Listing(w.now, id, sent, l)
 	}
 }
 
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -235,6 +235,9 @@
 	return reply
 }
 
+// HasEnded reports whether an end is listed that was not acknowledged.
+func (h *Host) HasEnded() bool { return len(h.ended) > 0 }
+
 // Hold extends the lease and lists what runs and has ended. It does not wait.
 func (h *Host) Hold(now time.Duration, o worker.Hold) (worker.Listing, worker.Reply) {
 	h.Advance(now)
