--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -45,10 +45,8 @@
 
 // Urgency is a submission's place in the order of its shard.
 type Urgency struct {
-	rank     Band // before the priority
-	band     Band // after it
+	band     Band
 	priority int
-	begun    bool
 	size     int // of the work left, as a power of two
 	deadline time.Duration
 	id       submission.ID
@@ -57,45 +55,27 @@
 // Urgency returns the place of a submission in the order of its shard, now.
 func (s *Settings) Urgency(now time.Duration, w *Work) Urgency {
 	u := Urgency{priority: w.Priority, deadline: w.Came + w.Objective, id: w.ID}
-	switch band := s.Band(now, w); {
-	case !s.Bands:
-	case s.KeepBegun && w.Begun && band == Late:
-	case s.PriorityFirst && band == Late:
-		u.band = Late
-	default:
-		u.rank = band
+	if s.Bands {
+		u.band = s.Band(now, w)
+	}
+	if s.KeepBegun && w.Begun && u.band == Late {
+		u.band = InTime
 	}
 	if s.SmallFirst && w.Left > 0 {
 		_, u.size = math.Frexp(w.Left)
 	}
-	if s.BegunFirst {
-		u.begun = w.Begun
-	}
 	return u
 }
 
-// Compare orders submissions, the most pressing first: by band, by priority, what has begun
-// first, by the size of what is left, then by the objective's end. The identity decides between equals, so that the
+// Compare orders submissions, the most pressing first: by band, by priority, by the size
+// of what is left, then by the objective's end. The identity decides between equals, so that the
 // order is the same each time.
 func (u Urgency) Compare(other Urgency) int {
 	return cmp.Or(
-		cmp.Compare(u.rank, other.rank),
-		cmp.Compare(u.priority, other.priority),
 		cmp.Compare(u.band, other.band),
-		-compareBool(u.begun, other.begun),
+		cmp.Compare(u.priority, other.priority),
 		cmp.Compare(u.size, other.size),
 		cmp.Compare(u.deadline, other.deadline),
 		cmp.Compare(u.id, other.id),
 	)
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
--- /dev/null
+++ b/internal/kept/policy/order_test.go
@@ -0,0 +1,47 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// before reports whether one submission comes before another at a time.
+func before(now time.Duration, a, b *Work) bool {
+	return settings.Urgency(now, a).Compare(settings.Urgency(now, b)) < 0
+}
+
+func TestOrderOfASharedRoom(t *testing.T) {
+	now := time.Hour
+	fresh := &Work{ID: "fresh", Came: now, Objective: 380 * ms, Takes: 200 * ms, Left: 4}
+	for _, c := range []struct {
+		why   string
+		other Work
+		first bool // the other comes first
+	}{
+		{"the higher priority", Work{ID: "x", Priority: -1, Came: now, Objective: 380 * ms, Takes: 200 * ms, Left: 4}, true},
+		{"what is late", Work{ID: "x", Priority: -1, Came: now - 300*ms, Objective: 380 * ms, Takes: 200 * ms, Left: 4}, false},
+		{"what is late and has begun", Work{ID: "x", Came: now - 300*ms, Objective: 380 * ms, Takes: 200 * ms, Left: 4, Begun: true}, true},
+		{"what is too late and has begun", Work{ID: "x", Came: now - 2*time.Second, Objective: 380 * ms, Takes: 200 * ms, Left: 1, Begun: true}, false},
+		{"what is four times as large", Work{ID: "x", Came: now - 100*ms, Objective: 380 * ms, Takes: 200 * ms, Left: 16}, false},
+		{"what is half as large and came later", Work{ID: "x", Came: now + 10*ms, Objective: 380 * ms, Takes: 200 * ms, Left: 2}, true},
+		{"what came earlier and is as large", Work{ID: "x", Came: now - 50*ms, Objective: 380 * ms, Takes: 200 * ms, Left: 4}, true},
+	} {
+		if got := before(now, &c.other, fresh); got != c.first {
+			t.Errorf("%s: comes first %v, want %v", c.why, got, c.first)
+		}
+	}
+}
+
+func TestSettingsAreCheckedByName(t *testing.T) {
+	s, err := Parse(map[string]string{"margin": "1.5", "bands": "false"})
+	if err != nil || s.Margin != 1.5 || s.Bands || !s.Spread {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for name, value := range map[string]string{"margin": "9", "no_such": "1", "bands": "perhaps", "wait_share": "-1", "own_reserve": "2", "start_hold_millis": "1e9"} {
+		if _, err := Parse(map[string]string{name: value}); err == nil {
+			t.Errorf("%s=%s is taken", name, value)
+		}
+	}
+}
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -26,23 +26,13 @@
 	// by priority and deadline only. It answers overload: time spent on what is late
 	// already makes the next one late too.
 	Bands bool `json:"bands"`
-	// PriorityFirst has what is late, but of use, come before what is in time and of a lower
-	// priority. Only what is too late comes after all others.
-	PriorityFirst bool `json:"priority_first"`
 	// Margin is how many times its expected run time a submission must have left to count
 	// as in time. It answers overload: by the deadline alone, each starts when it just
 	// fails to make it.
 	Margin float64 `json:"margin"`
-	// BegunFirst has a submission of which a task was started come before those of the
-	// same band and priority that have not begun.
-	BegunFirst bool `json:"begun_first"`
 	// KeepBegun has a submission of which a task was started stay among those that are in time
 	// until it is too late; off: it falls behind them, half done, once it is late.
 	KeepBegun bool `json:"keep_begun"`
-	// WholeStarts has a submission start only if all its tasks find room, unless everything
-	// before it in the order has started. It answers overload: half-started submissions take
-	// room from each other, and none ends in time.
-	WholeStarts bool `json:"whole_starts"`
 	// SmallFirst has what takes less work come before what takes twice as much, within a band
 	// and priority.
 	SmallFirst bool `json:"small_first"`
@@ -79,22 +69,19 @@
 // Defaults are the settings that measured best on all sites played.
 func Defaults() Settings {
 	return Settings{
-		StartHoldMillis: 0,
-		ByPriority:      false,
+		StartHoldMillis: 1000,
+		ByPriority:      true,
 		Bands:           true,
-		PriorityFirst:   false,
 		Margin:          1,
-		BegunFirst:      false,
-		KeepBegun:       false,
-		WholeStarts:     false,
-		SmallFirst:      false,
+		KeepBegun:       true,
+		SmallFirst:      true,
 		WaitShare:       0.4,
 		OwnReserve:      0.1,
 		Spread:          true,
-		TakeBack:        false,
+		TakeBack:        true,
 		Eject:           true,
-		MoveStill:       false,
-		MoveSlow:        false,
+		MoveStill:       true,
+		MoveSlow:        true,
 		FastFirst:       true,
 		BestFit:         true,
 		LearnPace:       true,
@@ -128,8 +115,8 @@
 	switch {
 	case s.StartHoldMillis < 0 || s.StartHoldMillis > 10_000:
 		return &SettingError{Name: "start_hold_millis", Why: "is not from 0 to 10000"}
-	case s.Margin < 0.2 || s.Margin > 5:
-		return &SettingError{Name: "margin", Why: "is not from 0.2 to 5"}
+	case s.Margin < 0.5 || s.Margin > 5:
+		return &SettingError{Name: "margin", Why: "is not from 0.5 to 5"}
 	case s.WaitShare < 0 || s.WaitShare > 1:
 		return &SettingError{Name: "wait_share", Why: "is not from 0 to 1"}
 	case s.OwnReserve < 0 || s.OwnReserve > 1:
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -142,42 +142,16 @@
 	if len(free) == 0 {
 		return
 	}
-	first := true // everything before has started
 	for _, j := range s.byUrgency(now) {
-		whole := s.settings.Policy.WholeStarts && !first && !j.offered
-		if !s.startTasks(now, j, free, whole) {
-			first = false
-		}
-	}
-}
-
-// startTasks starts the tasks of a submission that find room. With whole it starts none
-// unless all do. It reports whether all have started.
-func (s *Shard) startTasks(now time.Duration, j *job, free []*room, whole bool) bool {
-	var tasks []*task
-	var taken []*room
-	all := true
-	for _, t := range j.tasks {
-		if t.state != waiting || !j.due(t) {
-			continue
-		}
-		r := s.choose(now, t, free)
-		if r == nil {
-			all = false
-			continue
-		}
-		r.take(t)
-		tasks = append(tasks, t)
-		taken = append(taken, r)
-	}
-	for i, t := range tasks {
-		if whole && !all {
-			taken[i].giveBack(t)
-			continue
+		for _, t := range j.tasks {
+			if t.state != waiting || !j.due(t) {
+				continue
+			}
+			if r := s.choose(now, t, free); r != nil {
+				s.start(now, t, r)
+			}
 		}
-		s.start(now, t, taken[i])
 	}
-	return all
 }
 
 // byUrgency returns the submissions with tasks that may start, the most pressing first.
@@ -300,13 +274,6 @@
 	r.byTasks[stepKey{t.ref.ID, t.ref.Step}]++
 }
 
-func (r *room) giveBack(t *task) {
-	r.cpu += t.step.CPUMilli
-	r.mem += t.step.MemMB
-	r.gpu += t.step.GPU
-	r.byTasks[stepKey{t.ref.ID, t.ref.Step}]--
-}
-
 // usable reports whether a worker may get something new.
 func (s *Shard) usable(now time.Duration, h *host) bool {
 	switch {
@@ -382,7 +349,6 @@
 	h.record.Completed(s.settings.Policy.Learn(p, float64(now-t.startedAt)/float64(t.step.Estimate)))
 }
 
-// start starts a task at a worker, whose room it has taken.
 func (s *Shard) start(now time.Duration, t *task, r *room) {
 	first := !t.job.offered
 	t.job.offered = true
@@ -394,6 +360,7 @@
 	t.clock = 0
 	t.stopClock = 0
 	t.progress = policy.Progress{}
+	r.take(t)
 	s.out.Starts = append(s.out.Starts, StartAction{
 		Worker:     r.host.info,
 		Task:       t.ref,
--- a/internal/kept/vm/early_test.go
+++ b/internal/kept/vm/early_test.go
@@ -6,22 +6,15 @@
 	"testing"
 	"time"
 
-	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-func holdsEarly() policy.Settings {
-	p := policy.Defaults()
-	p.StartHoldMillis = 1000
-	return p
-}
-
 // Symptom: callers are refused for a quarter of a second after all VMs were off. Sequence:
 // all VMs lose power and start again; submissions come at once, the shards are recovered
 // some hundred milliseconds later. Cause: a VM refused what it could give to no shard yet.
 func TestSubmissionsWaitForTheFirstShards(t *testing.T) {
-	testWorldWith(t, holdsEarly(), func(w *world) {
+	testWorld(t, func(w *world) {
 		names := []string{"a1", "a2", "b1", "b2"}
 		for _, name := range names {
 			w.kill(name)
@@ -42,7 +35,7 @@
 // up for some time, then it is cut off, and a submission comes. What cannot be served is
 // refused at once.
 func TestOnlyTheFirstMomentsOfAVMAreWaitedFor(t *testing.T) {
-	testWorldWith(t, holdsEarly(), func(w *world) {
+	testWorld(t, func(w *world) {
 		for _, name := range []string{"a2", "b1", "b2"} {
 			w.kill(name)
 		}
@@ -60,7 +53,7 @@
 // has just started, waits for the first shard, and its caller goes. Cause would be: it is
 // kept where nobody looks for it.
 func TestACallerMayGoBeforeAShardIsKnown(t *testing.T) {
-	testWorldWith(t, holdsEarly(), func(w *world) {
+	testWorld(t, func(w *world) {
 		for _, name := range []string{"a1", "a2", "b1", "b2"} {
 			w.kill(name)
 		}
--- a/internal/kept/vm/takeback_test.go
+++ b/internal/kept/vm/takeback_test.go
@@ -4,23 +4,16 @@
 	"testing"
 	"time"
 
-	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-func takesBack() policy.Settings {
-	p := policy.Defaults()
-	p.TakeBack = true
-	return p
-}
-
 // Symptom: a caller waits to the end of its time and gets no word, though nothing has run.
 // Sequence: all workers are busy for long; a wide submission comes, is divided over two
 // shards, and none of its parts begins. Cause: only a submission that lies whole in one
 // shard was ever refused.
 func TestADividedSubmissionThatCannotBeginIsRefused(t *testing.T) {
-	testWorldWith(t, takesBack(), func(w *world) {
+	testWorld(t, func(w *world) {
 		busy := w.submit("a1", "busy", 12, runhost.Work{Time: 10 * time.Second}, true)
 		time.Sleep(300 * ms)
 		began := time.Now()
@@ -44,7 +37,7 @@
 // takes the parts back; the other comes back. Cause would be: refusing by the parts that
 // came back, or forgetting them.
 func TestPartsThatCameBackAreGivenOutAgain(t *testing.T) {
-	testWorldWith(t, takesBack(), func(w *world) {
+	testWorld(t, func(w *world) {
 		w.wantEnd(w.submit("a1", "warm", 1, runhost.Work{Time: 50 * ms}, true), submission.Done)
 		busy := w.submit("a1", "busy", 11, runhost.Work{Time: 3 * time.Second}, true)
 		time.Sleep(300 * ms)
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -36,20 +36,12 @@
 	doors   map[string]*kvstore.Door
 	lives   uint64
 	domains []string
-	policy  policy.Settings
 }
 
 func testWorld(t *testing.T, play func(w *world)) {
-	t.Helper()
-	testWorldWith(t, policy.Defaults(), play)
-}
-
-// testWorldWith is a testWorld whose VMs decide by other thresholds.
-func testWorldWith(t *testing.T, p policy.Settings, play func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, "a", "b")
-		w.policy = p
 		for _, d := range w.domains {
 			for i := range 3 {
 				w.addWorker(worker.Info{
@@ -87,7 +79,6 @@
 		vms:     make(map[string]*VM),
 		doors:   make(map[string]*kvstore.Door),
 		domains: domains,
-		policy:  policy.Defaults(),
 	}
 	w.store.Put("config/catalog", []byte("1"))
 	return w
@@ -111,7 +102,7 @@
 	}
 	w.vms[name] = Start(Config{
 		Name:        name,
-		Policy:      w.policy,
+		Policy:      policy.Defaults(),
 		Incarnation: w.lives,
 		Domain:      domain,
 		Domains:     w.domains,
