--- a/internal/kept/policy/admit.go
+++ b/internal/kept/policy/admit.go
@@ -18,21 +18,25 @@
 
 // Admit decides, when a submission comes, whether one of the shards that can be reached
 // would do it while its caller has a use for the answer.
-func (s *Settings) Admit(now time.Duration, w *Work, shards []Candidate) Reason {
+func Admit(now time.Duration, w *Work, shards []Candidate) Reason {
 	if len(shards) == 0 {
 		return NoShard
 	}
-	if s.Band(now+leastWait(shards), w) == TooLate {
+	if w.Band(now+LeastWait(shards)) == TooLate {
 		return Forecast
 	}
 	return ""
 }
 
-// leastWait is the time until a task would start at the shard where it would start first.
-func leastWait(shards []Candidate) time.Duration {
-	least := shards[0].Wait
-	for _, c := range shards[1:] {
-		least = min(least, c.Wait)
+// LeastWait is the time until a task would start at the shard where it would start first.
+// There is one shard at least. One without room, as it has lost its workers, has nothing to
+// wait for either: it counts only if no other is there.
+func LeastWait(shards []Candidate) time.Duration {
+	least, found := time.Duration(0), false
+	for _, c := range shards {
+		if c.Room > 0 && (!found || c.Wait < least) {
+			least, found = c.Wait, true
+		}
 	}
 	return least
 }
@@ -41,7 +45,7 @@
 // room at its shard.
 func (s *Settings) KeepWaiting(now time.Duration, w *Work) Reason {
 	switch {
-	case s.Band(now, w) == TooLate:
+	case w.Band(now) == TooLate:
 		return Hopeless
 	case s.WaitShare > 0 && w.Patience > 0 && now-w.Came > time.Duration(s.WaitShare*float64(w.Patience)):
 		return OutOfTime
--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -31,12 +31,11 @@
 )
 
 // Band returns the band of a submission that would start at a time.
-func (s *Settings) Band(start time.Duration, w *Work) Band {
-	takes := time.Duration(s.Margin * float64(w.Takes))
-	switch {
-	case start+takes <= w.Came+w.Objective:
+func (w *Work) Band(start time.Duration) Band {
+	switch ends := start + w.Takes; {
+	case ends <= w.Came+w.Objective:
 		return InTime
-	case start+w.Takes <= w.Came+submission.LateFactor*w.Objective:
+	case ends <= w.Came+submission.LateFactor*w.Objective:
 		return Late
 	default:
 		return TooLate
@@ -56,7 +55,7 @@
 func (s *Settings) Urgency(now time.Duration, w *Work) Urgency {
 	u := Urgency{priority: w.Priority, deadline: w.Came + w.Objective, id: w.ID}
 	if s.Bands {
-		u.band = s.Band(now, w)
+		u.band = w.Band(now)
 	}
 	if s.KeepBegun && w.Begun && u.band == Late {
 		u.band = InTime
--- a/internal/kept/policy/order_test.go
+++ b/internal/kept/policy/order_test.go
@@ -35,11 +35,11 @@
 }
 
 func TestSettingsAreCheckedByName(t *testing.T) {
-	s, err := Parse(map[string]string{"margin": "1.5", "bands": "false"})
-	if err != nil || s.Margin != 1.5 || s.Bands || !s.Spread {
+	s, err := Parse(map[string]string{"wait_share": "0.5", "bands": "false"})
+	if err != nil || s.WaitShare != 0.5 || s.Bands || !s.Spread {
 		t.Errorf("%+v, %v", s, err)
 	}
-	for name, value := range map[string]string{"margin": "9", "no_such": "1", "bands": "perhaps", "wait_share": "-1", "own_reserve": "2", "start_hold_millis": "1e9"} {
+	for name, value := range map[string]string{"no_such": "1", "bands": "perhaps", "wait_share": "-1", "own_reserve": "2", "start_hold_millis": "1e9"} {
 		if _, err := Parse(map[string]string{name: value}); err == nil {
 			t.Errorf("%s=%s is taken", name, value)
 		}
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -26,10 +26,6 @@
 	// by priority and deadline only. It answers overload: time spent on what is late
 	// already makes the next one late too.
 	Bands bool `json:"bands"`
-	// Margin is how many times its expected run time a submission must have left to count
-	// as in time. It answers overload: by the deadline alone, each starts when it just
-	// fails to make it.
-	Margin float64 `json:"margin"`
 	// KeepBegun has a submission of which a task was started stay among those that are in time
 	// until it is too late; off: it falls behind them, half done, once it is late.
 	KeepBegun bool `json:"keep_begun"`
@@ -72,7 +68,6 @@
 		StartHoldMillis: 1000,
 		ByPriority:      true,
 		Bands:           true,
-		Margin:          1,
 		KeepBegun:       true,
 		SmallFirst:      true,
 		WaitShare:       0.4,
@@ -115,8 +110,6 @@
 	switch {
 	case s.StartHoldMillis < 0 || s.StartHoldMillis > 10_000:
 		return &SettingError{Name: "start_hold_millis", Why: "is not from 0 to 10000"}
-	case s.Margin < 0.5 || s.Margin > 5:
-		return &SettingError{Name: "margin", Why: "is not from 0.5 to 5"}
 	case s.WaitShare < 0 || s.WaitShare > 1:
 		return &SettingError{Name: "wait_share", Why: "is not from 0 to 1"}
 	case s.OwnReserve < 0 || s.OwnReserve > 1:
--- a/internal/kept/policy/trust.go
+++ b/internal/kept/policy/trust.go
@@ -43,8 +43,10 @@
 }
 
 // Hung notes that tasks stand still at a worker. It gets nothing for a while, longer each
-// time.
+// time, and then one task at a time until one has completed: with all its room it would hold
+// up three tasks at each try.
 func (r *Trust) Hung(now time.Duration) {
+	r.streak = max(r.streak, 1)
 	if now >= r.ejected {
 		r.eject(now)
 	}
--- a/internal/kept/shard/overload_test.go
+++ b/internal/kept/shard/overload_test.go
@@ -169,10 +169,10 @@
 	urgent := &policy.Work{Came: w.now, Objective: 156 * ms, Takes: 60 * ms}
 	_, all := load.Ahead(0, true)
 	_, ahead := load.Ahead(0, !p.ByPriority)
-	if reason := p.Admit(w.now, urgent, []policy.Candidate{{Shard: "a", Wait: ahead}}); reason.Refused() {
+	if reason := policy.Admit(w.now, urgent, []policy.Candidate{{Shard: "a", Room: 4, Wait: ahead}}); reason.Refused() {
 		t.Errorf("refused (%s) with %v before it", reason, ahead)
 	}
-	if reason := p.Admit(w.now, urgent, []policy.Candidate{{Shard: "a", Wait: all}}); !reason.Refused() {
+	if reason := policy.Admit(w.now, urgent, []policy.Candidate{{Shard: "a", Room: 4, Wait: all}}); !reason.Refused() {
 		t.Errorf("all that waits, %v, does not refuse it: the test shows nothing", all)
 	}
 	if _, same := load.Ahead(1, false); same < all/2 {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -406,7 +406,7 @@
 		if j.state.Final() || !j.startable() {
 			continue
 		}
-		k := key{s.settings.Policy.Band(now, s.work(j)), j.rec.Terms.Priority}
+		k := key{s.work(j).Band(now), j.rec.Terms.Priority}
 		q := sums[k]
 		if q == nil {
 			q = &Queued{Band: k.band, Priority: k.priority}
--- a/internal/kept/vm/early.go
+++ b/internal/kept/vm/early.go
@@ -34,8 +34,7 @@
 	if e.at-e.startedAt >= p.StartHold() {
 		return false
 	}
-	w := e.work(ev.record, ev.came)
-	switch p.Band(e.at, w) {
+	switch e.work(ev.record, ev.came).Band(e.at) {
 	case policy.InTime:
 		return true
 	case policy.Late:
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -15,7 +15,7 @@
 // candidates returns the shards that can take a submission, or why none does.
 func (e *engine) candidates(r *submission.Record, came time.Duration) ([]policy.Candidate, *Outcome) {
 	shards := e.reachableShards(r)
-	if reason := e.vm.config.Policy.Admit(e.at, e.work(r, came), shards); reason.Refused() {
+	if reason := policy.Admit(e.at, e.work(r, came), shards); reason.Refused() {
 		return nil, &Outcome{Kind: Busy, RetryAfter: e.comeBack(r, shards), Why: string(reason)}
 	}
 	return shards, nil
@@ -63,11 +63,7 @@
 	if len(shards) == 0 {
 		return retryAfter
 	}
-	least := shards[0].Wait
-	for _, c := range shards[1:] {
-		least = min(least, c.Wait)
-	}
-	return e.turns.ComeBack(e.at, least, e.workTime(r))
+	return e.turns.ComeBack(e.at, policy.LeastWait(shards), e.workTime(r))
 }
 
 // workTime is the time that a submission's work takes on this VM's share of all room.
