--- /dev/null
+++ b/internal/kept/shard/takeback_test.go
@@ -0,0 +1,70 @@
+package shard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// Symptom: a caller is told that its submission has not run, and it runs. Sequence: its home
+// takes a part back while starts of it are under way, lost, or carried out late; homes give
+// parts out again under a new serial. Cause would be: a rejection of what was offered, or a
+// start of what was rejected.
+func TestWhatIsTakenBackHasNotRunAndDoesNot(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 60
+	parameters.Rng.Seed(23)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("a part that is rejected never ran and never runs under that serial", prop.ForAll(
+		func(seed uint64) bool { return playTakeBack(t, seed) }, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// playTakeBack gives parts to a crowded shard, takes them back at random moments, and
+// reports whether each rejection was true.
+func playTakeBack(t *testing.T, seed uint64) bool {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	w := newWorld(t, 2)
+	w.silent = func(StartAction) bool { return rng.IntN(5) == 0 }
+	w.late = func(StartAction) time.Duration {
+		if rng.IntN(6) == 0 {
+			return time.Duration(rng.IntN(2000)) * ms
+		}
+		return 0
+	}
+	w.run(50 * ms)
+	for i := range 12 {
+		rec := w.submission(submission.ID(fmt.Sprint("part-", i)), 2, runhost.Work{Time: time.Duration(50+rng.IntN(300)) * ms})
+		rec.Part = true
+		rec.Serial = uint64(i + 1)
+		w.assign(rec)
+	}
+	rejected := make(map[submission.ID]bool)
+	for range 300 {
+		id := submission.ID(fmt.Sprint("part-", rng.IntN(12)))
+		if rng.IntN(8) == 0 {
+			w.shard.TakeBack(w.now, id)
+			w.carryOut()
+		}
+		w.step()
+		for id, state := range w.states {
+			rejected[id] = rejected[id] || state == submission.Rejected
+		}
+	}
+	w.run(3 * time.Second)
+	for id := range rejected {
+		if rejected[id] && w.runs(id) > 0 {
+			t.Logf("seed %d: %s was rejected and has run", seed, id)
+			return false
+		}
+	}
+	return len(w.ledger.Faults) == 0
+}
