--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -57,7 +57,7 @@
 	if s.Bands {
 		u.band = w.Band(now)
 	}
-	if s.KeepBegun && w.Begun && u.band == Late {
+	if s.KeepBegun && w.Begun {
 		u.band = InTime
 	}
 	if s.SmallFirst && w.Left > 0 {
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -26,8 +26,9 @@
 	// by priority and deadline only. It answers overload: time spent on what is late
 	// already makes the next one late too.
 	Bands bool `json:"bands"`
-	// KeepBegun has a submission of which a task was started stay among those that are in time
-	// until it is too late; off: it falls behind them, half done, once it is late.
+	// KeepBegun has a submission of which a task was started stay among those that are in
+	// time; off: it falls behind them, half done, once it is late. It answers overload: half
+	// done submissions waited for their last tasks until their callers went.
 	KeepBegun bool `json:"keep_begun"`
 	// SmallFirst has what takes less work come before what takes twice as much, within a band
 	// and priority.
