A rejection names the hand-in that it is of; long work does not stand still

Cause, found by reading: a holder remembers what it rejected. Parts that came back are now handed out again, also to the same shard: asked before the new hand-in has come, it answered with the old rejection, and the home would refuse the caller or give the part out once more, while the hand-in on its way runs. And a run whose percents take longer than its estimate (a hundred times off) passed for standing still. Change: states carry the serial; a rejection of another hand-in says that the holder does not have the part. A run is given three times what its percents took, twice the time before its first. Tests: TestRejectionOfAnEarlierHandInCountsForNothing (fails without the check: the caller is refused), TestLongWorkDoesNotStandStill.

--- a/internal/kept/policy/progress.go
+++ b/internal/kept/policy/progress.go
@@ -23,27 +23,34 @@
 }
 
 // A run whose progress does not change stands still. One that runs as expected gains
-// stillShare of its work in the time that is waited for; a run that takes three times as
-// long gains a tenth, which is still seen in whole percents. Listings come each 250 ms, so
-// less than stillLeast could be one that was missed.
+// stillShare of its work in the time that is waited for. One that takes many times as long
+// gains a percent in stillSteps times what its percents took up to now; before its first it is
+// given twice the time. Listings come each 250 ms, so less than stillLeast could be one that
+// was missed.
 const (
 	stillShare = 0.3
+	stillSteps = 3
 	stillLeast = 300 * time.Millisecond
 )
 
 // StandsStill reports whether a run has made no progress for so long that its worker must be
-// taken for hung: its tasks stand still while it answers calls.
-func (s *Settings) StandsStill(p Progress, expected time.Duration) bool {
+// taken for hung: its tasks stand still while it answers calls. started is when it was
+// started.
+func (s *Settings) StandsStill(p Progress, started, expected time.Duration) bool {
 	if !s.MoveStill || p.at == 0 || p.percent >= 100 {
 		return false
 	}
-	return p.at-p.since >= max(stillLeast, time.Duration(stillShare*float64(expected)))
+	within := max(stillLeast, time.Duration(stillShare*float64(expected)))
+	if p.percent == 0 {
+		within *= 2
+	} else {
+		within = max(within, stillSteps*(p.since-started)/time.Duration(p.percent))
+	}
+	return p.at-p.since >= within
 }
 
-// Pacing of a run that has made some progress.
-const (
-	seenLeast = 4 // percent; below it the rounding to whole percents weighs too much
-)
+// seenLeast is the percent below which the rounding to whole ones weighs too much.
+const seenLeast = 4
 
 // Total is how long a run would take in all if it goes on as it did, known once it has made
 // some progress. age is its age when it was last seen.
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -162,9 +162,12 @@
 	}
 	var list []ranked
 	for _, j := range s.jobs {
-		if !j.state.Final() && j.startable() {
-			list = append(list, ranked{job: j, urgency: s.settings.Policy.Urgency(now, s.work(j))})
+		if j.state.Final() || !j.startable() {
+			continue
 		}
+		w := s.work(j)
+		w.Left = j.workLeft()
+		list = append(list, ranked{job: j, urgency: s.settings.Policy.Urgency(now, w)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return a.urgency.Compare(b.urgency) })
 	out := make([]*job, len(list))
@@ -174,7 +177,7 @@
 	return out
 }
 
-// work is a submission as the policy sees it.
+// work is a submission as the policy sees it, but for what is left of it.
 func (s *Shard) work(j *job) *policy.Work {
 	takes := s.remaining(j)
 	return &policy.Work{
@@ -185,7 +188,6 @@
 		Takes:     takes,
 		Patience:  j.rec.Patience,
 		Begun:     j.offered,
-		Left:      j.workLeft(),
 	}
 }
 
--- a/internal/kept/shard/progress.go
+++ b/internal/kept/shard/progress.go
@@ -33,7 +33,7 @@
 	}
 	p := &s.settings.Policy
 	expected := time.Duration(float64(t.step.Estimate) * s.factor(j.rec.Queue))
-	if p.StandsStill(t.progress, expected) {
+	if p.StandsStill(t.progress, t.startedAt, expected) {
 		if !s.anyGoesOn(h, t) {
 			h.record.Hung(now)
 		}
@@ -42,7 +42,7 @@
 	}
 	age := now - t.startedAt
 	if total, known := t.progress.Total(age); known {
-		if p.IsHeldUp(policy.Run{Total: total, Left: total - age, Siblings: s.siblings(now, t)}) && s.roomElsewhere(now, t) {
+		if p.IsHeldUp(policy.Run{Total: total, Left: total - age, Siblings: s.siblings(t)}) && s.roomElsewhere(now, t) {
 			s.move(now, t, "its worker is slower than those of its siblings")
 		}
 	}
@@ -57,7 +57,7 @@
 }
 
 // siblings is what other tasks of the same step take on other workers, as far as is known.
-func (s *Shard) siblings(now time.Duration, t *task) []time.Duration {
+func (s *Shard) siblings(t *task) []time.Duration {
 	var out []time.Duration
 	for _, other := range t.job.tasks {
 		if other == t || other.step != t.step {
--- a/internal/kept/shard/progress_test.go
+++ b/internal/kept/shard/progress_test.go
@@ -105,3 +105,17 @@
 		t.Errorf("%d tasks were moved off sound workers", len(w.stops))
 	}
 }
+
+// Symptom: sound workers are taken for hung, one after the other. Sequence: work comes that
+// takes a hundred times its estimate, so that a percent of it takes longer than the estimate.
+// Cause: progress was expected by the estimate alone.
+func TestLongWorkDoesNotStandStill(t *testing.T) {
+	w := sickWorld(t)
+	rec := w.submission("a", 8, runhost.Work{Time: 50 * time.Second})
+	rec.Steps[0].Estimate = 400 * ms
+	w.assign(rec)
+	w.run(10 * time.Second)
+	if len(w.stops) != 0 {
+		t.Errorf("%d tasks were stopped, the first as %q", len(w.stops), w.stops[0].Why)
+	}
+}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -152,6 +152,14 @@
 	return p.state, known
 }
 
+// Serial is the hand-in that the state of a transient submission here is of.
+func (s *Shard) Serial(id submission.ID) uint64 {
+	if j, open := s.jobs[id]; open {
+		return j.rec.Serial
+	}
+	return s.past[id].serial
+}
+
 // Cancel stops the runs of a submission whose cancellation has been stored.
 func (s *Shard) Cancel(now time.Duration, id submission.ID) {
 	j, known := s.jobs[id]
@@ -287,7 +295,7 @@
 }
 
 func (s *Shard) tell(j *job) {
-	s.out.States = append(s.out.States, StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state})
+	s.out.States = append(s.out.States, StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial})
 }
 
 // Unfinished returns the submissions that have not ended, in order.
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -37,7 +37,7 @@
 		if !j.state.Final() {
 			s.end(now, j, submission.Cancelled, "its caller has sent it again")
 		}
-		s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: submission.Cancelled})
+		s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: submission.Cancelled, Serial: r.Serial})
 		return true
 	case open:
 		s.takeOverHome(r, state)
@@ -71,7 +71,7 @@
 	if j := s.jobs[r.ID]; j != nil {
 		j.rec.Home = r.Home
 	}
-	s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: state})
+	s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: state, Serial: s.Serial(r.ID)})
 }
 
 // Resume takes a transient submission that its home had given to an earlier holder.
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -50,9 +50,10 @@
 
 // StateAction tells the submission's home how far it is.
 type StateAction struct {
-	ID    submission.ID
-	Home  string
-	State submission.State
+	ID     submission.ID
+	Home   string
+	State  submission.State
+	Serial uint64 // of the hand-in that the state is of
 }
 
 // NoteAction tells the home of a transient submission what has become of a task, so
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -196,7 +196,7 @@
 		e.tellNote(n)
 	}
 	for _, s := range a.States {
-		w := stateWord{shard: name, token: h.holding.Token, state: s.State}
+		w := stateWord{shard: name, token: h.holding.Token, state: s.State, serial: s.Serial}
 		e.tellState(s.ID, s.Home, w)
 		e.tellAskers(h, s, w)
 	}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -136,7 +136,7 @@
 		e.learnNote(ref, int(n.Fails))
 	}
 	for _, s := range f.States {
-		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State)})
+		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial})
 	}
 	for _, ref := range f.Queries {
 		e.takeQuery(ev.from, ref)
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -68,6 +68,7 @@
 		word.token = h.holding.Token
 		if state, known := h.core.Knows(id); known {
 			word.state = state
+			word.serial = h.core.Serial(id)
 			e.tellPeer(from, id, word)
 			if !state.Final() {
 				h.asks(id, from)
@@ -86,14 +87,15 @@
 
 // stateWord is what a VM says of a submission, or of the part of it that a shard has.
 type stateWord struct {
-	shard string
-	token uint64 // under which the speaker holds the shard; 0: it does not
-	state submission.State
+	shard  string
+	token  uint64 // under which the speaker holds the shard; 0: it does not
+	state  submission.State
+	serial uint64 // of the hand-in that a rejection is of
 }
 
 func (e *engine) tellPeer(peer string, id submission.ID, w stateWord) {
 	f := e.frame(peer)
-	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(w.state), Shard: w.shard, Token: w.token})
+	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(w.state), Shard: w.shard, Token: w.token, Serial: w.serial})
 }
 
 // tellState tells a submission's home how far it is.
@@ -110,7 +112,7 @@
 func (e *engine) learnState(id submission.ID, w stateWord) {
 	if t := e.transients[id]; t != nil {
 		if p := t.part(w.shard); p != nil {
-			e.learnPart(t, p, w.token, w.state)
+			e.learnPart(t, p, w)
 		}
 		return
 	}
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -221,7 +221,7 @@
 	p.asked = e.at
 	if own := e.shards[p.shard]; own != nil {
 		state, _ := own.core.Knows(t.record.ID)
-		e.learnPart(t, p, own.holding.Token, state)
+		e.learnPart(t, p, stateWord{token: own.holding.Token, state: state, serial: own.core.Serial(t.record.ID)})
 		return
 	}
 	f := e.frame(p.holder)
@@ -281,11 +281,20 @@
 // its queue, while the next one, which has been given the part, starts it: the caller
 // would be told that it has not run. What such a holder says counts only if it says that
 // the part has ended.
-func (e *engine) learnPart(t *transient, p *part, token uint64, state submission.State) {
+//
+// A holder remembers what it has rejected. Asked before the next hand-in of the part has
+// come, it answers of the one before, while the next one may still come and run: the caller
+// would be told that it has not run, or the part would run at two shards. Such a rejection
+// says that the holder does not have the part.
+func (e *engine) learnPart(t *transient, p *part, w stateWord) {
 	if t.state.Final() || p.state.Final() {
 		return
 	}
-	if token != p.token && state != submission.Done && state != submission.Failed {
+	state := w.state
+	if state == submission.Rejected && w.serial != p.record.Serial {
+		state = submission.Unknown
+	}
+	if w.token != p.token && state != submission.Done && state != submission.Failed {
 		return
 	}
 	p.changed = e.at
--- a/internal/kept/vm/transient_test.go
+++ b/internal/kept/vm/transient_test.go
@@ -50,3 +50,16 @@
 		t.Errorf("the home believed it: %s", p.state)
 	}
 }
+
+// Symptom: a caller is told that its submission has not run, and it runs. Sequence: a part
+// was rejected by a holder and is handed to it again; the holder is asked before that has
+// come. Cause: its answer was of the hand-in before.
+func TestRejectionOfAnEarlierHandInCountsForNothing(t *testing.T) {
+	p := &part{record: &submission.Record{ID: "job", Token: 3, Serial: 8}, shard: "a/0", token: 3, holder: "a1", state: submission.Queued}
+	tr := &transient{record: p.record, parts: []*part{p}, waiters: []chan Outcome{make(chan Outcome, 1)}}
+	e := &engine{at: time.Hour, transients: map[submission.ID]*transient{"job": tr}, loads: map[string]*loadView{"a/0": {token: 3}}}
+	e.learnState("job", stateWord{shard: "a/0", token: 3, state: submission.Rejected, serial: 7})
+	if len(tr.waiters) == 0 || len(tr.waiters[0]) > 0 || p.state != submission.Queued {
+		t.Errorf("the home believed it: %s", p.state)
+	}
+}
