--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -13,25 +13,33 @@
 
 // Settings are the thresholds of all decisions. Operators can leave them alone; each can be
 // set, and each mechanism be switched off, to measure what it is worth on a site.
+//
+// Gains are shares of all submissions that are done in time, on two sites of 48 workers, five
+// days with faults and bursts each, against the same days with the mechanism off; below 0.002
+// they say nothing.
 type Settings struct {
 	// StartHoldMillis is for how long after its start a VM keeps submissions that it can
 	// give to no shard yet, in ms; 0: it refuses them. It answers the restart of all VMs
-	// at once: shards are recovered 80 to 250 ms after the first start.
+	// at once: shards are recovered 80 to 250 ms after the first start. Gain: below 0.002; 50
+	// of 9,460 submissions of a day are not refused.
 	StartHoldMillis int `json:"start_hold_millis"`
 	// ByPriority has a submission wait, in forecasts, only for what comes before it in its
 	// shard's order; off: for all that waits there. It answers overload by queues of a
-	// lower priority.
+	// lower priority. Gain: 0.012 and 0.017.
 	ByPriority bool `json:"by_priority"`
 	// Bands has what can still be done in time come before what cannot; off: the order is
 	// by priority and deadline only. It answers overload: time spent on what is late
-	// already makes the next one late too.
+	// already makes the next one late too. Gain: 0.006 and 0.007; 0.2 of each kind of work in
+	// a load of 1.3 times the room.
 	Bands bool `json:"bands"`
 	// KeepBegun has a submission of which a task was started stay among those that are in
 	// time; off: it falls behind them, half done, once it is late. It answers overload: half
-	// done submissions waited for their last tasks until their callers went.
+	// done submissions waited for their last tasks until their callers went. 16 and 21 callers
+	// of some 8,700 a day have an answer who had none, and about as many have theirs late.
 	KeepBegun bool `json:"keep_begun"`
 	// SmallFirst has what takes less work come before what takes twice as much, within a band
-	// and priority.
+	// and priority. It answers overload: more is done in time of the same room. Gain: below
+	// 0.002; 0.01 to 0.02 of each kind of work in loads of 1.15 to 1.4 times the room.
 	SmallFirst bool `json:"small_first"`
 	// WaitShare is the share of its caller's time that a submission may wait untried; the
 	// caller can still try elsewhere in what is left. 0: all of it.
@@ -43,16 +51,19 @@
 	// Spread divides a wide submission that fits into no shard over several.
 	Spread bool `json:"spread"`
 	// TakeBack has a home take a divided submission back of which no part has begun, when it
-	// is not worth waiting for any more. It answers overload: two in a hundred submissions
-	// waited to the end of their callers' time without a word.
+	// is not worth waiting for any more. It answers overload: without it such a submission is
+	// never refused, and waits to the end of its caller's time. Gain: below 0.002.
 	TakeBack bool `json:"take_back"`
 	// Eject leaves a worker alone that fails what completes elsewhere.
 	Eject bool `json:"eject"`
 	// MoveStill starts tasks elsewhere that stand still at their worker, and leaves the worker
-	// alone for a while. It answers workers that hang while they answer calls.
+	// alone for a while. It answers workers that hang while they answer calls. Gain, with
+	// MoveSlow: 0.010 on a day on which a fifth of the workers hang for 8 s; 72 callers a day
+	// who had no answer have one.
 	MoveStill bool `json:"move_still"`
 	// MoveSlow starts tasks elsewhere that would be done sooner there, by what their siblings
-	// take. It answers workers that turn several times slower.
+	// take. It answers workers that turn several times slower. Gain, with MoveStill: 0.002 on one
+	// site, below it on the other.
 	MoveSlow bool `json:"move_slow"`
 	// FastFirst gives tasks to the workers first on which runs take less time.
 	FastFirst bool `json:"fast_first"`
@@ -63,7 +74,7 @@
 	LearnPace bool `json:"learn_pace"`
 }
 
-// Defaults are the settings that measured best on all sites played.
+// Defaults are the settings to run with.
 func Defaults() Settings {
 	return Settings{
 		StartHoldMillis: 1000,
