Work that was done for nothing: shards sorted for each submission, siblings of each run

Cause, found in reading the whole change again: holdEarly asked whether the domain's shards are known, which copies and sorts all holdings, for each submission of a VM's whole life, though the answer counts in its first second only. What siblings take was gathered for each run of each listing, also where move_slow is off. A submission's chain was worked out twice a look, its longest estimate once a shard. Change: the age of the VM is looked at first; move_still and move_slow are asked before anything is gathered (their functions need no settings any more); chain and estimate once. Behaviour is the same. Conclusion: kept as it is simpler to read; not a gain that was measured.

--- a/internal/kept/policy/progress.go
+++ b/internal/kept/policy/progress.go
@@ -36,8 +36,8 @@
 // StandsStill reports whether a run has made no progress for so long that its worker must be
 // taken for hung: its tasks stand still while it answers calls. started is when it was
 // started.
-func (s *Settings) StandsStill(p Progress, started, expected time.Duration) bool {
-	if !s.MoveStill || p.at == 0 || p.percent >= 100 {
+func (p Progress) StandsStill(started, expected time.Duration) bool {
+	if p.at == 0 || p.percent >= 100 {
 		return false
 	}
 	within := max(stillLeast, time.Duration(stillShare*float64(expected)))
@@ -86,8 +86,8 @@
 // IsHeldUp reports whether a run's worker holds it up, by what its siblings take elsewhere.
 // Estimates are no ground for it: they are off by a half, and by the same factor for all
 // tasks of a submission.
-func (s *Settings) IsHeldUp(r Run) bool {
-	if !s.MoveSlow || len(r.Siblings) == 0 {
+func (r Run) IsHeldUp() bool {
+	if len(r.Siblings) == 0 {
 		return false
 	}
 	usual := median(r.Siblings)
--- a/internal/kept/shard/progress.go
+++ b/internal/kept/shard/progress.go
@@ -31,21 +31,32 @@
 	if t.startedAt == 0 || t.moves >= movesMost {
 		return // an earlier holder started it, or it was moved before
 	}
-	p := &s.settings.Policy
-	expected := time.Duration(float64(t.step.Estimate) * s.factor(j.rec.Queue))
-	if p.StandsStill(t.progress, t.startedAt, expected) {
+	switch p := &s.settings.Policy; {
+	case p.MoveStill && s.standsStill(t):
 		if !s.anyGoesOn(h, t) {
 			h.record.Hung(now)
 		}
 		s.move(now, t, "it stands still at its worker")
-		return
+	case p.MoveSlow && s.isHeldUp(now, t):
+		s.move(now, t, "its worker is slower than those of its siblings")
 	}
-	age := now - t.startedAt
-	if total, known := t.progress.Total(age); known {
-		if p.IsHeldUp(policy.Run{Total: total, Left: total - age, Siblings: s.siblings(t)}) && s.roomElsewhere(now, t) {
-			s.move(now, t, "its worker is slower than those of its siblings")
-		}
+}
+
+func (s *Shard) standsStill(t *task) bool {
+	expected := time.Duration(float64(t.step.Estimate) * s.factor(t.job.rec.Queue))
+	return t.progress.StandsStill(t.startedAt, expected)
+}
+
+// isHeldUp reports whether a run that was seen now would be done sooner at another worker,
+// which has room.
+func (s *Shard) isHeldUp(now time.Duration, t *task) bool {
+	age := t.progress.Age(t.startedAt)
+	total, known := t.progress.Total(age)
+	if !known {
+		return false
 	}
+	run := policy.Run{Total: total, Left: total - age, Siblings: s.siblings(t)}
+	return run.IsHeldUp() && s.roomElsewhere(now, t)
 }
 
 // anyGoesOn reports whether another run at the worker has made progress since this one
--- a/internal/kept/vm/early.go
+++ b/internal/kept/vm/early.go
@@ -20,7 +20,7 @@
 // holdEarly keeps a submission that came before the shards are known. It reports false if
 // the submission is to be decided on now.
 func (e *engine) holdEarly(ev submitEvent) bool {
-	if len(e.early) >= earlyMost || e.shardsKnown() || !e.worthHolding(ev) {
+	if len(e.early) >= earlyMost || !e.worthHolding(ev) || e.shardsKnown() {
 		return false
 	}
 	e.early = append(e.early, ev)
@@ -30,8 +30,7 @@
 // worthHolding reports whether a submission gains by waiting for more shards: while it can
 // be done in time, or nobody can take it at all.
 func (e *engine) worthHolding(ev submitEvent) bool {
-	p := &e.vm.config.Policy
-	if e.at-e.startedAt >= p.StartHold() {
+	if e.at-e.startedAt >= e.vm.config.Policy.StartHold() {
 		return false
 	}
 	switch e.work(ev.record, ev.came).Band(e.at) {
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -25,6 +25,7 @@
 func (e *engine) reachableShards(r *submission.Record) []policy.Candidate {
 	var out []policy.Candidate
 	size := largestTask(r)
+	task := longestEstimate(r)
 	for _, name := range slices.Sorted(maps.Keys(e.loads)) {
 		if !e.reachable(name) {
 			continue
@@ -33,7 +34,7 @@
 		_, queue := l.Ahead(0, true)
 		ahead, wait := l.Ahead(r.Terms.Priority, !e.vm.config.Policy.ByPriority)
 		// What this VM has sent there since the shard's last word counts as waiting there.
-		sent := time.Duration(float64(longestEstimate(r)) * float64(l.sent) / float64(max(l.RoomMilli, 1)))
+		sent := time.Duration(float64(task) * float64(l.sent) / float64(max(l.RoomMilli, 1)))
 		out = append(out, policy.Candidate{
 			Shard: name,
 			Own:   site.DomainOf(name) == e.vm.config.Domain,
@@ -48,12 +49,13 @@
 
 // work is a submission that came at a time and has not begun, as the policy sees it.
 func (e *engine) work(r *submission.Record, came time.Duration) *policy.Work {
+	takes := r.Chain()
 	return &policy.Work{
 		ID:        r.ID,
 		Priority:  r.Terms.Priority,
 		Came:      came,
-		Objective: r.Terms.Objective(r.Chain()),
-		Takes:     r.Chain(),
+		Objective: r.Terms.Objective(takes),
+		Takes:     takes,
 		Patience:  r.Patience,
 	}
 }
