--- a/cmd/pumiceyard/kept.go
+++ b/cmd/pumiceyard/kept.go
@@ -148,15 +148,15 @@
 		Short: "Tell what became of a submission, from the logs of entry VMs",
 		Args:  cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
-			var logs []logstory.Log
 			files, err := openAll(args[1:])
 			defer closeAll(files)
-			for i, f := range files {
-				logs = append(logs, logstory.Log{Name: args[i+1], In: f})
-			}
 			if err != nil {
 				return err
 			}
+			logs := make([]logstory.Log, len(files))
+			for i, f := range files {
+				logs[i] = logstory.Log{Name: f.Name(), In: f}
+			}
 			_, err = logstory.Tell(args[0], logs, c.OutOrStdout())
 			return err
 		},
--- a/internal/kept/policy/order.go
+++ b/internal/kept/policy/order.go
@@ -66,9 +66,9 @@
 	return u
 }
 
-// Compare orders submissions, the most pressing first: by band, by priority, by the size
-// of what is left, then by the objective's end. The identity decides between equals, so that the
-// order is the same each time.
+// Compare orders submissions, the most pressing first: by band, by priority, by the size of
+// what is left, then by the objective's end. The identity decides between equals, so that
+// the order is the same each time.
 func (u Urgency) Compare(other Urgency) int {
 	return cmp.Or(
 		cmp.Compare(u.band, other.band),
--- a/internal/kept/policy/split.go
+++ b/internal/kept/policy/split.go
@@ -43,7 +43,8 @@
 		return []Portion{{order[0].Shard, tasks}}
 	}
 	if !divisible || tasks == 1 || !s.Spread {
-		return []Portion{{soonest(order, make([]int, len(order)), task), tasks}}
+		best := soonest(order, make([]int, len(order)), task)
+		return []Portion{{order[best].Shard, tasks}}
 	}
 	return spread(order, tasks, task)
 }
@@ -57,8 +58,7 @@
 	}
 	queued := make([]int, len(order))
 	for ; left > 0; left-- {
-		name := soonest(order, queued, task)
-		i := slices.IndexFunc(order, func(c Candidate) bool { return c.Shard == name })
+		i := soonest(order, queued, task)
 		queued[i]++
 		given[i]++
 	}
@@ -71,10 +71,10 @@
 	return out
 }
 
-// soonest is the shard where one more task would begin first. Of equal ones it is the one
+// soonest is the index of the shard where one more task would begin first. Of equal ones it is the one
 // with less to do in all: what comes first everywhere would otherwise always go to the same
 // shard.
-func soonest(order []Candidate, queued []int, task time.Duration) string {
+func soonest(order []Candidate, queued []int, task time.Duration) int {
 	best := -1
 	var bestWait, bestQueue time.Duration
 	for i, c := range order {
@@ -87,5 +87,5 @@
 			best, bestWait, bestQueue = i, wait, queue
 		}
 	}
-	return order[best].Shard
+	return best
 }
--- a/internal/kept/policy/turns.go
+++ b/internal/kept/policy/turns.go
@@ -28,8 +28,8 @@
 // ComeBack says after what time a refused caller should come back: when what waits now is
 // done, but not before the overload may be over, and after the turns of those that were
 // refused before it. How long an overload lasts is not known: it is taken to last for
-// overloadTimes as long as it has lasted. Each turn takes the time of the caller's work on its share of the room,
-// twice: half of the room serves those that come anew.
+// overloadTimes as long as it has lasted. Each turn takes the time of the caller's work on
+// its share of the room, twice: half of the room serves those that come anew.
 //
 // With one time for all, the refused of a second come back in the same second, to the same
 // overload, and are refused again. In a closed loop with ten seconds of overload the turns
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -147,6 +147,9 @@
 	j.steps[t.ref.Step].left--
 }
 
+// startable reports whether a task waits and the steps before its own are done.
+func (j *job) startable(t *task) bool { return t.state == waiting && j.due(t) }
+
 // due reports whether the steps before a task's step are done.
 func (j *job) due(t *task) bool {
 	for _, before := range t.step.After {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -144,7 +144,7 @@
 	}
 	for _, j := range s.byUrgency(now) {
 		for _, t := range j.tasks {
-			if t.state != waiting || !j.due(t) {
+			if !j.startable(t) {
 				continue
 			}
 			if r := s.choose(now, t, free); r != nil {
@@ -162,7 +162,7 @@
 	}
 	var list []ranked
 	for _, j := range s.jobs {
-		if j.state.Final() || !j.startable() {
+		if j.state.Final() || !j.anyStartable() {
 			continue
 		}
 		w := s.work(j)
@@ -195,15 +195,13 @@
 func (j *job) workLeft() float64 {
 	sum := 0.0
 	for _, t := range j.tasks {
-		if t.state == waiting && j.due(t) {
-			sum += t.step.Estimate.Seconds() * float64(t.step.CPUMilli) / milliPerCore
+		if j.startable(t) {
+			sum += t.step.Estimate.Seconds() * float64(t.step.CPUMilli) / submission.MilliPerCore
 		}
 	}
 	return sum
 }
 
-const milliPerCore = 1000
-
 // rejectHopeless ends a transient submission of which nothing has run and that is not worth
 // waiting for any more. The caller learns at once that it has not run.
 func (s *Shard) rejectHopeless(now time.Duration, j *job) {
@@ -215,14 +213,7 @@
 	}
 }
 
-func (j *job) startable() bool {
-	for _, t := range j.tasks {
-		if t.state == waiting && j.due(t) {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) anyStartable() bool { return slices.ContainsFunc(j.tasks, j.startable) }
 
 // remaining is the time a submission takes if all its tasks start now.
 func (s *Shard) remaining(j *job) time.Duration {
@@ -405,7 +396,7 @@
 	}
 	sums := make(map[key]*Queued)
 	for _, j := range s.jobs {
-		if j.state.Final() || !j.startable() {
+		if j.state.Final() || !j.anyStartable() {
 			continue
 		}
 		k := key{s.work(j).Band(now), j.rec.Terms.Priority}
@@ -416,7 +407,7 @@
 		}
 		factor := s.factor(j.rec.Queue)
 		for _, t := range j.tasks {
-			if t.state == waiting && j.due(t) {
+			if j.startable(t) {
 				q.Milli += t.step.CPUMilli
 				q.Takes += time.Duration(factor * float64(t.step.Estimate) * float64(t.step.CPUMilli) / float64(max(room, 1)))
 			}
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -45,6 +45,9 @@
 	return Unknown, false
 }
 
+// MilliPerCore is a core in the unit of CPUMilli.
+const MilliPerCore = 1000
+
 // Step is a group of equal tasks.
 type Step struct {
 	Count         int           `json:"n"`
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -11,6 +11,7 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
 const reportEvery = time.Second // between counters and the scrape registry
@@ -140,14 +141,12 @@
 		free += milli
 	}
 	s.workers.Update(float64(workers))
-	s.room.Update(float64(l.RoomMilli) / milliPerCore)
-	s.free.Update(float64(free) / milliPerCore)
+	s.room.Update(float64(l.RoomMilli) / submission.MilliPerCore)
+	s.free.Update(float64(free) / submission.MilliPerCore)
 	queued, _ := l.Ahead(0, true)
-	s.queued.Update(float64(queued) / milliPerCore)
+	s.queued.Update(float64(queued) / submission.MilliPerCore)
 }
 
-const milliPerCore = 1000
-
 // ended counts a submission's answer: done, failed, refused, given_up or abandoned.
 func (q *queueFigures) ended(outcome string, took time.Duration) {
 	count(q.outcomes, q.scope, "submissions_ended_total", "outcome", outcome)
--- a/internal/kept/vm/takeback.go
+++ b/internal/kept/vm/takeback.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
@@ -50,24 +51,12 @@
 	return slices.ContainsFunc(t.parts, func(p *part) bool { return p.state == submission.Rejected })
 }
 
-func (t *transient) allReturned() bool {
-	return !slices.ContainsFunc(t.parts, func(p *part) bool { return p.state != submission.Rejected })
-}
-
 func (e *engine) takeBack(t *transient, reason policy.Reason) {
 	t.takenBackAt = e.at
 	klog.InfoS("kept: taken back", "id", t.record.ID, "queue", t.record.Queue, "parts", len(t.parts), "why", reason, "after", e.at-t.came)
-	for _, p := range t.parts {
-		if p.state.Final() {
-			continue
-		}
-		if own := e.shards[p.shard]; own != nil {
-			own.core.TakeBack(e.at, t.record.ID)
-			continue
-		}
-		f := e.frame(p.holder)
-		f.TakenBack = append(f.TakenBack, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
-	}
+	e.tellHolders(t,
+		func(own *shard.Shard) { own.TakeBack(e.at, t.record.ID) },
+		func(f *pb.KeptFrame, part *pb.KeptRef) { f.TakenBack = append(f.TakenBack, part) })
 }
 
 // giveOutAgain hands the parts that came back to the shards that do them soonest. A shard
@@ -82,8 +71,7 @@
 			e.giveUp(t, "a part of it came back and no shard can be reached")
 			return
 		}
-		e.serial++
-		p.record.Serial = e.vm.config.Incarnation + e.serial
+		p.record.Serial = e.nextSerial()
 		p.record.Shard = p.shard
 		p.state = submission.Queued
 		p.token = 0
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -74,8 +74,7 @@
 		ev.reply <- *refusal
 		return
 	}
-	e.serial++
-	ev.record.Serial = e.vm.config.Incarnation + e.serial
+	ev.record.Serial = e.nextSerial()
 	for _, p := range parts {
 		p.record.Serial = ev.record.Serial
 	}
@@ -98,6 +97,12 @@
 	}
 }
 
+// nextSerial names a hand-in of a transient submission.
+func (e *engine) nextSerial() uint64 {
+	e.serial++
+	return e.vm.config.Incarnation + e.serial
+}
+
 // divide makes the parts of a submission. Steps that wait for each other stay together.
 func (e *engine) divide(r *submission.Record, came time.Duration) ([]*part, *Outcome) {
 	r.Home = e.vm.config.Name
@@ -251,21 +256,33 @@
 
 // withdraw tells the holders of unfinished parts that nobody waits for them.
 func (e *engine) withdraw(t *transient) {
+	e.tellHolders(t,
+		func(own *shard.Shard) { own.Cancel(e.at, t.record.ID) },
+		func(f *pb.KeptFrame, part *pb.KeptRef) { f.Cancelled = append(f.Cancelled, part) })
+}
+
+// tellHolders says something of each unfinished part to the shard that has it, if it is one
+// of this VM's, or else to its holder.
+func (e *engine) tellHolders(t *transient, here func(*shard.Shard), there func(*pb.KeptFrame, *pb.KeptRef)) {
 	for _, p := range t.parts {
 		if p.state.Final() {
 			continue
 		}
 		if own := e.shards[p.shard]; own != nil {
-			own.core.Cancel(e.at, t.record.ID)
+			here(own.core)
 			continue
 		}
 		if p.holder != "" && p.holder != e.vm.config.Name {
-			f := e.frame(p.holder)
-			f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
+			there(e.frame(p.holder), &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
 		}
 	}
 }
 
+// all reports whether each part is in a state.
+func (t *transient) all(state submission.State) bool {
+	return !slices.ContainsFunc(t.parts, func(p *part) bool { return p.state != state })
+}
+
 func (t *transient) part(shard string) *part {
 	for _, p := range t.parts {
 		if p.shard == shard {
@@ -310,7 +327,7 @@
 		e.giveUp(t, "a holder has ended it")
 	case submission.Rejected:
 		p.state = state
-		if t.allReturned() {
+		if t.all(submission.Rejected) {
 			e.refuseTransient(t)
 		}
 	case submission.Failed:
@@ -319,7 +336,7 @@
 		e.endTransient(t, state)
 	case submission.Done:
 		p.state = state
-		if !slices.ContainsFunc(t.parts, func(p *part) bool { return p.state != submission.Done }) {
+		if t.all(submission.Done) {
 			e.endTransient(t, state)
 		}
 	default:
@@ -375,11 +392,11 @@
 
 // apply ends a transient submission that no caller waits for any more.
 func (ev abandonEvent) apply(e *engine) {
-	t := e.transients[ev.id]
 	if e.dropEarly(ev.reply) {
 		klog.InfoS("kept: abandoned", "id", ev.id, "why", "its caller has gone before a shard was known")
 		return
 	}
+	t := e.transients[ev.id]
 	if t == nil {
 		return
 	}
