The switch for ejecting workers works by itself; a setting's value is one JSON value

Cause, found in reading the whole change again: eject was asked where a worker is admitted, together with move_still, so that with move_still on (the default) eject=false did nothing. Parse built JSON by hand and read its first value only: 'bands=true} and more' was taken. Change: eject is asked where a failure is noted, so that admitting and cost go by what was noted and need no settings; each value is marshalled as raw JSON, which checks the whole. With the defaults nothing changes.

--- a/internal/kept/policy/order_test.go
+++ b/internal/kept/policy/order_test.go
@@ -40,6 +40,9 @@
 	if err != nil || s.WaitShare != 0.5 || s.Bands || !s.Spread {
 		t.Errorf("%+v, %v", s, err)
 	}
+	if _, err := Parse(map[string]string{"bands": `true} and more`}); err == nil {
+		t.Error("what follows a value is taken for nothing")
+	}
 	for name, value := range map[string]string{"no_such": "1", "bands": "perhaps", "wait_share": "-1", "own_reserve": "2", "start_hold_millis": "1e9"} {
 		if _, err := Parse(map[string]string{name: value}); err == nil {
 			t.Errorf("%s=%s is taken", name, value)
--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -109,10 +108,13 @@
 func Parse(text map[string]string) (Settings, error) {
 	s := Defaults()
 	for _, name := range slices.Sorted(maps.Keys(text)) {
-		body := fmt.Sprintf("{%s:%s}", strconv.Quote(name), text[name])
-		d := json.NewDecoder(bytes.NewReader([]byte(body)))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&s); err != nil {
+		body, err := json.Marshal(map[string]json.RawMessage{name: json.RawMessage(text[name])})
+		if err == nil {
+			d := json.NewDecoder(bytes.NewReader(body))
+			d.DisallowUnknownFields()
+			err = d.Decode(&s)
+		}
+		if err != nil {
 			return Settings{}, &SettingError{Name: name, Why: strings.TrimPrefix(err.Error(), "json: ")}
 		}
 	}
--- a/internal/kept/policy/trust.go
+++ b/internal/kept/policy/trust.go
@@ -30,10 +30,10 @@
 	doubtCost  = 10 // of a worker whose last run failed
 )
 
-// Failed notes a failed run of a submission.
-func (r *Trust) Failed(now time.Duration, id submission.ID) {
-	if r.last == id {
-		return // counted
+// Failed notes a failed run of a submission at a worker.
+func (s *Settings) Failed(now time.Duration, r *Trust, id submission.ID) {
+	if !s.Eject || r.last == id {
+		return // not asked for, or counted
 	}
 	r.last = id
 	r.streak++
@@ -79,10 +79,7 @@
 }
 
 // Admits reports whether a worker may get a task beside those it has.
-func (s *Settings) Admits(now time.Duration, r *Trust, beside int) bool {
-	if !s.Eject && !s.MoveStill {
-		return true
-	}
+func (r *Trust) Admits(now time.Duration, beside int) bool {
 	if now < r.ejected {
 		return false
 	}
@@ -106,7 +103,7 @@
 	if p.Remote {
 		cost *= remoteFactor
 	}
-	if p.Trust.streak > 0 && s.Eject {
+	if p.Trust.streak > 0 {
 		cost *= doubtCost
 	}
 	if p.Avoid {
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -131,7 +131,7 @@
 		first.record.Pardon(t.job.rec.ID) // it fails on several workers: the fault is its own
 	} else {
 		t.job.blamed = h
-		h.record.Failed(now, t.job.rec.ID)
+		s.settings.Policy.Failed(now, &h.record, t.job.rec.ID)
 	}
 	t.avoid = h
 	if t.fails >= t.job.rec.Terms.Attempts && t.state != complete && !t.job.state.Final() {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -314,7 +314,7 @@
 	case step.MaxPerWorker > 0 && r.byTasks[stepKey{t.ref.ID, t.ref.Step}] >= step.MaxPerWorker:
 		return false
 	default:
-		return s.settings.Policy.Admits(now, &r.host.record, s.runsOn(r))
+		return r.host.record.Admits(now, s.runsOn(r))
 	}
 }
 
@@ -375,7 +375,7 @@
 		}
 	}
 	for _, r := range s.rooms(now) {
-		if s.settings.Policy.Admits(now, &r.host.record, s.runsOn(r)) {
+		if r.host.record.Admits(now, s.runsOn(r)) {
 			l.FreeMilli = append(l.FreeMilli, r.cpu)
 		}
 	}
