--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -139,9 +139,14 @@
 
 func decodeWorker(it store.Item) (worker.Info, error) {
 	var info worker.Info
-	err := json.Unmarshal(it.Value, &info)
+	if err := json.Unmarshal(it.Value, &info); err != nil {
+		return worker.Info{}, &worker.EntryError{Key: it.Key, Why: err.Error()}
+	}
+	if why := info.Problem(); why != "" {
+		return worker.Info{}, &worker.EntryError{Key: it.Key, Why: why}
+	}
 	info.Revision = it.Revision
-	return info, err
+	return info, nil
 }
 
 // Daemon is a running entry VM with its listeners.
--- /dev/null
+++ b/internal/kept/daemon/entries_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+// Symptom: room is told that no submission can use. Sequence: another writer puts an entry
+// into the list of workers that lacks a field. Cause: it was taken as it was read.
+func TestEntriesThatNameNoWorkerAreRefused(t *testing.T) {
+	whole := `{"ID":"w","Service":"s","Address":"127.0.0.1:1","Domain":"d","CPUMilli":1000,"MemMB":64}`
+	if info, err := decodeWorker(store.Item{Key: "k", Value: []byte(whole), Revision: 4}); err != nil || info.Revision != 4 {
+		t.Errorf("%+v, %v", info, err)
+	}
+	for _, value := range []string{
+		`no entry`, `{}`, `{"ID":7}`,
+		`{"ID":"w","Service":"","Address":"127.0.0.1:1","Domain":"d","CPUMilli":1000,"MemMB":64}`,
+		`{"ID":"w","Service":"s","Address":"","Domain":"d","CPUMilli":1000,"MemMB":64}`,
+		`{"ID":"w","Service":"s","Address":"127.0.0.1:1","Domain":"d","CPUMilli":-1,"MemMB":64}`,
+	} {
+		var bad *worker.EntryError
+		if info, err := decodeWorker(store.Item{Key: "k", Value: []byte(value)}); !errors.As(err, &bad) || bad.Key != "k" {
+			t.Errorf("%s: %+v, %v", value, info, err)
+		}
+	}
+}
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -38,6 +39,41 @@
 	return false
 }
 
+// EntryError says why an entry of the list of workers names no worker to use.
+type EntryError struct {
+	Key string
+	Why string
+}
+
+func (e *EntryError) Error() string { return fmt.Sprintf("entry %s: %s", e.Key, e.Why) }
+
+// Room that no worker has. Sums over a site stay far below what an int64 holds.
+const (
+	cpuMost = 1 << 31 // thousandths of a core
+	gpuMost = 1 << 31
+	memMost = 1 << 40 // megabytes
+)
+
+// Problem says why an entry of the list of workers names no worker to use; "": it names one.
+// Other writers may put entries into the list: one without room would count as a worker that
+// is always full, one without a service as room that nobody can use.
+func (w *Info) Problem() string {
+	switch {
+	case w.ID == "":
+		return "it has no ID"
+	case w.Service == "":
+		return "it names no service"
+	case w.Domain == "":
+		return "it names no failure domain"
+	case w.Address == "":
+		return "it names no address"
+	case w.CPUMilli <= 0 || w.CPUMilli > cpuMost, w.MemMB <= 0 || w.MemMB > memMost, w.GPU < 0 || w.GPU > gpuMost:
+		return "its room is not that of a worker"
+	default:
+		return ""
+	}
+}
+
 // Verdict is a worker's answer to an order.
 type Verdict uint8
 
