Logs are read by one piece for stories and losses

Cause, found in reading the whole change again: losses had the head of a line and the bounded scanner that logstory has. Change: logstory.Head and NewScanner. Each keeps its own pattern of the rest.

--- a/internal/tool/logstory/logstory.go
+++ b/internal/tool/logstory/logstory.go
@@ -21,11 +21,21 @@
 	detail string
 }
 
-// klogLine is the head of a line: severity, date, time, thread, place, message.
-var klogLine = regexp.MustCompile(`^[IWE](\d{4} \d{2}:\d{2}:\d{2}\.\d+)\s+\d+ \S+\] "([^"]*)" ?(.*)$`)
+// Head is the pattern of what stands before the message of a line: severity, date and time
+// (the one group), thread, place.
+const Head = `[IWE](\d{4} \d{2}:\d{2}:\d{2}\.\d+)\s+\d+ \S+\] `
+
+var klogLine = regexp.MustCompile(`^` + Head + `"([^"]*)" ?(.*)$`)
 
 const lineMost = 1 << 20 // bytes
 
+// NewScanner reads a log by its lines.
+func NewScanner(in io.Reader) *bufio.Scanner {
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, lineMost)
+	return s
+}
+
 // Log is one VM's log.
 type Log struct {
 	Name string
@@ -59,8 +69,7 @@
 
 func read(id string, l Log) ([]line, error) {
 	var out []line
-	s := bufio.NewScanner(l.In)
-	s.Buffer(nil, lineMost)
+	s := NewScanner(l.In)
 	mark := `id="` + id + `"`
 	name := strings.TrimSuffix(filepath.Base(l.Name), filepath.Ext(l.Name))
 	for s.Scan() {
--- a/internal/tool/losses/losses.go
+++ b/internal/tool/losses/losses.go
@@ -7,7 +7,6 @@
 package losses
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -18,6 +17,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/tool/logstory"
 )
 
 // Cause is why a hand-in was not served within its objective.
@@ -75,14 +76,11 @@
 }
 
 var (
-	klogLine  = regexp.MustCompile(`[IWE](\d{4} \d{2}:\d{2}:\d{2}\.\d+)\s+\d+ \S+\] "kept: (taken|start|answered|refused|given up|abandoned)" (.*)$`)
+	klogLine  = regexp.MustCompile(logstory.Head + `"kept: (taken|start|answered|refused|given up|abandoned)" (.*)$`)
 	fieldText = regexp.MustCompile(`(\w+)=(?:"((?:[^"\\]|\\.)*)"|(\S+))`)
 )
 
-const (
-	lineMost = 1 << 20 // bytes
-	stamp    = "0102 15:04:05.000000"
-)
+const stamp = "0102 15:04:05.000000"
 
 // Read takes the logs of all entry VMs and sorts what happened to the hand-ins into causes.
 // Times are compared between VMs: their clocks should agree to some milliseconds.
@@ -106,8 +104,7 @@
 
 func readLog(in io.Reader) ([]event, error) {
 	var out []event
-	s := bufio.NewScanner(in)
-	s.Buffer(nil, lineMost)
+	s := logstory.NewScanner(in)
 	for s.Scan() {
 		m := klogLine.FindStringSubmatch(s.Text())
 		if m == nil {
