--- a/internal/kept/link/join_test.go
+++ b/internal/kept/link/join_test.go
@@ -11,7 +11,7 @@
 // Symptom: a kind of message never arrives. Sequence: it waits for the stream, like the
 // others. Cause: frames that wait are joined field by field, and a new one was left out.
 func TestJoinedFramesLoseNoField(t *testing.T) {
-	ofTheStream := map[protoreflect.Name]bool{"entry_vm": true, "incarnation": true, "reaches_store": true}
+	ofTheStream := map[protoreflect.Name]bool{"entry_vm": true, "incarnation": true, "reaches_store": true, "wanted": true}
 	full := &pb.KeptFrame{}
 	fields := full.ProtoReflect().Descriptor().Fields()
 	for i := range fields.Len() {
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// Distant settings are for peers of other failure domains on a large site, where the
-// beats of all to all would take more processor than the work: a peer that falls silent
-// is noticed by its neighbours, and its shards' new holders speak up themselves.
+// Distant settings are for peers whose shards this VM would not take over: a peer that falls
+// silent is noticed by those that would, and the new holders of its shards speak up themselves.
+// Beats of 120 ms to all of them would take more processor than the work.
 func Distant(s Settings) Settings {
 	s.Beat = 300 * time.Millisecond
 	s.Silence = 1200 * time.Millisecond
@@ -62,6 +62,8 @@
 	PeerUp(name string, incarnation uint64)
 	PeerLost(name, why string)
 	Frame(from string, f *pb.KeptFrame)
+	// PeerLeft says that a stream from a peer has ended.
+	PeerLeft(from string)
 }
 
 // Link is the stream to one peer.
@@ -73,6 +75,7 @@
 	dial     wire.Dialer
 	events   Events
 	out      *ring.Ring[*pb.KeptFrame]
+	wanted   atomic.Bool
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -101,6 +104,10 @@
 // Send queues a frame. It reports false when too many wait.
 func (l *Link) Send(f *pb.KeptFrame) bool { return l.out.TryPush(f) }
 
+// Want says whether this VM needs the link, or keeps it only because its peer does. The peer is
+// told with each frame.
+func (l *Link) Want(wanted bool) { l.wanted.Store(wanted) }
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.cancel()
@@ -142,7 +149,7 @@
 	})
 	defer guard.Stop()
 	conn := service.Link(ctx)
-	first := &pb.KeptFrame{EntryVm: l.self.EntryVm, Incarnation: l.self.Incarnation}
+	first := &pb.KeptFrame{EntryVm: l.self.EntryVm, Incarnation: l.self.Incarnation, Wanted: l.wanted.Load()}
 	if err := conn.Send(first); err != nil {
 		return false, err.Error()
 	}
@@ -173,6 +180,7 @@
 	beats := time.NewTicker(l.settings.Beat)
 	defer beats.Stop()
 	defer client.Leave() // ends a Send or Receive that hangs on a silent connection
+	busy := false        // a frame has left since the last beat was due
 	for {
 		var frame *pb.KeptFrame
 		select {
@@ -184,14 +192,20 @@
 			if l.settings.Now()-time.Duration(last.Load()) > l.settings.Silence {
 				return "silent"
 			}
+			if busy {
+				busy = false
+				continue
+			}
 			frame = &pb.KeptFrame{}
 		case <-l.out.Ready():
 			frame = join(l.out.Drain())
+			busy = frame != nil
 		}
 		if frame == nil {
 			continue
 		}
 		frame.ReachesStore = l.settings.ReachesStore()
+		frame.Wanted = l.wanted.Load()
 		if err := l.send(client, conn, frame); err != nil {
 			return err.Error()
 		}
@@ -225,6 +239,9 @@
 		f.Replies = append(f.Replies, w.Replies...)
 		f.Notes = append(f.Notes, w.Notes...)
 		f.TakenBack = append(f.TakenBack, w.TakenBack...)
+		if w.Elsewhere != nil {
+			f.Elsewhere = w.Elsewhere // the newest replaces the others
+		}
 	}
 	return f
 }
@@ -269,10 +286,21 @@
 
 var errNoName = errors.New("the first frame names no entry VM")
 
-// Link implements the service: frames go to the events, each is answered by a beat.
+// answerEvery is the least time between two answers on a stream. The shortest beat is twice as
+// long, so each beat is answered; frames that carry loads or submissions come more often, and an
+// answer to each would cost the receiver as much as the frame.
+const answerEvery = 60 * time.Millisecond
+
+// Link implements the service: frames go to the events, and are answered by beats.
 func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptBeat]) error {
 	from := ""
 	last := s.now()
+	answered := last - answerEvery
+	defer func() {
+		if from != "" {
+			s.events.PeerLeft(from)
+		}
+	}()
 	for {
 		f, err := conn.Receive()
 		if err != nil {
@@ -290,6 +318,10 @@
 			}
 		}
 		s.events.Frame(from, f)
+		if now-answered < answerEvery {
+			continue
+		}
+		answered = now
 		if err := conn.Send(s.self); err != nil {
 			return nil
 		}
--- a/internal/kept/link/link_test.go
+++ b/internal/kept/link/link_test.go
@@ -33,6 +33,8 @@
 	r.lost = append(r.lost, why)
 }
 
+func (r *recorder) PeerLeft(string) {}
+
 func (r *recorder) Frame(_ string, f *pb.KeptFrame) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -130,3 +130,13 @@
 	}
 	return ended
 }
+
+// HasHome reports whether an entry VM is the home of an unfinished submission.
+func (s *Shard) HasHome(home string) bool {
+	for _, j := range s.jobs {
+		if j.rec.Home == home && !j.state.Final() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -167,11 +167,12 @@
 
 // heir is who should hold a shard if this VM does not.
 func (s *Site) heir(shard string) (Member, bool) {
-	order := s.ranking(shard, s.self.Name)
-	if len(order) == 0 {
+	able := s.able(shard, s.self.Name)
+	if len(able) == 0 {
 		return Member{}, false
 	}
-	return s.members[order[0]], true
+	held := s.held()
+	return slices.MinFunc(able, func(a, b Member) int { return compare(shard, held, a, b) }), true
 }
 
 // HandOver returns the claims that give all shards of this VM to others.
@@ -203,9 +204,21 @@
 }
 
 // ranking orders the entry VMs that may hold a shard: those of its own failure
-// domain first, then those that have least to do, then by rendezvous hashing. A VM that is suspected, or the one
-// excepted, is left out.
+// domain first, then those that have least to do, then by rendezvous hashing.
 func (s *Site) ranking(shard, except string) []string {
+	able := s.able(shard, except)
+	held := s.held()
+	slices.SortFunc(able, func(a, b Member) int { return compare(shard, held, a, b) })
+	names := make([]string, len(able))
+	for i := range able {
+		names[i] = able[i].Name
+	}
+	return names
+}
+
+// able returns the entry VMs that may hold a shard. A VM that is suspected, or the one
+// excepted, is left out.
+func (s *Site) able(shard, except string) []Member {
 	var out []Member
 	for _, m := range s.members {
 		if m.Name != except && !s.suspected[m.Name] {
@@ -218,13 +231,7 @@
 			out = append(out, s.self)
 		}
 	}
-	held := s.held()
-	slices.SortFunc(out, func(a, b Member) int { return compare(shard, held, a, b) })
-	names := make([]string, len(out))
-	for i := range out {
-		names[i] = out[i].Name
-	}
-	return names
+	return out
 }
 
 func compare(shard string, held map[string]int, a, b Member) int {
--- /dev/null
+++ b/internal/kept/site/peers.go
@@ -0,0 +1,105 @@
+package site
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// smallSite is the number of other VMs up to which all keep links to all. Links of all to all
+// grow with the square of the VMs: at 147 VMs their beats alone took all the processor that
+// most of the VMs have (0.19 core).
+const smallSite = 12
+
+// foreignLeast is to how many holders of other failure domains a VM keeps links, however
+// little processor it has: they take its submissions while its own domain has no holder, and
+// carry its calls of the store.
+const foreignLeast = 2
+
+// linkCost is the processor of a link in both directions, in cores: the slope of idle sites of
+// 8 to 34 VMs (BenchmarkSite, vms=8 and vms=34 without load).
+const linkCost = 0.0013
+
+// linkShare is the part of its processor that a VM may spend on links that it could do without.
+const linkShare = 0.05
+
+// Peer is an entry VM to keep a link to.
+type Peer struct {
+	Member
+	// Near says that the loss of the VM is to be noticed soon: it, or this VM, would take
+	// the other's shards over.
+	Near bool
+}
+
+// Peers returns the entry VMs that this VM needs links to. On a large site those are
+//
+//   - the holders of its own failure domain, where its submissions go;
+//   - for a holder: all VMs of its domain, and the holders of the others, so that what one
+//     domain cannot take goes to another, and each shard has heirs that watch its holder;
+//   - for the others: as many holders of other domains as its processor bears.
+//
+// Whoever is on the other end keeps a link back for as long as it is told that it is needed.
+func (s *Site) Peers(now time.Duration) []Peer {
+	members := s.Links(now)
+	holders := s.held()
+	holds := holders[s.self.Name] > 0
+	small := len(members) <= smallSite
+	var out []Peer
+	var foreign []Member
+	for _, m := range members {
+		own, holder := m.Domain == s.self.Domain, holders[m.Name] > 0
+		switch {
+		case small:
+			out = append(out, Peer{Member: m, Near: true})
+		case own && (holds || holder):
+			out = append(out, Peer{Member: m, Near: holds && holder})
+		case holder && holds:
+			out = append(out, Peer{Member: m})
+		case holder:
+			foreign = append(foreign, m)
+		}
+	}
+	return append(out, s.someOf(foreign, s.affordable()-len(out))...)
+}
+
+// affordable is how many links this VM's processor bears. Without a word of its processor it
+// bears them all.
+func (s *Site) affordable() int {
+	if s.self.Weight <= 0 {
+		return len(s.members)
+	}
+	return int(linkShare * s.self.Weight / linkCost)
+}
+
+// someOf returns the first of some VMs by rendezvous hashing, so that the VMs of a site choose
+// evenly and each goes on with most of its choice as others come and go.
+func (s *Site) someOf(members []Member, n int) []Peer {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(score(s.self.Name, b.Name), score(s.self.Name, a.Name)), strings.Compare(a.Name, b.Name))
+	})
+	var out []Peer
+	for _, m := range members[:min(max(n, foreignLeast), len(members))] {
+		out = append(out, Peer{Member: m})
+	}
+	return out
+}
+
+// Member returns an entry VM whose key is there, or has lapsed lately.
+func (s *Site) Member(name string) (Member, bool) {
+	if m, there := s.members[name]; there {
+		return m, true
+	}
+	l, lapsed := s.lapsed[name]
+	return l.member, lapsed
+}
+
+// Holds reports whether an entry VM holds a shard.
+func (s *Site) Holds(name string) bool {
+	for _, v := range s.shards {
+		if v.holding.Holder == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -26,7 +26,7 @@
 type Settings struct {
 	RankStep   time.Duration // between entry VMs that may take the same shard
 	Foreign    time.Duration // additional wait of those in other failure domains
-	Divide     time.Duration // after the start, for the workers of a new site to be listed
+	Divide     time.Duration // after the start, for the other VMs to be known
 	Settle     time.Duration // after the start, before shards of other domains are taken
 	ReturnWait time.Duration // before a shard is given back to its own domain
 	Cooldown   time.Duration // between claims of the same shard by this VM
@@ -40,7 +40,7 @@
 	return Settings{
 		RankStep:   150 * time.Millisecond,
 		Foreign:    250 * time.Millisecond,
-		Divide:     1500 * time.Millisecond,
+		Divide:     400 * time.Millisecond,
 		Settle:     1200 * time.Millisecond,
 		ReturnWait: 1500 * time.Millisecond,
 		Cooldown:   time.Second,
@@ -140,7 +140,8 @@
 }
 
 // Undivided returns the failure domains whose division this VM should write: its own,
-// and after a while those of others.
+// and after a while those of others. The VMs take turns, as each reads the whole list of
+// workers for it.
 func (s *Site) Undivided(now time.Duration) []string {
 	var out []string
 	for _, domain := range s.domains {
@@ -151,6 +152,7 @@
 		if domain != s.self.Domain {
 			wait *= 2
 		}
+		wait += time.Duration(s.turn(domain)) * s.settings.RankStep
 		if now-s.startedAt >= wait {
 			out = append(out, domain)
 		}
@@ -158,6 +160,17 @@
 	return out
 }
 
+// turn is how many VMs are to do something for a failure domain before this one.
+func (s *Site) turn(domain string) int {
+	before := 0
+	for _, m := range s.members {
+		if m.Domain == s.self.Domain && score(domain, m.Name) > score(domain, s.self.Name) {
+			before++
+		}
+	}
+	return before
+}
+
 func (s *Site) applyMember(now time.Duration, name string, e store.Event) error {
 	if e.Deleted {
 		s.lapse(now, name)
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,7 @@
 	rescanEvery   = time.Second // for records whose holder was not told of them
 	loadEvery     = 300 * time.Millisecond
 	loadAtMost    = 15 * time.Millisecond  // between messages about a changed load
-	loadPerPeer   = 2 * time.Millisecond   // added to that for each peer
+	loadPerPeer   = 2 * time.Millisecond   // that for each linked peer, if it is more
 	loadFresh     = time.Second            // an older word of a shard's load counts for nothing
 	askAgain      = 700 * time.Millisecond // a holder that has not told of a submission for so long is asked
 	homeFor       = 150 * time.Second      // ended submissions are remembered; callers ask for 120 s
@@ -64,33 +65,39 @@
 
 // engine owns the state of an entry VM.
 type engine struct {
-	vm           *VM
-	ctx          context.Context
-	at           time.Duration // of this round
-	site         *site.Site
-	shards       map[string]*held
-	homes        map[submission.ID]*home // stored submissions
-	transients   map[submission.ID]*transient
-	early        []submitEvent // came before the shards are known
-	startedAt    time.Duration
-	turns        policy.Turns // of callers that were refused here
-	links        map[string]*link.Link
-	up           map[string]bool // peers whose link stands
-	incarnations map[string]uint64
-	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
-	loads        map[string]*loadView
-	workers      []worker.Info
-	services     map[string]bool // that any configuration has named
-	claiming     map[string]bool
-	dividing     bool
-	serial       uint64                       // of transient submissions taken here
-	loadAtMost   time.Duration                // between messages about a changed load, on a site of this size
-	unplaced     map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
-	unplacedAt   time.Duration
-	toldUnplaced bool                     // what peers were told last is not 0
-	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
-	prunedAt     time.Duration
-	draining     chan struct{}
+	vm            *VM
+	ctx           context.Context
+	at            time.Duration // of this round
+	site          *site.Site
+	shards        map[string]*held
+	homes         map[submission.ID]*home // stored submissions
+	transients    map[submission.ID]*transient
+	early         []submitEvent // came before the shards are known
+	startedAt     time.Duration
+	turns         policy.Turns // of callers that were refused here
+	links         map[string]*link.Link
+	up            map[string]bool          // peers whose link stands
+	wantedBy      sync.Map                 // peer to whether it needs the link from here
+	neededAt      map[string]time.Duration // when a link was last needed
+	linkedAt      time.Duration            // when it was last looked which links are needed
+	elsewhere     waitingWord              // of a holder, about the whole site
+	elsewhereAt   time.Duration            // when this VM told of it last
+	toldElsewhere bool                     // what it told last is not 0
+	incarnations  map[string]uint64
+	probed        map[string]time.Duration // when a worker of a shard was reached, before its claim
+	loads         map[string]*loadView
+	workers       []worker.Info
+	services      map[string]bool // that any configuration has named
+	claiming      map[string]bool
+	dividing      bool
+	serial        uint64                       // of transient submissions taken here
+	nearPace      time.Duration                // between messages about a changed load, with so many peers
+	unplaced      map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
+	unplacedAt    time.Duration
+	toldUnplaced  bool                     // what peers were told last is not 0
+	frames        map[string]*pb.KeptFrame // to be sent at the end of this round
+	prunedAt      time.Duration
+	draining      chan struct{}
 }
 
 func newEngine(ctx context.Context, v *VM) *engine {
@@ -106,6 +113,7 @@
 		startedAt:    v.now(),
 		links:        make(map[string]*link.Link),
 		up:           make(map[string]bool),
+		neededAt:     make(map[string]time.Duration),
 		incarnations: make(map[string]uint64),
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
@@ -134,6 +142,8 @@
 	e.finishDrain()
 	e.tellLoads()
 	e.tellUnplaced()
+	e.tellElsewhere()
+	e.tidyLinks()
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
@@ -249,7 +259,7 @@
 
 func (e *engine) flush() {
 	for peer, f := range e.frames {
-		if l := e.links[peer]; l != nil && !l.Send(f) {
+		if l := e.linkTo(peer); l != nil && !l.Send(f) {
 			klog.InfoS("kept: a frame was dropped, too many wait", "peer", peer)
 		}
 	}
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -97,6 +97,7 @@
 		incarnation uint64
 	}
 	peerLostEvent struct{ name, why string }
+	wantedEvent   struct{} // a peer needs the link from here, or does not any more
 	frameEvent    struct {
 		from  string
 		frame *pb.KeptFrame
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -103,7 +103,7 @@
 func (e *engine) tellLoads() {
 	for name, h := range e.shards {
 		since := e.at - h.loadAt
-		if since < max(e.loadAtMost, loadAtMost) {
+		if since < max(e.nearPace, loadAtMost) {
 			continue
 		}
 		load := h.core.Load(e.at)
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -9,6 +9,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
@@ -28,47 +29,126 @@
 		e.vm.calls.reply(r)
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack) > 0 || f.Unplaced != nil {
+	e.noteWanted(from, f.Wanted)
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack) > 0 || f.Unplaced != nil || f.Elsewhere != nil {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
 
-// smallSite is the number of peers up to which all links beat at the same pace: at 34 VMs
-// the beats of all to all and the loads took a third of the processor.
-const smallSite = 12
+// linkLinger is for how long a link is kept that neither end needs: holders change hands and
+// back within seconds, and a link that is closed takes what waits in it along.
+const linkLinger = 3 * time.Second
 
-// followMembers opens and closes links as VMs come and go.
+// PeerLeft says that a stream from a peer has ended.
+func (e *engine) PeerLeft(from string) { e.noteWanted(from, false) }
+
+// noteWanted takes whether a peer needs the link from here.
+func (e *engine) noteWanted(from string, wanted bool) {
+	before, _ := e.wantedBy.Swap(from, wanted)
+	if was, _ := before.(bool); was != wanted {
+		e.vm.post(wantedEvent{})
+	}
+}
+
+func (ev wantedEvent) apply(e *engine) { e.followMembers() }
+
+// isWantedBy reports whether a peer needs the link from here.
+func (e *engine) isWantedBy(name string) bool {
+	wanted, _ := e.wantedBy.Load(name)
+	is, _ := wanted.(bool)
+	return is
+}
+
+// followMembers opens and closes links as VMs and holders come and go. A link is kept while this
+// VM needs it, its peer does, or something of this VM is under way there.
 func (e *engine) followMembers() {
-	wanted := make(map[string]string)
-	distant := make(map[string]bool)
-	members := e.site.Links(e.at)
-	for _, m := range members {
-		wanted[m.Name] = m.Address
-		distant[m.Name] = len(members) > smallSite && m.Domain != e.vm.config.Domain
-	}
-	e.loadAtMost = max(loadAtMost, time.Duration(len(members))*loadPerPeer)
+	wanted := make(map[string]site.Peer)
+	own := make(map[string]bool)
+	for _, p := range e.site.Peers(e.at) {
+		wanted[p.Name] = p
+		own[p.Name] = true
+	}
+	e.wantedBy.Range(func(name, is any) bool {
+		if m, there := e.site.Member(name.(string)); there && is.(bool) && !own[m.Name] {
+			wanted[m.Name] = site.Peer{Member: m}
+		}
+		return true
+	})
 	for name, l := range e.links {
-		if address, still := wanted[name]; still && address == l.Address() {
+		if p, still := wanted[name]; still && p.Address == l.Address() {
+			l.Want(own[name])
+			e.neededAt[name] = e.at
+			continue
+		}
+		if m, there := e.site.Member(name); there && m.Address == l.Address() && (e.at-e.neededAt[name] < linkLinger || e.busyWith(name)) {
+			l.Want(false)
 			continue
 		}
 		go l.Close()
 		delete(e.links, name)
 		delete(e.up, name)
+		delete(e.neededAt, name)
+		delete(e.unplaced, name)
 		e.vm.calls.set(name, nil)
 	}
-	for name, address := range wanted {
-		if e.links[name] != nil {
-			continue
+	for name, p := range wanted {
+		if e.links[name] == nil {
+			e.openLink(p, own[name])
 		}
-		settings := link.DefaultSettings()
-		if distant[name] {
-			settings = link.Distant(settings)
+	}
+	e.nearPace = max(loadAtMost, time.Duration(len(e.links))*loadPerPeer)
+	e.linkedAt = e.at
+}
+
+func (e *engine) openLink(p site.Peer, own bool) {
+	settings := link.DefaultSettings()
+	if !p.Near {
+		settings = link.Distant(settings)
+	}
+	settings.Now = e.vm.now
+	settings.ReachesStore = e.vm.router.ReachesStore
+	l := link.Open(e.ctx, settings, e.vm.beat(), p.Name, p.Address, e.vm.config.PeerDial, e)
+	l.Want(own)
+	e.links[p.Name] = l
+	e.neededAt[p.Name] = e.at
+	e.vm.calls.set(p.Name, l)
+}
+
+// linkTo returns the link to a peer that there is something to say to. One that was not needed
+// so far is opened; nil: there is no such VM.
+func (e *engine) linkTo(peer string) *link.Link {
+	if e.links[peer] == nil {
+		m, there := e.site.Member(peer)
+		if !there || peer == e.vm.config.Name {
+			return nil
+		}
+		e.openLink(site.Peer{Member: m}, true)
+	}
+	return e.links[peer]
+}
+
+// busyWith reports whether a peer holds parts of submissions of this VM, or this VM's shards
+// hold some of the peer's: what is said of them goes over the link.
+func (e *engine) busyWith(name string) bool {
+	for _, t := range e.transients {
+		for _, p := range t.parts {
+			if p.holder == name && !p.state.Final() && !t.state.Final() {
+				return true
+			}
+		}
+	}
+	for _, h := range e.shards {
+		if h.core.HasHome(name) {
+			return true
 		}
-		settings.Now = e.vm.now
-		settings.ReachesStore = e.vm.router.ReachesStore
-		l := link.Open(e.ctx, settings, e.vm.beat(), name, address, e.vm.config.PeerDial, e)
-		e.links[name] = l
-		e.vm.calls.set(name, l)
+	}
+	return false
+}
+
+// tidyLinks looks now and then whether links are kept that nobody needs any more.
+func (e *engine) tidyLinks() {
+	if e.at-e.linkedAt >= linkLinger {
+		e.followMembers()
 	}
 }
 
@@ -156,6 +236,9 @@
 	if f.Unplaced != nil {
 		e.unplaced[ev.from] = f.Unplaced.ByQueue
 	}
+	if f.Elsewhere != nil {
+		e.elsewhere = waitingWord{byQueue: f.Elsewhere.ByQueue, at: e.at}
+	}
 	for _, c := range f.Calls {
 		e.relay(ev.from, c)
 	}
--- a/internal/kept/vm/waiting.go
+++ b/internal/kept/vm/waiting.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"time"
+
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
@@ -11,14 +13,61 @@
 // empty while submissions that were accepted a few seconds ago wait for the heal.
 
 func (ev waitingEvent) apply(e *engine) {
-	n := int(e.ownUnplaced()[ev.queue])
+	n := e.waiting()[ev.queue]
+	if e.at-e.elsewhere.at < elsewhereFresh {
+		n = max(n, e.elsewhere.byQueue[ev.queue])
+	}
+	ev.reply <- int(n)
+}
+
+// waiting counts what waits as far as this VM hears of it, by queue.
+func (e *engine) waiting() map[string]uint32 {
+	out := e.ownUnplaced()
 	for _, l := range e.loads {
-		n += l.Waiting[ev.queue]
+		for queue, n := range l.Waiting {
+			out[queue] += uint32(n)
+		}
 	}
 	for _, byQueue := range e.unplaced {
-		n += int(byQueue[ev.queue])
+		for queue, n := range byQueue {
+			out[queue] += n
+		}
+	}
+	return out
+}
+
+// A VM that holds nothing hears of the shards of its own failure domain and of a few others.
+// Asked what waits in a queue it would leave out the rest of the site, so holders, which hear
+// of all shards, tell the VMs of their domain.
+
+// waitingWord is what a holder says waits on the whole site.
+type waitingWord struct {
+	byQueue map[string]uint32
+	at      time.Duration
+}
+
+// Times of the holders' word. A count may be two seconds old when a caller gets it.
+const (
+	elsewhereEvery = 700 * time.Millisecond
+	elsewhereFresh = 1200 * time.Millisecond
+)
+
+// tellElsewhere tells the VMs that hold nothing what waits on the whole site.
+func (e *engine) tellElsewhere() {
+	if len(e.shards) == 0 || e.at-e.elsewhereAt < elsewhereEvery {
+		return
+	}
+	e.elsewhereAt = e.at
+	now := e.waiting()
+	if len(now) == 0 && !e.toldElsewhere {
+		return
+	}
+	e.toldElsewhere = len(now) > 0
+	for peer := range e.links {
+		if !e.site.Holds(peer) {
+			e.frame(peer).Elsewhere = &pb.KeptUnplaced{ByQueue: now}
+		}
 	}
-	ev.reply <- n
 }
 
 // ownUnplaced counts the stored submissions that this VM took, that have not begun as far
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // wantWorkers has the list of workers followed while a shard is held.
@@ -57,25 +59,62 @@
 	}
 }
 
-// divide counts the workers of a domain and writes its division, unless another VM has.
+// Times of the division of a new domain.
+const (
+	// The workers of a site that starts write their entries within some seconds. A domain that
+	// is divided by the first entries has one shard for ever, and one VM, perhaps one of the
+	// smallest, holds all its workers. So they are counted until two counts are the same.
+	countAgain = 1700 * time.Millisecond // more than a worker's heartbeat
+	countMost  = 5 * time.Second         // then the last count is taken, so that the domain serves
+)
+
+// divide counts the workers of a domain until the count stands, and writes its division, unless
+// another VM has.
 func (v *VM) divide(ctx context.Context, domain string) error {
-	ctx, cancel := context.WithTimeout(ctx, claimWithin)
-	defer cancel()
-	workers, err := v.workersOf(ctx, domain, false)
+	n, err := v.countWorkers(ctx, domain)
 	if err != nil {
 		return err
 	}
-	d := site.Divide(domain, len(workers))
+	ctx, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	d := site.Divide(domain, n)
 	_, err = v.store.Commit(ctx, store.Txn{
 		Expect: []store.Condition{{Key: site.DomainKey(domain)}},
 		Put:    []store.Put{{Key: site.DomainKey(domain), Value: site.Encode(d)}},
 	})
 	if err == nil {
-		klog.InfoS("kept: domain divided", "domain", domain, "workers", len(workers), "shards", d.Shards)
+		klog.InfoS("kept: domain divided", "domain", domain, "workers", n, "shards", d.Shards)
 	}
 	return err
 }
 
+var errNoWorkers = errors.New("no worker of it is listed yet")
+
+// countWorkers counts the workers of a domain until two counts are the same.
+func (v *VM) countWorkers(ctx context.Context, domain string) (int, error) {
+	began := v.now()
+	last := -1
+	for {
+		lookCtx, cancel := context.WithTimeout(ctx, claimWithin)
+		workers, err := v.workersOf(lookCtx, domain, false)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		n := len(workers)
+		switch over := v.now()-began >= countMost; {
+		case n == 0 && over:
+			return 0, errNoWorkers
+		case n > 0 && (n == last || over):
+			return n, nil
+		}
+		last = n
+		if !pause.For(ctx, countAgain) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
 // workersOf reads the workers of a failure domain from their list.
 func (v *VM) workersOf(ctx context.Context, domain string, stale bool) ([]worker.Info, error) {
 	items, _, err := v.readAll(ctx, v.config.Lists.WorkerPrefix, stale)
--- a/internal/process/ring/ring.go
+++ b/internal/process/ring/ring.go
@@ -75,7 +75,7 @@
 	r.mu.Lock()
 	full := len(r.items) >= r.capacity
 	out := r.items
-	clear(r.spare[:cap(r.spare)])
+	clear(r.spare)
 	r.items = r.spare[:0]
 	r.spare = out
 	r.mu.Unlock()
