--- a/internal/kept/vm/hand.go
+++ b/internal/kept/vm/hand.go
@@ -26,9 +26,14 @@
 	orderTimes = 10
 	orderLeast = 45 * time.Millisecond
 	orderMost  = 150 * time.Millisecond
-	tripWeight = 8                      // of the usual time against a new one
-	startVoid  = 700 * time.Millisecond // on the worker's clock: a start that comes later is refused
-	clockDrift = 0.02                   // most by which a worker's clock is slow
+	// Where the answers of all workers take long, it is this VM's own link or processor that is
+	// full. An order given up then is asked for, made void and sent again, each on a new
+	// connection: that fills the link further, and sound workers pass for silent.
+	orderMostBusy = 800 * time.Millisecond
+	tripWeight    = 8                      // of the usual time against a new one
+	tripWeightAll = 64                     // the same, over all workers
+	startVoid     = 700 * time.Millisecond // on the worker's clock: a start that comes later is refused
+	clockDrift    = 0.02                   // most by which a worker's clock is slow
 )
 
 // hand holds one worker for as long as its shard is held.
@@ -208,15 +213,23 @@
 
 // orderWithin is for how long an order waits for its answer.
 func (h *hand) orderWithin() time.Duration {
-	return min(max(orderTimes*time.Duration(h.trip.Load()), orderLeast), orderMost)
+	own := min(orderTimes*time.Duration(h.trip.Load()), orderMost)
+	all := min(orderTimes*time.Duration(h.vm.trip.Load()), orderMostBusy)
+	return max(own, all, orderLeast)
 }
 
 // noteTrip takes how long the answer to an order took; one that did not come counts as long as
 // it was waited for. Where answers take longer than the wait, as the VM's own processor is
 // busy, the wait would never grow otherwise, and each start would be made void and repeated.
 func (h *hand) noteTrip(took time.Duration) {
-	usual := h.trip.Load()
-	h.trip.Store(usual + (int64(took)-usual)/tripWeight)
+	follow(&h.trip, took, tripWeight)
+	follow(&h.vm.trip, took, tripWeightAll)
+}
+
+// follow moves a usual time towards a new one. Of two at once one may get lost.
+func follow(usual *atomic.Int64, took time.Duration, weight int64) {
+	before := usual.Load()
+	usual.Store(before + (int64(took)-before)/weight)
 }
 
 func (h *hand) start(ctx context.Context, s worker.Start) {
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -54,6 +54,7 @@
 	Lists       Lists
 	Policy      policy.Settings
 	Weight      float64       // processor of this VM, in cores; 0: not known
+	LinkBytes   float64       // what this VM's link carries a second, in bytes; 0: not known
 	LeaseMost   time.Duration // longest lease of runs at a worker
 	Now         func() time.Duration
 }
@@ -89,6 +90,8 @@
 
 	unreadable onceKeys // entries of the list of workers
 
+	trip atomic.Int64 // how long answers of workers to orders usually take, in nanoseconds
+
 	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
 
 	cancel context.CancelFunc
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"maps"
 	"slices"
@@ -24,14 +25,20 @@
 	// Workers rewrite their entries at each heartbeat, so a watch of them comes back
 	// at once: without a pause 48 workers cost 32 calls a second at each holder.
 	workersPause = 450 * time.Millisecond
-	siteWait     = 1500 * time.Millisecond
-	rangeWithin  = 2 * time.Second
-	watchPause   = 100 * time.Millisecond // after a failure, growing
-	watchMost    = 600 * time.Millisecond
-	sessionTTL   = 4 * time.Second
-	sessionKeep  = 1200 * time.Millisecond
-	sessionHurry = 250 * time.Millisecond // after a renewal that failed
-	listWithin   = 5 * time.Second        // a whole list is read at least so often
+	// The longer the pause, the more comes at once, and what this VM says to its workers waits
+	// behind it: on a link of 2 Mbit/s the changes of 120 workers in 450 ms hold an order up for
+	// 0.1 s, twice as long as it waits for its answer. So the pause is as long as what comes in it
+	// fills the link for workersFill at most.
+	workersPauseLeast = 100 * time.Millisecond
+	workersFill       = 20 * time.Millisecond
+	siteWait          = 1500 * time.Millisecond
+	rangeWithin       = 2 * time.Second
+	watchPause        = 100 * time.Millisecond // after a failure, growing
+	watchMost         = 600 * time.Millisecond
+	sessionTTL        = 4 * time.Second
+	sessionKeep       = 1200 * time.Millisecond
+	sessionHurry      = 250 * time.Millisecond // after a renewal that failed
+	listWithin        = 5 * time.Second        // a whole list is read at least so often
 )
 
 // follower keeps a copy of the keys under a prefix.
@@ -39,7 +46,7 @@
 	vm     *VM
 	prefix string
 	wait   time.Duration
-	pause  time.Duration // after an answer with changes
+	pause  func(pace time.Duration, events []store.Event) time.Duration // after an answer with changes; nil: none
 	whole  func(sent time.Duration, items []store.Item)
 	some   func(sent time.Duration, events []store.Event)
 }
@@ -70,6 +77,7 @@
 
 func (f *follower) follow(ctx context.Context, rev uint64) error {
 	failures := 0
+	answered := f.vm.now()
 	for {
 		sent := f.vm.now()
 		watchCtx, cancel := context.WithTimeout(ctx, f.wait+rangeWithin)
@@ -80,9 +88,10 @@
 			failures = 0
 			rev = max(rev, c.Revision)
 			f.some(sent, c.Events)
-			if f.pause > 0 && len(c.Events) > 0 {
-				pause.For(ctx, f.pause)
+			if f.pause != nil && len(c.Events) > 0 {
+				pause.For(ctx, f.pause(f.vm.now()-answered, c.Events))
 			}
+			answered = f.vm.now()
 		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
 			return err
 		default:
@@ -164,6 +173,24 @@
 	f.run(ctx)
 }
 
+// entryOverhead is what an entry takes on the wire beside its value, in bytes: its key, its
+// revision and their names.
+const entryOverhead = 100
+
+// workersPause is how long the changes of the list of workers may gather, after some that came in
+// a time.
+func (v *VM) workersPause(in time.Duration, events []store.Event) time.Duration {
+	if v.config.LinkBytes <= 0 || in <= 0 {
+		return workersPause
+	}
+	bytes := 0
+	for _, e := range events {
+		bytes += base64.StdEncoding.EncodedLen(len(e.Value)) + entryOverhead
+	}
+	fills := time.Duration(float64(bytes) / v.config.LinkBytes * float64(time.Second))
+	return min(max(time.Duration(float64(workersFill)*float64(in)/float64(fills)), workersPauseLeast), workersPause)
+}
+
 // watchWorkers follows the list of workers while this VM holds a shard.
 func (v *VM) watchWorkers(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -209,7 +236,7 @@
 	send := func() {
 		v.post(workersEvent{list: slices.Collect(maps.Values(list))})
 	}
-	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: workersPause}
+	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: v.workersPause}
 	f.whole = func(_ time.Duration, items []store.Item) {
 		clear(list)
 		for _, it := range items {
