--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -239,9 +239,7 @@
 		f.Replies = append(f.Replies, w.Replies...)
 		f.Notes = append(f.Notes, w.Notes...)
 		f.TakenBack = append(f.TakenBack, w.TakenBack...)
-		if w.Elsewhere != nil {
-			f.Elsewhere = w.Elsewhere // the newest replaces the others
-		}
+		f.Elsewhere = append(f.Elsewhere, w.Elsewhere...)
 	}
 	return f
 }
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -20,6 +20,19 @@
 // after each round of events, and every 50 ms without any.
 func (s *Shard) Tick(now time.Duration) {
 	s.liftBarrier(now)
+	if now >= s.sweepAt {
+		s.sweepAt = now + sweepEvery
+		s.sweep(now)
+	}
+	s.place(now)
+}
+
+// sweepEvery is how often all submissions are looked through for what is due by time. The shortest
+// of those times is 40 ms.
+const sweepEvery = 5 * time.Millisecond
+
+// sweep does what is due by time.
+func (s *Shard) sweep(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		s.repeatOrders(now, j)
@@ -28,7 +41,6 @@
 	}
 	s.forget(now)
 	s.forgetPast(now)
-	s.place(now)
 }
 
 // forgetPast drops ended submissions that no late message can name any more.
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -28,7 +28,8 @@
 	pace    map[string]*policy.Pace       // by queue
 	out     Actions
 	pruneAt time.Duration
-	dirty   bool // something may start
+	sweepAt time.Duration // when all submissions are looked through next
+	dirty   bool          // something may start
 }
 
 // endedJob is what is remembered of a submission that has ended here. A message
--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -20,13 +20,20 @@
 // rankEvery is how often a holder looks whether another VM should have its shard. The look
 // ranks all members, and shards go back after seconds: made at each round of a VM it was
 // half of the processor of the engine on a site of 34 VMs (BenchmarkSite).
-const rankEvery = 100 * time.Millisecond
+const rankEvery = 250 * time.Millisecond
+
+// decideEvery is how often it is looked for claims that are due, unless something was learnt. Turns
+// are 150 ms apart. Made at each round of a VM the look was a quarter of the engine's processor on a
+// site of 34 VMs under load (BenchmarkSite).
+const decideEvery = 10 * time.Millisecond
 
 // Decide returns the claims that are due.
 func (s *Site) Decide(now time.Duration) []Claim {
-	if s.leaving {
+	if s.leaving || !s.learnt && now-s.decidedAt < decideEvery {
 		return nil
 	}
+	s.learnt = false
+	s.decidedAt = now
 	var out []Claim
 	taken := false
 	rank := now-s.rankedAt >= rankEvery
--- a/internal/kept/site/keys.go
+++ b/internal/kept/site/keys.go
@@ -26,10 +26,15 @@
 	Shards int    `json:"n"`
 }
 
-// workersPerShard is how many workers a holder is given. 24 workers of two to three
-// tasks each make some 300 starts a second of short tasks, which take a quarter of a
-// core; a single holder of 88 workers took 0.43.
-const workersPerShard = 24
+// A VM of 0.4 core holds 24 workers: of two to three tasks each they make some 300 starts a second
+// of short tasks, which take a quarter of a core; a single holder of 88 workers took 0.43. Smaller
+// VMs get smaller shards, as any of them may have to hold one: 20 workers at one VM of 0.12 core
+// made tasks wait 42 ms for their start on average, a third of their objective.
+const (
+	workersPerShard = 24
+	workersLeast    = 6 // a wide submission finds room in one shard
+	shardWeight     = 0.4
+)
 
 // shardsMost bounds the shards of a domain: 24,000 workers. More is no division that was
 // written here.
@@ -37,9 +42,14 @@
 
 var errDivision = errors.New("a domain has from 1 to 1000 shards")
 
-// Divide returns the division of a domain with so many workers.
-func Divide(domain string, workers int) Division {
-	return Division{Domain: domain, Shards: min(max((workers+workersPerShard-1)/workersPerShard, 1), shardsMost)}
+// Divide returns the division of a domain with so many workers, the smallest of whose entry VMs
+// has so many cores; 0: it is not known.
+func Divide(domain string, workers int, least float64) Division {
+	size := workersPerShard
+	if least > 0 {
+		size = min(max(int(least/shardWeight*workersPerShard), workersLeast), workersPerShard)
+	}
+	return Division{Domain: domain, Shards: min(max((workers+size-1)/size, 1), shardsMost)}
 }
 
 // ShardName names a shard of a failure domain.
--- a/internal/kept/site/peers.go
+++ b/internal/kept/site/peers.go
@@ -35,9 +35,8 @@
 // Peers returns the entry VMs that this VM needs links to. On a large site those are
 //
 //   - the holders of its own failure domain, where its submissions go;
-//   - for a holder: all VMs of its domain, and the holders of the others, so that what one
-//     domain cannot take goes to another, and each shard has heirs that watch its holder;
-//   - for the others: as many holders of other domains as its processor bears.
+//   - for a holder: all VMs of its domain, so that each shard has heirs that watch its holder;
+//   - as many holders of other domains as its processor bears, for what its own cannot take.
 //
 // Whoever is on the other end keeps a link back for as long as it is told that it is needed.
 func (s *Site) Peers(now time.Duration) []Peer {
@@ -54,9 +53,7 @@
 			out = append(out, Peer{Member: m, Near: true})
 		case own && (holds || holder):
 			out = append(out, Peer{Member: m, Near: holds && holder})
-		case holder && holds:
-			out = append(out, Peer{Member: m})
-		case holder:
+		case holder && !own:
 			foreign = append(foreign, m)
 		}
 	}
@@ -94,12 +91,14 @@
 	return l.member, lapsed
 }
 
-// Holds reports whether an entry VM holds a shard.
-func (s *Site) Holds(name string) bool {
-	for _, v := range s.shards {
-		if v.holding.Holder == name {
-			return true
+// Least returns the least processor of the entry VMs of a failure domain that are there, in cores;
+// 0: it is not known.
+func (s *Site) Least(domain string) float64 {
+	least := 0.0
+	for _, m := range s.members {
+		if m.Domain == domain && m.Weight > 0 && (least == 0 || m.Weight < least) {
+			least = m.Weight
 		}
 	}
-	return false
+	return least
 }
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -77,6 +77,8 @@
 	divisions map[string]Division
 	shards    map[string]*shardView
 	leaving   bool
+	learnt    bool // something since it was last decided
+	decidedAt time.Duration
 	rankedAt  time.Duration // when it was last looked whether another VM should have a shard of this one
 }
 
@@ -99,6 +101,7 @@
 
 // Apply takes a key of the site as it stands in the store.
 func (s *Site) Apply(now time.Duration, e store.Event) error {
+	s.learnt = true
 	if name, is := strings.CutPrefix(e.Key, memberPrefix); is {
 		return s.applyMember(now, name, e)
 	}
@@ -239,6 +242,7 @@
 
 // Suspect says whether the link to an entry VM is lost.
 func (s *Site) Suspect(name string, lost bool) {
+	s.learnt = true
 	if lost {
 		s.suspected[name] = true
 		delete(s.linked, name)
--- a/internal/kept/site/site_test.go
+++ b/internal/kept/site/site_test.go
@@ -242,7 +242,7 @@
 
 // Workers keep their shard when they start again, and are spread evenly.
 func TestWorkersAreSpreadOverShards(t *testing.T) {
-	d := Divide("a", 88)
+	d := Divide("a", 88, 0)
 	if d.Shards != 4 {
 		t.Fatalf("%d shards of 88 workers", d.Shards)
 	}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -65,39 +65,38 @@
 
 // engine owns the state of an entry VM.
 type engine struct {
-	vm            *VM
-	ctx           context.Context
-	at            time.Duration // of this round
-	site          *site.Site
-	shards        map[string]*held
-	homes         map[submission.ID]*home // stored submissions
-	transients    map[submission.ID]*transient
-	early         []submitEvent // came before the shards are known
-	startedAt     time.Duration
-	turns         policy.Turns // of callers that were refused here
-	links         map[string]*link.Link
-	up            map[string]bool          // peers whose link stands
-	wantedBy      sync.Map                 // peer to whether it needs the link from here
-	neededAt      map[string]time.Duration // when a link was last needed
-	linkedAt      time.Duration            // when it was last looked which links are needed
-	elsewhere     waitingWord              // of a holder, about the whole site
-	elsewhereAt   time.Duration            // when this VM told of it last
-	toldElsewhere bool                     // what it told last is not 0
-	incarnations  map[string]uint64
-	probed        map[string]time.Duration // when a worker of a shard was reached, before its claim
-	loads         map[string]*loadView
-	workers       []worker.Info
-	services      map[string]bool // that any configuration has named
-	claiming      map[string]bool
-	dividing      bool
-	serial        uint64                       // of transient submissions taken here
-	nearPace      time.Duration                // between messages about a changed load, with so many peers
-	unplaced      map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
-	unplacedAt    time.Duration
-	toldUnplaced  bool                     // what peers were told last is not 0
-	frames        map[string]*pb.KeptFrame // to be sent at the end of this round
-	prunedAt      time.Duration
-	draining      chan struct{}
+	vm           *VM
+	ctx          context.Context
+	at           time.Duration // of this round
+	site         *site.Site
+	shards       map[string]*held
+	homes        map[submission.ID]*home // stored submissions
+	transients   map[submission.ID]*transient
+	early        []submitEvent // came before the shards are known
+	startedAt    time.Duration
+	turns        policy.Turns // of callers that were refused here
+	links        map[string]*link.Link
+	up           map[string]bool          // peers whose link stands
+	wantedBy     sync.Map                 // peer to whether it needs the link from here
+	neededAt     map[string]time.Duration // when a link was last needed
+	linkedAt     time.Duration            // when it was last looked which links are needed
+	elsewhere    map[string]waitingWord   // by failure domain, as its holders said
+	elsewhereAt  time.Duration            // when this VM told of it last
+	incarnations map[string]uint64
+	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
+	loads        map[string]*loadView
+	workers      []worker.Info
+	services     map[string]bool // that any configuration has named
+	claiming     map[string]bool
+	dividing     bool
+	serial       uint64                       // of transient submissions taken here
+	nearPace     time.Duration                // between messages about a changed load, with so many peers
+	unplaced     map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
+	unplacedAt   time.Duration
+	toldUnplaced bool                     // what peers were told last is not 0
+	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
+	prunedAt     time.Duration
+	draining     chan struct{}
 }
 
 func newEngine(ctx context.Context, v *VM) *engine {
@@ -114,6 +113,7 @@
 		links:        make(map[string]*link.Link),
 		up:           make(map[string]bool),
 		neededAt:     make(map[string]time.Duration),
+		elsewhere:    make(map[string]waitingWord),
 		incarnations: make(map[string]uint64),
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
--- a/internal/kept/vm/hand.go
+++ b/internal/kept/vm/hand.go
@@ -223,7 +223,15 @@
 // busy, the wait would never grow otherwise, and each start would be made void and repeated.
 func (h *hand) noteTrip(took time.Duration) {
 	follow(&h.trip, took, tripWeight)
-	follow(&h.vm.trip, took, tripWeightAll)
+}
+
+// noteOrder takes how long an order took. Over all workers only answers count: a tenth of the
+// workers that have just died would draw the wait of all orders to its bound otherwise.
+func (h *hand) noteOrder(took time.Duration, r worker.Reply) {
+	h.noteTrip(took)
+	if r.Verdict != worker.Silent {
+		follow(&h.vm.trip, took, tripWeightAll)
+	}
 }
 
 // follow moves a usual time towards a new one. Of two at once one may get lost.
@@ -240,7 +248,7 @@
 	sent := h.vm.now()
 	r := h.vm.config.Orders.Start(ctx, *h.info.Load(), s)
 	h.learn(sent, r)
-	h.noteTrip(h.vm.now() - sent)
+	h.noteOrder(h.vm.now()-sent, r)
 	h.vm.post(startReplyEvent{hand: h, task: s.Task, run: s.Run, reply: r})
 }
 
--- a/internal/kept/vm/hand_test.go
+++ b/internal/kept/vm/hand_test.go
@@ -50,7 +50,7 @@
 // still more to do. Sequence: answers take longer than they are waited for. Cause: only
 // answers that came in time told how long to wait.
 func TestWaitForOrdersGrowsWithoutAnswers(t *testing.T) {
-	h := &hand{}
+	h := &hand{vm: &VM{}}
 	for range 10 {
 		h.noteTrip(time.Millisecond)
 	}
@@ -75,3 +75,54 @@
 		}
 	}
 }
+
+// Symptom: under load on a small link sound workers pass for silent, their starts are made void and
+// repeated, and nothing is served any more. Sequence: the VM's link fills; the answers of all workers
+// take 60 ms, longer than orders wait. Cause: a wait has a bound for a worker that may be dead.
+func TestOrdersWaitLongerWhereAllAnswersTakeLong(t *testing.T) {
+	const queue = 60 * time.Millisecond // of the VM's own link
+	v := &VM{}
+	var hands []*hand
+	for range 20 {
+		hands = append(hands, &hand{vm: v})
+	}
+	unanswered := 0
+	for round := range 50 {
+		unanswered = 0
+		for i, h := range hands {
+			took := queue * time.Duration(round%5+i%3+1) / 2
+			if within := h.orderWithin(); took > within {
+				h.noteOrder(within, worker.Reply{Verdict: worker.Silent})
+				unanswered++
+				continue
+			}
+			h.noteOrder(took, worker.Reply{Verdict: worker.Accepted})
+		}
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of 20 orders pass for unanswered after 50 rounds", unanswered)
+	}
+	if d := hands[0].orderWithin(); d > orderMostBusy {
+		t.Errorf("an order waits for %v", d)
+	}
+}
+
+// Symptom: what is lost with a dead worker is found out late. Sequence: a tenth of the workers die at
+// once; the others answer as before. Cause: orders without an answer count as slow answers of all.
+func TestDeadWorkersDoNotHoldUpOrdersToOthers(t *testing.T) {
+	v := &VM{}
+	dead, sound := &hand{vm: v}, &hand{vm: v}
+	for i := range 300 {
+		if i%10 == 0 {
+			dead.noteOrder(dead.orderWithin(), worker.Reply{Verdict: worker.Silent})
+			continue
+		}
+		sound.noteOrder(time.Millisecond, worker.Reply{Verdict: worker.Accepted})
+	}
+	if d := sound.orderWithin(); d != orderLeast {
+		t.Errorf("an order to a sound worker waits for %v", d)
+	}
+	if d := dead.orderWithin(); d > orderMost {
+		t.Errorf("an order to a dead worker waits for %v", d)
+	}
+}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -30,7 +30,7 @@
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
 	e.noteWanted(from, f.Wanted)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack) > 0 || f.Unplaced != nil || f.Elsewhere != nil {
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack)+len(f.Elsewhere) > 0 || f.Unplaced != nil {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
@@ -236,8 +236,8 @@
 	if f.Unplaced != nil {
 		e.unplaced[ev.from] = f.Unplaced.ByQueue
 	}
-	if f.Elsewhere != nil {
-		e.elsewhere = waitingWord{byQueue: f.Elsewhere.ByQueue, at: e.at}
+	for _, w := range f.Elsewhere {
+		e.takeElsewhere(w)
 	}
 	for _, c := range f.Calls {
 		e.relay(ev.from, c)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -53,10 +53,12 @@
 	Orders      worker.Orders
 	Lists       Lists
 	Policy      policy.Settings
-	Weight      float64       // processor of this VM, in cores; 0: not known
-	LinkBytes   float64       // what this VM's link carries a second, in bytes; 0: not known
-	LeaseMost   time.Duration // longest lease of runs at a worker
-	Now         func() time.Duration
+	Weight      float64 // processor of this VM, in cores; 0: not known
+	LinkBytes   float64 // what this VM's link carries a second, in bytes; 0: not known
+	// CatalogWithin is how soon a change of the configuration is in force; 0: in 2 s.
+	CatalogWithin time.Duration
+	LeaseMost     time.Duration // longest lease of runs at a worker
+	Now           func() time.Duration
 }
 
 // Bounds of an entry VM.
--- a/internal/kept/vm/waiting.go
+++ b/internal/kept/vm/waiting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
 
@@ -13,60 +14,78 @@
 // empty while submissions that were accepted a few seconds ago wait for the heal.
 
 func (ev waitingEvent) apply(e *engine) {
-	n := e.waiting()[ev.queue]
-	if e.at-e.elsewhere.at < elsewhereFresh {
-		n = max(n, e.elsewhere.byQueue[ev.queue])
+	n := e.ownUnplaced()[ev.queue]
+	for _, byQueue := range e.unplaced {
+		n += byQueue[ev.queue]
+	}
+	for _, domain := range e.vm.config.Domains {
+		n += e.waitingIn(domain)[ev.queue]
 	}
 	ev.reply <- int(n)
 }
 
-// waiting counts what waits as far as this VM hears of it, by queue.
-func (e *engine) waiting() map[string]uint32 {
-	out := e.ownUnplaced()
-	for _, l := range e.loads {
+// A VM hears of the shards of its own failure domain and, on a large site, of a few others. Asked
+// what waits in a queue it would leave out the rest of the site. So the holders of a domain count
+// for it, and all holders pass the counts on, with their age, to the VMs they have links to: each
+// count reaches each VM over a few holders.
+
+// waitingWord is what waits in a failure domain, as a holder there said.
+type waitingWord struct {
+	byQueue map[string]uint32
+	at      time.Duration
+}
+
+// Times of the holders' words. Callers may get a count that is two seconds old.
+const (
+	elsewhereEvery = 500 * time.Millisecond
+	elsewhereFresh = 2 * time.Second
+)
+
+// waitingIn counts what waits at the shards of a failure domain: what is known of them, or what
+// holders say if that is more, as it is of all shards.
+func (e *engine) waitingIn(domain string) map[string]uint32 {
+	out := make(map[string]uint32)
+	for name, l := range e.loads {
+		if site.DomainOf(name) != domain {
+			continue
+		}
 		for queue, n := range l.Waiting {
 			out[queue] += uint32(n)
 		}
 	}
-	for _, byQueue := range e.unplaced {
-		for queue, n := range byQueue {
-			out[queue] += n
+	if w := e.elsewhere[domain]; domain != e.vm.config.Domain && e.at-w.at < elsewhereFresh {
+		for queue, n := range w.byQueue {
+			out[queue] = max(out[queue], n)
 		}
 	}
 	return out
 }
 
-// A VM that holds nothing hears of the shards of its own failure domain and of a few others.
-// Asked what waits in a queue it would leave out the rest of the site, so holders, which hear
-// of all shards, tell the VMs of their domain.
-
-// waitingWord is what a holder says waits on the whole site.
-type waitingWord struct {
-	byQueue map[string]uint32
-	at      time.Duration
+func (e *engine) takeElsewhere(w *pb.KeptWaiting) {
+	at := e.at - time.Duration(w.AgeNs)
+	if at > e.elsewhere[w.Domain].at {
+		e.elsewhere[w.Domain] = waitingWord{byQueue: w.ByQueue, at: at}
+	}
 }
 
-// Times of the holders' word. A count may be two seconds old when a caller gets it.
-const (
-	elsewhereEvery = 700 * time.Millisecond
-	elsewhereFresh = 1200 * time.Millisecond
-)
-
-// tellElsewhere tells the VMs that hold nothing what waits on the whole site.
+// tellElsewhere tells the peers of a holder what waits in its domain, and what it has heard of the
+// others. A word that nothing waits replaces the one before.
 func (e *engine) tellElsewhere() {
-	if len(e.shards) == 0 || e.at-e.elsewhereAt < elsewhereEvery {
+	if len(e.shards) == 0 || len(e.vm.config.Domains) < 2 || e.at-e.elsewhereAt < elsewhereEvery {
 		return
 	}
 	e.elsewhereAt = e.at
-	now := e.waiting()
-	if len(now) == 0 && !e.toldElsewhere {
-		return
+	own := e.vm.config.Domain
+	e.elsewhere[own] = waitingWord{byQueue: e.waitingIn(own), at: e.at}
+	var words []*pb.KeptWaiting
+	for domain, w := range e.elsewhere {
+		if age := e.at - w.at; age < elsewhereFresh {
+			words = append(words, &pb.KeptWaiting{Domain: domain, AgeNs: uint64(age), ByQueue: w.byQueue})
+		}
 	}
-	e.toldElsewhere = len(now) > 0
 	for peer := range e.links {
-		if !e.site.Holds(peer) {
-			e.frame(peer).Elsewhere = &pb.KeptUnplaced{ByQueue: now}
-		}
+		f := e.frame(peer)
+		f.Elsewhere = append(f.Elsewhere, words...)
 	}
 }
 
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"errors"
@@ -18,10 +19,11 @@
 
 // Times of watches and of the session.
 const (
-	// An operator's change must be in force within 2 s, also when a watch has gone
-	// silent: it is asked anew after this and the way's own bound.
-	catalogWait = 900 * time.Millisecond
-	workersWait = 900 * time.Millisecond // a leaving worker must be known within 2 s
+	// An operator's change must be in force within some seconds, also when a watch has gone
+	// silent: it is asked anew after this part of them and the way's own bound (450 ms).
+	catalogShare  = 0.45
+	catalogWithin = 2 * time.Second        // where the settings do not say
+	workersWait   = 900 * time.Millisecond // a leaving worker must be known within 2 s
 	// Workers rewrite their entries at each heartbeat, so a watch of them comes back
 	// at once: without a pause 48 workers cost 32 calls a second at each holder.
 	workersPause = 450 * time.Millisecond
@@ -30,7 +32,7 @@
 	// 0.1 s, twice as long as it waits for its answer. So the pause is as long as what comes in it
 	// fills the link for workersFill at most.
 	workersPauseLeast = 100 * time.Millisecond
-	workersFill       = 20 * time.Millisecond
+	workersFill       = 40 * time.Millisecond
 	siteWait          = 1500 * time.Millisecond
 	rangeWithin       = 2 * time.Second
 	watchPause        = 100 * time.Millisecond // after a failure, growing
@@ -157,7 +159,7 @@
 		v.post(servicesEvent{names: c.Services})
 		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
 	}
-	f := &follower{vm: v, prefix: v.config.Lists.CatalogPrefix, wait: catalogWait}
+	f := &follower{vm: v, prefix: v.config.Lists.CatalogPrefix, wait: time.Duration(catalogShare * float64(cmp.Or(v.config.CatalogWithin, catalogWithin)))}
 	f.whole = func(_ time.Duration, items []store.Item) {
 		for _, it := range items {
 			take(it)
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -52,8 +52,9 @@
 			return
 		}
 		e.dividing = true
+		least := e.site.Least(domain)
 		e.vm.duty(func() {
-			err := e.vm.divide(e.ctx, domain)
+			err := e.vm.divide(e.ctx, domain, least)
 			e.vm.post(dividedEvent{domain: domain, err: err})
 		})
 	}
@@ -70,20 +71,20 @@
 
 // divide counts the workers of a domain until the count stands, and writes its division, unless
 // another VM has.
-func (v *VM) divide(ctx context.Context, domain string) error {
+func (v *VM) divide(ctx context.Context, domain string, least float64) error {
 	n, err := v.countWorkers(ctx, domain)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimWithin)
 	defer cancel()
-	d := site.Divide(domain, n)
+	d := site.Divide(domain, n, least)
 	_, err = v.store.Commit(ctx, store.Txn{
 		Expect: []store.Condition{{Key: site.DomainKey(domain)}},
 		Put:    []store.Put{{Key: site.DomainKey(domain), Value: site.Encode(d)}},
 	})
 	if err == nil {
-		klog.InfoS("kept: domain divided", "domain", domain, "workers", n, "shards", d.Shards)
+		klog.InfoS("kept: domain divided", "domain", domain, "workers", n, "shards", d.Shards, "least_cores", least)
 	}
 	return err
 }
