--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -240,6 +240,7 @@
 		f.Notes = append(f.Notes, w.Notes...)
 		f.TakenBack = append(f.TakenBack, w.TakenBack...)
 		f.Elsewhere = append(f.Elsewhere, w.Elsewhere...)
+		f.Workers = append(f.Workers, w.Workers...)
 	}
 	return f
 }
--- a/internal/kept/site/peers.go
+++ b/internal/kept/site/peers.go
@@ -105,3 +105,14 @@
 
 // Holds reports whether an entry VM holds a shard.
 func (s *Site) Holds(name string) bool { return s.held()[name] > 0 }
+
+// HoldersIn returns the entry VMs that hold shards of a failure domain.
+func (s *Site) HoldersIn(domain string) []string {
+	var out []string
+	for shard, v := range s.shards {
+		if h := v.holding.Holder; DomainOf(shard) == domain && h != "" && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -24,29 +24,36 @@
 
 // Settings are the times of a Site.
 type Settings struct {
-	RankStep   time.Duration // between entry VMs that may take the same shard
-	Foreign    time.Duration // additional wait of those in other failure domains
-	Divide     time.Duration // after the start, for the other VMs to be known
-	Settle     time.Duration // after the start, before shards of other domains are taken
-	ReturnWait time.Duration // before a shard is given back to its own domain
-	Cooldown   time.Duration // between claims of the same shard by this VM
-	Grace      time.Duration // for a key that lapsed, before its VM counts as gone
-	Gap        time.Duration // between answers of the store, above which it was out of reach
-	Steady     time.Duration // of answers, before this VM acts on links that it has lost
+	RankStep time.Duration // between entry VMs that may take the same shard
+	Foreign  time.Duration // additional wait of those in other failure domains
+	Divide   time.Duration // after the start, for the other VMs to be known
+	// DivideStep is between VMs that may divide the same domain. Each reads the whole list of workers
+	// several times: 147 VMs that read 1,100 entries at once keep the store from all other calls for
+	// seconds.
+	DivideStep    time.Duration
+	DivideForeign time.Duration // additional wait of VMs in other failure domains
+	Settle        time.Duration // after the start, before shards of other domains are taken
+	ReturnWait    time.Duration // before a shard is given back to its own domain
+	Cooldown      time.Duration // between claims of the same shard by this VM
+	Grace         time.Duration // for a key that lapsed, before its VM counts as gone
+	Gap           time.Duration // between answers of the store, above which it was out of reach
+	Steady        time.Duration // of answers, before this VM acts on links that it has lost
 }
 
 // DefaultSettings suit links whose silence is noticed after half a second.
 func DefaultSettings() Settings {
 	return Settings{
-		RankStep:   150 * time.Millisecond,
-		Foreign:    250 * time.Millisecond,
-		Divide:     400 * time.Millisecond,
-		Settle:     1200 * time.Millisecond,
-		ReturnWait: 1500 * time.Millisecond,
-		Cooldown:   time.Second,
-		Grace:      2 * time.Second,
-		Gap:        2500 * time.Millisecond,
-		Steady:     900 * time.Millisecond,
+		RankStep:      150 * time.Millisecond,
+		Foreign:       250 * time.Millisecond,
+		Divide:        400 * time.Millisecond,
+		DivideStep:    2500 * time.Millisecond,
+		DivideForeign: 4 * time.Second,
+		Settle:        1200 * time.Millisecond,
+		ReturnWait:    1500 * time.Millisecond,
+		Cooldown:      time.Second,
+		Grace:         2 * time.Second,
+		Gap:           2500 * time.Millisecond,
+		Steady:        900 * time.Millisecond,
 	}
 }
 
@@ -151,11 +158,10 @@
 		if _, known := s.divisions[domain]; known || s.leaving {
 			continue
 		}
-		wait := s.settings.Divide
+		wait := s.settings.Divide + time.Duration(s.turn(domain))*s.settings.DivideStep
 		if domain != s.self.Domain {
-			wait *= 2
+			wait += s.settings.DivideForeign
 		}
-		wait += time.Duration(s.turn(domain)) * s.settings.RankStep
 		if now-s.startedAt >= wait {
 			out = append(out, domain)
 		}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -45,6 +45,7 @@
 	cancel    context.CancelFunc
 	ctx       context.Context
 	extend    atomic.Bool
+	takenAt   time.Duration
 	confirmed time.Duration // when the store was asked last that confirmed the holding
 	scanning  bool
 	scannedAt time.Duration
@@ -85,8 +86,9 @@
 	incarnations map[string]uint64
 	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
 	loads        map[string]*loadView
-	workers      []worker.Info
-	services     map[string]bool // that any configuration has named
+	lists        map[string]*domainList // of workers, by failure domain of which a shard is held
+	reading      bool                   // the list of workers is read here
+	services     map[string]bool        // that any configuration has named
 	claiming     map[string]bool
 	dividing     bool
 	serial       uint64                       // of transient submissions taken here
@@ -114,6 +116,7 @@
 		up:           make(map[string]bool),
 		neededAt:     make(map[string]time.Duration),
 		elsewhere:    make(map[string]waitingWord),
+		lists:        make(map[string]*domainList),
 		incarnations: make(map[string]uint64),
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
@@ -133,6 +136,7 @@
 	}
 	e.divideDomains()
 	e.claimShards()
+	e.followLists()
 	for name, h := range e.shards {
 		e.drive(name, h)
 	}
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -78,11 +78,11 @@
 		hands:     make(map[string]*hand),
 		asked:     make(map[submission.ID][]string),
 		confirmed: e.at,
+		takenAt:   e.at,
 	}
 	h.extend.Store(true)
 	h.ctx, h.cancel = context.WithCancel(e.ctx)
 	e.shards[holding.Shard] = h
-	e.wantWorkers()
 	for peer, up := range e.up {
 		if !up {
 			h.core.HomeLost(e.at, peer)
@@ -104,7 +104,6 @@
 func (e *engine) dropShard(h *held, now site.Holding) {
 	h.cancel()
 	delete(e.shards, h.holding.Shard)
-	e.wantWorkers()
 	e.vm.figures.handovers.Inc(1)
 	e.vm.figures.shard(h.holding.Shard).set(0, &shard.Load{})
 	klog.InfoS("kept: shard lost", "shard", h.holding.Shard, "token", h.holding.Token,
@@ -132,7 +131,7 @@
 	e.vm.duty(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, claimWithin)
 		defer cancel()
-		if foreign && !e.vm.reachesDomain(ctx, domain) {
+		if foreign && !e.vm.reachesShard(ctx, name) {
 			e.vm.post(claimedEvent{claim: c, err: errUnreachable})
 			return
 		}
@@ -157,16 +156,24 @@
 
 var errUnreachable = errors.New("no worker of the shard can be reached")
 
-// probeMost is how many workers of a failure domain are asked whether they can be
-// reached. One that answers is enough.
+// probeMost is how many workers of a shard are asked whether they can be reached. One that answers is
+// enough.
 const probeMost = 4
 
-// reachesDomain reports whether a worker of a failure domain answers. A domain that is
-// cut off looks from outside as if its VMs had died; its own holder serves on there,
-// and a holder outside could not reach any worker and would end all runs after the cut.
-func (v *VM) reachesDomain(ctx context.Context, domain string) bool {
-	workers, err := v.workersOf(ctx, domain, true)
+// reachesShard reports whether a worker of a shard answers. A domain that is cut off looks from
+// outside as if its VMs had died; its own holder serves on there, and a holder outside could not
+// reach any worker and would end all runs after the cut.
+//
+// The workers are those that the last holder noted. To read the list of all workers for it takes the
+// store a second's worth of its link when a domain of a large site is cut off, as several VMs look
+// after each of its shards.
+func (v *VM) reachesShard(ctx context.Context, name string) bool {
+	workers, err := v.readHands(ctx, name)
+	if err == nil && len(workers) == 0 {
+		workers, err = v.workersOf(ctx, site.DomainOf(name), true)
+	}
 	if err != nil {
+		klog.InfoS("kept: the workers of a shard cannot be read", "shard", name, "why", err)
 		return false
 	}
 	workers = workers[:min(len(workers), probeMost)]
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -30,7 +30,7 @@
 	}
 	e.vm.calls.setReach(from, f.ReachesStore)
 	e.noteWanted(from, f.Wanted)
-	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack)+len(f.Elsewhere) > 0 || f.Unplaced != nil {
+	if len(f.Assign)+len(f.States)+len(f.Queries)+len(f.Cancelled)+len(f.Loads)+len(f.Calls)+len(f.Notes)+len(f.TakenBack)+len(f.Elsewhere)+len(f.Workers) > 0 || f.Unplaced != nil {
 		e.vm.post(frameEvent{from: from, frame: f})
 	}
 }
@@ -236,6 +236,9 @@
 	if f.Unplaced != nil {
 		e.unplaced[ev.from] = f.Unplaced.ByQueue
 	}
+	for _, w := range f.Workers {
+		e.takeWorkers(ev.from, w)
+	}
 	for _, w := range f.Elsewhere {
 		e.takeElsewhere(w)
 	}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -86,7 +86,7 @@
 
 	leaving     chan struct{} // closed when this VM is about to stop
 	leaveOnce   sync.Once
-	wantWorkers chan bool // whether a shard is held; the newest word counts
+	wantWorkers chan bool // whether the list of workers is to be read
 
 	sweeps atomic.Bool // this VM removes final states
 
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -193,7 +193,16 @@
 	return min(max(time.Duration(float64(workersFill)*float64(in)/float64(fills)), workersPauseLeast), workersPause)
 }
 
-// watchWorkers follows the list of workers while this VM holds a shard.
+// readWorkers says whether this VM is to read the list of workers. The newest word counts.
+func (v *VM) readWorkers(on bool) {
+	select {
+	case <-v.wantWorkers:
+	default:
+	}
+	v.wantWorkers <- on
+}
+
+// watchWorkers follows the list of workers while this VM is to read it.
 func (v *VM) watchWorkers(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -14,28 +14,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
-// wantWorkers has the list of workers followed while a shard is held.
-func (e *engine) wantWorkers() {
-	if len(e.shards) == 0 {
-		e.workers = nil // it will be out of date when the next shard is taken
-	}
-	select {
-	case <-e.vm.wantWorkers:
-	default:
-	}
-	e.vm.wantWorkers <- len(e.shards) > 0
-}
-
-func (ev workersEvent) apply(e *engine) {
-	if len(e.shards) == 0 {
-		return
-	}
-	e.workers = ev.list
-	for _, h := range e.shards {
-		e.placeWorkers(h)
-	}
-}
-
 // shardOf is the shard that a worker belongs to; "" if its domain is not divided yet.
 func (e *engine) shardOf(info worker.Info) string {
 	d, known := e.site.Division(info.Domain)
@@ -214,9 +192,11 @@
 // placeWorkers holds the workers of a shard.
 func (e *engine) placeWorkers(h *held) {
 	var own []worker.Info
-	for _, info := range e.workers {
-		if e.shardOf(info) == h.holding.Shard && e.serves(info) {
-			own = append(own, info)
+	if l := e.lists[site.DomainOf(h.holding.Shard)]; l != nil {
+		for _, info := range l.infos {
+			if e.shardOf(info) == h.holding.Shard && e.serves(info) {
+				own = append(own, info)
+			}
 		}
 	}
 	h.core.Workers(e.at, own)
