--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -28,7 +28,11 @@
 	Silence time.Duration // without a beat back, the peer is taken to be lost
 	Open    time.Duration // for a new stream to be answered
 	Redial  time.Duration // between tries, after the first
-	Ring    int           // frames that may wait
+	// Unmet is how long a peer that was never reached may be out of reach before it counts as lost.
+	// VMs that start together open hundreds of links at once, and a busy one answers late: its
+	// shards went from VM to VM before the site served anything.
+	Unmet time.Duration
+	Ring  int // frames that may wait
 
 	Now          func() time.Duration // since boot: the time of day may jump
 	ReachesStore func() bool          // whether this VM's own calls of the store are answered
@@ -41,6 +45,7 @@
 		Silence: 480 * time.Millisecond, // four beats
 		Open:    250 * time.Millisecond,
 		Redial:  150 * time.Millisecond,
+		Unmet:   900 * time.Millisecond,
 		Ring:    1024,
 
 		Now:          clock.Now,
@@ -54,6 +59,7 @@
 func Distant(s Settings) Settings {
 	s.Beat = 300 * time.Millisecond
 	s.Silence = 1200 * time.Millisecond
+	s.Open = 500 * time.Millisecond
 	return s
 }
 
@@ -119,12 +125,19 @@
 // that the peer is lost.
 func (l *Link) run(ctx context.Context) {
 	defer close(l.done)
+	began := l.settings.Now()
+	met := false
 	for ctx.Err() == nil {
 		opened, why := l.connect(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if opened {
+			met = true
+			continue
+		}
+		if !met && l.settings.Now()-began < l.settings.Unmet {
+			pause.For(ctx, l.settings.Redial)
 			continue
 		}
 		l.events.PeerLost(l.name, why)
--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -37,11 +37,10 @@
 	var out []Claim
 	taken := false
 	rank := now-s.rankedAt >= rankEvery
-	held := map[string]int{}
 	if rank {
 		s.rankedAt = now
-		held = s.held()
 	}
+	held := s.held()
 	for _, h := range s.Holdings() {
 		v := s.shards[h.Shard]
 		if taken && !s.Mine(h) {
@@ -51,7 +50,7 @@
 		var due bool
 		switch {
 		case !s.Mine(h):
-			c, due = s.takeOver(now, v)
+			c, due = s.takeOver(now, v, held)
 		case rank:
 			c, due = s.giveBack(now, v, held)
 		}
@@ -65,7 +64,7 @@
 }
 
 // takeOver claims a shard whose holder is not there, when it is this VM's turn.
-func (s *Site) takeOver(now time.Duration, v *shardView) (Claim, bool) {
+func (s *Site) takeOver(now time.Duration, v *shardView, held map[string]int) (Claim, bool) {
 	why, vacant := s.vacant(now, v.holding)
 	if !vacant {
 		v.vacantSince = 0
@@ -77,18 +76,20 @@
 	if v.claimedAt > 0 && now-v.claimedAt < s.settings.Cooldown {
 		return Claim{}, false
 	}
-	rank := slices.Index(s.ranking(v.holding.Shard, v.holding.Holder), s.self.Name)
-	if rank < 0 {
-		return Claim{}, false
-	}
-	wait := time.Duration(rank) * s.settings.RankStep
-	if s.self.Domain != DomainOf(v.holding.Shard) {
-		wait += s.settings.Foreign
-		if now-s.startedAt < s.settings.Settle {
+	wait := time.Duration(0)
+	if domain := DomainOf(v.holding.Shard); s.self.Domain != domain {
+		wait = s.settings.Foreign
+		// The VMs of its domain come first: without them the wait is at least so long. To rank all VMs
+		// for each shard of the site at each look took a small VM all its processor while a site of
+		// 147 VMs started, so that links failed and sound holders passed for dead.
+		least := wait + time.Duration(s.ableIn(domain))*s.settings.RankStep
+		if now-s.startedAt < s.settings.Settle || now-v.vacantSince < least {
 			return Claim{}, false
 		}
 	}
-	if now-v.vacantSince < wait {
+	rank, able := s.rank(v.holding.Shard, v.holding.Holder, held)
+	wait += time.Duration(rank) * s.settings.RankStep
+	if !able || now-v.vacantSince < wait {
 		return Claim{}, false
 	}
 	return s.claim(v.holding, s.self, why), true
@@ -219,17 +220,29 @@
 	}
 }
 
-// ranking orders the entry VMs that may hold a shard: those of its own failure
-// domain first, then those that have least to do, then by rendezvous hashing.
-func (s *Site) ranking(shard, except string) []string {
-	able := s.able(shard, except)
-	held := s.held()
-	slices.SortFunc(able, func(a, b Member) int { return compare(shard, held, a, b) })
-	names := make([]string, len(able))
-	for i := range able {
-		names[i] = able[i].Name
+// rank is how many entry VMs may take a shard before this one: those of its own failure domain come
+// first, then those that have least to do, then rendezvous hashing decides.
+func (s *Site) rank(shard, except string, held map[string]int) (rank int, able bool) {
+	for _, m := range s.able(shard, except) {
+		switch {
+		case m.Name == s.self.Name:
+			able = true
+		case compare(shard, held, m, s.self) < 0:
+			rank++
+		}
+	}
+	return rank, able
+}
+
+// ableIn counts the entry VMs of a failure domain that are not suspected.
+func (s *Site) ableIn(domain string) int {
+	n := 0
+	for _, m := range s.members {
+		if m.Domain == domain && !s.suspected[m.Name] {
+			n++
+		}
 	}
-	return names
+	return n
 }
 
 // able returns the entry VMs that may hold a shard. A VM that is suspected, or the one
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -80,6 +80,7 @@
 	up           map[string]bool          // peers whose link stands
 	wantedBy     sync.Map                 // peer to whether it needs the link from here
 	neededAt     map[string]time.Duration // when a link was last needed
+	linksDue     bool                     // VMs or holders have changed
 	linkedAt     time.Duration            // when it was last looked which links are needed
 	elsewhere    map[string]waitingWord   // by failure domain, as its holders said
 	elsewhereAt  time.Duration            // when this VM told of it last
@@ -134,6 +135,7 @@
 	for _, ev := range e.vm.events.Drain() {
 		ev.apply(e)
 	}
+	e.tidyLinks()
 	e.divideDomains()
 	e.claimShards()
 	e.followLists()
@@ -147,7 +149,6 @@
 	e.tellLoads()
 	e.tellUnplaced()
 	e.tellElsewhere()
-	e.tidyLinks()
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -41,7 +41,7 @@
 	}
 	e.site.Contact(ev.sent, e.at)
 	e.followHoldings(ev.sent)
-	e.followMembers()
+	e.linksDue = true
 }
 
 // followHoldings takes up the shards that this VM holds by the store, and drops
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// smallSite is the number of links up to which changes are followed at once.
+const smallSite = 12
+
 // linkLinger is for how long a link is kept that neither end needs: holders change hands and
 // back within seconds, and a link that is closed takes what waits in it along.
 const linkLinger = 3 * time.Second
@@ -50,7 +53,7 @@
 	}
 }
 
-func (ev wantedEvent) apply(e *engine) { e.followMembers() }
+func (ev wantedEvent) apply(e *engine) { e.linksDue = true }
 
 // isWantedBy reports whether a peer needs the link from here.
 func (e *engine) isWantedBy(name string) bool {
@@ -145,9 +148,16 @@
 	return false
 }
 
-// tidyLinks looks now and then whether links are kept that nobody needs any more.
+// linksPace is between two looks at which links are needed on a large site. While it starts, each VM
+// hears of hundreds of VMs and holders within a second.
+const linksPace = 50 * time.Millisecond
+
+// tidyLinks opens and closes links when VMs or holders have changed, and looks now and then whether
+// links are kept that nobody needs any more.
 func (e *engine) tidyLinks() {
-	if e.at-e.linkedAt >= linkLinger {
+	due := e.linksDue && (len(e.links) <= smallSite || e.at-e.linkedAt >= linksPace)
+	if due || e.at-e.linkedAt >= linkLinger {
+		e.linksDue = false
 		e.followMembers()
 	}
 }
