--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,7 @@
 // decideEvery is how often it is looked for claims that are due, unless something was learnt. Turns
 // are 150 ms apart. Made at each round of a VM the look was a quarter of the engine's processor on a
 // site of 34 VMs under load (BenchmarkSite).
-const decideEvery = 10 * time.Millisecond
+const decideEvery = 20 * time.Millisecond
 
 // Decide returns the claims that are due.
 func (s *Site) Decide(now time.Duration) []Claim {
@@ -40,9 +41,9 @@
 	if rank {
 		s.rankedAt = now
 	}
-	held := s.held()
-	for _, h := range s.Holdings() {
-		v := s.shards[h.Shard]
+	held := sync.OnceValue(s.held)
+	for _, v := range s.ordered {
+		h := v.holding
 		if taken && !s.Mine(h) {
 			continue // first it is to be seen that this VM holds one more
 		}
@@ -52,7 +53,7 @@
 		case !s.Mine(h):
 			c, due = s.takeOver(now, v, held)
 		case rank:
-			c, due = s.giveBack(now, v, held)
+			c, due = s.giveBack(now, v, held())
 		}
 		if due {
 			v.claimedAt = now
@@ -64,7 +65,7 @@
 }
 
 // takeOver claims a shard whose holder is not there, when it is this VM's turn.
-func (s *Site) takeOver(now time.Duration, v *shardView, held map[string]int) (Claim, bool) {
+func (s *Site) takeOver(now time.Duration, v *shardView, held func() map[string]int) (Claim, bool) {
 	why, vacant := s.vacant(now, v.holding)
 	if !vacant {
 		v.vacantSince = 0
@@ -87,7 +88,7 @@
 			return Claim{}, false
 		}
 	}
-	rank, able := s.rank(v.holding.Shard, v.holding.Holder, held)
+	rank, able := s.rank(v.holding.Shard, v.holding.Holder, held())
 	wait += time.Duration(rank) * s.settings.RankStep
 	if !able || now-v.vacantSince < wait {
 		return Claim{}, false
--- a/internal/kept/site/peers_test.go
+++ b/internal/kept/site/peers_test.go
@@ -28,7 +28,7 @@
 	for d := range domains {
 		for i := range holders {
 			shard := ShardName(string(rune('a'+d)), i)
-			s.shards[shard] = &shardView{holding: Holding{Shard: shard, Holder: fmt.Sprintf("%c%d", 'a'+d, i), Incarnation: 1, Token: 1}}
+			s.view(shard).holding = Holding{Shard: shard, Holder: fmt.Sprintf("%c%d", 'a'+d, i), Incarnation: 1, Token: 1}
 		}
 	}
 	return s
--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -83,6 +83,7 @@
 	domains   []string
 	divisions map[string]Division
 	shards    map[string]*shardView
+	ordered   []*shardView // by the shard's name
 	leaving   bool
 	learnt    bool // something since it was last decided
 	decidedAt time.Duration
@@ -135,9 +136,7 @@
 	s.divisions[domain] = d
 	for i := range d.Shards {
 		name := ShardName(domain, i)
-		if s.shards[name] == nil {
-			s.shards[name] = &shardView{holding: Holding{Shard: name}}
-		}
+		s.view(name)
 	}
 	return nil
 }
@@ -210,11 +209,7 @@
 }
 
 func (s *Site) applyShard(shard string, e store.Event) error {
-	v := s.shards[shard]
-	if v == nil {
-		v = &shardView{holding: Holding{Shard: shard}}
-		s.shards[shard] = v
-	}
+	v := s.view(shard)
 	if e.Deleted || e.Revision <= v.holding.Revision {
 		return nil
 	}
@@ -305,14 +300,25 @@
 
 // Holdings returns the holder of each shard, by the shard's name.
 func (s *Site) Holdings() []Holding {
-	out := make([]Holding, 0, len(s.shards))
-	for _, v := range s.shards {
+	out := make([]Holding, 0, len(s.ordered))
+	for _, v := range s.ordered {
 		out = append(out, v.holding)
 	}
-	slices.SortFunc(out, func(a, b Holding) int { return strings.Compare(a.Shard, b.Shard) })
 	return out
 }
 
+// view returns what is known of a shard.
+func (s *Site) view(shard string) *shardView {
+	v := s.shards[shard]
+	if v == nil {
+		v = &shardView{holding: Holding{Shard: shard}}
+		s.shards[shard] = v
+		s.ordered = append(s.ordered, v)
+		slices.SortFunc(s.ordered, func(a, b *shardView) int { return strings.Compare(a.holding.Shard, b.holding.Shard) })
+	}
+	return v
+}
+
 // Mine reports whether a holding is this process's.
 func (s *Site) Mine(h Holding) bool {
 	return h.Holder == s.self.Name && h.Incarnation == s.self.Incarnation
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -28,12 +28,14 @@
 	authorityOver = authorityFor + 2*time.Second
 	rescanEvery   = time.Second // for records whose holder was not told of them
 	loadEvery     = 300 * time.Millisecond
-	loadAtMost    = 15 * time.Millisecond  // between messages about a changed load
-	loadPerPeer   = 2 * time.Millisecond   // that for each linked peer, if it is more
-	loadFresh     = time.Second            // an older word of a shard's load counts for nothing
-	askAgain      = 700 * time.Millisecond // a holder that has not told of a submission for so long is asked
-	homeFor       = 150 * time.Second      // ended submissions are remembered; callers ask for 120 s
-	pruneEvery    = 5 * time.Second
+	loadAtMost    = 15 * time.Millisecond // between messages about a changed load
+	loadPerPeer   = 2 * time.Millisecond  // that for each linked peer, if it is more
+	// VMs of other domains send little here, and on a large site are many.
+	loadFar    = 400 * time.Millisecond
+	loadFresh  = time.Second            // an older word of a shard's load counts for nothing
+	askAgain   = 700 * time.Millisecond // a holder that has not told of a submission for so long is asked
+	homeFor    = 150 * time.Second      // ended submissions are remembered; callers ask for 120 s
+	pruneEvery = 5 * time.Second
 )
 
 // held is a shard that this VM holds.
@@ -52,6 +54,7 @@
 	noted     string // the workers as stored for the next holder
 	noting    bool
 	loadAt    time.Duration
+	farAt     time.Duration // when VMs of other domains were told of its load
 	load      shard.Load
 }
 
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -114,34 +114,50 @@
 		h.load = load
 		e.vm.figures.shard(name).set(len(h.hands), &load)
 		e.takeLoad(e.vm.config.Name, name, h.holding.Token, load)
-		out := &pb.KeptLoad{
-			Shard:     name,
-			Token:     h.holding.Token,
-			Ready:     load.Ready,
-			RoomMilli: load.RoomMilli,
-			Waiting:   make(map[string]uint32, len(load.Waiting)),
+		far := e.at-h.farAt >= loadFar || len(e.links) <= smallSite
+		if far {
+			h.farAt = e.at
 		}
-		for _, q := range load.Queued {
-			out.Queued = append(out.Queued, &pb.KeptQueued{
-				Band:     uint32(q.Band),
-				Priority: int32(q.Priority),
-				Milli:    q.Milli,
-				TakesNs:  int64(q.Takes),
-			})
-		}
-		for _, free := range load.FreeMilli {
-			out.FreeMilli = append(out.FreeMilli, uint32(max(free, 0)))
-		}
-		for q, n := range load.Waiting {
-			out.Waiting[q] = uint32(n)
-		}
-		for peer := range e.links {
+		e.sendLoad(name, encodeLoad(name, h.holding.Token, &load), far)
+	}
+}
+
+// sendLoad tells peers of a load, those of other failure domains only if it is their turn.
+func (e *engine) sendLoad(name string, out *pb.KeptLoad, far bool) {
+	domain := site.DomainOf(name)
+	for peer := range e.links {
+		if m, _ := e.site.Member(peer); far || m.Domain == domain {
 			f := e.frame(peer)
 			f.Loads = append(f.Loads, out)
 		}
 	}
 }
 
+func encodeLoad(name string, token uint64, load *shard.Load) *pb.KeptLoad {
+	out := &pb.KeptLoad{
+		Shard:     name,
+		Token:     token,
+		Ready:     load.Ready,
+		RoomMilli: load.RoomMilli,
+		Waiting:   make(map[string]uint32, len(load.Waiting)),
+	}
+	for _, q := range load.Queued {
+		out.Queued = append(out.Queued, &pb.KeptQueued{
+			Band:     uint32(q.Band),
+			Priority: int32(q.Priority),
+			Milli:    q.Milli,
+			TakesNs:  int64(q.Takes),
+		})
+	}
+	for _, free := range load.FreeMilli {
+		out.FreeMilli = append(out.FreeMilli, uint32(max(free, 0)))
+	}
+	for q, n := range load.Waiting {
+		out.Waiting[q] = uint32(n)
+	}
+	return out
+}
+
 func sameLoad(a, b shard.Load) bool {
 	return a.Ready == b.Ready && slices.Equal(a.FreeMilli, b.FreeMilli) && a.RoomMilli == b.RoomMilli &&
 		slices.Equal(a.Queued, b.Queued) && maps.Equal(a.Waiting, b.Waiting)
--- a/internal/kept/vm/site_bench_test.go
+++ b/internal/kept/vm/site_bench_test.go
@@ -21,7 +21,7 @@
 // tasks of 100 ms. Idle sites show what links, holds and loads cost. The stand-ins take a
 // third of it: compare sizes, and versions in one run, not with a machine.
 func BenchmarkSite(b *testing.B) {
-	for _, size := range []struct{ vms, workers, rate int }{{8, 48, 0}, {8, 48, 140}, {34, 350, 0}, {34, 350, 800}} {
+	for _, size := range []struct{ vms, workers, rate int }{{8, 48, 0}, {8, 48, 140}, {34, 350, 0}, {34, 350, 800}, {100, 700, 0}, {100, 700, 800}} {
 		b.Run(fmt.Sprintf("vms=%d/workers=%d/rate=%d", size.vms, size.workers, size.rate), func(b *testing.B) {
 			for b.Loop() {
 				w := benchWorld(b, size.vms, size.workers)
@@ -50,10 +50,16 @@
 			MemMB:    65536,
 		})
 	}
+	w.weights = make(map[string]float64)
 	for i := range vms {
+		name := fmt.Sprintf("%s%d", w.domains[i%len(w.domains)], i)
+		w.weights[name] = 0.8
+		if i >= 12 && vms >= 100 {
+			w.weights[name] = 0.192
+		}
 		w.boot(fmt.Sprintf("%s%d", w.domains[i%len(w.domains)], i))
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(5 * time.Second)
 	return w
 }
 
