--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -57,7 +57,7 @@
 // silent is noticed by those that would, and the new holders of its shards speak up themselves.
 // Beats of 120 ms to all of them would take more processor than the work.
 func Distant(s Settings) Settings {
-	s.Beat = 300 * time.Millisecond
+	s.Beat = 500 * time.Millisecond
 	s.Silence = 1200 * time.Millisecond
 	s.Open = 500 * time.Millisecond
 	return s
@@ -259,7 +259,7 @@
 }
 
 // StaleAfter is the gap between frames of a stream after which what comes on it counts
-// for nothing. It is that between the beats of distant peers, four times.
+// for nothing. It is more than twice that between the beats of distant peers.
 //
 // What was sent into a partition comes out of it at the heal, seconds later, on streams
 // that the sender has long left: a submission that was given up meanwhile, and that its
@@ -298,10 +298,10 @@
 
 var errNoName = errors.New("the first frame names no entry VM")
 
-// answerEvery is the least time between two answers on a stream. The shortest beat is twice as
-// long, so each beat is answered; frames that carry loads or submissions come more often, and an
+// answerEvery is the least time between two answers on a stream. The shortest beat is longer, so
+// each beat is answered; frames that carry loads or submissions come more often, and an
 // answer to each would cost the receiver as much as the frame.
-const answerEvery = 60 * time.Millisecond
+const answerEvery = 100 * time.Millisecond
 
 // Link implements the service: frames go to the events, and are answered by beats.
 func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptBeat]) error {
--- a/internal/kept/site/peers.go
+++ b/internal/kept/site/peers.go
@@ -22,7 +22,7 @@
 const linkCost = 0.0013
 
 // linkShare is the part of its processor that a VM may spend on links that it could do without.
-const linkShare = 0.05
+const linkShare = 0.03
 
 // Peer is an entry VM to keep a link to.
 type Peer struct {
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -164,6 +164,14 @@
 	e.vm.figures.openHere.Update(float64(len(e.transients) + len(e.homes)))
 }
 
+// pace is the longest time to the next round.
+func (e *engine) pace() time.Duration {
+	if len(e.shards)+len(e.transients)+len(e.homes)+len(e.early) == 0 && e.draining == nil {
+		return tickIdle
+	}
+	return tickBusy
+}
+
 // drive runs a shard that this VM holds.
 func (e *engine) drive(name string, h *held) {
 	h.extend.Store(e.at-h.confirmed < authorityFor || !h.core.KeepsAny())
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -65,6 +65,7 @@
 const (
 	ringEvents = 16384
 	tickBusy   = 40 * time.Millisecond
+	tickIdle   = 100 * time.Millisecond // of a VM that holds nothing and has nothing open
 )
 
 // VM is a running entry VM.
@@ -134,7 +135,7 @@
 	v.duty(func() { v.sweepFinals(ctx) })
 	v.duty(func() { v.watchWorkers(ctx) })
 	v.duty(func() { v.watchCatalog(ctx) })
-	v.duty(func() { ring.Loop(ctx, v.events, func() time.Duration { return tickBusy }, e.round) })
+	v.duty(func() { ring.Loop(ctx, v.events, e.pace, e.round) })
 	klog.InfoS("kept: started", "vm", c.Name, "incarnation", c.Incarnation, "domain", c.Domain, "address", c.PeerAddress)
 	return v
 }
