--- a/internal/kept/link/link_test.go
+++ b/internal/kept/link/link_test.go
@@ -149,3 +149,24 @@
 		}
 	})
 }
+
+// Symptom: while a site of many VMs starts, sound holders lose their shards. Sequence: a VM opens links
+// to many others at once; one is busy and answers the first link only after several tries. Cause: one
+// failed try counted as the loss of the peer.
+func TestPeerThatWasNeverReachedIsNotLostAtOnce(t *testing.T) {
+	between(t, func(ctx context.Context, m *mesh.Mesh, _ *recorder, now func() time.Duration) {
+		mine := &recorder{}
+		s := settings(now)
+		m.Cut("b", true) // as if it did not get to answer
+		l := Open(ctx, s, &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		defer l.Close()
+		time.Sleep(s.Unmet / 2)
+		if _, lost := mine.counts(); lost != 0 {
+			t.Errorf("lost %d times before it was ever reached", lost)
+		}
+		time.Sleep(s.Unmet)
+		if _, lost := mine.counts(); lost == 0 {
+			t.Errorf("not lost %v after the first try", s.Unmet*3/2)
+		}
+	})
+}
--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -30,7 +30,7 @@
 // domainList is the list of the workers of a failure domain.
 type domainList struct {
 	infos []worker.Info // by ID
-	at    time.Duration // when it was read, or told of
+	at    time.Duration // when it was read, here or by who told of it
 	told  time.Duration // when the other holders were told
 	dirty bool          // it has changed since
 	own   bool          // this VM has read it itself
@@ -105,22 +105,22 @@
 	for _, holder := range e.site.HoldersIn(domain) {
 		if holder != e.vm.config.Name && e.links[holder] != nil {
 			f := e.frame(holder)
-			f.Workers = append(f.Workers, &pb.KeptWorkers{Domain: domain, List: list})
+			f.Workers = append(f.Workers, &pb.KeptWorkers{Domain: domain, List: list, AgeNs: uint64(e.at - l.at)})
 		}
 	}
 }
 
 // takeWorkers takes the reader's word.
 func (e *engine) takeWorkers(from string, w *pb.KeptWorkers) {
-	if from != e.site.Holding(site.ShardName(w.Domain, 0)).Holder {
-		return // of an earlier reader
+	if l := e.lists[w.Domain]; l != nil && e.at-time.Duration(w.AgeNs) < l.at {
+		return // an older list than the one here: of an earlier reader, or one that the store does not answer
 	}
 	var infos []worker.Info
 	if err := json.Unmarshal(w.List, &infos); err != nil {
 		klog.ErrorS(err, "kept: a peer's list of workers cannot be read", "peer", from, "domain", w.Domain)
 		return
 	}
-	e.setList(w.Domain, infos, false)
+	e.setList(w.Domain, infos, e.at-time.Duration(w.AgeNs), false)
 }
 
 // apply takes what this VM has read.
@@ -131,13 +131,13 @@
 	}
 	for domain := range e.heldDomains() {
 		if l := e.lists[domain]; e.reads(domain) || l == nil || l.own || e.at-l.at > listFresh {
-			e.setList(domain, byDomain[domain], true)
+			e.setList(domain, byDomain[domain], e.at, true)
 		}
 	}
 }
 
 // setList takes the list of a domain's workers, and holds those of the shards here if it has changed.
-func (e *engine) setList(domain string, infos []worker.Info, own bool) {
+func (e *engine) setList(domain string, infos []worker.Info, at time.Duration, own bool) {
 	slices.SortFunc(infos, func(a, b worker.Info) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Revision, b.Revision))
 	})
@@ -148,7 +148,7 @@
 	}
 	changed := l.infos == nil || !slices.EqualFunc(l.infos, infos, sameWorker)
 	l.infos = infos
-	l.at = e.at
+	l.at = at
 	l.own = own
 	l.dirty = l.dirty || changed
 	for name, h := range e.shards {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -55,13 +55,6 @@
 
 func (ev wantedEvent) apply(e *engine) { e.linksDue = true }
 
-// isWantedBy reports whether a peer needs the link from here.
-func (e *engine) isWantedBy(name string) bool {
-	wanted, _ := e.wantedBy.Load(name)
-	is, _ := wanted.(bool)
-	return is
-}
-
 // followMembers opens and closes links as VMs and holders come and go. A link is kept while this
 // VM needs it, its peer does, or something of this VM is under way there.
 func (e *engine) followMembers() {
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -131,3 +132,62 @@
 		}
 	})
 }
+
+// Symptom: a new worker is not used, or one that is taken away gets starts until its shutdown.
+// Sequence: the VM that reads the list of workers for its domain is lost; a worker comes, and belongs
+// to a shard of the other holder. Cause: the other holder waits for the reader's word.
+func TestHoldersReadTheListThemselvesWithoutAReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		w.weights = map[string]float64{"a1": 0.2, "a2": 0.2}
+		for i := range 24 {
+			w.addWorker(worker.Info{
+				ID: fmt.Sprintf("w%d", i), Service: "desk", Address: fmt.Sprintf("worker-%d", i), Domain: "a", CPUMilli: 16000, MemMB: 65536,
+			})
+		}
+		w.boot("a1")
+		w.boot("a2")
+		time.Sleep(5 * time.Second)
+		reader := w.holderOf("a")
+		other := map[string]string{"a1": "a2", "a2": "a1"}[reader]
+		if !w.vms[other].Holds("a/1") {
+			t.Fatalf("%s reads the list and holds all", reader)
+		}
+		w.wantWorkersAt(other, 24, "after the start")
+		w.doors[reader].Set(kvstore.Silent)
+		w.mesh.Kill(addressOf(reader)) // its links and its calls, not its process
+		for i := 24; i < 48; i++ {
+			w.addWorker(worker.Info{
+				ID: fmt.Sprintf("w%d", i), Service: "desk", Address: fmt.Sprintf("worker-%d", i), Domain: "a", CPUMilli: 16000, MemMB: 65536,
+			})
+		}
+		time.Sleep(5 * time.Second)
+		w.wantWorkersAt(other, 48, "five seconds after the reader was lost")
+		for name := range w.vms {
+			w.kill(name)
+		}
+	})
+}
+
+// wantWorkersAt checks how many workers a VM knows of in its domain.
+func (w *world) wantWorkersAt(at string, n int, when string) {
+	w.t.Helper()
+	reply := make(chan int, 1)
+	w.vms[at].post(listedEvent{domain: at[:1], reply: reply})
+	if got := <-reply; got != n {
+		w.t.Errorf("%s knows of %d workers %s, want %d", at, got, when, n)
+	}
+}
+
+type listedEvent struct {
+	domain string
+	reply  chan int
+}
+
+func (ev listedEvent) apply(e *engine) {
+	if l := e.lists[ev.domain]; l != nil {
+		ev.reply <- len(l.infos)
+		return
+	}
+	ev.reply <- 0
+}
