--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -253,6 +253,14 @@
 	s.linked[name] = true
 }
 
+// Unlinked says that this VM has closed its link to an entry VM, as it needs none. What was known by
+// the link holds no more: a VM that was out of reach once would pass for dead when it becomes a
+// holder, until a new link stands, and lose its shards at once.
+func (s *Site) Unlinked(name string) {
+	delete(s.suspected, name)
+	delete(s.linked, name)
+}
+
 // Contact says that the store has answered a call that left at a time.
 func (s *Site) Contact(sent, now time.Duration) {
 	if sent-s.contact > s.settings.Gap {
--- a/internal/kept/site/site_test.go
+++ b/internal/kept/site/site_test.go
@@ -314,3 +314,19 @@
 		}
 	}
 }
+
+// Symptom: a sound holder loses its shards as soon as it has them. Sequence: a VM cannot reach another
+// one for a while; it needs no link to it any more and closes it; the other becomes a holder. Cause:
+// what was known by the closed link still counted.
+func TestWhatWasKnownByAClosedLinkIsForgotten(t *testing.T) {
+	w := newWorld(t, 1, four()...)
+	holder := w.holder("a/0").Holder
+	other := map[string]string{"a1": "a2", "a2": "a1"}[holder]
+	s := w.vms[other]
+	s.Suspect(holder, true)
+	s.Unlinked(holder)
+	w.run(2 * time.Second)
+	if h := w.holder("a/0"); h.Holder != holder {
+		t.Errorf("%s has taken the shard of %s, which is there", h.Holder, holder)
+	}
+}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -85,6 +85,7 @@
 		delete(e.up, name)
 		delete(e.neededAt, name)
 		delete(e.unplaced, name)
+		e.site.Unlinked(name)
 		e.vm.calls.set(name, nil)
 	}
 	for name, p := range wanted {
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -1,11 +1,14 @@
 package vm
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
@@ -133,10 +136,10 @@
 	})
 }
 
-// Symptom: a new worker is not used, or one that is taken away gets starts until its shutdown.
-// Sequence: the VM that reads the list of workers for its domain is lost; a worker comes, and belongs
-// to a shard of the other holder. Cause: the other holder waits for the reader's word.
-func TestHoldersReadTheListThemselvesWithoutAReader(t *testing.T) {
+// Symptom: a new worker is not used after the reader of the list was lost, or one that is taken away gets
+// starts until its shutdown. Sequence: the VM that reads the list of workers for its domain is lost; a
+// worker comes. Cause: nobody reads the list in its place. Here the next holder of the first shard does.
+func TestNextReaderTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, "a")
 		w.weights = map[string]float64{"a1": 0.2, "a2": 0.2}
@@ -191,3 +194,35 @@
 	}
 	ev.reply <- 0
 }
+
+// Symptom: as above, while the reader lives and holds its shard. Sequence: its words do not come, or
+// bring a list that is old, as the store does not answer it. Cause: a holder went by such words.
+func TestHolderWithoutFreshWordsReadsTheListItself(t *testing.T) {
+	now := time.Hour
+	v := &VM{now: func() time.Duration { return now }, wantWorkers: make(chan bool, 1)}
+	e := newEngine(context.Background(), v)
+	e.shards["a/1"] = &held{core: shard.New(now, shard.DefaultSettings(), 1, now), takenAt: now, noting: true}
+	wants := func(reading bool, when string) {
+		t.Helper()
+		e.at = now
+		e.followLists()
+		if e.reading != reading {
+			t.Errorf("reads the list itself: %v, %s", e.reading, when)
+		}
+	}
+	word := func(age time.Duration) {
+		e.takeWorkers("reader", &pb.KeptWorkers{Domain: "a", List: []byte(`[]`), AgeNs: uint64(age)})
+	}
+	wants(false, "just after the shard was taken")
+	now += listFirst + time.Millisecond
+	wants(true, "without a first word")
+	word(0)
+	wants(false, "after a word")
+	now += 2 * time.Second
+	word(2 * time.Second)
+	now += listFresh - 2*time.Second + time.Millisecond
+	wants(true, "after a word that brought an old list")
+	word(0)
+	now += listFresh + time.Millisecond
+	wants(true, "without a word for long")
+}
