--- a/internal/kept/daemon/daemon.go
+++ b/internal/kept/daemon/daemon.go
@@ -98,6 +98,8 @@
 	WorkerPrefix  = "pumiceyard/list/worker/"
 	CatalogPrefix = "pumiceyard/catalog/"
 	CatalogKey    = CatalogPrefix + "current"
+	// EvacuationPrefix begins the keys by which operators evacuate failure domains.
+	EvacuationPrefix = CatalogPrefix + "evacuated/"
 )
 
 // Catalog is the configuration of queues as operators write it.
@@ -184,6 +186,8 @@
 			CatalogPrefix: CatalogPrefix,
 			CatalogKey:    CatalogKey,
 			DecodeCatalog: decodeCatalog,
+
+			EvacuationPrefix: EvacuationPrefix,
 		},
 		LeaseMost: time.Duration(s.LeaseMillis) * time.Millisecond,
 		Policy:    s.Policy,
--- a/internal/kept/journal/journal.go
+++ b/internal/kept/journal/journal.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -42,8 +43,8 @@
 // Row is a change.
 type Row struct {
 	Txn    store.Txn
-	Guard  *store.Condition // shared by many rows, counted once a transaction
-	Within time.Duration    // after which an unanswered row is given up
+	Guards []store.Condition // shared by many rows, each counted once a transaction
+	Within time.Duration     // after which an unanswered row is given up
 	Done   func(Result)
 
 	born  time.Time
@@ -125,10 +126,7 @@
 	var part []*Row
 	entries := 0
 	for _, r := range rows {
-		n := r.Txn.Entries()
-		if r.Guard != nil {
-			n++ // at worst each row has a guard of its own
-		}
+		n := r.Txn.Entries() + len(r.Guards) // at worst each row has guards of its own
 		if entries+n > store.MaxEntries && len(part) > 0 {
 			out = append(out, part)
 			part, entries = nil, 0
@@ -210,9 +208,11 @@
 	var t store.Txn
 	guards := make(map[string]bool)
 	for _, r := range batch {
-		if r.Guard != nil && !guards[r.Guard.Key] {
-			guards[r.Guard.Key] = true
-			t.Expect = append(t.Expect, *r.Guard)
+		for _, g := range r.Guards {
+			if !guards[g.Key] {
+				guards[g.Key] = true
+				t.Expect = append(t.Expect, g)
+			}
 		}
 		t.Expect = append(t.Expect, r.Txn.Expect...)
 		t.Put = append(t.Put, r.Txn.Put...)
@@ -265,11 +265,10 @@
 	return 0, false
 }
 
+func (r *Row) conditions() []store.Condition { return slices.Concat(r.Guards, r.Txn.Expect) }
+
 func holds(r *Row, now map[string]store.Item) bool {
-	if r.Guard != nil && now[r.Guard.Key].Revision != r.Guard.Revision {
-		return false
-	}
-	for _, c := range r.Txn.Expect {
+	for _, c := range r.conditions() {
 		if now[c.Key].Revision != c.Revision {
 			return false
 		}
@@ -279,10 +278,7 @@
 
 func pick(r *Row, now map[string]store.Item) []store.Item {
 	var out []store.Item
-	if r.Guard != nil {
-		out = append(out, now[r.Guard.Key])
-	}
-	for _, c := range r.Txn.Expect {
+	for _, c := range r.conditions() {
 		out = append(out, now[c.Key])
 	}
 	return out
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -256,6 +256,7 @@
 		f.TakenBack = append(f.TakenBack, w.TakenBack...)
 		f.Elsewhere = append(f.Elsewhere, w.Elsewhere...)
 		f.Workers = append(f.Workers, w.Workers...)
+		f.Evacuations = append(f.Evacuations, w.Evacuations...)
 	}
 	return f
 }
@@ -263,7 +264,7 @@
 // Says reports whether a frame is more than a beat.
 func Says(f *pb.KeptFrame) bool {
 	parts := len(f.Assign) + len(f.States) + len(f.Queries) + len(f.Cancelled) + len(f.Loads) + len(f.Calls) +
-		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers)
+		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers) + len(f.Evacuations)
 	return parts > 0 || f.Unplaced != nil
 }
 
--- a/internal/kept/policy/admit.go
+++ b/internal/kept/policy/admit.go
@@ -8,6 +8,8 @@
 // The reasons. A refused submission has not run, and will not.
 const (
 	NoShard   Reason = "no_shard_reachable"
+	NoWorker  Reason = "no_worker_of_the_service"
+	Evacuated Reason = "domains_evacuated" // all that can be reached and have workers of the service
 	Forecast  Reason = "forecast_too_late"
 	Hopeless  Reason = "too_late_by_now"
 	OutOfTime Reason = "waited_its_share"
--- a/internal/kept/policy/trust.go
+++ b/internal/kept/policy/trust.go
@@ -14,6 +14,7 @@
 	slow      float64       // how much longer runs take here than elsewhere; 0: not known
 	ejected   time.Duration // until when it gets nothing
 	ejections int
+	proving   int // tasks that it may have at once; 0: as many as fit
 }
 
 // A worker that fails what completes elsewhere is left alone for a while. Without it a
@@ -69,6 +70,9 @@
 
 // Completed notes a run and the ratio of its time to the expected one.
 func (r *Trust) Completed(ratio float64) {
+	if ratio <= provedRatio {
+		r.proved()
+	}
 	r.streak = 0
 	r.last = ""
 	r.ejections = 0
@@ -83,9 +87,41 @@
 	if now < r.ejected {
 		return false
 	}
+	if r.proving > 0 && beside >= r.proving {
+		return false
+	}
 	return r.streak == 0 || beside == 0
 }
 
+// A worker may be cold: for some time after its start, or after its domain was not used, tasks
+// take several times as long there. Given all its room at once it would hold all of them up. So
+// it has one task at first, and twice as many each time that one has taken about the usual time.
+const (
+	proveFirst  = 1
+	proveMost   = 8   // tasks at once; a worker that has shown more is given what fits
+	provedRatio = 1.5 // of a run's time and the usual one
+	proveShare  = 0.5 // of its room that a forecast may count on meanwhile
+)
+
+// Prove has a worker show again that it is not cold.
+func (r *Trust) Prove() { r.proving = proveFirst }
+
+// proved notes a run that a worker which has to prove itself has done well.
+func (r *Trust) proved() {
+	r.proving *= 2
+	if r.proving > proveMost {
+		r.proving = 0
+	}
+}
+
+// Share is the part of its room that a worker can be counted on for.
+func (r *Trust) Share() float64 {
+	if r.proving > 0 {
+		return proveShare
+	}
+	return 1
+}
+
 // Place is a worker as a choice for a task.
 type Place struct {
 	Trust  *Trust
--- /dev/null
+++ b/internal/kept/shard/evacuate.go
@@ -0,0 +1,109 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// moveAgain is between two tries to store a submission under another shard.
+const moveAgain = 300 * time.Millisecond
+
+// SetEvacuated says whether anything may start in the shard's failure domain.
+//
+// What runs there goes on to its end. An order that is on its way is void some time later by its own
+// deadline, and one without an answer is asked for and made void as always. When the domain is used
+// again, its workers may be cold, all at once, so each takes more work only as it shows that it can
+// do it.
+func (s *Shard) SetEvacuated(now time.Duration, evacuated bool) {
+	if s.evacuated == evacuated {
+		return
+	}
+	s.evacuated = evacuated
+	s.dirty = true
+	s.sweepAt = now
+	if evacuated {
+		return
+	}
+	for _, h := range s.workers {
+		h.record.Prove()
+	}
+}
+
+// Evacuated reports whether nothing may start here.
+func (s *Shard) Evacuated() bool { return s.evacuated }
+
+// sendAway gives what waits in an evacuated domain to other shards: without it work waits for room
+// that it cannot get, while its caller's time passes and others have room.
+func (s *Shard) sendAway(now time.Duration, j *job) {
+	switch {
+	case !s.evacuated, j.state.Final():
+	case j.rec.Transient:
+		s.handBack(now, j)
+	default:
+		s.moveStored(now, j)
+	}
+}
+
+// handBack gives tasks that certainly do not run back to their home. Steps that wait for each
+// other stay together, as only their holder knows which have completed: they go once none runs.
+func (s *Shard) handBack(now time.Duration, j *job) {
+	if len(j.steps) > 1 && !j.atRest() {
+		return
+	}
+	before := len(j.returned)
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.run, Fails: t.fails})
+			j.leave(t, absent)
+		}
+	}
+	switch {
+	case len(j.returned) == before:
+	case j.left == 0:
+		s.finish(now, j)
+	default:
+		s.tell(j)
+	}
+}
+
+// atRest reports whether no task of it runs, or may run.
+func (j *job) atRest() bool {
+	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.occupies() || t.state == astray })
+}
+
+// moveStored has a stored submission written under another shard once nothing of it runs here.
+func (s *Shard) moveStored(now time.Duration, j *job) {
+	if j.moving || j.saving || now < j.moveAt || !j.atRest() {
+		return
+	}
+	j.moving = true
+	rec := *j.rec
+	rec.Progress = j.progress()
+	for _, t := range j.tasks {
+		rec.RunsBefore = max(rec.RunsBefore, t.run)
+	}
+	s.out.Moves = append(s.out.Moves, MoveAction{Record: &rec, Revision: j.revision})
+}
+
+// Moved says that a submission is stored under another shard at a revision.
+func (s *Shard) Moved(now time.Duration, id submission.ID, revision uint64) {
+	j, open := s.jobs[id]
+	if !open || !j.moving {
+		return
+	}
+	j.stored = true // its ends are in the record that names the other shard
+	s.past[id] = endedJob{moved: revision, at: now}
+	s.acknowledge()
+	delete(s.jobs, id)
+}
+
+// NotMoved says that a submission stays here for now.
+func (s *Shard) NotMoved(now time.Duration, id submission.ID) {
+	if j, open := s.jobs[id]; open {
+		j.moving = false
+		j.moveAt = now + moveAgain
+		s.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/kept/shard/evacuate_test.go
@@ -0,0 +1,135 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// coldRun is by how many times tasks take longer at a cold worker of these tests.
+const coldRun = 10
+
+// Symptom: a domain that is used again holds up what it is given for seconds. Sequence: it was
+// evacuated, its workers were replaced meanwhile and are cold, and a queue of work waits. Cause:
+// each was given all that fits at once.
+func TestWorkersOfAReturnedDomainAreTriedWithOneTask(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	w.shard.SetEvacuated(w.now, true)
+	w.run(time.Second)
+	w.slow["w0"] = coldRun
+	w.shard.SetEvacuated(w.now, false)
+	w.assign(w.submission("a", 4, runhost.Work{Time: 100 * ms}))
+	w.run(50 * ms)
+	if n := w.runs("a"); n != 2 {
+		t.Errorf("%d starts on two workers that have shown nothing yet, want 2", n)
+	}
+	w.run(100 * ms)
+	if n := w.runs("a"); n != 4 {
+		t.Errorf("%d starts once one worker has shown that it is warm, want all 4", n)
+	}
+}
+
+// Symptom: a worker that has just started holds up three tasks at each try. Sequence: its entry
+// says that it is cold.
+func TestColdWorkerIsTriedWithOneTask(t *testing.T) {
+	w := newWorld(t, 1)
+	w.hosts["w0"].Info.Cold = true
+	w.list()
+	w.run(100 * ms)
+	w.assign(w.submission("a", 2, runhost.Work{Time: 100 * ms}))
+	w.run(50 * ms)
+	if n := w.runs("a"); n != 1 {
+		t.Errorf("%d starts at a cold worker, want 1", n)
+	}
+	w.run(400 * ms)
+	w.want("a", submission.Done)
+}
+
+// Symptom: a start is carried out in an evacuated domain. Sequence: its answer is lost; before the
+// worker was asked, the domain is evacuated. Cause would be: it is only looked whether it runs.
+func TestUnansweredStartIsVoidOnceTheDomainIsEvacuated(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.late = func(StartAction) time.Duration { return 300 * ms }
+	w.assign(w.submission("a", 1, runhost.Work{Time: 100 * ms}))
+	w.step()
+	w.shard.SetEvacuated(w.now, true)
+	w.run(time.Second)
+	if n := w.runs("a"); n != 0 {
+		t.Errorf("%d starts, the order was late", n)
+	}
+	w.want("a", submission.Returned)
+}
+
+// Symptom: submissions go to an evacuated domain. Cause would be: its holder tells of room there.
+func TestEvacuatedShardHasNoRoom(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	w.shard.SetEvacuated(w.now, true)
+	if l := w.shard.Load(w.now); l.RoomMilli != 0 || len(l.FreeMilli) != 0 {
+		t.Errorf("it tells of room: %+v", l)
+	}
+	w.shard.SetEvacuated(w.now, false)
+	if l := w.shard.Load(w.now); l.RoomMilli == 0 || len(l.FreeMilli) != 2 {
+		t.Errorf("it tells of no room after its return: %+v", l)
+	}
+}
+
+// Symptom: steps of a submission start before those that they wait for. Sequence: it has steps
+// that wait for each other and is half done when the domain is evacuated. What is left goes as a
+// whole, once nothing of it runs.
+func TestStepsLeaveTogether(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	rec := w.submission("a", 2, runhost.Work{Time: 200 * ms})
+	next := rec.Steps[0]
+	next.After = []int{0}
+	rec.Steps = append(rec.Steps, next)
+	w.assign(rec)
+	w.run(50 * ms)
+	w.shard.SetEvacuated(w.now, true)
+	w.run(100 * ms)
+	if told, _ := w.shard.Told("a"); len(told.Returned) != 0 {
+		t.Errorf("%d tasks were given back while its first step runs", len(told.Returned))
+	}
+	w.run(200 * ms)
+	told, _ := w.shard.Told("a")
+	if told.State != submission.Returned || len(told.Returned) != 2 {
+		t.Errorf("it is %s with %d tasks given back, want the 2 of its last step", told.State, len(told.Returned))
+	}
+	for _, r := range told.Returned {
+		if r.Task.Step != 1 {
+			t.Errorf("%v was given back, it has completed", r.Task)
+		}
+	}
+}
+
+// Symptom: a stored submission is forgotten. Sequence: it went to another shard, and comes back
+// within the time for which this one remembers that it had left.
+func TestStoredSubmissionThatCameBackIsTaken(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.shard.SetEvacuated(w.now, true)
+	rec := w.submission("a", 1, runhost.Work{Time: 50 * ms})
+	rec.Transient = false
+	w.shard.Assign(w.now, Stored{Record: rec, Revision: 5})
+	w.shard.Tick(w.now + 10*ms)
+	moves := w.shard.Take().Moves
+	if len(moves) != 1 || moves[0].Revision != 5 {
+		t.Fatalf("moves: %v, want the one submission", moves)
+	}
+	w.shard.Moved(w.now, "a", 8)
+	w.shard.Records(w.now, []Stored{{Record: rec, Revision: 5}}) // read before it left
+	if n := len(w.shard.Unfinished()); n != 0 {
+		t.Errorf("%d submissions, it had left", n)
+	}
+	w.shard.SetEvacuated(w.now, false)
+	w.shard.Records(w.now, []Stored{{Record: rec, Revision: 9}})
+	w.run(300 * ms)
+	if w.finals["a"] != submission.Done {
+		t.Errorf("it is %s after it came back, want done", w.finals["a"])
+	}
+}
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -66,6 +66,9 @@
 			s.workers[info.ID] = h
 			s.replaced(now, info)
 		}
+		if info.Cold && !h.info.Cold {
+			h.record.Prove()
+		}
 		h.info = info
 		h.missing = 0
 	}
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -19,6 +19,7 @@
 	ending   // a stop is on its way, and the task does not start again
 	complete // has ended well
 	over     // does not run, and will not
+	absent   // not this shard's, or not any more
 )
 
 type task struct {
@@ -70,6 +71,9 @@
 	runBase  uint64        // run numbers begin above it
 	resumed  bool          // an earlier holder had it
 	offered  bool          // a start of it was sent
+	returned []ReturnedTask
+	moving   bool          // its record is being stored under another shard
+	moveAt   time.Duration // when that is tried again
 }
 
 type stepState struct {
@@ -78,7 +82,14 @@
 }
 
 func newJob(now time.Duration, r Stored, runBase uint64) *job {
-	j := &job{rec: r.Record, revision: r.Revision, state: submission.Queued, came: now - r.Record.Age, runBase: runBase, chain: r.Record.Chain()}
+	j := &job{
+		rec:      r.Record,
+		revision: r.Revision,
+		state:    submission.Queued,
+		came:     now - r.Record.Age,
+		runBase:  max(runBase, r.Record.RunsBefore),
+		chain:    r.Record.Chain(),
+	}
 	for si := range r.Record.Steps {
 		step := &r.Record.Steps[si]
 		j.steps = append(j.steps, stepState{first: len(j.tasks), left: step.Count})
@@ -93,8 +104,13 @@
 		}
 	}
 	j.left = len(j.tasks)
+	for _, e := range r.Record.Elsewhere {
+		if t := j.task(e); t != nil && t.state != absent {
+			j.leave(t, absent)
+		}
+	}
 	for _, d := range r.Record.Progress.Done {
-		if t := j.task(d); t != nil && t.state != complete {
+		if t := j.task(d); t != nil && t.state == waiting {
 			j.complete(t)
 		}
 	}
@@ -140,15 +156,18 @@
 	return false
 }
 
-func (j *job) complete(t *task) {
-	t.state = complete
+func (j *job) complete(t *task) { j.leave(t, complete) }
+
+// leave puts a task into a state in which nothing of it is left to do here.
+func (j *job) leave(t *task, state taskState) {
+	t.state = state
 	t.host = nil
 	j.left--
 	j.steps[t.ref.Step].left--
 }
 
 // startable reports whether a task waits and the steps before its own are done.
-func (j *job) startable(t *task) bool { return t.state == waiting && j.due(t) }
+func (j *job) startable(t *task) bool { return t.state == waiting && !j.moving && j.due(t) }
 
 // due reports whether the steps before a task's step are done.
 func (j *job) due(t *task) bool {
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -111,7 +111,7 @@
 	j.complete(t)
 	s.note(t)
 	if j.left == 0 && !j.state.Final() {
-		s.end(now, j, submission.Done, "all tasks have completed")
+		s.finish(now, j)
 	}
 	s.reap(j)
 }
@@ -230,10 +230,7 @@
 		t.run = st.run
 		if st.asked {
 			t.host = h
-			t.state = voiding
-			t.since = now
-			t.stopClock = 0
-			s.stop(t, "it was being stopped when its home handed it over")
+			s.void(now, t, "it was being stopped when its home handed it over")
 			continue
 		}
 		s.nowRunning(now, h, t)
@@ -241,6 +238,14 @@
 	}
 }
 
+// void makes a run impossible, or ends it, so that its task can start elsewhere.
+func (s *Shard) void(now time.Duration, t *task, why string) {
+	t.state = voiding
+	t.since = now
+	t.stopClock = 0
+	s.stop(t, why)
+}
+
 // absent takes a run that a worker does not list, in an answer to a hold sent at
 // a time and given at a time of the worker's clock.
 func (s *Shard) absent(now time.Duration, h *host, t *task, sent, clock time.Duration) {
@@ -253,11 +258,7 @@
 		}
 	case unsure:
 		if sent >= t.since {
-			// The order may still come: the run must be made impossible first.
-			t.state = voiding
-			t.since = now
-			t.stopClock = 0
-			s.stop(t, "its start had no answer")
+			s.void(now, t, "its start had no answer")
 		}
 	case voiding, ending:
 		if t.stopClock > 0 && sent >= t.stopAt && clock >= t.stopClock {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -38,6 +38,7 @@
 		s.repeatOrders(now, j)
 		s.saveProgress(now, j)
 		s.rejectHopeless(now, j)
+		s.sendAway(now, j)
 	}
 	s.forget(now)
 	s.forgetPast(now)
@@ -116,7 +117,7 @@
 // saveProgress stores the ends of a submission that goes on. Without it a worker
 // would list all its later ends again in each answer.
 func (s *Shard) saveProgress(now time.Duration, j *job) {
-	if j.rec.Transient || j.saving || j.unsaved == 0 || j.state.Final() || now-j.unsaved < s.settings.SaveAfter {
+	if j.rec.Transient || j.saving || j.moving || j.unsaved == 0 || j.state.Final() || now-j.unsaved < s.settings.SaveAfter {
 		return
 	}
 	j.unsaved = 0
@@ -282,7 +283,7 @@
 // usable reports whether a worker may get something new.
 func (s *Shard) usable(now time.Duration, h *host) bool {
 	switch {
-	case !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
+	case s.evacuated, !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
 		return false
 	case now-h.answered > quietMost:
 		return false
@@ -382,8 +383,8 @@
 func (s *Shard) Load(now time.Duration) Load {
 	l := Load{Ready: s.scanned && s.anyListed(), Waiting: make(map[string]int)}
 	for _, h := range s.workers {
-		if s.usable(now, h) || h.listed && now < h.fullTill {
-			l.RoomMilli += h.info.CPUMilli
+		if s.usable(now, h) || h.listed && now < h.fullTill && !s.evacuated {
+			l.RoomMilli += int64(float64(h.info.CPUMilli) * h.record.Share())
 		}
 	}
 	for _, r := range s.rooms(now) {
@@ -397,9 +398,22 @@
 		}
 	}
 	l.Queued = s.queued(now, l.RoomMilli)
+	l.Services = s.services()
 	return l
 }
 
+// services returns the services of the workers.
+func (s *Shard) services() []string {
+	var out []string
+	for _, h := range s.workers {
+		if !slices.Contains(out, h.info.Service) {
+			out = append(out, h.info.Service)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // queued sums what waits for room by band and priority.
 func (s *Shard) queued(now time.Duration, room int64) []Queued {
 	type key struct {
--- a/internal/kept/shard/progress.go
+++ b/internal/kept/shard/progress.go
@@ -102,8 +102,5 @@
 func (s *Shard) move(now time.Duration, t *task, why string) {
 	t.moves++
 	t.avoid = t.host
-	t.state = voiding
-	t.since = now
-	t.stopClock = 0
-	s.stop(t, why)
+	s.void(now, t, why)
 }
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -18,6 +18,7 @@
 	scanned   bool          // the records in the store are known
 	barrierAt time.Duration // when the leases that an earlier holder gave are certainly over
 	barred    bool          // tasks whose place is unknown may not start
+	evacuated bool          // nothing may start in the failure domain
 
 	jobs    map[submission.ID]*job
 	workers map[string]*host
@@ -35,10 +36,12 @@
 // endedJob is what is remembered of a submission that has ended here. A message
 // or an answer of the store that left before its end would start it again.
 type endedJob struct {
-	state  submission.State
-	part   extent
-	serial uint64
-	at     time.Duration
+	state    submission.State // Unknown: it was stored under another shard
+	part     extent
+	serial   uint64
+	returned []ReturnedTask
+	moved    uint64 // revision of the record that names another shard; 0: it ended here
+	at       time.Duration
 }
 
 // pastFor is how long ended submissions are remembered. Calls of the store that
@@ -84,7 +87,7 @@
 	first := !s.scanned
 	s.scanned = true
 	for _, r := range records {
-		if _, known := s.Knows(r.Record.ID); !known {
+		if !s.Remembers(r) {
 			s.adopt(now, r)
 		}
 	}
@@ -108,12 +111,22 @@
 		}
 	}
 	if j.left == 0 {
-		s.end(now, j, submission.Done, "all tasks have completed")
+		s.finish(now, j)
 		return
 	}
 	s.tell(j)
 }
 
+// Remembers reports whether a stored submission is one that is known here, or that has left this
+// shard for good: what was read before it left must not bring it back.
+func (s *Shard) Remembers(r Stored) bool {
+	if _, open := s.jobs[r.Record.ID]; open {
+		return true
+	}
+	p, known := s.past[r.Record.ID]
+	return known && (p.moved == 0 || r.Revision <= p.moved)
+}
+
 // runBase keeps run numbers above those of earlier holders, also of runs that no
 // worker lists: a worker refuses a run that is not higher than one that ended there.
 func (s *Shard) runBase(r *submission.Record) uint64 {
@@ -131,13 +144,11 @@
 // Assign takes a submission of which nothing has run yet. It reports false if the
 // submission was known already.
 func (s *Shard) Assign(now time.Duration, r Stored) bool {
-	if state, known := s.Knows(r.Record.ID); known {
-		if !r.Record.Transient {
-			return false
-		}
-		if s.sent(now, r.Record, state) {
-			return false
-		}
+	if !r.Record.Transient && s.Remembers(r) {
+		return false
+	}
+	if state, known := s.Knows(r.Record.ID); known && r.Record.Transient && s.sent(now, r.Record, state) {
+		return false
 	}
 	s.jobs[r.Record.ID] = newJob(now, r, 0)
 	s.dirty = true
@@ -153,12 +164,13 @@
 	return p.state, known
 }
 
-// Serial is the hand-in that the state of a transient submission here is of.
-func (s *Shard) Serial(id submission.ID) uint64 {
+// Told returns what its home is told of a submission; known is false if there is none here.
+func (s *Shard) Told(id submission.ID) (a StateAction, known bool) {
 	if j, open := s.jobs[id]; open {
-		return j.rec.Serial
+		return StateAction{ID: id, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial, Returned: j.returned}, true
 	}
-	return s.past[id].serial
+	p, known := s.past[id]
+	return StateAction{ID: id, State: p.state, Serial: p.serial, Returned: p.returned}, known
 }
 
 // Cancel stops the runs of a submission whose cancellation has been stored.
@@ -186,7 +198,7 @@
 // room any more.
 func (s *Shard) settled(now time.Duration, j *job) {
 	j.stored = true
-	s.past[j.rec.ID] = endedJob{state: j.state, part: extentOf(j.rec), serial: j.rec.Serial, at: now}
+	s.past[j.rec.ID] = endedJob{state: j.state, part: extentOf(j.rec), serial: j.rec.Serial, returned: j.returned, at: now}
 	s.acknowledge()
 	s.reap(j)
 	s.dirty = true
@@ -296,7 +308,16 @@
 }
 
 func (s *Shard) tell(j *job) {
-	s.out.States = append(s.out.States, StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial})
+	s.out.States = append(s.out.States, StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial, Returned: j.returned})
+}
+
+// finish ends a submission that has no task left here.
+func (s *Shard) finish(now time.Duration, j *job) {
+	if len(j.returned) > 0 {
+		s.end(now, j, submission.Returned, "what was left of it was given back")
+		return
+	}
+	s.end(now, j, submission.Done, "all tasks have completed")
 }
 
 // Unfinished returns the submissions that have not ended, in order.
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,9 @@
 func (s *Shard) sent(now time.Duration, r *submission.Record, state submission.State) bool {
 	j, open := s.jobs[r.ID]
 	switch {
+	case open && j.rec.Serial == r.Serial && r.Serial != 0:
+		s.takeOverHome(r, state) // its home hands it over again
+		return true
 	case open && extentOf(j.rec) != extentOf(r):
 		// Another part of it was here: its runs end first.
 		if !j.state.Final() {
@@ -42,6 +46,8 @@
 	case open:
 		s.takeOverHome(r, state)
 		return true
+	case !open && s.past[r.ID].moved > 0:
+		return false // a stored submission of that name went elsewhere
 	case s.past[r.ID].serial == r.Serial:
 		// Its home hands it over again, not knowing of its end: it must not run after
 		// the caller was told that it has not.
@@ -57,21 +63,31 @@
 
 // extent says which part of a submission a record is: parts of it may be given to
 // several shards.
-type extent struct{ first, count int }
+type extent struct {
+	first, count int
+	elsewhere    string
+}
 
 func extentOf(r *submission.Record) extent {
 	if len(r.Steps) == 0 {
 		return extent{}
 	}
-	return extent{first: r.Steps[0].First, count: r.Steps[0].Count}
+	return extent{first: r.Steps[0].First, count: r.Steps[0].Count, elsewhere: fmt.Sprint(r.Elsewhere)}
 }
 
 // takeOverHome makes the VM at which a caller has asked again the submission's home.
 func (s *Shard) takeOverHome(r *submission.Record, state submission.State) {
 	if j := s.jobs[r.ID]; j != nil {
 		j.rec.Home = r.Home
+		j.rec.Serial = r.Serial
+	} else {
+		p := s.past[r.ID]
+		p.serial = r.Serial
+		s.past[r.ID] = p
 	}
-	s.out.States = append(s.out.States, StateAction{ID: r.ID, Home: r.Home, State: state, Serial: s.Serial(r.ID)})
+	told, _ := s.Told(r.ID)
+	told.Home, told.State = r.Home, state
+	s.out.States = append(s.out.States, told)
 }
 
 // Resume takes a transient submission that its home had given to an earlier holder.
@@ -98,7 +114,7 @@
 		s.workers[id].resume(now, s, j)
 	}
 	if j.left == 0 && !j.state.Final() {
-		s.end(now, j, submission.Done, "all tasks have completed")
+		s.finish(now, j)
 	}
 	s.dirty = true
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -54,6 +54,23 @@
 	Home   string
 	State  submission.State
 	Serial uint64 // of the hand-in that the state is of
+	// Returned are the tasks of it that this shard has given back so far. All are named each
+	// time: a message may get lost.
+	Returned []ReturnedTask
+}
+
+// ReturnedTask is a task that certainly does not run and that its home is to give to another
+// shard.
+type ReturnedTask struct {
+	Task  submission.Task
+	Run   uint64 // number of its newest run; 0: it never started
+	Fails int    // runs that have failed
+}
+
+// MoveAction stores a submission of which nothing runs here under another shard.
+type MoveAction struct {
+	Record   *submission.Record
+	Revision uint64
 }
 
 // NoteAction tells the home of a transient submission what has become of a task, so
@@ -72,6 +89,7 @@
 	Seen   []SeenAction
 	Finals []FinalAction
 	Saves  []SaveAction
+	Moves  []MoveAction
 	States []StateAction
 	Notes  []NoteAction
 }
@@ -89,6 +107,7 @@
 	RoomMilli int64          // processor of all usable workers
 	Queued    []Queued       // what waits for room, in the order in which it is served
 	Waiting   map[string]int // submissions of each queue of which no task has started
+	Services  []string       // that its workers are of, in order
 }
 
 // Queued is what waits for room in one band at one priority, but for tasks whose step has
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,9 +27,10 @@
 	Failed
 	Cancelled
 	Rejected // has not run, and will not
+	Returned // what is left of it was given back to its home, for another shard
 )
 
-var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled", "rejected"}
+var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled", "rejected", "returned"}
 
 func (s State) String() string { return stateNames[s] }
 
@@ -113,11 +115,16 @@
 	// the holder: its objective runs from when it came.
 	Age      time.Duration `json:"y,omitempty"`
 	Progress Progress      `json:"p,omitzero"`
+	// Elsewhere are tasks of the steps that are not this part's: they have completed, or another
+	// shard has them.
+	Elsewhere []Task `json:"o,omitempty"`
+	// RunsBefore is the highest number that runs at other shards had.
+	RunsBefore uint64 `json:"n,omitempty"`
 }
 
-// Tasks is the number of tasks of all steps.
+// Tasks is the number of the record's tasks, of all steps.
 func (r *Record) Tasks() int {
-	n := 0
+	n := -len(r.Elsewhere)
 	for _, s := range r.Steps {
 		n += s.Count
 	}
@@ -148,7 +155,21 @@
 		return false
 	}
 	s := &r.Steps[t.Step]
-	return t.Index >= s.First && t.Index < s.First+s.Count
+	return t.Index >= s.First && t.Index < s.First+s.Count && !slices.Contains(r.Elsewhere, t)
+}
+
+// All returns the record's tasks.
+func (r *Record) All() []Task {
+	var out []Task
+	for step := range r.Steps {
+		s := &r.Steps[step]
+		for i := range s.Count {
+			if t := (Task{Step: step, Index: s.First + i}); !slices.Contains(r.Elsewhere, t) {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
 }
 
 // Note takes what has become of a task: the number of its runs that have failed, or 0
--- a/internal/kept/vm/ends.go
+++ b/internal/kept/vm/ends.go
@@ -13,8 +13,8 @@
 )
 
 // guard is the condition that this VM still holds the shard.
-func (h *held) guard() *store.Condition {
-	return &store.Condition{Key: site.ShardKey(h.holding.Shard), Revision: h.holding.Revision}
+func (h *held) guard() store.Condition {
+	return store.Condition{Key: site.ShardKey(h.holding.Shard), Revision: h.holding.Revision}
 }
 
 func (e *engine) storeFinal(name string, h *held, f shard.FinalAction) {
@@ -22,7 +22,7 @@
 	klog.InfoS("kept: ended", "id", f.ID, "shard", name, "state", f.State.String(), "why", f.Why)
 	ok := e.vm.ends.Add(&journal.Row{
 		Txn:    finalTxn(f.ID, f.Revision, f.State),
-		Guard:  h.guard(),
+		Guards: []store.Condition{h.guard()},
 		Within: endsWithin,
 		Done: func(r journal.Result) {
 			e.vm.post(finalEvent{shard: name, id: string(f.ID), token: token, state: f.State, result: r})
@@ -79,7 +79,7 @@
 			Expect: []store.Condition{{Key: key, Revision: s.Revision}},
 			Put:    []store.Put{{Key: key, Value: s.Record.Encode()}},
 		},
-		Guard:  h.guard(),
+		Guards: []store.Condition{h.guard()},
 		Within: endsWithin,
 		Done: func(r journal.Result) {
 			e.vm.post(savedEvent{shard: name, id: id, token: token, result: r})
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/evacuation"
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
@@ -93,6 +94,7 @@
 	lists        map[string]*domainList // of workers, by failure domain of which a shard is held
 	reading      bool                   // the list of workers is read here
 	services     map[string]bool        // that any configuration has named
+	evacuations  evacuation.Set
 	claiming     map[string]bool
 	dividing     bool
 	serial       uint64                       // of transient submissions taken here
@@ -161,6 +163,7 @@
 	e.vm.figures.heldWorkers.Update(float64(workers))
 	e.vm.figures.heldShards.Update(float64(len(e.shards)))
 	e.vm.figures.openHere.Update(float64(len(e.transients) + len(e.homes)))
+	e.vm.figures.evacuated.Update(float64(len(e.evacuations.Domains())))
 }
 
 // pace is the longest time to the next round.
@@ -217,11 +220,14 @@
 	for _, s := range a.Saves {
 		e.storeProgress(name, h, s)
 	}
+	for _, m := range a.Moves {
+		e.storeMove(name, h, m)
+	}
 	for _, n := range a.Notes {
-		e.tellNote(n)
+		e.tellNote(n) // before the state: what is told as returned has not completed
 	}
 	for _, s := range a.States {
-		w := stateWord{shard: name, token: h.holding.Token, state: s.State, serial: s.Serial}
+		w := h.word(s)
 		e.tellState(s.ID, s.Home, w)
 		e.tellAskers(h, s, w)
 	}
--- /dev/null
+++ b/internal/kept/vm/evacuate.go
@@ -0,0 +1,346 @@
+package vm
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"k8s.io/klog/v2"
+
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/evacuation"
+	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
+	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// An operator evacuates a failure domain by a key in the store, for as long as the key is there.
+// A VM learns it three ways, of which the newest revision counts: its watch of the configuration,
+// its peers, who pass on each change, and a question of its own before the first start at a shard
+// that it has taken. A watch that is silent, or a VM that the store turns away, leaves the peers; a
+// VM that has just started has neither, and would start work where an evacuation has long been
+// acknowledged.
+
+// evacuatedDomain is the domain whose evacuation a key asks for.
+func (v *VM) evacuatedDomain(key string) (domain string, ok bool) {
+	prefix := v.config.Lists.EvacuationPrefix
+	domain, ok = strings.CutPrefix(key, prefix)
+	return domain, ok && prefix != "" && domain != ""
+}
+
+func (v *VM) evacuationsIn(items []store.Item) []evacuation.Notice {
+	var out []evacuation.Notice
+	for _, it := range items {
+		if domain, ok := v.evacuatedDomain(it.Key); ok {
+			out = append(out, evacuation.Notice{Domain: domain, Revision: it.Revision, Evacuated: true})
+		}
+	}
+	return out
+}
+
+func (v *VM) evacuationChanges(events []store.Event) []evacuation.Notice {
+	var out []evacuation.Notice
+	for _, ev := range events {
+		if domain, ok := v.evacuatedDomain(ev.Key); ok {
+			out = append(out, evacuation.Notice{Domain: domain, Revision: ev.Revision, Evacuated: !ev.Deleted})
+		}
+	}
+	return out
+}
+
+// readEvacuations asks the store for all evacuations; nil if the site has none by its settings.
+func (v *VM) readEvacuations(ctx context.Context) (*evacuationsEvent, error) {
+	if v.config.Lists.EvacuationPrefix == "" {
+		return nil, nil
+	}
+	sent := v.now()
+	items, revision, err := v.readAll(ctx, v.config.Lists.EvacuationPrefix, false)
+	if err != nil {
+		return nil, err
+	}
+	return &evacuationsEvent{sent: sent, whole: true, revision: revision, notices: v.evacuationsIn(items)}, nil
+}
+
+func (ev evacuationsEvent) apply(e *engine) {
+	var changed []string
+	if ev.whole {
+		changed = e.evacuations.TakeList(ev.revision, ev.notices)
+	}
+	for _, n := range ev.notices {
+		if e.evacuations.Take(n) {
+			changed = append(changed, n.Domain)
+		}
+	}
+	e.evacuations.Confirm(ev.sent)
+	e.enforceEvacuations(changed, "the store")
+}
+
+// takeEvacuations takes what a peer passes on.
+func (e *engine) takeEvacuations(from string, told []*pb.KeptEvacuation) {
+	var changed []string
+	for _, w := range told {
+		if e.evacuations.Take(evacuation.Notice{Domain: w.Domain, Revision: w.Revision, Evacuated: w.Evacuated}) {
+			changed = append(changed, w.Domain)
+		}
+	}
+	e.enforceEvacuations(changed, from)
+}
+
+// enforceEvacuations puts changes in force at the shards of this VM, and passes them on.
+func (e *engine) enforceEvacuations(domains []string, from string) {
+	if len(domains) == 0 {
+		return
+	}
+	for _, domain := range domains {
+		age, _ := e.evacuations.Age(e.at)
+		klog.InfoS("kept: evacuation", "domain", domain, "evacuated", e.evacuations.Evacuated(domain),
+			"revision", e.evacuations.Revision(domain), "from", from, "asked_before", age)
+	}
+	for _, h := range e.shards {
+		e.setEvacuated(h)
+	}
+	for peer := range e.links {
+		e.tellEvacuations(peer)
+	}
+}
+
+// setEvacuated has a shard start nothing while its domain is evacuated.
+func (e *engine) setEvacuated(h *held) {
+	h.core.SetEvacuated(e.at, e.evacuations.Evacuated(site.DomainOf(h.holding.Shard)))
+}
+
+// tellEvacuations tells a peer the newest notice about each domain.
+func (e *engine) tellEvacuations(peer string) {
+	notices := e.evacuations.Notices()
+	if len(notices) == 0 {
+		return
+	}
+	f := e.frame(peer)
+	f.Evacuations = f.Evacuations[:0]
+	for _, n := range notices {
+		f.Evacuations = append(f.Evacuations, &pb.KeptEvacuation{Domain: n.Domain, Revision: n.Revision, Evacuated: n.Evacuated})
+	}
+}
+
+func encodeReturned(tasks []shard.ReturnedTask) []*pb.KeptReturned {
+	var out []*pb.KeptReturned
+	for _, r := range tasks {
+		out = append(out, &pb.KeptReturned{
+			Step:  uint32(r.Task.Step),
+			Index: uint32(r.Task.Index),
+			Run:   r.Run,
+			Fails: uint32(r.Fails),
+		})
+	}
+	return out
+}
+
+func returnedOf(in []*pb.KeptReturned) []shard.ReturnedTask {
+	var out []shard.ReturnedTask
+	for _, r := range in {
+		out = append(out, shard.ReturnedTask{
+			Task:  submission.Task{Step: int(r.Step), Index: int(r.Index)},
+			Run:   r.Run,
+			Fails: int(r.Fails),
+		})
+	}
+	return out
+}
+
+// takeReturned gives tasks that a holder has given back to other shards. They keep their place in
+// the order: their objective runs from when the submission came.
+func (e *engine) takeReturned(t *transient, p *part, told []shard.ReturnedTask) {
+	var back []shard.ReturnedTask
+	for _, r := range told {
+		if p.record.Has(r.Task) { // else it was given to another shard before
+			back = append(back, r)
+			t.begun = t.begun || r.Run > 0
+		}
+	}
+	if len(back) == 0 {
+		return
+	}
+	e.vm.figures.sentAway.Inc(int64(len(back)))
+	left := *p.record // the holder may be this VM, with the same record
+	left.Elsewhere = slices.Clone(left.Elsewhere)
+	for _, r := range back {
+		left.Elsewhere = append(left.Elsewhere, r.Task)
+	}
+	p.record = &left
+	t.homeless = append(t.homeless, homelessTasks{record: p.record, tasks: back})
+	e.giveElsewhere(t)
+}
+
+// homelessTasks are tasks of a transient submission that no shard has.
+type homelessTasks struct {
+	record *submission.Record // of the part that they were of
+	tasks  []shard.ReturnedTask
+}
+
+// giveElsewhere gives tasks that no shard has to those that may start them. A shard has one
+// unfinished part of a submission at most, so some may have to wait for the end of another part.
+// Where no shard may start anything, the callers are told at once: that it has not run only if
+// that is certain.
+func (e *engine) giveElsewhere(t *transient) {
+	for len(t.homeless) > 0 {
+		all := e.reachableShards(t.record)
+		if len(all) == 0 {
+			e.endHomeless(t)
+			return
+		}
+		shards := slices.DeleteFunc(all, func(c policy.Candidate) bool { return t.hasUnfinished(c.Shard) })
+		if len(shards) == 0 {
+			return // until another part has ended
+		}
+		lost := t.homeless[0]
+		t.homeless = t.homeless[1:]
+		e.placeHomeless(t, lost, shards)
+	}
+}
+
+func (t *transient) hasUnfinished(shard string) bool {
+	p := t.part(shard)
+	return p != nil && !p.state.Final()
+}
+
+// endHomeless ends a submission of which nobody may start what is left.
+func (e *engine) endHomeless(t *transient) {
+	switch {
+	case t.anyBegun():
+		e.giveUp(t, "its failure domains are evacuated")
+	case t.ownTasks() == 0:
+		e.refuseTransient(t, policy.Evacuated)
+	default: // what another shard has of it begins, or comes back
+	}
+}
+
+// ownTasks is the number of tasks that shards have.
+func (t *transient) ownTasks() int {
+	n := 0
+	for _, p := range t.parts {
+		n += p.record.Tasks()
+	}
+	return n
+}
+
+func (e *engine) placeHomeless(t *transient, lost homelessTasks, shards []policy.Candidate) {
+	tasks := lost.tasks
+	for _, portion := range e.vm.config.Policy.Split(shards, len(tasks), divisible(lost.record), longestEstimate(lost.record)) {
+		rec := partOf(lost.record, tasks[:portion.Tasks])
+		tasks = tasks[portion.Tasks:]
+		rec.Shard = portion.Shard
+		rec.Serial = e.nextSerial()
+		p := &part{record: rec, shard: portion.Shard, changed: e.at}
+		t.replace(p)
+		l := e.loads[p.shard]
+		l.sent += int64(portion.Tasks) * largestTask(rec)
+		klog.InfoS("kept: sent away from an evacuated domain", "id", t.record.ID, "from", lost.record.Shard, "shard", p.shard,
+			"holder", l.holder, "token", l.token, "tasks", portion.Tasks, "after", e.at-t.came)
+		e.give(t, p, l)
+	}
+}
+
+// replace adds a part, in the place of one that its shard has completed.
+func (t *transient) replace(p *part) {
+	// Others may be going through the parts now.
+	parts := slices.DeleteFunc(slices.Clone(t.parts), func(old *part) bool { return old.shard == p.shard })
+	t.begun = t.begun || len(parts) < len(t.parts)
+	t.parts = append(parts, p)
+}
+
+// partOf makes the record of a part of returned tasks.
+func partOf(from *submission.Record, mine []shard.ReturnedTask) *submission.Record {
+	rec := *from
+	rec.Elsewhere = nil
+	rec.Token = 0
+	rec.Part = true
+	rec.Progress = submission.Progress{}
+	names := make([]submission.Task, len(mine))
+	for i, r := range mine {
+		names[i] = r.Task
+		rec.RunsBefore = max(rec.RunsBefore, r.Run)
+		if r.Fails > 0 {
+			rec.Progress.Note(r.Task, r.Fails)
+		}
+	}
+	for _, task := range rec.All() {
+		if !slices.Contains(names, task) {
+			rec.Elsewhere = append(rec.Elsewhere, task)
+		}
+	}
+	return &rec
+}
+
+// endReturned takes that a holder has nothing left of a part: what it kept has completed.
+func (e *engine) endReturned(t *transient, p *part) {
+	p.state = submission.Done
+	if p.record.Tasks() == 0 {
+		// The shard may be given another part later. Others may be going through the parts now.
+		t.parts = slices.DeleteFunc(slices.Clone(t.parts), func(other *part) bool { return other == p })
+	}
+	e.endIfDone(t)
+}
+
+// storeMove writes a stored submission, of which nothing runs, under a shard that may start it. The
+// write demands that its record is unchanged and that neither shard has changed hands: the next
+// holder of the old one could have started it.
+func (e *engine) storeMove(name string, h *held, m shard.MoveAction) {
+	rec := m.Record
+	shards := e.reachableShards(rec)
+	if len(shards) == 0 {
+		h.core.NotMoved(e.at, rec.ID)
+		return
+	}
+	rec.Shard = e.vm.config.Policy.Split(shards, demand(rec), false, longestEstimate(rec))[0].Shard
+	to := e.site.Holding(rec.Shard)
+	rec.Token = to.Token
+	token := h.holding.Token
+	key := submission.OpenKey(rec.ID)
+	added := e.vm.ends.Add(&journal.Row{
+		Txn: store.Txn{
+			Expect: []store.Condition{{Key: key, Revision: m.Revision}},
+			Put:    []store.Put{{Key: key, Value: rec.Encode()}},
+		},
+		Guards: []store.Condition{h.guard(), {Key: site.ShardKey(rec.Shard), Revision: to.Revision}},
+		Within: endsWithin,
+		Done: func(r journal.Result) {
+			e.vm.post(movedEvent{shard: name, token: token, before: m.Revision, record: rec, result: r})
+		},
+	})
+	if !added {
+		h.core.NotMoved(e.at, rec.ID)
+	}
+}
+
+func (ev movedEvent) apply(e *engine) {
+	h := e.shards[ev.shard]
+	if h == nil || h.holding.Token != ev.token {
+		return // the next holder finds it in the store, under one shard or the other
+	}
+	rec := ev.record
+	switch {
+	case ev.result.Outcome == journal.Stored:
+		h.core.Moved(e.at, rec.ID, ev.result.Revision)
+		e.vm.figures.sentAway.Inc(1)
+		klog.InfoS("kept: sent away from an evacuated domain", "id", rec.ID, "from", ev.shard, "shard", rec.Shard,
+			"token", rec.Token, "revision", ev.result.Revision, "tasks", rec.Tasks())
+		if own := e.homes[rec.ID]; own != nil {
+			own.shard = rec.Shard
+		}
+		e.assign(&home{id: rec.ID, record: rec, revision: ev.result.Revision, shard: rec.Shard})
+	case ev.result.Outcome == journal.Conflict && ev.recordChanged():
+		h.core.Lost(e.at, rec.ID)
+	default:
+		h.core.NotMoved(e.at, rec.ID)
+	}
+}
+
+// recordChanged reports whether the write failed as the submission was cancelled or ended.
+func (ev movedEvent) recordChanged() bool {
+	return slices.ContainsFunc(ev.result.Items, func(it store.Item) bool {
+		return it.Key == submission.OpenKey(ev.record.ID) && it.Revision != ev.before
+	})
+}
--- /dev/null
+++ b/internal/kept/vm/evacuate_property_test.go
@@ -0,0 +1,235 @@
+package vm
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// Bounds of the users' rule on evacuations.
+const (
+	evacuateWithin = 5 * time.Second // whatever happens, but for VMs that are cut off
+	touchFor       = 4 * time.Second // without a fault, for a VM to count as in touch
+)
+
+// span is a time; its end is zero while it goes on.
+type span struct{ from, to time.Time }
+
+func (s span) has(at time.Time) bool {
+	return !at.Before(s.from) && (s.to.IsZero() || at.Before(s.to))
+}
+
+// evacuations is a play of random requests of operators beside random faults.
+type evacuations struct {
+	*world
+	log      *startLog
+	asked    map[string][]span // evacuations, from the acknowledgement
+	cuts     map[string][]span
+	faults   []time.Time
+	hand     int
+	outcomes map[submission.ID]chan Outcome
+	tasks    map[submission.ID]int
+	stored   []submission.ID
+}
+
+// evacuationAct is one random event: Op says what happens, N how much of it.
+type evacuationAct struct{ Op, N int }
+
+var names = []string{"a1", "a2", "b1", "b2"}
+
+func (p *evacuations) do(a evacuationAct) {
+	domain := []string{"a", "b"}[a.N%2]
+	name := names[a.N%len(names)]
+	switch a.Op {
+	case 0, 1:
+		p.ask(domain)
+	case 2:
+		p.withdraw(domain)
+	case 3:
+		p.fault()
+		p.kill(name)
+		p.boot(name)
+	case 4:
+		p.toggleCut(domain)
+	case 5:
+		p.fault()
+		p.doors[name].Set([]kvstore.Fault{kvstore.Refuses, kvstore.Silent, kvstore.LosesReply}[a.N%3])
+	case 6:
+		p.fault()
+		for _, d := range p.doors {
+			d.Set(kvstore.Serves)
+		}
+	case 7:
+		p.fleet.DelayStarts(func(s worker.Start) time.Duration { return time.Duration((s.Task.Index+a.N)%3) * 250 * ms })
+	case 8:
+		p.fleet.DelayStarts(nil)
+	case 9:
+		p.store.Compact()
+	default:
+		p.load(a.N)
+	}
+	time.Sleep(time.Duration(a.N%5) * 150 * ms)
+}
+
+func (p *evacuations) fault() { p.faults = append(p.faults, time.Now()) }
+
+func (p *evacuations) ask(domain string) {
+	p.evacuate(domain)
+	if s := p.asked[domain]; len(s) == 0 || !s[len(s)-1].to.IsZero() {
+		p.asked[domain] = append(s, span{from: time.Now()})
+	}
+}
+
+func (p *evacuations) withdraw(domain string) {
+	p.giveBack(domain)
+	if s := p.asked[domain]; len(s) > 0 && s[len(s)-1].to.IsZero() {
+		s[len(s)-1].to = time.Now()
+	}
+}
+
+func (p *evacuations) toggleCut(domain string) {
+	p.fault()
+	if s := p.cuts[domain]; len(s) > 0 && s[len(s)-1].to.IsZero() {
+		p.cut(domain, false)
+		s[len(s)-1].to = time.Now()
+		return
+	}
+	p.cut(domain, true)
+	p.cuts[domain] = append(p.cuts[domain], span{from: time.Now()})
+}
+
+// load hands in a few submissions at a VM, every third of them a stored one.
+func (p *evacuations) load(n int) {
+	for range 1 + n%4 {
+		p.hand++
+		id := submission.ID(fmt.Sprintf("s%d", p.hand))
+		transient := p.hand%3 > 0
+		work := runhost.Work{Time: time.Duration(30+n%6*40) * ms}
+		out := p.submit(names[(n+p.hand)%len(names)], id, 1+n%5, work, transient)
+		p.tasks[id] = 1 + n%5
+		if transient {
+			p.outcomes[id] = out
+			continue
+		}
+		if o := <-out; o.Kind == Taken {
+			p.stored = append(p.stored, id)
+		}
+	}
+}
+
+// finish lets all faults end, and says what is wrong.
+func (p *evacuations) finish() error {
+	for _, domain := range p.domains {
+		p.withdraw(domain)
+		if s := p.cuts[domain]; len(s) > 0 && s[len(s)-1].to.IsZero() {
+			p.toggleCut(domain)
+		}
+	}
+	p.do(evacuationAct{Op: 6})
+	p.do(evacuationAct{Op: 8})
+	time.Sleep(20 * time.Second)
+	for id, out := range p.outcomes {
+		o := <-out
+		if o.Kind == Busy && p.fleet.Starts(id) > 0 {
+			return fmt.Errorf("%s was refused as not run (%s), and has run", id, o.Why)
+		}
+		if o.Kind == Ended && !p.whole(id) {
+			return fmt.Errorf("%s was answered as %s, and not all of its tasks have completed", id, o.State)
+		}
+	}
+	for _, id := range p.stored {
+		if s := p.state("a1", id); s != submission.Done || !p.whole(id) {
+			return fmt.Errorf("%s was accepted and is %s", id, s)
+		}
+	}
+	if f := p.fleet.Faults(); len(f) > 0 {
+		return fmt.Errorf("%v", f)
+	}
+	for _, s := range p.log.in("a", time.Time{}, time.Now()) {
+		if err := p.judge(s); err != nil {
+			return err
+		}
+	}
+	for _, s := range p.log.in("b", time.Time{}, time.Now()) {
+		if err := p.judge(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// whole reports whether each task of a submission has completed.
+func (p *evacuations) whole(id submission.ID) bool {
+	for i := range p.tasks[id] {
+		if p.fleet.Ledger.Done(submission.TaskRef{ID: id, Task: submission.Task{Index: i}}) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// judge holds a start against the evacuations of its domain.
+func (p *evacuations) judge(s startSeen) error {
+	for _, c := range p.cuts[s.domain] {
+		if c.has(s.at) || !c.to.IsZero() && s.at.After(c.to) && s.at.Sub(c.to) < touchFor {
+			return nil // its VMs could not know
+		}
+	}
+	for _, asked := range p.asked[s.domain] {
+		within := inForce
+		for _, f := range p.faults {
+			if f.After(asked.from.Add(-touchFor)) && f.Before(s.at) {
+				within = evacuateWithin
+			}
+		}
+		if asked.has(s.at) && s.at.Sub(asked.from) > within {
+			return fmt.Errorf("%v starts in domain %s %v after its evacuation was acknowledged", s.task, s.domain, s.at.Sub(asked.from))
+		}
+	}
+	return nil
+}
+
+// Whatever operators ask for, one domain or both, again and again, beside kills, cuts, a store that
+// turns VMs away or loses its history, and starts that are carried out late: nothing starts in an
+// evacuated domain, no task runs twice at once, no refusal is untrue, and no accepted work is lost.
+func TestEvacuationsHoldBesideRandomFaults(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 25
+	properties := gopter.NewProperties(parameters)
+	acts := gen.SliceOfN(30, gen.Struct(reflect.TypeOf(evacuationAct{}), map[string]gopter.Gen{
+		"Op": gen.IntRange(0, 16),
+		"N":  gen.IntRange(0, 1000),
+	}))
+	properties.Property("nothing starts, nothing is lost", prop.ForAll(func(acts []evacuationAct) (ok bool, err error) {
+		synctest.Test(t, func(t *testing.T) {
+			p := &evacuations{
+				world:    newTwoDomains(t),
+				asked:    make(map[string][]span),
+				cuts:     make(map[string][]span),
+				outcomes: make(map[submission.ID]chan Outcome),
+				tasks:    make(map[submission.ID]int),
+			}
+			p.log = watchStarts(p.world)
+			for _, a := range acts {
+				p.do(a)
+			}
+			err = p.finish()
+			for name := range p.vms {
+				p.kill(name)
+			}
+		})
+		return err == nil, err
+	}, acts))
+	properties.TestingRun(t)
+}
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/evacuation"
 	"github.com/pumiceyard/pumiceyard/internal/kept/journal"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
@@ -78,10 +79,25 @@
 		err      error
 	}
 	scannedEvent struct {
-		shard   string
-		token   uint64
-		records []shard.Stored
-		known   []worker.Info // the workers that earlier holders used
+		shard       string
+		token       uint64
+		records     []shard.Stored
+		known       []worker.Info     // the workers that earlier holders used
+		evacuations *evacuationsEvent // nil: they were not asked for
+	}
+	// evacuationsEvent brings what the store says of evacuations.
+	evacuationsEvent struct {
+		sent     time.Duration // when the call left
+		whole    bool          // the notices are the list of all evacuations at the revision
+		revision uint64
+		notices  []evacuation.Notice
+	}
+	movedEvent struct {
+		shard  string
+		token  uint64
+		before uint64 // revision of the record that was to be replaced
+		record *submission.Record
+		result journal.Result
 	}
 	lookedUpEvent struct {
 		id     submission.ID
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -42,6 +42,8 @@
 	heldWorkers  tally.Gauge
 	openHere     tally.Gauge
 	droppedEvent tally.Counter
+	evacuated    tally.Gauge   // failure domains
+	sentAway     tally.Counter // tasks and stored submissions, from evacuated domains
 }
 
 // queueFigures are those of one queue.
@@ -83,6 +85,8 @@
 		heldWorkers:  scope.Gauge("workers_held"),
 		openHere:     scope.Gauge("submissions_open"),
 		droppedEvent: scope.Counter("events_dropped_total"),
+		evacuated:    scope.Gauge("domains_evacuated"),
+		sentAway:     scope.Counter("sent_away_total"),
 	}
 	f.storeCalls = map[bool]tally.Counter{
 		true:  scope.Tagged(map[string]string{"answered": "true"}).Counter("store_calls_total"),
--- a/internal/kept/vm/hands.go
+++ b/internal/kept/vm/hands.go
@@ -43,7 +43,7 @@
 		ctx, cancel := context.WithTimeout(h.ctx, claimWithin)
 		defer cancel()
 		_, err := e.vm.store.Commit(ctx, store.Txn{
-			Expect: []store.Condition{*guard},
+			Expect: []store.Condition{guard},
 			Put:    []store.Put{{Key: handsPrefix + name, Value: value}},
 		})
 		e.vm.post(handsNotedEvent{shard: name, token: token, value: string(value), err: err})
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -81,6 +81,7 @@
 		takenAt:   e.at,
 	}
 	h.extend.Store(true)
+	e.setEvacuated(h)
 	h.ctx, h.cancel = context.WithCancel(e.ctx)
 	e.shards[holding.Shard] = h
 	for peer, up := range e.up {
@@ -225,12 +226,15 @@
 	e.vm.duty(func() {
 		for h.ctx.Err() == nil {
 			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
-			var known []worker.Info
+			ev := scannedEvent{shard: name, token: token, records: recordsOf(name, items)}
 			if err == nil && !stale {
-				known, err = e.vm.readHands(h.ctx, name)
+				ev.known, err = e.vm.readHands(h.ctx, name)
+			}
+			if err == nil && !stale {
+				ev.evacuations, err = e.vm.readEvacuations(h.ctx)
 			}
 			if err == nil {
-				e.vm.post(scannedEvent{shard: name, token: token, records: recordsOf(name, items), known: known})
+				e.vm.post(ev)
 				return
 			}
 			pause.For(h.ctx, scanPause)
@@ -262,10 +266,13 @@
 	h.scanning = false
 	first := h.scannedAt == 0
 	h.scannedAt = e.at
+	if ev.evacuations != nil {
+		ev.evacuations.apply(e) // before the first start here
+	}
 	h.core.Expect(e.at, ev.known)
 	e.alignHands(h)
 	for _, r := range ev.records {
-		if _, known := h.core.Knows(r.Record.ID); !known {
+		if !h.core.Remembers(r) {
 			e.vm.figures.adopted.Inc(1)
 			klog.InfoS("kept: adopted", "id", r.Record.ID, "shard", ev.shard, "token", ev.token,
 				"revision", r.Revision, "stored_under", r.Record.Token, "home", r.Record.Home)
--- a/internal/kept/vm/home.go
+++ b/internal/kept/vm/home.go
@@ -106,7 +106,7 @@
 			Expect: []store.Condition{{Key: submission.OpenKey(id)}, {Key: submission.FinalKey(id)}},
 			Put:    []store.Put{{Key: submission.OpenKey(id), Value: value}},
 		},
-		Guard:  &store.Condition{Key: site.ShardKey(name), Revision: holding.Revision},
+		Guards: []store.Condition{{Key: site.ShardKey(name), Revision: holding.Revision}},
 		Within: intakeWithin,
 		Done:   func(r journal.Result) { e.vm.post(createdEvent{record: rec, result: r}) },
 	})
@@ -139,6 +139,11 @@
 			sum += r.Steps[i].Count
 		}
 	}
+	for _, t := range r.Elsewhere {
+		if len(r.Steps[t.Step].After) == 0 {
+			sum--
+		}
+	}
 	return sum
 }
 
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -15,22 +15,31 @@
 // candidates returns the shards that can take a submission, or why none does.
 func (e *engine) candidates(r *submission.Record, came time.Duration) ([]policy.Candidate, *Outcome) {
 	shards := e.reachableShards(r)
+	if len(shards) == 0 && e.anyReachable() {
+		why := policy.NoWorker
+		if len(e.evacuations.Domains()) > 0 {
+			why = policy.Evacuated
+		}
+		return nil, &Outcome{Kind: Busy, RetryAfter: retryAfter, Why: string(why)}
+	}
 	if reason := policy.Admit(e.at, e.work(r, came), shards); reason.Refused() {
 		return nil, &Outcome{Kind: Busy, RetryAfter: e.comeBack(r, shards), Why: string(reason)}
 	}
 	return shards, nil
 }
 
-// reachableShards returns what the shards that can be reached could take of a submission.
+// reachableShards returns what the shards that can be reached, and may start its tasks, could take
+// of a submission. One whose domain is evacuated, or without workers of its service, would keep it
+// waiting for ever.
 func (e *engine) reachableShards(r *submission.Record) []policy.Candidate {
 	var out []policy.Candidate
 	size := largestTask(r)
 	task := longestEstimate(r)
 	for _, name := range slices.Sorted(maps.Keys(e.loads)) {
-		if !e.reachable(name) {
+		l := e.loads[name]
+		if !e.reachable(name) || e.evacuations.Evacuated(site.DomainOf(name)) || !slices.Contains(l.Services, r.Terms.Service) {
 			continue
 		}
-		l := e.loads[name]
 		_, queue := l.Ahead(0, true)
 		ahead, wait := l.Ahead(r.Terms.Priority, !e.vm.config.Policy.ByPriority)
 		// What this VM has sent there since the shard's last word counts as waiting there.
@@ -140,6 +149,7 @@
 		Token:     token,
 		Ready:     load.Ready,
 		RoomMilli: load.RoomMilli,
+		Services:  load.Services,
 		Waiting:   make(map[string]uint32, len(load.Waiting)),
 	}
 	for _, q := range load.Queued {
@@ -161,7 +171,7 @@
 
 func sameLoad(a, b shard.Load) bool {
 	return a.Ready == b.Ready && slices.Equal(a.FreeMilli, b.FreeMilli) && a.RoomMilli == b.RoomMilli &&
-		slices.Equal(a.Queued, b.Queued) && maps.Equal(a.Waiting, b.Waiting)
+		slices.Equal(a.Queued, b.Queued) && slices.Equal(a.Services, b.Services) && maps.Equal(a.Waiting, b.Waiting)
 }
 
 func (e *engine) takeLoad(holder, name string, token uint64, load shard.Load) {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -163,6 +163,7 @@
 	}
 	e.incarnations[ev.name] = ev.incarnation
 	e.doubt(ev.name)
+	e.tellEvacuations(ev.name)
 	e.site.Suspect(ev.name, false)
 	for _, h := range e.shards {
 		h.loadAt = e.at - loadEvery // the peer may have missed the last word
@@ -217,7 +218,7 @@
 		e.learnNote(ref, int(n.Fails))
 	}
 	for _, s := range f.States {
-		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial})
+		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial, returned: returnedOf(s.Returned)})
 	}
 	for _, ref := range f.Queries {
 		e.takeQuery(ev.from, ref)
@@ -240,6 +241,7 @@
 	for _, w := range f.Workers {
 		e.takeWorkers(ev.from, w)
 	}
+	e.takeEvacuations(ev.from, f.Evacuations)
 	for _, w := range f.Elsewhere {
 		e.takeElsewhere(w)
 	}
@@ -264,6 +266,7 @@
 	out := shard.Load{
 		Ready:     l.Ready,
 		RoomMilli: l.RoomMilli,
+		Services:  l.Services,
 		Waiting:   make(map[string]int, len(l.Waiting)),
 	}
 	for _, free := range l.FreeMilli {
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -65,16 +65,14 @@
 	id := submission.ID(ref.Id)
 	word := stateWord{shard: ref.Shard}
 	if h := e.shards[ref.Shard]; h != nil {
-		word.token = h.holding.Token
-		if state, known := h.core.Knows(id); known {
-			word.state = state
-			word.serial = h.core.Serial(id)
-			e.tellPeer(from, id, word)
-			if !state.Final() {
+		if told, known := h.core.Told(id); known {
+			e.tellPeer(from, id, h.word(told))
+			if !told.State.Final() {
 				h.asks(id, from)
 			}
 			return
 		}
+		word.token = h.holding.Token
 	}
 	if h := e.homes[id]; h != nil && h.state.Final() {
 		word.state = h.state
@@ -91,11 +89,25 @@
 	token  uint64 // under which the speaker holds the shard; 0: it does not
 	state  submission.State
 	serial uint64 // of the hand-in that a rejection is of
+	// returned are tasks that the speaker does not start any more.
+	returned []shard.ReturnedTask
+}
+
+// word is what the holder of a shard says of a submission.
+func (h *held) word(a shard.StateAction) stateWord {
+	return stateWord{shard: h.holding.Shard, token: h.holding.Token, state: a.State, serial: a.Serial, returned: a.Returned}
 }
 
 func (e *engine) tellPeer(peer string, id submission.ID, w stateWord) {
 	f := e.frame(peer)
-	f.States = append(f.States, &pb.KeptState{Id: string(id), State: uint32(w.state), Shard: w.shard, Token: w.token, Serial: w.serial})
+	f.States = append(f.States, &pb.KeptState{
+		Id:       string(id),
+		State:    uint32(w.state),
+		Shard:    w.shard,
+		Token:    w.token,
+		Serial:   w.serial,
+		Returned: encodeReturned(w.returned),
+	})
 }
 
 // tellState tells a submission's home how far it is.
--- a/internal/kept/vm/takeback.go
+++ b/internal/kept/vm/takeback.go
@@ -42,7 +42,7 @@
 }
 
 func (t *transient) anyBegun() bool {
-	return slices.ContainsFunc(t.parts, func(p *part) bool {
+	return t.begun || slices.ContainsFunc(t.parts, func(p *part) bool {
 		return p.moves > 0 || p.state == submission.Running || p.state == submission.Done
 	})
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -42,6 +42,8 @@
 	waiters []chan Outcome
 	// takenBackAt is when its parts were taken back, while that is not decided; 0: it is.
 	takenBackAt time.Duration
+	begun       bool // though no part here says so
+	homeless    []homelessTasks
 }
 
 // part is what one shard has of it.
@@ -110,8 +112,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	divisible := len(r.Steps) == 1 && r.Steps[0].MaxPerWorker == 0
-	portions := e.vm.config.Policy.Split(shards, demand(r), divisible, longestEstimate(r))
+	portions := e.vm.config.Policy.Split(shards, demand(r), divisible(r), longestEstimate(r))
 	if len(portions) == 1 {
 		r.Shard = portions[0].Shard
 		return []*part{{record: r, shard: r.Shard, changed: e.at}}, nil
@@ -131,6 +132,9 @@
 	return parts, nil
 }
 
+// divisible reports whether several shards can have parts of a submission.
+func divisible(r *submission.Record) bool { return len(r.Steps) == 1 && r.Steps[0].MaxPerWorker == 0 }
+
 // give hands a part to the holder of its shard.
 func (e *engine) give(t *transient, p *part, l *loadView) {
 	p.record.Age = e.at - t.came
@@ -186,6 +190,7 @@
 			}
 			e.watchHolder(t, p)
 		}
+		e.giveElsewhere(t)
 		e.reconsider(t)
 		if t.state.Final() && e.at-t.ended > answersFor {
 			delete(e.transients, t.record.ID)
@@ -225,8 +230,8 @@
 func (e *engine) askPart(t *transient, p *part) {
 	p.asked = e.at
 	if own := e.shards[p.shard]; own != nil {
-		state, _ := own.core.Knows(t.record.ID)
-		e.learnPart(t, p, stateWord{token: own.holding.Token, state: state, serial: own.core.Serial(t.record.ID)})
+		told, _ := own.core.Told(t.record.ID)
+		e.learnPart(t, p, own.word(told))
 		return
 	}
 	f := e.frame(p.holder)
@@ -299,23 +304,32 @@
 // would be told that it has not run. What such a holder says counts only if it says that
 // the part has ended.
 //
-// A holder remembers what it has rejected. Asked before the next hand-in of the part has
-// come, it answers of the one before, while the next one may still come and run: the caller
-// would be told that it has not run, or the part would run at two shards. Such a rejection
-// says that the holder does not have the part.
+// A holder remembers what has ended. Asked before the next hand-in of the part has come, or
+// before another part that it is given later, it answers of the one before: the caller would be
+// told that it has not run while it does, or that it is done while a part of it is not. Such an
+// answer says that the holder does not have the part.
 func (e *engine) learnPart(t *transient, p *part, w stateWord) {
 	if t.state.Final() || p.state.Final() {
 		return
 	}
 	state := w.state
-	if state == submission.Rejected && w.serial != p.record.Serial {
+	own := w.serial == p.record.Serial
+	if state.Final() && !own {
 		state = submission.Unknown
 	}
 	if w.token != p.token && state != submission.Done && state != submission.Failed {
 		return
 	}
 	p.changed = e.at
+	if own {
+		e.takeReturned(t, p, w.returned)
+	}
+	if e.transients[t.record.ID] != t {
+		return // nobody could take what was given back
+	}
 	switch state {
+	case submission.Returned:
+		e.endReturned(t, p)
 	case submission.Unknown:
 		// The holder never got it, or it is the holder no more. In the first case it
 		// can be given once more; in the second the next holder comes by itself.
@@ -327,8 +341,8 @@
 		e.giveUp(t, "a holder has ended it")
 	case submission.Rejected:
 		p.state = state
-		if t.all(submission.Rejected) {
-			e.refuseTransient(t)
+		if t.all(submission.Rejected) && len(t.homeless) == 0 {
+			e.refuseTransient(t, policy.Hopeless)
 		}
 	case submission.Failed:
 		p.state = state
@@ -336,9 +350,7 @@
 		e.endTransient(t, state)
 	case submission.Done:
 		p.state = state
-		if t.all(submission.Done) {
-			e.endTransient(t, state)
-		}
+		e.endIfDone(t)
 	default:
 		p.state = max(p.state, state)
 	}
@@ -346,11 +358,23 @@
 
 // refuseTransient tells the callers of a submission, of which nothing has begun, when to come
 // again.
-func (e *engine) refuseTransient(t *transient) {
+func (e *engine) refuseTransient(t *transient, why policy.Reason) {
 	after := e.comeBack(t.record, e.reachableShards(t.record))
 	e.vm.figures.queue(t.record.Queue).ended("refused", e.at-t.came)
-	klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", policy.Hopeless, "after", e.at-t.came, "retry_after", after, "parts", len(t.parts))
-	e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: after, Why: string(policy.Hopeless)})
+	klog.InfoS("kept: refused", "id", t.record.ID, "queue", t.record.Queue, "why", why, "after", e.at-t.came, "retry_after", after, "parts", len(t.parts))
+	e.forgetTransient(t, Outcome{Kind: Busy, RetryAfter: after, Why: string(why)})
+}
+
+// endIfDone ends a submission of which each task has completed, and gives out what waited for the
+// end of a part.
+func (e *engine) endIfDone(t *transient) {
+	if len(t.homeless) > 0 {
+		e.giveElsewhere(t)
+		return
+	}
+	if t.all(submission.Done) {
+		e.endTransient(t, submission.Done)
+	}
 }
 
 func (e *engine) endTransient(t *transient, state submission.State) {
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -37,6 +37,10 @@
 	CatalogPrefix string
 	CatalogKey    string
 	DecodeCatalog func(store.Item) (*catalog.Catalog, error)
+	// EvacuationPrefix is where operators ask for evacuations: one key for each failure domain,
+	// named after it, for as long as nothing may start there. It begins with CatalogPrefix, so
+	// that one watch serves both; "": there are none.
+	EvacuationPrefix string
 }
 
 // Config is what an entry VM is made of.
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -48,7 +48,7 @@
 	prefix string
 	wait   time.Duration
 	pause  func(pace time.Duration, events []store.Event) time.Duration // after an answer with changes; nil: none
-	whole  func(sent time.Duration, items []store.Item)
+	whole  func(sent time.Duration, revision uint64, items []store.Item)
 	some   func(sent time.Duration, events []store.Event)
 }
 
@@ -60,7 +60,7 @@
 		sent := f.vm.now()
 		items, rev, err := f.vm.readAll(ctx, f.prefix, false)
 		if err == nil {
-			f.whole(sent, items)
+			f.whole(sent, rev, items)
 			failures = 0
 			err = f.follow(ctx, rev)
 		}
@@ -131,7 +131,7 @@
 
 func (v *VM) watchSite(ctx context.Context) {
 	f := &follower{vm: v, prefix: site.Prefix, wait: siteWait}
-	f.whole = func(sent time.Duration, items []store.Item) {
+	f.whole = func(sent time.Duration, _ uint64, items []store.Item) {
 		v.post(siteEvent{sent: sent, whole: true, items: items})
 	}
 	f.some = func(sent time.Duration, events []store.Event) {
@@ -159,17 +159,19 @@
 		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
 	}
 	f := &follower{vm: v, prefix: v.config.Lists.CatalogPrefix, wait: time.Duration(catalogShare * float64(cmp.Or(v.config.CatalogWithin, catalogWithin)))}
-	f.whole = func(_ time.Duration, items []store.Item) {
+	f.whole = func(sent time.Duration, revision uint64, items []store.Item) {
 		for _, it := range items {
 			take(it)
 		}
+		v.post(evacuationsEvent{sent: sent, whole: true, revision: revision, notices: v.evacuationsIn(items)})
 	}
-	f.some = func(_ time.Duration, events []store.Event) {
+	f.some = func(sent time.Duration, events []store.Event) {
 		for _, e := range events {
 			if !e.Deleted {
 				take(e.Item)
 			}
 		}
+		v.post(evacuationsEvent{sent: sent, notices: v.evacuationChanges(events)})
 	}
 	f.run(ctx)
 }
@@ -247,7 +249,7 @@
 		v.post(workersEvent{list: slices.Collect(maps.Values(list))})
 	}
 	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: v.workersPause}
-	f.whole = func(_ time.Duration, items []store.Item) {
+	f.whole = func(_ time.Duration, _ uint64, items []store.Item) {
 		clear(list)
 		for _, it := range items {
 			take(it)
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -42,21 +42,27 @@
 func testWorld(t *testing.T, play func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, "a", "b")
-		for _, d := range w.domains {
-			for i := range 3 {
-				w.addDeskWorker(fmt.Sprintf("%s%d", d, i), d)
-			}
-		}
-		for _, name := range []string{"a1", "a2", "b1", "b2"} {
-			w.boot(name)
-		}
-		time.Sleep(3 * time.Second)
+		w := newTwoDomains(t)
 		play(w)
 		w.end()
 	})
 }
 
+// newTwoDomains is a site of two failure domains that serves.
+func newTwoDomains(t testing.TB) *world {
+	w := newWorld(t, "a", "b")
+	for _, d := range w.domains {
+		for i := range 3 {
+			w.addDeskWorker(fmt.Sprintf("%s%d", d, i), d)
+		}
+	}
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		w.boot(name)
+	}
+	time.Sleep(3 * time.Second)
+	return w
+}
+
 // end kills all VMs, and checks what the workers have seen.
 func (w *world) end() {
 	w.t.Helper()
@@ -129,9 +135,11 @@
 			},
 			CatalogPrefix: "config/",
 			CatalogKey:    "config/catalog",
+
+			EvacuationPrefix: "config/evacuated/",
 			DecodeCatalog: func(it store.Item) (*catalog.Catalog, error) {
 				version, err := strconv.ParseUint(string(it.Value), 10, 64)
-				return &catalog.Catalog{Version: version, Services: []string{"desk"}}, err
+				return &catalog.Catalog{Version: version, Services: []string{"desk", "lab"}}, err
 			},
 		},
 		Weight:    w.weights[name],
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -23,6 +23,7 @@
 	MemMB    int64
 	GPU      int64
 	Leaving  bool   // takes nothing new, and stops soon
+	Cold     bool   // tasks take longer there for some time after its start
 	Revision uint64 // of its entry in the list of workers
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -30,6 +30,8 @@
 	cut   map[string]bool // domains of workers that nobody outside reaches
 	lose  func(worker.Start) bool
 	drop  func(worker.Start) bool
+	delay func(worker.Start) time.Duration
+	seen  func(worker.Info, worker.Start)
 	on    map[string]int  // starts by worker
 	dark  map[string]bool // workers that nobody reaches
 }
@@ -80,6 +82,21 @@
 	f.drop = drop
 }
 
+// DelayStarts has some starts carried out later, and never answered; 0: at once.
+func (f *Fleet) DelayStarts(delay func(worker.Start) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = delay
+}
+
+// OnStart has each start that a worker takes reported, when it begins. The call must not come back
+// to the fleet.
+func (f *Fleet) OnStart(seen func(worker.Info, worker.Start)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = seen
+}
+
 // Cut separates the workers of a domain from VMs of others.
 func (f *Fleet) Cut(domain string, cut bool) {
 	f.mu.Lock()
@@ -203,14 +220,39 @@
 		if w.fleet.drop != nil && w.fleet.drop(s) {
 			return worker.Reply{}, false
 		}
-		r := h.Start(now, s)
-		if r.Verdict == worker.Accepted {
-			w.fleet.on[to.ID]++
+		if w.fleet.delay != nil {
+			if d := w.fleet.delay(s); d > 0 {
+				time.AfterFunc(d, func() { w.fleet.startLate(h, s) })
+				return worker.Reply{}, false
+			}
 		}
+		r := w.fleet.start(h, now, s)
 		return r, w.fleet.lose == nil || !w.fleet.lose(s)
 	})
 }
 
+// start gives a worker an order, with the lock held.
+func (f *Fleet) start(h *runhost.Host, now time.Duration, s worker.Start) worker.Reply {
+	r := h.Start(now, s)
+	if r.Verdict == worker.Accepted {
+		f.on[h.Info.ID]++
+		if f.seen != nil {
+			f.seen(h.Info, s)
+		}
+	}
+	return r
+}
+
+func (f *Fleet) startLate(h *runhost.Host, s worker.Start) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Since(f.began)
+	for _, other := range f.hosts {
+		other.Advance(now)
+	}
+	f.start(h, now, s)
+}
+
 // Stop implements worker.Orders.
 func (w *way) Stop(ctx context.Context, to worker.Info, s worker.Stop) worker.Reply {
 	return w.do(ctx, to, func(h *runhost.Host, now time.Duration) (worker.Reply, bool) {
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -275,8 +275,9 @@
 	store *Store
 	delay time.Duration
 
-	mu    sync.Mutex
-	fault Fault
+	mu     sync.Mutex
+	fault  Fault
+	silent func(relay.Call) bool // calls that get no answer; nil: none
 }
 
 // Door returns a way to the store whose calls take delay.
@@ -289,9 +290,19 @@
 	d.fault = f
 }
 
-func (d *Door) treatment() Fault {
+// Silence has some calls get no answer, as on one connection that has gone silent.
+func (d *Door) Silence(silent func(relay.Call) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.silent = silent
+}
+
+func (d *Door) treatment(c relay.Call) Fault {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.silent != nil && d.silent(c) {
+		return Silent
+	}
 	return d.fault
 }
 
@@ -305,7 +316,7 @@
 		return relay.Reply{}, ctx.Err()
 	case <-time.After(d.delay):
 	}
-	f := d.treatment()
+	f := d.treatment(c)
 	switch f {
 	case Refuses:
 		return relay.Reply{Status: 503}, nil
