Operators evacuate and return failure domains; the model learns how work leaves one

Cause: the engine knows evacuations; our own operators had no way to ask for one or to see it, and the hand-over of stored work between shards stood on reading alone.

--- a/cmd/pumiceyard/kept.go
+++ b/cmd/pumiceyard/kept.go
@@ -21,7 +21,8 @@
 		Short:   "Submit work under a key of your own, which is kept until it has ended",
 		GroupID: callers,
 	}
-	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting(), keptExplain(), keptLosses())
+	c.AddCommand(keptSubmit(), keptState(), keptCancel(), keptWaiting(), keptExplain(), keptLosses(),
+		keptEvacuate(), keptReturn(), keptEvacuated())
 	return c
 }
 
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -163,7 +163,6 @@
 	e.vm.figures.heldWorkers.Update(float64(workers))
 	e.vm.figures.heldShards.Update(float64(len(e.shards)))
 	e.vm.figures.openHere.Update(float64(len(e.transients) + len(e.homes)))
-	e.vm.figures.evacuated.Update(float64(len(e.evacuations.Domains())))
 }
 
 // pace is the longest time to the next round.
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -98,6 +98,7 @@
 		age, _ := e.evacuations.Age(e.at)
 		klog.InfoS("kept: evacuation", "domain", domain, "evacuated", e.evacuations.Evacuated(domain),
 			"revision", e.evacuations.Revision(domain), "from", from, "asked_before", age)
+		e.vm.figures.setEvacuated(domain, e.evacuations.Evacuated(domain))
 	}
 	for _, h := range e.shards {
 		e.setEvacuated(h)
--- a/internal/kept/vm/figures.go
+++ b/internal/kept/vm/figures.go
@@ -42,8 +42,8 @@
 	heldWorkers  tally.Gauge
 	openHere     tally.Gauge
 	droppedEvent tally.Counter
-	evacuated    tally.Gauge   // failure domains
-	sentAway     tally.Counter // tasks and stored submissions, from evacuated domains
+	evacuated    map[string]tally.Gauge // by failure domain: 1 while nothing may start there
+	sentAway     tally.Counter          // tasks and stored submissions, from evacuated domains
 }
 
 // queueFigures are those of one queue.
@@ -85,7 +85,7 @@
 		heldWorkers:  scope.Gauge("workers_held"),
 		openHere:     scope.Gauge("submissions_open"),
 		droppedEvent: scope.Counter("events_dropped_total"),
-		evacuated:    scope.Gauge("domains_evacuated"),
+		evacuated:    make(map[string]tally.Gauge),
 		sentAway:     scope.Counter("sent_away_total"),
 	}
 	f.storeCalls = map[bool]tally.Counter{
@@ -157,6 +157,20 @@
 	q.response.RecordDuration(took)
 }
 
+// setEvacuated shows whether anything may start in a failure domain.
+func (f *figures) setEvacuated(domain string, evacuated bool) {
+	g := f.evacuated[domain]
+	if g == nil {
+		g = f.scope.Tagged(map[string]string{"domain": domain}).Gauge("domain_evacuated")
+		f.evacuated[domain] = g
+	}
+	if evacuated {
+		g.Update(1)
+		return
+	}
+	g.Update(0)
+}
+
 // start counts a worker's answer to a start.
 func (f *figures) start(answer string) { count(f.starts, f.scope, "starts_total", "answer", answer) }
 
--- a/internal/tool/advice/entries.go
+++ b/internal/tool/advice/entries.go
@@ -30,6 +30,8 @@
 	{Refused, "list_too_old", "the workers of the ticket are not known any more", "take a new ticket if the outcome is `not_run`"},
 	{Refused, "recovered_elsewhere", "another entry VM drives the submission after a recovery", "submit again under the same ticket; the SDK does"},
 	{Refused, "no_shard_reachable", "the entry VM reaches no holder of workers (submissions under the caller's own key)", "`pumiceyard top`: who holds the shards? After a restart of all VMs it ends within a second"},
+	{Refused, "no_worker_of_the_service", "no shard that can be reached has a worker of the queue's service", "are there workers of it? `pumiceyard top` shows the shards; a queue may name a wrong service"},
+	{Refused, "domains_evacuated", "all failure domains with workers of the queue's service are evacuated, or cannot be reached", "`pumiceyard kept evacuated`: return one with `pumiceyard kept return`"},
 	{Refused, "forecast_too_late", "what waits before it takes longer than its caller has a use for the answer", "come back after `Retry-After`; if it lasts, the site is too small"},
 	{Refused, "too_late_by_now", "it waited for room, none came, and it cannot be done in time any more", "come back after `Retry-After`; `pumiceyard kept losses` tells how often"},
 	{Refused, "waited_its_share", "it waited for room for its share of its caller's time (`wait_share`)", "ask again at once, elsewhere; if frequent, see `pumiceyard kept losses`"},
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
 )
 
 // inject makes faults, one after the other and overlapping, until ctx ends.
@@ -28,6 +30,7 @@
 	p := s.vms[s.rand.IntN(len(s.vms))]
 	w := s.workers[s.rand.IntN(len(s.workers))]
 	d := time.Duration(s.rand.Int64N(int64(faultMost)))
+	domain := domains[s.rand.IntN(len(domains))]
 	choices := []func(){
 		func() { s.restart(p, syscall.SIGKILL) },
 		func() { s.restart(p, syscall.SIGTERM) },
@@ -45,6 +48,7 @@
 		func() { during(d, w, func(x *proxy) { x.toCaller = true }) },
 		func() { w.reset() },
 		func() { s.storeOut(d) },
+		func() { s.evacuate(domain, d) },
 	}
 	return choices[s.rand.IntN(len(choices))]
 }
@@ -66,6 +70,13 @@
 	}
 }
 
+// evacuate has nothing start in a domain for some time.
+func (s *soak) evacuate(domain string, d time.Duration) {
+	s.site.Store.Put(daemon.EvacuationPrefix+domain, []byte("{}"))
+	time.Sleep(d)
+	s.site.Store.Delete(daemon.EvacuationPrefix + domain)
+}
+
 // pause stops a process and lets it go on.
 func (s *soak) pause(p *process, d time.Duration) {
 	p.signal(syscall.SIGSTOP)
--- a/internal/tool/top/sample.go
+++ b/internal/tool/top/sample.go
@@ -20,11 +20,12 @@
 	At          time.Time
 	Shards      map[string]Shard // that it holds
 	Queues      map[string]Queue
-	Open        float64 // submissions at their home here
-	StoreCalls  float64 // since it started
-	Unanswered  float64 // of them
-	ShardsTaken float64 // since it started
-	PeersLost   float64 // since it started
+	Open        float64  // submissions at their home here
+	StoreCalls  float64  // since it started
+	Unanswered  float64  // of them
+	ShardsTaken float64  // since it started
+	PeersLost   float64  // since it started
+	Evacuated   []string // failure domains in which, as far as it knows, nothing may start
 }
 
 // Shard is the room of a shard's workers.
@@ -96,6 +97,11 @@
 	each("submissions_open", sum(&s.Open))
 	each("shards_taken_total", sum(&s.ShardsTaken))
 	each("peers_lost_total", sum(&s.PeersLost))
+	each("domain_evacuated", func(v float64, labels map[string]string) {
+		if v > 0 {
+			s.Evacuated = append(s.Evacuated, labels["domain"])
+		}
+	})
 	each("store_calls_total", func(v float64, labels map[string]string) {
 		s.StoreCalls += v
 		if labels["answered"] != "true" {
--- a/internal/tool/top/show.go
+++ b/internal/tool/top/show.go
@@ -105,6 +105,9 @@
 	for _, url := range slices.Sorted(maps.Keys(errs)) {
 		fmt.Fprintf(w, "no answer: %v\n", errs[url])
 	}
+	for _, line := range evacuatedLines(now) {
+		fmt.Fprintln(w, line)
+	}
 	fmt.Fprintln(w, "\nSHARD\tHOLDER\tWORKERS\tROOM cores\tFREE\tWAITING")
 	for _, r := range shardRows(now) {
 		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\n", r.name, r.holder, r.Workers, r.RoomCores, r.FreeCores, r.QueueCores)
@@ -121,6 +124,22 @@
 	return w.Flush()
 }
 
+// evacuatedLines name the evacuated domains. One that only some VMs know of was asked for, or
+// returned, a moment ago, or the others are cut off.
+func evacuatedLines(now map[string]*Sample) []string {
+	knownAt := make(map[string]int)
+	for _, s := range now {
+		for _, domain := range s.Evacuated {
+			knownAt[domain]++
+		}
+	}
+	var lines []string
+	for _, domain := range slices.Sorted(maps.Keys(knownAt)) {
+		lines = append(lines, fmt.Sprintf("evacuated: %s, known at %d of %d VMs", domain, knownAt[domain], len(now)))
+	}
+	return lines
+}
+
 type shardRow struct {
 	name, holder string
 	Shard
--- a/internal/tool/top/top_test.go
+++ b/internal/tool/top/top_test.go
@@ -97,3 +97,19 @@
 		}
 	}
 }
+
+// Symptom: an operator takes a domain for emptied while some VMs still start work there. Sequence:
+// one of two VMs has heard of the evacuation. Both are counted.
+func TestEvacuationIsShownWithWhoKnowsOfIt(t *testing.T) {
+	now := map[string]*Sample{
+		"u1": {EntryVM: "a1", Evacuated: []string{"a"}},
+		"u2": {EntryVM: "b1"},
+	}
+	var out bytes.Buffer
+	if err := show(&out, nil, now, nil); err != nil {
+		t.Fatal(err)
+	}
+	if want := "evacuated: a, known at 1 of 2 VMs"; !strings.Contains(out.String(), want) {
+		t.Errorf("no line %q in:\n%s", want, out.String())
+	}
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -31,6 +31,10 @@
 fails|kept|new holder does not wait for the old one's leases: runs twice at once|-DNO_AUTHORITY
 fails|kept|ends acknowledged before they are stored: starts after its end|-DNO_STORE_FIRST
 fails|kept|late creation does not see the final state: starts after its end|-DNO_FINAL_CHECK
+holds|evacuate|work that leaves an evacuated domain: one run, none where it may not start|
+fails|evacuate|the old shard's holder is no condition of the move: runs twice at once|-DNO_GUARD
+fails|evacuate|a running task's submission moves: runs twice at once|-DNO_REST
+fails|evacuate|new holder does not ask before its first start: starts in the domain|-DNO_ASK
 fails|atmostonce|reached: a recoverer's task starts|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=1
 fails|atmostonce|reached: a recoverer finds the close|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=2
 fails|atmostonce|reached: a recoverer adopts every task|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=3
