Waiting tasks go where room is free: a shard gives them back when others can start them

Cause: a part stayed with the shard that its home chose by loads some ten milliseconds old.

Change: a holder with waiting tasks gives the most pressing that waited 15 ms back to their homes, as many as other shards without a queue have room for, divided by the shards that want it; all of them where its own workers are gone. It uses the way that evacuations take: certain not to run, named each time, given on with the age of the submission. policy offload_millis; 0 is the way before.

Ruled out: the home asking for parts back. It does not know which tasks wait, and a shard's holder hears of all loads anyway. A test of the evacuation counted starts from after the domain's return; they now leave sooner, so it counts from the return on (the same four tasks).

--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -53,6 +53,10 @@
 	// is not worth waiting for any more. It answers overload: without it such a submission is
 	// never refused, and waits to the end of its caller's time. Gain: below 0.002.
 	TakeBack bool `json:"take_back"`
+	// OffloadMillis is for how long a task waits at a shard, in ms, until it is given to another one
+	// that has free room; 0: it stays. It answers shards that are fuller than others, or have lost
+	// their workers.
+	OffloadMillis int `json:"offload_millis"`
 	// Eject leaves a worker alone that fails what completes elsewhere.
 	Eject bool `json:"eject"`
 	// MoveStill starts tasks elsewhere that stand still at their worker, and leaves the worker
@@ -87,6 +91,7 @@
 		OwnReserve:      0.1,
 		Spread:          true,
 		TakeBack:        true,
+		OffloadMillis:   15,
 		Eject:           true,
 		MoveStill:       true,
 		MoveSlow:        false,
@@ -126,6 +131,8 @@
 	switch {
 	case s.StartHoldMillis < 0 || s.StartHoldMillis > 10_000:
 		return &SettingError{Name: "start_hold_millis", Why: "is not from 0 to 10000"}
+	case s.OffloadMillis < 0 || s.OffloadMillis > 10_000:
+		return &SettingError{Name: "offload_millis", Why: "is not from 0 to 10000"}
 	case s.WaitShare < 0 || s.WaitShare > 1:
 		return &SettingError{Name: "wait_share", Why: "is not from 0 to 1"}
 	case s.OwnReserve < 0 || s.OwnReserve > 1:
--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -40,21 +40,22 @@
 	switch {
 	case !s.evacuated, j.state.Final():
 	case j.rec.Transient:
-		s.handBack(now, j)
+		s.handBack(now, j, len(j.tasks))
 	default:
 		s.moveStored(now, j)
 	}
 }
 
-// handBack gives tasks that certainly do not run back to their home. Steps that wait for each
-// other stay together, as only their holder knows which have completed: they go once none runs.
-func (s *Shard) handBack(now time.Duration, j *job) {
-	if len(j.steps) > 1 && !j.atRest() {
-		return
+// handBack gives up to so many tasks that certainly do not run back to their home, and returns how
+// many. Steps that wait for each other stay together, as only their holder knows which have
+// completed: they go once none runs.
+func (s *Shard) handBack(now time.Duration, j *job, most int) int {
+	if len(j.steps) > 1 && (!j.atRest() || j.left > most) {
+		return 0
 	}
 	before := len(j.returned)
 	for _, t := range j.tasks {
-		if t.state == waiting {
+		if t.state == waiting && len(j.returned)-before < most {
 			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.run, Fails: t.fails})
 			j.leave(t, absent)
 		}
@@ -66,6 +67,7 @@
 	default:
 		s.tell(j)
 	}
+	return len(j.returned) - before
 }
 
 // atRest reports whether no task of it runs, or may run.
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -62,7 +62,8 @@
 	steps    []stepState
 	chain    time.Duration // by the caller's estimates
 	left     int           // tasks that have not completed
-	came     time.Duration
+	came     time.Duration // to its home
+	here     time.Duration // when it came to this shard
 	firstRun time.Duration // 0: none yet
 	saving   bool
 	unsaved  time.Duration // when the oldest end that is not stored came; 0: none
@@ -87,6 +88,7 @@
 		revision: r.Revision,
 		state:    submission.Queued,
 		came:     now - r.Record.Age,
+		here:     now,
 		runBase:  max(runBase, r.Record.RunsBefore),
 		chain:    r.Record.Chain(),
 	}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -52,6 +52,7 @@
 	confirmed time.Duration // when the store was asked last that confirmed the holding
 	scanning  bool
 	scannedAt time.Duration
+	offloadAt time.Duration
 	noted     string // the workers as stored for the next holder
 	noting    bool
 	loadAt    time.Duration
@@ -180,6 +181,7 @@
 		e.scan(name, h)
 	}
 	h.core.Tick(e.at)
+	e.offload(name, h)
 	if h.core.WorkerCount() != len(h.hands) {
 		e.alignHands(h) // it has dropped a worker; new ones come with the list only
 	}
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -238,7 +238,7 @@
 		t.replace(p)
 		l := e.loads[p.shard]
 		l.sent += int64(portion.Tasks) * largestTask(rec)
-		klog.InfoS("kept: sent away from an evacuated domain", "id", t.record.ID, "from", lost.record.Shard, "shard", p.shard,
+		klog.InfoS("kept: given to another shard", "id", t.record.ID, "from", lost.record.Shard, "shard", p.shard,
 			"holder", l.holder, "token", l.token, "tasks", portion.Tasks, "after", e.at-t.came)
 		e.give(t, p, l)
 	}
--- a/internal/kept/vm/evacuate_test.go
+++ b/internal/kept/vm/evacuate_test.go
@@ -145,10 +145,9 @@
 		time.Sleep(inForce)
 		half := w.submit("a1", "half", 10, runhost.Work{Time: 500 * ms}, true) // six of them fit
 		time.Sleep(100 * ms)
+		l := watchStarts(w)
 		w.giveBack("b")
-		time.Sleep(100 * ms)
 		w.evacuate("a")
-		l := watchStarts(w)
 		w.wantEnd(half, submission.Done)
 		if n := w.fleet.Starts("half"); n != 10 {
 			t.Errorf("%d starts of 10 tasks", n)
--- /dev/null
+++ b/internal/kept/vm/offload.go
@@ -0,0 +1,52 @@
+package vm
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Offloading of a shard's waiting tasks.
+const (
+	offloadPace = 10 * time.Millisecond // between two looks
+	// lostRoom is what a shard without workers may give away at once: any other serves it better.
+	lostRoom = 64
+)
+
+// offload has a shard with waiting tasks give some of them to others that have free room, as far as
+// is known here. All shards that have something waiting share that room.
+func (e *engine) offload(name string, h *held) {
+	waited := time.Duration(e.vm.config.Policy.OffloadMillis) * time.Millisecond
+	if waited == 0 || e.at-h.offloadAt < offloadPace {
+		return
+	}
+	h.offloadAt = e.at
+	size := h.core.Waits(e.at)
+	if size == 0 {
+		return
+	}
+	n := h.core.Offload(e.at, waited, e.roomElsewhere(name, size))
+	if n > 0 {
+		klog.InfoS("kept: tasks given back, others have room", "shard", name, "token", h.holding.Token, "tasks", n)
+	}
+}
+
+// roomElsewhere is how many tasks of a size a shard may give away.
+func (e *engine) roomElsewhere(name string, size int64) int {
+	free, full, room := 0, 1, int64(0)
+	for other, l := range e.loads {
+		if other == name || !e.reachable(other) {
+			continue
+		}
+		room += l.RoomMilli
+		if len(l.Queued) > 0 {
+			full++
+			continue
+		}
+		free += max(l.Fit(size, 0)-int(l.sent/size), 0)
+	}
+	if own := e.loads[name]; own != nil && own.RoomMilli == 0 && room > 0 {
+		return lostRoom
+	}
+	return free / full
+}
--- /dev/null
+++ b/internal/kept/vm/offload_test.go
@@ -0,0 +1,70 @@
+package vm
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// Symptom: callers get no answer though half of the site is free. Sequence: all workers of a domain
+// fall silent at once, without a word, beside a steady load. Cause: a task stayed with the shard
+// that it was given to, whatever became of the shard's workers.
+//
+// It plays the sudden loss of half of the room at half load: each submission is two tasks of 60 ms.
+func TestTasksLeaveAShardThatHasLostItsWorkers(t *testing.T) {
+	testWorld(t, func(w *world) {
+		var outs []chan Outcome
+		for i := range 60 {
+			if i == 20 {
+				for k := range 3 {
+					w.fleet.Darken(fmt.Sprintf("w-a%d", k), true)
+				}
+			}
+			id := submission.ID(fmt.Sprintf("job%d", i))
+			outs = append(outs, w.submit("a1", id, 2, runhost.Work{Time: 60 * ms}, true))
+			time.Sleep(40 * ms)
+		}
+		lost := 0
+		for _, out := range outs {
+			if o := <-out; o.Kind != Ended || o.State != submission.Done {
+				lost++
+			}
+		}
+		if lost > 0 {
+			t.Errorf("%d of %d callers have no whole answer, the other domain is free", lost, len(outs))
+		}
+	})
+}
+
+// Symptom: a submission waits beside free workers. Sequence: it was given to a full shard, by what
+// its home knew then; another one gets free before it. It keeps its age, and each of its tasks
+// starts once.
+func TestWaitingTasksGoWhereRoomIsFree(t *testing.T) {
+	testWorld(t, func(w *world) {
+		short := w.submit("b1", "short", 6, runhost.Work{Time: 200 * ms}, true)
+		time.Sleep(30 * ms)
+		long := w.submit("a1", "long", 6, runhost.Work{Time: 3 * time.Second}, true)
+		time.Sleep(30 * ms)
+		var outs []chan Outcome
+		began := time.Now()
+		for i := range 6 {
+			outs = append(outs, w.submit("a1", submission.ID(fmt.Sprintf("waits%d", i)), 1, runhost.Work{Time: 300 * ms}, true))
+		}
+		for _, out := range outs {
+			w.wantEnd(out, submission.Done)
+		}
+		if took := time.Since(began); took > 540*ms {
+			t.Errorf("they ended after %v, their objective is 540 ms and room for all was free after 140", took)
+		}
+		w.wantEnd(short, submission.Done)
+		w.wantEnd(long, submission.Done)
+		for i := range 6 {
+			if n := w.fleet.Starts(submission.ID(fmt.Sprintf("waits%d", i))); n != 1 {
+				t.Errorf("waits%d: %d starts of 1 task", i, n)
+			}
+		}
+	})
+}
