An end counts only for a shard that has its task: partial answers after a restart of all VMs

Cause: a part has tasks that are another shard's. Workers list ends of an earlier hand-in of the same submission after all VMs were off; such an end of a task that is elsewhere took one from what this shard had left, so that its part passed for complete with a task to go.

Change: ends and runs of tasks that are not this shard's count for nothing; such a run is stopped.

Test: TestEndOfATaskThatAnotherShardHasCountsForNothing fails without it.

--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -133,3 +134,40 @@
 		t.Errorf("it is %s after it came back, want done", w.finals["a"])
 	}
 }
+
+// Symptom: a caller gets an answer before all tasks have completed. Sequence: a submission is
+// handed in again after all VMs were off; a worker still lists the end of a task of the first
+// hand-in, which now is another shard's. Cause: the end counted against what this shard has, so that
+// its part passed for complete with a task to go.
+func TestEndOfATaskThatAnotherShardHasCountsForNothing(t *testing.T) {
+	for _, listedBefore := range []bool{true, false} {
+		w := newWorld(t, 1)
+		w.run(100 * ms)
+		rec := w.submission("a", 2, runhost.Work{Time: 150 * ms})
+		first := worker.Start{
+			Task:     submission.TaskRef{ID: "a", Task: submission.Task{Index: 1}},
+			Run:      1,
+			Token:    w.shard.Token(),
+			Deadline: w.now + 700*ms,
+		}
+		if r := w.hosts["w0"].Start(w.now, first); r.Verdict != worker.Accepted {
+			t.Fatalf("the first hand-in's task is %s", r.Verdict)
+		}
+		w.hold(2, true)
+		again := *rec
+		again.Serial = 9
+		again.Elsewhere = []submission.Task{{Index: 1}}
+		if listedBefore {
+			w.run(200 * ms)
+		}
+		w.shard.Resume(w.now, &again)
+		for range 200 {
+			w.step()
+			told, _ := w.shard.Told("a")
+			if told.State == submission.Done && w.ledger.Done(submission.TaskRef{ID: "a"}) == 0 {
+				t.Fatalf("it is done and its own task is not (listed before it came: %v)", listedBefore)
+			}
+		}
+		w.want("a", submission.Done)
+	}
+}
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -55,11 +55,9 @@
 	if j.unsaved == 0 {
 		j.unsaved = now
 	}
-	t := j.task(e.Task.Task)
-	if t == nil {
-		return
+	if t := j.task(e.Task.Task); t != nil && t.state != absent {
+		s.endedTask(now, h, t, e)
 	}
-	s.endedTask(now, h, t, e)
 }
 
 func (s *Shard) endedTask(now time.Duration, h *host, t *task, e worker.Ended) {
@@ -182,7 +180,7 @@
 	switch t.state {
 	case starting, unsure, astray:
 		s.nowRunning(now, h, t)
-	case over, waiting:
+	case over, waiting, absent:
 		s.stray(now, h, r) // a late order that was carried out all the same
 	}
 }
@@ -223,7 +221,7 @@
 func (h *host) resume(now time.Duration, s *Shard, j *job) {
 	for ref, st := range h.strays {
 		t := j.task(ref.Task)
-		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete {
+		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete || t.state == absent {
 			continue
 		}
 		delete(h.strays, ref)
