--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -126,15 +126,15 @@
 // giveBack hands a shard of another domain to a VM of that domain, and one of several
 // shards to a VM with fewer, once such a VM has been there for a while.
 //
-// What is given away in the same look counts as held by its heir. Otherwise a VM with two shards gives
+// What is given away in the same look counts as held by its successor. Otherwise a VM with two shards gives
 // both to one with none, which gives both back some seconds later, and so on: with 18 VMs of three
 // shards a domain, a shard changed hands 333 times in a minute of restarts, and each time all
 // submissions there were handed over again.
 func (s *Site) giveBack(now time.Duration, v *shardView, held map[string]int) (Claim, bool) {
-	heir, found := s.heir(v.holding.Shard, held)
+	successor, found := s.successor(v.holding.Shard, held)
 	why, better := "", false
 	if found {
-		why, better = s.betterAt(heir, v.holding.Shard, held)
+		why, better = s.betterAt(successor, v.holding.Shard, held)
 	}
 	if !better {
 		v.betterSince = 0
@@ -146,19 +146,19 @@
 	if now-v.betterSince < s.settings.ReturnWait || now-v.claimedAt < s.settings.Cooldown {
 		return Claim{}, false
 	}
-	held[heir.Name]++
+	held[successor.Name]++
 	held[s.self.Name]--
-	return s.claim(v.holding, heir, why), true
+	return s.claim(v.holding, successor, why), true
 }
 
-func (s *Site) betterAt(heir Member, shard string, held map[string]int) (why string, better bool) {
+func (s *Site) betterAt(successor Member, shard string, held map[string]int) (why string, better bool) {
 	domain := DomainOf(shard)
 	switch {
-	case heir.Domain == domain && s.self.Domain != domain:
+	case successor.Domain == domain && s.self.Domain != domain:
 		return "a VM of its own domain is there", true
-	case heir.Domain != domain:
+	case successor.Domain != domain:
 		return "", false
-	case burden(heir, held[heir.Name]+1) < burden(s.self, held[s.self.Name]):
+	case burden(successor, held[successor.Name]+1) < burden(s.self, held[s.self.Name]):
 		return "another VM of its domain holds less", true
 	default:
 		return "", false
@@ -182,8 +182,8 @@
 	return float64(shards) / m.Weight
 }
 
-// heir is who should hold a shard if this VM does not, as the VMs hold so many shards.
-func (s *Site) heir(shard string, held map[string]int) (Member, bool) {
+// successor is who should hold a shard if this VM does not, as the VMs hold so many shards.
+func (s *Site) successor(shard string, held map[string]int) (Member, bool) {
 	able := s.able(shard, s.self.Name)
 	if len(able) == 0 {
 		return Member{}, false
@@ -199,9 +199,9 @@
 		if !s.Mine(h) {
 			continue
 		}
-		if heir, found := s.heir(h.Shard, held); found {
-			held[heir.Name]++
-			out = append(out, s.claim(h, heir, "its holder stops"))
+		if successor, found := s.successor(h.Shard, held); found {
+			held[successor.Name]++
+			out = append(out, s.claim(h, successor, "its holder stops"))
 		}
 	}
 	return out
--- a/internal/kept/site/peers.go
+++ b/internal/kept/site/peers.go
@@ -35,7 +35,7 @@
 // Peers returns the entry VMs that this VM needs links to. On a large site those are
 //
 //   - the holders of its own failure domain, where its submissions go;
-//   - for a holder: all VMs of its domain, so that each shard has heirs that watch its holder;
+//   - for a holder: all VMs of its domain, so that each shard has successors that watch its holder;
 //   - as many holders of other domains as its processor bears, for what its own cannot take.
 //
 // Whoever is on the other end keeps a link back for as long as it is told that it is needed.
--- a/internal/kept/site/site_test.go
+++ b/internal/kept/site/site_test.go
@@ -226,7 +226,7 @@
 	}
 }
 
-func TestPlannedStopNamesAnHeir(t *testing.T) {
+func TestPlannedStopNamesASuccessor(t *testing.T) {
 	w := newWorld(t, 1, four()...)
 	h := w.holder("a/0")
 	s := w.vms[h.Holder]
@@ -304,13 +304,13 @@
 	}
 	s := w.vms["a1"]
 	s.Leave()
-	heirs := make(map[string]int)
+	successors := make(map[string]int)
 	for _, c := range s.HandOver() {
-		heirs[c.To.Holder]++
+		successors[c.To.Holder]++
 	}
-	for name, n := range heirs {
+	for name, n := range successors {
 		if n > 2 {
-			t.Errorf("%d of six shards go to %s (%v)", n, name, heirs)
+			t.Errorf("%d of six shards go to %s (%v)", n, name, successors)
 		}
 	}
 }
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -44,7 +44,7 @@
 type held struct {
 	core      *shard.Shard
 	holding   site.Holding
-	hands     map[string]*hand
+	sessions  map[string]*workerSession
 	asked     map[submission.ID][]string // VMs that asked for an unfinished submission
 	cancel    context.CancelFunc
 	ctx       context.Context
@@ -88,8 +88,8 @@
 	neededAt     map[string]time.Duration // when a link was last needed
 	linksDue     bool                     // VMs or holders have changed
 	linkedAt     time.Duration            // when it was last looked which links are needed
-	elsewhere    map[string]waitingWord   // by failure domain, as its holders said
-	elsewhereAt  time.Duration            // when this VM told of it last
+	waiting      waitingReports           // of other VMs
+	reportedAt   time.Duration            // when this VM told of what waits in its domain
 	incarnations map[string]uint64
 	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
 	loads        map[string]*loadView
@@ -99,8 +99,7 @@
 	evacuations  evacuation.Set
 	claiming     map[string]bool
 	dividing     bool
-	serial       uint64                       // of transient submissions taken here
-	unplaced     map[string]map[string]uint32 // by VM and queue: taken, not begun, holder out of reach
+	serial       uint64 // of transient submissions taken here
 	unplacedAt   time.Duration
 	toldUnplaced bool                     // what peers were told last is not 0
 	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
@@ -122,14 +121,13 @@
 		links:        make(map[string]*link.Link),
 		up:           make(map[string]bool),
 		neededAt:     make(map[string]time.Duration),
-		elsewhere:    make(map[string]waitingWord),
+		waiting:      newWaitingReports(),
 		lists:        make(map[string]*domainList),
 		incarnations: make(map[string]uint64),
 		probed:       make(map[string]time.Duration),
 		loads:        make(map[string]*loadView),
 		claiming:     make(map[string]bool),
 		services:     make(map[string]catalog.Service),
-		unplaced:     make(map[string]map[string]uint32),
 		frames:       make(map[string]*pb.KeptFrame),
 	}
 }
@@ -154,13 +152,13 @@
 	e.finishDrain()
 	e.tellLoads()
 	e.tellUnplaced()
-	e.tellElsewhere()
+	e.reportWaiting()
 	e.prune()
 	e.flush()
 	e.vm.ready.Store(e.ableToServe())
 	workers := 0
 	for _, h := range e.shards {
-		workers += len(h.hands)
+		workers += len(h.sessions)
 	}
 	e.vm.figures.heldWorkers.Update(float64(workers))
 	e.vm.figures.heldShards.Update(float64(len(e.shards)))
@@ -183,8 +181,8 @@
 	}
 	h.core.Tick(e.at)
 	e.offload(name, h)
-	if h.core.WorkerCount() != len(h.hands) {
-		e.alignHands(h) // it has dropped a worker; new ones come with the list only
+	if h.core.WorkerCount() != len(h.sessions) {
+		e.alignSessions(h) // it has dropped a worker; new ones come with the list only
 	}
 	e.carryOut(name, h, h.core.Take())
 }
@@ -192,29 +190,29 @@
 // carryOut does what a shard has decided.
 func (e *engine) carryOut(name string, h *held, a shard.Actions) {
 	for _, s := range a.Seen {
-		if hd := h.hands[s.Worker]; hd != nil {
-			hd.acknowledge(s.Seen)
+		if ws := h.sessions[s.Worker]; ws != nil {
+			ws.acknowledge(s.Seen)
 		}
 	}
 	for _, s := range a.Starts {
 		if s.First {
 			e.vm.figures.queue(s.Queue).firstStart.RecordDuration(s.Waited)
 		}
-		e.order(h, s.Worker.ID, func(hd *hand) {
-			hd.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
+		e.order(h, s.Worker.ID, func(ws *workerSession) {
+			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
 			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited)
 	}
 	for _, s := range a.Stops {
-		e.order(h, s.Worker.ID, func(hd *hand) {
-			hd.stop(h.ctx, worker.Stop{Task: s.Task, Run: s.Run})
+		e.order(h, s.Worker.ID, func(ws *workerSession) {
+			ws.stop(h.ctx, worker.Stop{Task: s.Task, Run: s.Run})
 		})
 		klog.InfoS("kept: stop", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
 			"worker", s.Worker.ID, "shard", name, "why", s.Why)
 	}
 	for _, id := range a.Looks {
-		e.order(h, id, func(hd *hand) { hd.look(h.ctx) })
+		e.order(h, id, func(ws *workerSession) { ws.look(h.ctx) })
 	}
 	for _, f := range a.Finals {
 		e.storeFinal(name, h, f)
@@ -236,13 +234,13 @@
 }
 
 // order gives a worker an order on a goroutine of its own, as it may hang.
-func (e *engine) order(h *held, id string, give func(*hand)) {
-	hd := h.hands[id]
-	if hd == nil {
+func (e *engine) order(h *held, id string, give func(*workerSession)) {
+	ws := h.sessions[id]
+	if ws == nil {
 		klog.InfoS("kept: an order for a worker that is not held", "worker", id)
 		return
 	}
-	e.vm.duty(func() { give(hd) })
+	e.vm.duty(func() { give(ws) })
 }
 
 // ableToServe reports whether a submission could be taken now.
--- a/internal/kept/vm/evacuate_property_test.go
+++ b/internal/kept/vm/evacuate_property_test.go
@@ -38,7 +38,7 @@
 	cuts     map[string][]span
 	faults   []time.Time
 	hand     int
-	outcomes map[submission.ID]chan Outcome
+	attempts []*attempt
 	tasks    map[submission.ID]int
 	stored   []submission.ID
 }
@@ -57,8 +57,7 @@
 	case 2:
 		p.withdraw(domain)
 	case 3:
-		p.fault()
-		p.kill(name)
+		p.cutOff(name)
 		p.boot(name)
 	case 4:
 		p.toggleCut(domain)
@@ -76,10 +75,15 @@
 		p.fleet.DelayStarts(nil)
 	case 9:
 		p.store.Compact()
+	case 10:
+		if a.N%3 == 0 {
+			p.restartAll()
+		}
 	default:
 		p.load(a.N)
 	}
 	time.Sleep(time.Duration(a.N%5) * 150 * ms)
+	p.callers()
 }
 
 func (p *evacuations) fault() { p.faults = append(p.faults, time.Now()) }
@@ -116,18 +120,88 @@
 		id := submission.ID(fmt.Sprintf("s%d", p.hand))
 		transient := p.hand%3 > 0
 		work := runhost.Work{Time: time.Duration(30+n%6*40) * ms}
-		out := p.submit(names[(n+p.hand)%len(names)], id, 1+n%5, work, transient)
+		at := (n + p.hand) % len(names)
 		p.tasks[id] = 1 + n%5
 		if transient {
-			p.outcomes[id] = out
+			p.insist(at, id, work)
 			continue
 		}
+		out := p.submit(names[at], id, p.tasks[id], work, false)
 		if o := <-out; o.Kind == Taken {
 			p.stored = append(p.stored, id)
 		}
 	}
 }
 
+// sendAgain is after how long a caller without an answer sends its submission again.
+const sendAgain = 1300 * time.Millisecond
+
+// attempt is a caller that waits for the answer to a transient submission.
+type attempt struct {
+	id      submission.ID
+	work    runhost.Work
+	at      int // index of its VM in names
+	out     chan Outcome
+	tries   int
+	againAt time.Time // zero: it waits for its answer
+	end     *Outcome
+}
+
+// insist hands a transient submission in. Its caller sends it again, to the next VM, each time that
+// it gets no answer.
+func (p *evacuations) insist(at int, id submission.ID, work runhost.Work) {
+	p.attempts = append(p.attempts, &attempt{id: id, work: work, at: at, tries: 1, out: p.submit(names[at], id, p.tasks[id], work, true)})
+}
+
+// callers lets the callers take their answers, and those whose time has come try again.
+func (p *evacuations) callers() {
+	for _, a := range p.attempts {
+		if a.end != nil {
+			continue
+		}
+		if !a.againAt.IsZero() {
+			if !time.Now().Before(a.againAt) {
+				a.at = (a.at + 1) % len(names)
+				a.tries++
+				a.againAt = time.Time{}
+				a.out = p.submit(names[a.at], a.id, p.tasks[a.id], a.work, true)
+			}
+			continue
+		}
+		select {
+		case o := <-a.out:
+			if o.Kind == Unsure && a.tries < 5 {
+				a.againAt = time.Now().Add(sendAgain)
+				continue
+			}
+			a.end = &o
+		default:
+		}
+	}
+}
+
+// cutOff is told of a VM whose connections break.
+func (p *evacuations) cutOff(name string) {
+	p.fault()
+	p.kill(name)
+	for _, a := range p.attempts {
+		if a.end == nil && a.againAt.IsZero() && names[a.at] == name {
+			a.againAt = time.Now().Add(sendAgain)
+		}
+	}
+}
+
+// restartAll has all VMs lose power at once, and start again.
+func (p *evacuations) restartAll() {
+	for _, name := range names {
+		p.cutOff(name)
+	}
+	time.Sleep(300 * ms)
+	for _, name := range names {
+		p.boot(name)
+	}
+}
+
 // finish lets all faults end, and says what is wrong.
 func (p *evacuations) finish() error {
 	for _, domain := range p.domains {
@@ -138,14 +212,18 @@
 	}
 	p.do(evacuationAct{Op: 6})
 	p.do(evacuationAct{Op: 8})
-	time.Sleep(20 * time.Second)
-	for id, out := range p.outcomes {
-		o := <-out
-		if o.Kind == Busy && p.fleet.Starts(id) > 0 {
-			return fmt.Errorf("%s was refused as not run (%s), and has run", id, o.Why)
-		}
-		if o.Kind == Ended && !p.whole(id) {
-			return fmt.Errorf("%s was answered as %s, and not all of its tasks have completed", id, o.State)
+	for range 60 {
+		time.Sleep(500 * ms)
+		p.callers()
+	}
+	for _, a := range p.attempts {
+		switch {
+		case a.end == nil:
+			return fmt.Errorf("%s has no answer after %d tries", a.id, a.tries)
+		case a.end.Kind == Busy && a.tries == 1 && p.fleet.Starts(a.id) > 0:
+			return fmt.Errorf("%s was refused as not run (%s), and has run", a.id, a.end.Why)
+		case a.end.Kind == Ended && !p.whole(a.id):
+			return fmt.Errorf("%s was answered as %s, and not all of its tasks have completed", a.id, a.end.State)
 		}
 	}
 	for _, id := range p.stored {
@@ -214,11 +292,10 @@
 	properties.Property("nothing starts, nothing is lost", prop.ForAll(func(acts []evacuationAct) (ok bool, err error) {
 		synctest.Test(t, func(t *testing.T) {
 			p := &evacuations{
-				world:    newTwoDomains(t),
-				asked:    make(map[string][]span),
-				cuts:     make(map[string][]span),
-				outcomes: make(map[submission.ID]chan Outcome),
-				tasks:    make(map[submission.ID]int),
+				world: newTwoDomains(t),
+				asked: make(map[string][]span),
+				cuts:  make(map[string][]span),
+				tasks: make(map[submission.ID]int),
 			}
 			p.log = watchStarts(p.world)
 			for _, a := range acts {
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -124,26 +124,26 @@
 // From workers.
 type (
 	listingEvent struct {
-		hand    *hand
+		session *workerSession
 		sent    time.Duration
 		listing worker.Listing
 	}
-	fencedEvent struct{ hand *hand }
+	fencedEvent struct{ session *workerSession }
 	goneEvent   struct {
-		hand      *hand
+		session   *workerSession
 		successor string // ID of the incarnation that answers in its place; "": not known
 	}
-	lapsedEvent     struct{ hand *hand }
+	lapsedEvent     struct{ session *workerSession }
 	startReplyEvent struct {
-		hand  *hand
-		task  submission.TaskRef
-		run   uint64
-		reply worker.Reply
+		session *workerSession
+		task    submission.TaskRef
+		run     uint64
+		reply   worker.Reply
 	}
 	stopReplyEvent struct {
-		hand  *hand
-		task  submission.TaskRef
-		run   uint64
-		reply worker.Reply
+		session *workerSession
+		task    submission.TaskRef
+		run     uint64
+		reply   worker.Reply
 	}
 )
--- a/internal/kept/vm/foreign_test.go
+++ b/internal/kept/vm/foreign_test.go
@@ -43,22 +43,22 @@
 		w.store.Put("workers/w-a9", value)
 		time.Sleep(2 * time.Second)
 		holder := w.vms[w.holderOf("a")]
-		if n := handsOf(holder, "a/0"); n != 3 {
+		if n := sessionsOf(holder, "a/0"); n != 3 {
 			t.Errorf("%d workers are held, want 3", n)
 		}
 	})
 }
 
-// handsOf counts the workers that a VM holds of a shard.
-func handsOf(v *VM, shard string) int {
+// sessionsOf counts the workers that a VM holds of a shard.
+func sessionsOf(v *VM, shard string) int {
 	reply := make(chan int, 1)
-	v.post(handsEvent{shard: shard, reply: reply})
+	v.post(sessionsEvent{shard: shard, reply: reply})
 	return <-reply
 }
 
-type handsEvent struct {
+type sessionsEvent struct {
 	shard string
 	reply chan int
 }
 
-func (ev handsEvent) apply(e *engine) { ev.reply <- len(e.shards[ev.shard].hands) }
+func (ev sessionsEvent) apply(e *engine) { ev.reply <- len(e.shards[ev.shard].sessions) }
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -75,7 +75,7 @@
 	h := &held{
 		core:      shard.New(e.at, e.shardSettings(), holding.Token, barrierAt),
 		holding:   holding,
-		hands:     make(map[string]*hand),
+		sessions:  make(map[string]*workerSession),
 		asked:     make(map[submission.ID][]string),
 		confirmed: e.at,
 		takenAt:   e.at,
@@ -93,7 +93,7 @@
 	e.scan(holding.Shard, h)
 	e.vm.figures.takeovers.Inc(1)
 	klog.InfoS("kept: shard taken", "shard", holding.Shard, "token", holding.Token, "revision", holding.Revision,
-		"workers", len(h.hands), "barrier_in", barrierAt-e.at)
+		"workers", len(h.sessions), "barrier_in", barrierAt-e.at)
 }
 
 func (e *engine) shardSettings() shard.Settings {
@@ -170,7 +170,7 @@
 // store a second's worth of its link when a domain of a large site is cut off, as several VMs look
 // after each of its shards.
 func (v *VM) reachesShard(ctx context.Context, name string) bool {
-	workers, err := v.readHands(ctx, name)
+	workers, err := v.readNotedWorkers(ctx, name)
 	if err == nil && len(workers) == 0 {
 		workers, err = v.workersOf(ctx, site.DomainOf(name), true)
 	}
@@ -228,7 +228,7 @@
 			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
 			ev := scannedEvent{shard: name, token: token, records: recordsOf(name, items)}
 			if err == nil && !stale {
-				ev.known, err = e.vm.readHands(h.ctx, name)
+				ev.known, err = e.vm.readNotedWorkers(h.ctx, name)
 			}
 			if err == nil && !stale {
 				ev.evacuations, err = e.vm.readEvacuations(h.ctx)
@@ -270,7 +270,7 @@
 		ev.evacuations.apply(e) // before the first start here
 	}
 	h.core.Expect(e.at, ev.known)
-	e.alignHands(h)
+	e.alignSessions(h)
 	for _, r := range ev.records {
 		if !h.core.Remembers(r) {
 			e.vm.figures.adopted.Inc(1)
--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -156,7 +156,7 @@
 		case changed:
 			e.placeWorkers(h)
 		default:
-			e.noteHands(h)
+			e.noteWorkers(h)
 		}
 	}
 }
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -122,7 +122,7 @@
 		}
 		h.loadAt = e.at
 		h.load = load
-		e.vm.figures.shard(name).set(len(h.hands), &load)
+		e.vm.figures.shard(name).set(len(h.sessions), &load)
 		e.takeLoad(e.vm.config.Name, name, h.holding.Token, load)
 		far := e.at-h.farAt >= loadFar || len(e.links) <= site.SmallSite
 		if far {
--- a/internal/kept/vm/noted.go
+++ b/internal/kept/vm/noted.go
@@ -15,10 +15,10 @@
 // list alone would take tasks for startable that still run on a worker it has never
 // heard of.
 
-const handsPrefix = "pumiceyard/workers/"
+const notedPrefix = "pumiceyard/workers/"
 
-// noteHands stores the workers of a shard if they are others than before.
-func (e *engine) noteHands(h *held) {
+// noteWorkers stores the workers of a shard if they are others than before.
+func (e *engine) noteWorkers(h *held) {
 	if h.scannedAt == 0 || h.noting {
 		return
 	}
@@ -44,20 +44,20 @@
 		defer cancel()
 		_, err := e.vm.store.Commit(ctx, store.Txn{
 			Expect: []store.Condition{guard},
-			Put:    []store.Put{{Key: handsPrefix + name, Value: value}},
+			Put:    []store.Put{{Key: notedPrefix + name, Value: value}},
 		})
-		e.vm.post(handsNotedEvent{shard: name, token: token, value: string(value), err: err})
+		e.vm.post(workersNotedEvent{shard: name, token: token, value: string(value), err: err})
 	})
 }
 
-type handsNotedEvent struct {
+type workersNotedEvent struct {
 	shard string
 	token uint64
 	value string
 	err   error
 }
 
-func (ev handsNotedEvent) apply(e *engine) {
+func (ev workersNotedEvent) apply(e *engine) {
 	h := e.shards[ev.shard]
 	if h == nil || h.holding.Token != ev.token {
 		return
@@ -70,9 +70,9 @@
 	h.noted = ev.value
 }
 
-// readHands reads the workers that earlier holders of a shard used.
-func (v *VM) readHands(ctx context.Context, name string) ([]worker.Info, error) {
-	it, err := v.store.Get(ctx, handsPrefix+name)
+// readNotedWorkers reads the workers that earlier holders of a shard used.
+func (v *VM) readNotedWorkers(ctx context.Context, name string) ([]worker.Info, error) {
+	it, err := v.store.Get(ctx, notedPrefix+name)
 	if err != nil || it.Revision == 0 {
 		return nil, err
 	}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -82,7 +82,7 @@
 		delete(e.links, name)
 		delete(e.up, name)
 		delete(e.neededAt, name)
-		delete(e.unplaced, name)
+		e.waiting.forget(name)
 		e.site.Unlinked(name)
 		e.vm.calls.set(name, nil)
 	}
@@ -192,7 +192,7 @@
 		klog.InfoS("kept: peer lost", "peer", ev.name, "why", ev.why)
 	}
 	e.up[ev.name] = false
-	delete(e.unplaced, ev.name)
+	e.waiting.forget(ev.name)
 	e.site.Suspect(ev.name, true)
 	e.vm.calls.setReach(ev.name, false)
 	e.homeLost(ev.name)
@@ -236,14 +236,14 @@
 		e.takeLoad(ev.from, l.Shard, l.Token, loadOf(l))
 	}
 	if f.Unplaced != nil {
-		e.unplaced[ev.from] = f.Unplaced.ByQueue
+		e.waiting.takeUnplaced(ev.from, f.Unplaced.ByQueue)
 	}
 	for _, w := range f.Workers {
 		e.takeWorkers(ev.from, w)
 	}
 	e.takeEvacuations(ev.from, f.Evacuations)
 	for _, w := range f.Elsewhere {
-		e.takeElsewhere(w)
+		e.waiting.takeDomain(w.Domain, domainReport{counts: w.ByQueue, at: e.at - time.Duration(w.AgeNs)})
 	}
 	for _, c := range f.Calls {
 		e.relay(ev.from, c)
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -36,8 +36,8 @@
 	clockDrift    = 0.02                   // most by which a worker's clock is slow
 )
 
-// hand holds one worker for as long as its shard is held.
-type hand struct {
+// workerSession speaks to one worker for as long as its shard is held.
+type workerSession struct {
 	vm      *VM
 	shard   string
 	info    atomic.Pointer[worker.Info]
@@ -56,9 +56,9 @@
 	deadline time.Duration // highest that was sent, on the worker's clock
 }
 
-func startHand(ctx context.Context, v *VM, shard string, info worker.Info, token uint64, extend *atomic.Bool) *hand {
+func startSession(ctx context.Context, v *VM, shard string, info worker.Info, token uint64, extend *atomic.Bool) *workerSession {
 	ctx, cancel := context.WithCancel(ctx)
-	h := &hand{vm: v, shard: shard, token: token, extend: extend, cancel: cancel, seenNow: make(chan struct{}, 1)}
+	h := &workerSession{vm: v, shard: shard, token: token, extend: extend, cancel: cancel, seenNow: make(chan struct{}, 1)}
 	h.info.Store(&info)
 	v.duty(func() { h.run(ctx) })
 	return h
@@ -66,7 +66,7 @@
 
 // run renews the worker's lease and brings its ends, until ctx ends or another
 // incarnation answers.
-func (h *hand) run(ctx context.Context) {
+func (h *workerSession) run(ctx context.Context) {
 	lapsed := false
 	for ctx.Err() == nil {
 		sent := h.vm.now()
@@ -77,20 +77,20 @@
 		switch reply.Verdict {
 		case worker.Accepted:
 			lapsed = false
-			h.vm.post(listingEvent{hand: h, sent: sent, listing: listing})
+			h.vm.post(listingEvent{session: h, sent: sent, listing: listing})
 			h.awaitSeen(ctx, listing)
 			continue
 		case worker.Fenced:
-			h.vm.post(fencedEvent{hand: h})
+			h.vm.post(fencedEvent{session: h})
 			pause.For(ctx, 4*holdPause)
 			continue
 		case worker.Gone:
-			h.vm.post(goneEvent{hand: h, successor: reply.Successor})
+			h.vm.post(goneEvent{session: h, successor: reply.Successor})
 			return
 		}
 		if over, certain := h.leaseOver(h.vm.now()); certain && over && !lapsed {
 			lapsed = true
-			h.vm.post(lapsedEvent{hand: h})
+			h.vm.post(lapsedEvent{session: h})
 		}
 		pause.For(ctx, holdPause)
 	}
@@ -98,7 +98,7 @@
 
 // awaitSeen waits until the ends of a listing are acknowledged, within a bound: a
 // hold that does not acknowledge them would come back at once with the same ends.
-func (h *hand) awaitSeen(ctx context.Context, l worker.Listing) {
+func (h *workerSession) awaitSeen(ctx context.Context, l worker.Listing) {
 	if len(l.Ended) == 0 {
 		return
 	}
@@ -114,7 +114,7 @@
 }
 
 // acknowledge has the next hold say that ends up to a number are taken note of.
-func (h *hand) acknowledge(seen uint64) {
+func (h *workerSession) acknowledge(seen uint64) {
 	h.seen.Store(seen)
 	select {
 	case h.seenNow <- struct{}{}:
@@ -123,15 +123,15 @@
 }
 
 // look asks for a listing at once.
-func (h *hand) look(ctx context.Context) {
+func (h *workerSession) look(ctx context.Context) {
 	sent := h.vm.now()
 	listing, reply := h.hold(ctx, 0)
 	if reply.Verdict == worker.Accepted {
-		h.vm.post(listingEvent{hand: h, sent: sent, listing: listing})
+		h.vm.post(listingEvent{session: h, sent: sent, listing: listing})
 	}
 }
 
-func (h *hand) hold(ctx context.Context, wait time.Duration) (worker.Listing, worker.Reply) {
+func (h *workerSession) hold(ctx context.Context, wait time.Duration) (worker.Listing, worker.Reply) {
 	order := worker.Hold{Token: h.token, Seen: h.seen.Load(), Wait: wait}
 	sent := h.vm.now()
 	now, known := h.workerClock(sent)
@@ -156,7 +156,7 @@
 }
 
 // workerClock is the highest that the worker's clock can show.
-func (h *hand) workerClock(now time.Duration) (time.Duration, bool) {
+func (h *workerSession) workerClock(now time.Duration) (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.clock == 0 {
@@ -165,13 +165,13 @@
 	return h.clock + now - h.clockAt, true
 }
 
-func (h *hand) sentDeadline(d time.Duration) {
+func (h *workerSession) sentDeadline(d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.deadline = max(h.deadline, d)
 }
 
-func (h *hand) learn(sent time.Duration, r worker.Reply) {
+func (h *workerSession) learn(sent time.Duration, r worker.Reply) {
 	if r.Clock == 0 {
 		return
 	}
@@ -190,7 +190,7 @@
 
 // leaseOver reports whether the worker's lease has run out for certain, though its
 // clock may be slow. It is not certain at all if the worker never answered.
-func (h *hand) leaseOver(now time.Duration) (over, certain bool) {
+func (h *workerSession) leaseOver(now time.Duration) (over, certain bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.clock == 0 {
@@ -201,7 +201,7 @@
 }
 
 // startDeadline is until when the worker may carry out a start that leaves now.
-func (h *hand) startDeadline() time.Duration {
+func (h *workerSession) startDeadline() time.Duration {
 	now, known := h.workerClock(h.vm.now())
 	if !known {
 		return 0
@@ -212,7 +212,7 @@
 }
 
 // orderWithin is for how long an order waits for its answer.
-func (h *hand) orderWithin() time.Duration {
+func (h *workerSession) orderWithin() time.Duration {
 	own := min(orderTimes*time.Duration(h.trip.Load()), orderMost)
 	all := min(orderTimes*time.Duration(h.vm.trip.Load()), orderMostBusy)
 	return max(own, all, orderLeast)
@@ -221,13 +221,13 @@
 // noteTrip takes how long the answer to an order took; one that did not come counts as long as
 // it was waited for. Where answers take longer than the wait, as the VM's own processor is
 // busy, the wait would never grow otherwise, and each start would be made void and repeated.
-func (h *hand) noteTrip(took time.Duration) {
+func (h *workerSession) noteTrip(took time.Duration) {
 	follow(&h.trip, took, tripWeight)
 }
 
 // noteOrder takes how long an order took. Over all workers only answers count: a tenth of the
 // workers that have just died would draw the wait of all orders to its bound otherwise.
-func (h *hand) noteOrder(took time.Duration, r worker.Reply) {
+func (h *workerSession) noteOrder(took time.Duration, r worker.Reply) {
 	h.noteTrip(took)
 	if r.Verdict != worker.Silent {
 		follow(&h.vm.trip, took, tripWeightAll)
@@ -240,7 +240,7 @@
 	usual.Store(before + (int64(took)-before)/weight)
 }
 
-func (h *hand) start(ctx context.Context, s worker.Start) {
+func (h *workerSession) start(ctx context.Context, s worker.Start) {
 	s.Token = h.token
 	s.Deadline = h.startDeadline()
 	ctx, cancel := context.WithTimeout(ctx, h.orderWithin())
@@ -249,15 +249,15 @@
 	r := h.vm.config.Orders.Start(ctx, *h.info.Load(), s)
 	h.learn(sent, r)
 	h.noteOrder(h.vm.now()-sent, r)
-	h.vm.post(startReplyEvent{hand: h, task: s.Task, run: s.Run, reply: r})
+	h.vm.post(startReplyEvent{session: h, task: s.Task, run: s.Run, reply: r})
 }
 
-func (h *hand) stop(ctx context.Context, s worker.Stop) {
+func (h *workerSession) stop(ctx context.Context, s worker.Stop) {
 	s.Token = h.token
 	ctx, cancel := context.WithTimeout(ctx, h.orderWithin())
 	defer cancel()
 	sent := h.vm.now()
 	r := h.vm.config.Orders.Stop(ctx, *h.info.Load(), s)
 	h.learn(sent, r)
-	h.vm.post(stopReplyEvent{hand: h, task: s.Task, run: s.Run, reply: r})
+	h.vm.post(stopReplyEvent{session: h, task: s.Task, run: s.Run, reply: r})
 }
--- a/internal/kept/vm/session_test.go
+++ b/internal/kept/vm/session_test.go
@@ -14,7 +14,7 @@
 func TestLeaseOfAnEarlierHolderIsNotOverAtOnce(t *testing.T) {
 	now := time.Hour
 	v := &VM{config: Config{LeaseMost: time.Second}, now: func() time.Duration { return now }}
-	h := &hand{vm: v}
+	h := &workerSession{vm: v}
 	if _, certain := h.leaseOver(now); certain {
 		t.Error("the lease of a worker that never answered is certain")
 	}
@@ -33,7 +33,7 @@
 func TestLeaseIsOverOnTheSlowestClock(t *testing.T) {
 	now := time.Hour
 	v := &VM{config: Config{LeaseMost: time.Second}, now: func() time.Duration { return now }}
-	h := &hand{vm: v}
+	h := &workerSession{vm: v}
 	h.learn(now, worker.Reply{Clock: 5 * time.Minute})
 	h.sentDeadline(5*time.Minute + 10*time.Second)
 	now += 10100 * time.Millisecond
@@ -50,7 +50,7 @@
 // still more to do. Sequence: answers take longer than they are waited for. Cause: only
 // answers that came in time told how long to wait.
 func TestWaitForOrdersGrowsWithoutAnswers(t *testing.T) {
-	h := &hand{vm: &VM{}}
+	h := &workerSession{vm: &VM{}}
 	for range 10 {
 		h.noteTrip(time.Millisecond)
 	}
@@ -82,9 +82,9 @@
 func TestOrdersWaitLongerWhereAllAnswersTakeLong(t *testing.T) {
 	const queue = 60 * time.Millisecond // of the VM's own link
 	v := &VM{}
-	var hands []*hand
+	var hands []*workerSession
 	for range 20 {
-		hands = append(hands, &hand{vm: v})
+		hands = append(hands, &workerSession{vm: v})
 	}
 	unanswered := 0
 	for round := range 50 {
@@ -111,7 +111,7 @@
 // once; the others answer as before. Cause: orders without an answer count as slow answers of all.
 func TestDeadWorkersDoNotHoldUpOrdersToOthers(t *testing.T) {
 	v := &VM{}
-	dead, sound := &hand{vm: v}, &hand{vm: v}
+	dead, sound := &workerSession{vm: v}, &workerSession{vm: v}
 	for i := range 300 {
 		if i%10 == 0 {
 			dead.noteOrder(dead.orderWithin(), worker.Reply{Verdict: worker.Silent})
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -1,10 +1,3 @@
-// Package vm is an entry VM that serves kept submissions: it joins the callers'
-// requests, the store, the links to its peers and the workers of the shards that
-// it holds.
-//
-// One goroutine, the engine, owns all state and takes typed events from a bounded
-// ring. The others are a duty each: a watch, a journal, a link, a worker's holds,
-// an order under way. They end with the VM's context.
 package vm
 
 import (
--- a/internal/kept/vm/waiting.go
+++ b/internal/kept/vm/waiting.go
@@ -12,39 +12,80 @@
 // and by the homes of those whose holder is out of reach. Without the homes' share a domain
 // that is cut off takes what it was sent last out of the count: a queue would pass for
 // empty while submissions that were accepted a few seconds ago wait for the heal.
+//
+// A VM hears of the shards of its own failure domain and, on a large site, of a few others. Asked
+// what waits in a queue it would leave out the rest of the site. So the holders of a domain count
+// for it, and all holders pass the counts on, with their age, to the VMs they have links to: each
+// count reaches each VM over a few holders.
 
-func (ev waitingEvent) apply(e *engine) {
-	n := e.ownUnplaced()[ev.queue]
-	for _, byQueue := range e.unplaced {
-		n += byQueue[ev.queue]
+// queueCounts are numbers of submissions by queue.
+type queueCounts map[string]uint32
+
+// domainReport is what waits in a failure domain, as a holder there counted it.
+type domainReport struct {
+	counts queueCounts
+	at     time.Duration
+}
+
+// waitingReports are what other VMs say of what waits.
+type waitingReports struct {
+	domains  map[string]domainReport
+	unplaced map[string]queueCounts // by VM: taken there, not begun, holder out of reach
+}
+
+func newWaitingReports() waitingReports {
+	return waitingReports{domains: make(map[string]domainReport), unplaced: make(map[string]queueCounts)}
+}
+
+// takeDomain takes a report of a domain unless a newer one is known.
+func (w *waitingReports) takeDomain(domain string, r domainReport) {
+	if r.at > w.domains[domain].at {
+		w.domains[domain] = r
 	}
-	for _, domain := range e.vm.config.Domains {
-		n += e.waitingIn(domain)[ev.queue]
+}
+
+// fresh returns the reports that are not too old to be passed on.
+func (w *waitingReports) fresh(now time.Duration) map[string]domainReport {
+	out := make(map[string]domainReport)
+	for domain, r := range w.domains {
+		if now-r.at < waitingFresh {
+			out[domain] = r
+		}
 	}
-	ev.reply <- int(n)
+	return out
 }
 
-// A VM hears of the shards of its own failure domain and, on a large site, of a few others. Asked
-// what waits in a queue it would leave out the rest of the site. So the holders of a domain count
-// for it, and all holders pass the counts on, with their age, to the VMs they have links to: each
-// count reaches each VM over a few holders.
+func (w *waitingReports) takeUnplaced(peer string, counts queueCounts) { w.unplaced[peer] = counts }
 
-// waitingWord is what waits in a failure domain, as a holder there said.
-type waitingWord struct {
-	byQueue map[string]uint32
-	at      time.Duration
+func (w *waitingReports) forget(peer string) { delete(w.unplaced, peer) }
+
+// unplacedIn sums what the other VMs could not place of a queue.
+func (w *waitingReports) unplacedIn(queue string) uint32 {
+	var n uint32
+	for _, counts := range w.unplaced {
+		n += counts[queue]
+	}
+	return n
 }
 
-// Times of the holders' words. Callers may get a count that is two seconds old.
+// Times of the holders' reports. Callers may get a count that is two seconds old.
 const (
-	elsewhereEvery = 500 * time.Millisecond
-	elsewhereFresh = 2 * time.Second
+	waitingEvery = 500 * time.Millisecond
+	waitingFresh = 2 * time.Second
 )
 
+func (ev waitingEvent) apply(e *engine) {
+	n := e.ownUnplaced()[ev.queue] + e.waiting.unplacedIn(ev.queue)
+	for _, domain := range e.vm.config.Domains {
+		n += e.waitingIn(domain)[ev.queue]
+	}
+	ev.reply <- int(n)
+}
+
 // waitingIn counts what waits at the shards of a failure domain: what is known of them, or what
 // holders say if that is more, as it is of all shards.
-func (e *engine) waitingIn(domain string) map[string]uint32 {
-	out := make(map[string]uint32)
+func (e *engine) waitingIn(domain string) queueCounts {
+	out := make(queueCounts)
 	for name, l := range e.loads {
 		if site.DomainOf(name) != domain {
 			continue
@@ -53,46 +94,37 @@
 			out[queue] += uint32(n)
 		}
 	}
-	if w := e.elsewhere[domain]; domain != e.vm.config.Domain && e.at-w.at < elsewhereFresh {
-		for queue, n := range w.byQueue {
+	if r, told := e.waiting.fresh(e.at)[domain]; told && domain != e.vm.config.Domain {
+		for queue, n := range r.counts {
 			out[queue] = max(out[queue], n)
 		}
 	}
 	return out
 }
 
-func (e *engine) takeElsewhere(w *pb.KeptWaiting) {
-	at := e.at - time.Duration(w.AgeNs)
-	if at > e.elsewhere[w.Domain].at {
-		e.elsewhere[w.Domain] = waitingWord{byQueue: w.ByQueue, at: at}
-	}
-}
-
-// tellElsewhere tells the peers of a holder what waits in its domain, and what it has heard of the
-// others. A word that nothing waits replaces the one before.
-func (e *engine) tellElsewhere() {
-	if len(e.shards) == 0 || len(e.vm.config.Domains) < 2 || e.at-e.elsewhereAt < elsewhereEvery {
+// reportWaiting tells the peers of a holder what waits in its domain, and what it has heard of the
+// others. A report that nothing waits replaces the one before.
+func (e *engine) reportWaiting() {
+	if len(e.shards) == 0 || len(e.vm.config.Domains) < 2 || e.at-e.reportedAt < waitingEvery {
 		return
 	}
-	e.elsewhereAt = e.at
+	e.reportedAt = e.at
 	own := e.vm.config.Domain
-	e.elsewhere[own] = waitingWord{byQueue: e.waitingIn(own), at: e.at}
-	var words []*pb.KeptWaiting
-	for domain, w := range e.elsewhere {
-		if age := e.at - w.at; age < elsewhereFresh {
-			words = append(words, &pb.KeptWaiting{Domain: domain, AgeNs: uint64(age), ByQueue: w.byQueue})
-		}
+	e.waiting.takeDomain(own, domainReport{counts: e.waitingIn(own), at: e.at})
+	var reports []*pb.KeptWaiting
+	for domain, r := range e.waiting.fresh(e.at) {
+		reports = append(reports, &pb.KeptWaiting{Domain: domain, AgeNs: uint64(e.at - r.at), ByQueue: r.counts})
 	}
 	for peer := range e.links {
 		f := e.frame(peer)
-		f.Elsewhere = append(f.Elsewhere, words...)
+		f.Elsewhere = append(f.Elsewhere, reports...)
 	}
 }
 
 // ownUnplaced counts the stored submissions that this VM took, that have not begun as far
 // as it knows, and whose shard's holder cannot be reached.
-func (e *engine) ownUnplaced() map[string]uint32 {
-	out := make(map[string]uint32)
+func (e *engine) ownUnplaced() queueCounts {
+	out := make(queueCounts)
 	for _, h := range e.homes {
 		if h.record != nil && h.created && h.state == submission.Queued && !e.reachable(h.shard) {
 			out[h.record.Queue]++
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -200,47 +200,47 @@
 		}
 	}
 	h.core.Workers(e.at, own)
-	e.alignHands(h)
-	e.noteHands(h)
+	e.alignSessions(h)
+	e.noteWorkers(h)
 }
 
-// alignHands makes the hands those of the workers that the core knows.
-func (e *engine) alignHands(h *held) {
+// alignSessions makes the sessions those of the workers that the core knows.
+func (e *engine) alignSessions(h *held) {
 	known := make(map[string]bool)
 	for _, id := range h.core.WorkerIDs() {
 		known[id] = true
 		info, _ := h.core.WorkerInfo(id)
-		hd := h.hands[id]
-		if hd == nil {
-			h.hands[id] = startHand(h.ctx, e.vm, h.holding.Shard, info, h.holding.Token, &h.extend)
+		ws := h.sessions[id]
+		if ws == nil {
+			h.sessions[id] = startSession(h.ctx, e.vm, h.holding.Shard, info, h.holding.Token, &h.extend)
 			continue
 		}
-		hd.info.Store(&info)
+		ws.info.Store(&info)
 	}
-	for id, hd := range h.hands {
+	for id, ws := range h.sessions {
 		if !known[id] {
-			hd.cancel()
-			delete(h.hands, id)
+			ws.cancel()
+			delete(h.sessions, id)
 			klog.InfoS("kept: worker dropped", "worker", id, "shard", h.holding.Shard)
 		}
 	}
 }
 
-// holder returns the shard that a hand belongs to; nil if it is held no more.
-func (e *engine) holder(hd *hand) *held {
-	h := e.shards[hd.shard]
-	if h == nil || h.holding.Token != hd.token {
+// holder returns the shard that a session belongs to; nil if it is held no more.
+func (e *engine) holder(ws *workerSession) *held {
+	h := e.shards[ws.shard]
+	if h == nil || h.holding.Token != ws.token {
 		return nil
 	}
 	return h
 }
 
 func (ev listingEvent) apply(e *engine) {
-	h := e.holder(ev.hand)
+	h := e.holder(ev.session)
 	if h == nil {
 		return
 	}
-	id := ev.hand.info.Load().ID
+	id := ev.session.info.Load().ID
 	for _, end := range h.core.Listing(e.at, id, ev.sent, ev.listing) {
 		e.vm.figures.end(end.How.String())
 		if end.How != worker.Completed {
@@ -251,42 +251,42 @@
 }
 
 func (ev fencedEvent) apply(e *engine) {
-	if h := e.holder(ev.hand); h != nil {
-		klog.InfoS("kept: a worker has seen a higher token", "worker", ev.hand.info.Load().ID, "shard", ev.hand.shard, "token", ev.hand.token)
+	if h := e.holder(ev.session); h != nil {
+		klog.InfoS("kept: a worker has seen a higher token", "worker", ev.session.info.Load().ID, "shard", ev.session.shard, "token", ev.session.token)
 	}
 }
 
 func (ev goneEvent) apply(e *engine) {
-	h := e.holder(ev.hand)
+	h := e.holder(ev.session)
 	if h == nil {
 		return
 	}
-	info := *ev.hand.info.Load()
-	klog.InfoS("kept: worker gone", "worker", info.ID, "shard", ev.hand.shard, "successor", ev.successor, "why", "another incarnation answers")
+	info := *ev.session.info.Load()
+	klog.InfoS("kept: worker gone", "worker", info.ID, "shard", ev.session.shard, "successor", ev.successor, "why", "another incarnation answers")
 	h.core.WorkerGone(e.at, info.ID)
 	if ev.successor != "" && e.services[info.Service].GuardsRoom {
 		h.core.Succeed(e.at, info, ev.successor)
-		e.alignHands(h)
+		e.alignSessions(h)
 	}
 }
 
 func (ev lapsedEvent) apply(e *engine) {
-	h := e.holder(ev.hand)
+	h := e.holder(ev.session)
 	if h == nil {
 		return
 	}
-	id := ev.hand.info.Load().ID
+	id := ev.session.info.Load().ID
 	e.vm.figures.workersLost.Inc(1)
-	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.hand.shard, "why", "it does not answer, and its lease is over")
+	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.session.shard, "why", "it does not answer, and its lease is over")
 	h.core.WorkerLapsed(e.at, id)
 }
 
 func (ev startReplyEvent) apply(e *engine) {
-	h := e.holder(ev.hand)
+	h := e.holder(ev.session)
 	if h == nil {
 		return
 	}
-	id := ev.hand.info.Load().ID
+	id := ev.session.info.Load().ID
 	e.vm.figures.start(ev.reply.Verdict.String())
 	if ev.reply.Verdict != worker.Accepted {
 		klog.InfoS("kept: start not accepted", "id", ev.task.ID, "step", ev.task.Step, "index", ev.task.Index, "run", ev.run,
@@ -296,7 +296,7 @@
 }
 
 func (ev stopReplyEvent) apply(e *engine) {
-	if h := e.holder(ev.hand); h != nil {
-		h.core.StopReply(e.at, ev.hand.info.Load().ID, ev.task, ev.run, ev.reply)
+	if h := e.holder(ev.session); h != nil {
+		h.core.StopReply(e.at, ev.session.info.Load().ID, ev.task, ev.run, ev.reply)
 	}
 }
