--- a/internal/kept/policy/settings.go
+++ b/internal/kept/policy/settings.go
@@ -11,34 +11,27 @@
 )
 
 // Settings are the thresholds of all decisions. Operators can leave them alone; each can be
-// set, and each mechanism be switched off, to measure what it is worth on a site.
-//
-// Gains are shares of all submissions that are done in time, on two sites of 48 workers, five
-// days with faults and bursts each, against the same days with the mechanism off; below 0.002
-// they say nothing.
+// set, and each mechanism be switched off, to measure what it is worth on a site. What each was
+// measured to be worth is in docs/measurements/policy.md.
 type Settings struct {
 	// StartHoldMillis is for how long after its start a VM keeps submissions that it can
 	// give to no shard yet, in ms; 0: it refuses them. It answers the restart of all VMs
-	// at once: shards are recovered 80 to 250 ms after the first start. Gain: below 0.002; 50
-	// of 9,460 submissions of a day are not refused.
+	// at once: shards are recovered some hundred milliseconds after the first start.
 	StartHoldMillis int `json:"start_hold_millis"`
 	// ByPriority has a submission wait, in forecasts, only for what comes before it in its
 	// shard's order; off: for all that waits there. It answers overload by queues of a
-	// lower priority. Gain: 0.012 and 0.017.
+	// lower priority.
 	ByPriority bool `json:"by_priority"`
 	// Bands has what can still be done in time come before what cannot; off: the order is
 	// by priority and deadline only. It answers overload: time spent on what is late
-	// already makes the next one late too. Gain: 0.006 and 0.007; 0.2 of each kind of work in
-	// a load of 1.3 times the room.
+	// already makes the next one late too.
 	Bands bool `json:"bands"`
 	// KeepBegun has a submission of which a task was started stay among those that are in
 	// time; off: it falls behind them, half done, once it is late. It answers overload: half
-	// done submissions waited for their last tasks until their callers went. 16 and 21 callers
-	// of some 8,700 a day have an answer who had none, and about as many have theirs late.
+	// done submissions waited for their last tasks until their callers went.
 	KeepBegun bool `json:"keep_begun"`
 	// SmallFirst has what takes less work come before what takes twice as much, within a band
-	// and priority. It answers overload: more is done in time of the same room. Gain: below
-	// 0.002; 0.01 to 0.02 of each kind of work in loads of 1.15 to 1.4 times the room.
+	// and priority. It answers overload: more is done in time of the same room.
 	SmallFirst bool `json:"small_first"`
 	// WaitShare is the share of its caller's time that a submission may wait untried; the
 	// caller can still try elsewhere in what is left. 0: all of it.
@@ -51,7 +44,7 @@
 	Spread bool `json:"spread"`
 	// TakeBack has a home take a divided submission back of which no part has begun, when it
 	// is not worth waiting for any more. It answers overload: without it such a submission is
-	// never refused, and waits to the end of its caller's time. Gain: below 0.002.
+	// never refused, and waits to the end of its caller's time.
 	TakeBack bool `json:"take_back"`
 	// OffloadMillis is for how long a task waits at a shard, in ms, until it is given to another one
 	// that has free room; 0: it stays. It answers shards that are fuller than others, or have lost
@@ -60,15 +53,11 @@
 	// Eject leaves a worker alone that fails what completes elsewhere.
 	Eject bool `json:"eject"`
 	// MoveStill starts tasks elsewhere that stand still at their worker, and leaves the worker
-	// alone for a while. It answers workers that hang while they answer calls. Gain, with
-	// MoveSlow: 0.010 on a day on which a fifth of the workers hang for 8 s; 72 callers a day
-	// who had no answer have one.
+	// alone for a while. It answers workers that hang while they answer calls.
 	MoveStill bool `json:"move_still"`
 	// MoveSlow starts tasks elsewhere that would be done sooner there, by what their siblings
-	// take. It answers workers that turn several times slower. Off: it gains nothing on a
-	// day on which a third of the workers are six times slower, and where the VM's own
-	// processor is busy the ages of short runs are off by some ten milliseconds, so that 20
-	// of 12,200 runs of a calm day were moved off sound workers.
+	// take. It answers workers that turn several times slower. Off by default: where the VM's own
+	// processor is busy the ages of short runs are off, and runs would be moved off sound workers.
 	MoveSlow bool `json:"move_slow"`
 	// FastFirst gives tasks to the workers first on which runs take less time.
 	FastFirst bool `json:"fast_first"`
