--- a/api/pumiceyard/v1/pumiceyardv1connect/kept.connect.go
+++ b/api/pumiceyard/v1/pumiceyardv1connect/kept.connect.go
@@ -41,8 +41,8 @@
 // KeptServiceClient is a client for the pumiceyard.v1.KeptService service.
 type KeptServiceClient interface {
 	// Link is opened by each entry VM towards each other one and carries all that
-	// the opener has to say. The other side answers with beats only.
-	Link(context.Context) *connect.BidiStreamForClient[v1.KeptFrame, v1.KeptBeat]
+	// the opener has to say. The other side answers with heartbeats only.
+	Link(context.Context) *connect.BidiStreamForClient[v1.KeptFrame, v1.KeptHeartbeat]
 }
 
 // NewKeptServiceClient constructs a client for the pumiceyard.v1.KeptService service. By default,
@@ -56,7 +56,7 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	keptServiceMethods := v1.File_pumiceyard_v1_kept_proto.Services().ByName("KeptService").Methods()
 	return &keptServiceClient{
-		link: connect.NewClient[v1.KeptFrame, v1.KeptBeat](
+		link: connect.NewClient[v1.KeptFrame, v1.KeptHeartbeat](
 			httpClient,
 			baseURL+KeptServiceLinkProcedure,
 			connect.WithSchema(keptServiceMethods.ByName("Link")),
@@ -67,19 +67,19 @@
 
 // keptServiceClient implements KeptServiceClient.
 type keptServiceClient struct {
-	link *connect.Client[v1.KeptFrame, v1.KeptBeat]
+	link *connect.Client[v1.KeptFrame, v1.KeptHeartbeat]
 }
 
 // Link calls pumiceyard.v1.KeptService.Link.
-func (c *keptServiceClient) Link(ctx context.Context) *connect.BidiStreamForClient[v1.KeptFrame, v1.KeptBeat] {
+func (c *keptServiceClient) Link(ctx context.Context) *connect.BidiStreamForClient[v1.KeptFrame, v1.KeptHeartbeat] {
 	return c.link.CallBidiStream(ctx)
 }
 
 // KeptServiceHandler is an implementation of the pumiceyard.v1.KeptService service.
 type KeptServiceHandler interface {
 	// Link is opened by each entry VM towards each other one and carries all that
-	// the opener has to say. The other side answers with beats only.
-	Link(context.Context, *connect.BidiStream[v1.KeptFrame, v1.KeptBeat]) error
+	// the opener has to say. The other side answers with heartbeats only.
+	Link(context.Context, *connect.BidiStream[v1.KeptFrame, v1.KeptHeartbeat]) error
 }
 
 // NewKeptServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -108,6 +108,6 @@
 // UnimplementedKeptServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedKeptServiceHandler struct{}
 
-func (UnimplementedKeptServiceHandler) Link(context.Context, *connect.BidiStream[v1.KeptFrame, v1.KeptBeat]) error {
+func (UnimplementedKeptServiceHandler) Link(context.Context, *connect.BidiStream[v1.KeptFrame, v1.KeptHeartbeat]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pumiceyard.v1.KeptService.Link is not implemented"))
 }
--- a/internal/kept/link/join_test.go
+++ b/internal/kept/link/join_test.go
@@ -41,15 +41,15 @@
 }
 
 // Symptom: as above, if nothing else comes with it. Sequence: a frame brings one kind of message. Cause:
-// the frame passes for a beat.
-func TestFrameWithOneMessageIsNoBeat(t *testing.T) {
+// the frame passes for a heartbeat.
+func TestFrameWithOneMessageIsNoHeartbeat(t *testing.T) {
 	messages(t, func(f protoreflect.FieldDescriptor, set func(*pb.KeptFrame)) {
 		frame := &pb.KeptFrame{}
 		if set(frame); !Says(frame) {
-			t.Errorf("a frame with %s passes for a beat", f.Name())
+			t.Errorf("a frame with %s passes for a heartbeat", f.Name())
 		}
 	})
 	if Says(&pb.KeptFrame{EntryVm: "a", Incarnation: 1, ReachesStore: true, Wanted: true}) {
-		t.Error("a beat passes for more")
+		t.Error("a heartbeat passes for more")
 	}
 }
--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -24,10 +24,10 @@
 
 // Settings of links.
 type Settings struct {
-	Beat    time.Duration // between beats without other messages
-	Silence time.Duration // without a beat back, the peer is taken to be lost
-	Open    time.Duration // for a new stream to be answered
-	Redial  time.Duration // between tries, after the first
+	Heartbeat time.Duration // between heartbeats without other messages
+	Silence   time.Duration // without a heartbeat back, the peer is taken to be lost
+	Open      time.Duration // for a new stream to be answered
+	Redial    time.Duration // between tries, after the first
 	// Unmet is how long a peer that was never reached may be out of reach before it counts as lost.
 	// VMs that start together open hundreds of links at once, and a busy one answers late: its
 	// shards went from VM to VM before the site served anything.
@@ -41,12 +41,12 @@
 // DefaultSettings suit round trips of about a millisecond.
 func DefaultSettings() Settings {
 	return Settings{
-		Beat:    120 * time.Millisecond,
-		Silence: 480 * time.Millisecond, // four beats
-		Open:    250 * time.Millisecond,
-		Redial:  150 * time.Millisecond,
-		Unmet:   900 * time.Millisecond,
-		Ring:    1024,
+		Heartbeat: 120 * time.Millisecond,
+		Silence:   480 * time.Millisecond, // four heartbeats
+		Open:      250 * time.Millisecond,
+		Redial:    150 * time.Millisecond,
+		Unmet:     900 * time.Millisecond,
+		Ring:      1024,
 
 		Now:          clock.Now,
 		ReachesStore: func() bool { return false },
@@ -55,11 +55,11 @@
 
 // Distant settings are for peers whose shards this VM would not take over: a peer that falls
 // silent is noticed by those that would, and the new holders of its shards speak up themselves.
-// Beats of 120 ms to all of them would take more processor than the work. A holder ends the runs of a
+// Heartbeats of 120 ms to all of them would take more processor than the work. A holder ends the runs of a
 // home that it has lost, and the home's caller comes again 1.3 s after its connection broke: a longer
-// beat would leave no time to end them where both fall silent at once.
+// heartbeat would leave no time to end them where both fall silent at once.
 func Distant(s Settings) Settings {
-	s.Beat = 300 * time.Millisecond
+	s.Heartbeat = 300 * time.Millisecond
 	s.Silence = 1200 * time.Millisecond
 	s.Open = 500 * time.Millisecond
 	return s
@@ -77,7 +77,7 @@
 // Link is the stream to one peer.
 type Link struct {
 	settings Settings
-	self     *pb.KeptBeat
+	self     *pb.KeptHeartbeat
 	name     string
 	address  string
 	dial     wire.Dialer
@@ -89,7 +89,7 @@
 }
 
 // Open starts a link, which dials again until it is closed or ctx ends.
-func Open(ctx context.Context, s Settings, self *pb.KeptBeat, name, address string, dial wire.Dialer, events Events) *Link {
+func Open(ctx context.Context, s Settings, self *pb.KeptHeartbeat, name, address string, dial wire.Dialer, events Events) *Link {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Link{
 		settings: s,
@@ -148,7 +148,7 @@
 	}
 }
 
-type stream = connect.BidiStreamForClient[pb.KeptFrame, pb.KeptBeat]
+type stream = connect.BidiStreamForClient[pb.KeptFrame, pb.KeptHeartbeat]
 
 // connect is one stream from its first frame to its loss.
 func (l *Link) connect(ctx context.Context) (opened bool, why string) {
@@ -168,14 +168,14 @@
 	if err := conn.Send(first); err != nil {
 		return false, err.Error()
 	}
-	beat, err := conn.Receive()
+	heartbeat, err := conn.Receive()
 	if err != nil {
 		return false, err.Error()
 	}
 	if !guard.Stop() {
 		return false, "no answer"
 	}
-	l.events.PeerUp(l.name, beat.Incarnation)
+	l.events.PeerUp(l.name, heartbeat.Incarnation)
 	return true, l.serve(ctx, client, conn)
 }
 
@@ -192,10 +192,10 @@
 			last.Store(int64(l.settings.Now()))
 		}
 	}()
-	beats := time.NewTicker(l.settings.Beat)
-	defer beats.Stop()
+	heartbeats := time.NewTicker(l.settings.Heartbeat)
+	defer heartbeats.Stop()
 	defer client.Leave() // ends a Send or Receive that hangs on a silent connection
-	busy := false        // a frame has left since the last beat was due
+	busy := false        // a frame has left since the last heartbeat was due
 	for {
 		var frame *pb.KeptFrame
 		select {
@@ -203,7 +203,7 @@
 			return "closed"
 		case err := <-gone:
 			return err.Error()
-		case <-beats.C:
+		case <-heartbeats.C:
 			if l.settings.Now()-time.Duration(last.Load()) > l.settings.Silence {
 				return "silent"
 			}
@@ -261,7 +261,7 @@
 	return f
 }
 
-// Says reports whether a frame is more than a beat.
+// Says reports whether a frame is more than a heartbeat.
 func Says(f *pb.KeptFrame) bool {
 	parts := len(f.Assign) + len(f.States) + len(f.Queries) + len(f.Cancelled) + len(f.Loads) + len(f.Calls) +
 		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers) + len(f.Evacuations)
@@ -269,7 +269,7 @@
 }
 
 // StaleAfter is the gap between frames of a stream after which what comes on it counts
-// for nothing. It is that between the beats of distant peers, four times.
+// for nothing. It is that between the heartbeats of distant peers, four times.
 //
 // What was sent into a partition comes out of it at the heal, seconds later, on streams
 // that the sender has long left: a submission that was given up meanwhile, and that its
@@ -278,14 +278,14 @@
 
 // Server takes the streams of other entry VMs.
 type Server struct {
-	self   *pb.KeptBeat
+	self   *pb.KeptHeartbeat
 	events Events
 	http   *http.Server
 	now    func() time.Duration
 }
 
 // NewServer returns a server; Serve runs it.
-func NewServer(self *pb.KeptBeat, events Events, now func() time.Duration) *Server {
+func NewServer(self *pb.KeptHeartbeat, events Events, now func() time.Duration) *Server {
 	s := &Server{self: self, events: events, now: now}
 	mux := http.NewServeMux()
 	mux.Handle(pumiceyardv1connect.NewKeptServiceHandler(s, wire.HandlerOptions()...))
@@ -308,13 +308,13 @@
 
 var errNoName = errors.New("the first frame names no entry VM")
 
-// answerEvery is the least time between two answers on a stream. The shortest beat is longer, so
-// each beat is answered; frames that carry loads or submissions come more often, and an
+// answerEvery is the least time between two answers on a stream. The shortest heartbeat is longer, so
+// each heartbeat is answered; frames that carry loads or submissions come more often, and an
 // answer to each would cost the receiver as much as the frame.
 const answerEvery = 100 * time.Millisecond
 
-// Link implements the service: frames go to the events, and are answered by beats.
-func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptBeat]) error {
+// Link implements the service: frames go to the events, and are answered by heartbeats.
+func (s *Server) Link(_ context.Context, conn *connect.BidiStream[pb.KeptFrame, pb.KeptHeartbeat]) error {
 	from := ""
 	last := s.now()
 	answered := last - answerEvery
--- a/internal/kept/link/link_test.go
+++ b/internal/kept/link/link_test.go
@@ -68,7 +68,7 @@
 		now := func() time.Duration { return time.Since(began) }
 		m := mesh.New()
 		at := &recorder{}
-		s := NewServer(&pb.KeptBeat{EntryVm: "b", Incarnation: 7}, at, now)
+		s := NewServer(&pb.KeptHeartbeat{EntryVm: "b", Incarnation: 7}, at, now)
 		l := m.Listen("b:1", "b")
 		go func() { _ = s.Serve(l) }()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -88,7 +88,7 @@
 func TestFramesArriveAndSilenceIsNoticed(t *testing.T) {
 	between(t, func(ctx context.Context, m *mesh.Mesh, at *recorder, now func() time.Duration) {
 		mine := &recorder{}
-		l := Open(ctx, settings(now), &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		l := Open(ctx, settings(now), &pb.KeptHeartbeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
 		defer l.Close()
 		time.Sleep(100 * time.Millisecond)
 		l.Send(query("x"))
@@ -114,7 +114,7 @@
 func TestKilledPeerIsLostAtOnce(t *testing.T) {
 	between(t, func(ctx context.Context, m *mesh.Mesh, _ *recorder, now func() time.Duration) {
 		mine := &recorder{}
-		l := Open(ctx, settings(now), &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		l := Open(ctx, settings(now), &pb.KeptHeartbeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
 		defer l.Close()
 		time.Sleep(100 * time.Millisecond)
 		m.Kill("b:1")
@@ -158,7 +158,7 @@
 		mine := &recorder{}
 		s := settings(now)
 		m.Cut("b", true) // as if it did not get to answer
-		l := Open(ctx, s, &pb.KeptBeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
+		l := Open(ctx, s, &pb.KeptHeartbeat{EntryVm: "a", Incarnation: 1}, "b", "b:1", m.Dialer("a:1", "a"), mine)
 		defer l.Close()
 		time.Sleep(s.Unmet / 2)
 		if _, lost := mine.counts(); lost != 0 {
--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -93,11 +93,11 @@
 	w.run(50 * ms)
 	w.shard.SetEvacuated(w.now, true)
 	w.run(100 * ms)
-	if told, _ := w.shard.Told("a"); len(told.Returned) != 0 {
+	if told, _ := w.shard.Report("a"); len(told.Returned) != 0 {
 		t.Errorf("%d tasks were given back while its first step runs", len(told.Returned))
 	}
 	w.run(200 * ms)
-	told, _ := w.shard.Told("a")
+	told, _ := w.shard.Report("a")
 	if told.State != submission.Returned || len(told.Returned) != 2 {
 		t.Errorf("it is %s with %d tasks given back, want the 2 of its last step", told.State, len(told.Returned))
 	}
@@ -163,7 +163,7 @@
 		w.shard.Resume(w.now, &again)
 		for range 200 {
 			w.step()
-			told, _ := w.shard.Told("a")
+			told, _ := w.shard.Report("a")
 			if told.State == submission.Done && w.ledger.Done(submission.TaskRef{ID: "a"}) == 0 {
 				t.Fatalf("it is done and its own task is not (listed before it came: %v)", listedBefore)
 			}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -166,8 +166,8 @@
 	return p.state, known
 }
 
-// Told returns what its home is told of a submission; known is false if there is none here.
-func (s *Shard) Told(id submission.ID) (a StateAction, known bool) {
+// Report returns what its home is told of a submission; known is false if there is none here.
+func (s *Shard) Report(id submission.ID) (a StateAction, known bool) {
 	if j, open := s.jobs[id]; open {
 		return StateAction{ID: id, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial, Returned: j.returned}, true
 	}
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -85,7 +85,7 @@
 		p.serial = r.Serial
 		s.past[r.ID] = p
 	}
-	told, _ := s.Told(r.ID)
+	told, _ := s.Report(r.ID)
 	told.Home, told.State = r.Home, state
 	s.out.States = append(s.out.States, told)
 }
--- a/internal/kept/site/peers.go
+++ b/internal/kept/site/peers.go
@@ -8,7 +8,7 @@
 )
 
 // SmallSite is the number of other VMs up to which all keep links to all, and changes are followed
-// and told at once. Links of all to all grow with the square of the VMs: at 147 VMs their beats alone
+// and told at once. Links of all to all grow with the square of the VMs: at 147 VMs their heartbeats alone
 // took all the processor that most of the VMs have (0.19 core).
 const SmallSite = 12
 
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -227,7 +227,7 @@
 		e.tellNote(n) // before the state: what is told as returned has not completed
 	}
 	for _, s := range a.States {
-		w := h.word(s)
+		w := h.report(s)
 		e.tellState(s.ID, s.Home, w)
 		e.tellAskers(h, s, w)
 	}
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -171,12 +171,12 @@
 		left.Elsewhere = append(left.Elsewhere, r.Task)
 	}
 	p.record = &left
-	t.homeless = append(t.homeless, homelessTasks{record: p.record, tasks: back})
+	t.unassigned = append(t.unassigned, unassignedTasks{record: p.record, tasks: back})
 	e.giveElsewhere(t)
 }
 
-// homelessTasks are tasks of a transient submission that no shard has.
-type homelessTasks struct {
+// unassignedTasks are tasks of a transient submission that no shard has.
+type unassignedTasks struct {
 	record *submission.Record // of the part that they were of
 	tasks  []shard.ReturnedTask
 }
@@ -186,19 +186,19 @@
 // Where no shard may start anything, the callers are told at once: that it has not run only if
 // that is certain.
 func (e *engine) giveElsewhere(t *transient) {
-	for len(t.homeless) > 0 {
+	for len(t.unassigned) > 0 {
 		all := e.reachableShards(t.record)
 		if len(all) == 0 {
-			e.endHomeless(t)
+			e.endUnassigned(t)
 			return
 		}
 		shards := slices.DeleteFunc(all, func(c policy.Candidate) bool { return t.hasUnfinished(c.Shard) })
 		if len(shards) == 0 {
 			return // until another part has ended
 		}
-		lost := t.homeless[0]
-		t.homeless = t.homeless[1:]
-		e.placeHomeless(t, lost, shards)
+		lost := t.unassigned[0]
+		t.unassigned = t.unassigned[1:]
+		e.assignElsewhere(t, lost, shards)
 	}
 }
 
@@ -207,8 +207,8 @@
 	return p != nil && !p.state.Final()
 }
 
-// endHomeless ends a submission of which nobody may start what is left.
-func (e *engine) endHomeless(t *transient) {
+// endUnassigned ends a submission of which nobody may start what is left.
+func (e *engine) endUnassigned(t *transient) {
 	switch {
 	case t.anyBegun():
 		e.giveUp(t, "its failure domains are evacuated")
@@ -227,7 +227,7 @@
 	return n
 }
 
-func (e *engine) placeHomeless(t *transient, lost homelessTasks, shards []policy.Candidate) {
+func (e *engine) assignElsewhere(t *transient, lost unassignedTasks, shards []policy.Candidate) {
 	tasks := lost.tasks
 	for _, portion := range e.vm.config.Policy.Split(shards, len(tasks), divisible(lost.record), longestEstimate(lost.record)) {
 		rec := partOf(lost.record, tasks[:portion.Tasks])
--- a/internal/kept/vm/evacuate_test.go
+++ b/internal/kept/vm/evacuate_test.go
@@ -465,7 +465,7 @@
 			p := &part{record: rec, shard: "b/0", token: e.loads["b/0"].token, holder: e.loads["b/0"].holder}
 			sub := &transient{record: rec, parts: []*part{p}, state: submission.Queued}
 			e.transients["job"] = sub
-			e.learnPart(sub, p, stateWord{shard: "b/0", token: p.token, state: submission.Done, serial: 5})
+			e.learnPart(sub, p, stateReport{shard: "b/0", token: p.token, state: submission.Done, serial: 5})
 			reply <- sub.state
 			delete(e.transients, "job")
 		}))
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -101,7 +101,7 @@
 	}
 	settings.Now = e.vm.now
 	settings.ReachesStore = e.vm.router.ReachesStore
-	l := link.Open(e.ctx, settings, e.vm.beat(), p.Name, p.Address, e.vm.config.PeerDial, e)
+	l := link.Open(e.ctx, settings, e.vm.heartbeat(), p.Name, p.Address, e.vm.config.PeerDial, e)
 	l.Want(own)
 	e.links[p.Name] = l
 	e.neededAt[p.Name] = e.at
@@ -218,14 +218,14 @@
 		e.learnNote(ref, int(n.Fails))
 	}
 	for _, s := range f.States {
-		e.learnState(submission.ID(s.Id), stateWord{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial, returned: returnedOf(s.Returned)})
+		e.learnState(submission.ID(s.Id), stateReport{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial, returned: returnedOf(s.Returned)})
 	}
 	for _, ref := range f.Queries {
 		e.takeQuery(ev.from, ref)
 	}
 	for _, ref := range f.Cancelled {
 		if ref.Shard == "" {
-			e.learnState(submission.ID(ref.Id), stateWord{state: submission.Cancelled})
+			e.learnState(submission.ID(ref.Id), stateReport{state: submission.Cancelled})
 		}
 		e.stopCancelled(ref)
 	}
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -52,7 +52,7 @@
 func (e *engine) tellOwn(id submission.ID, own *held) {
 	state, known := own.core.Knows(id)
 	if known {
-		e.learnState(id, stateWord{shard: own.holding.Shard, token: own.holding.Token, state: state})
+		e.learnState(id, stateReport{shard: own.holding.Shard, token: own.holding.Token, state: state})
 		return
 	}
 	if own.scannedAt > 0 {
@@ -63,28 +63,28 @@
 // takeQuery answers a peer that asks how far a submission is.
 func (e *engine) takeQuery(from string, ref *pb.KeptRef) {
 	id := submission.ID(ref.Id)
-	word := stateWord{shard: ref.Shard}
+	report := stateReport{shard: ref.Shard}
 	if h := e.shards[ref.Shard]; h != nil {
-		if told, known := h.core.Told(id); known {
-			e.tellPeer(from, id, h.word(told))
-			if !told.State.Final() {
+		if said, known := h.core.Report(id); known {
+			e.tellPeer(from, id, h.report(said))
+			if !said.State.Final() {
 				h.asks(id, from)
 			}
 			return
 		}
-		word.token = h.holding.Token
+		report.token = h.holding.Token
 	}
 	if h := e.homes[id]; h != nil && h.state.Final() {
-		word.state = h.state
-		e.tellPeer(from, id, word)
+		report.state = h.state
+		e.tellPeer(from, id, report)
 		return
 	}
 	// The peer finds the answer in the store: this VM does not drive it (any more).
-	e.tellPeer(from, id, word)
+	e.tellPeer(from, id, report)
 }
 
-// stateWord is what a VM says of a submission, or of the part of it that a shard has.
-type stateWord struct {
+// stateReport is what a VM says of a submission, or of the part of it that a shard has.
+type stateReport struct {
 	shard  string
 	token  uint64 // under which the speaker holds the shard; 0: it does not
 	state  submission.State
@@ -93,12 +93,12 @@
 	returned []shard.ReturnedTask
 }
 
-// word is what the holder of a shard says of a submission.
-func (h *held) word(a shard.StateAction) stateWord {
-	return stateWord{shard: h.holding.Shard, token: h.holding.Token, state: a.State, serial: a.Serial, returned: a.Returned}
+// report is what the holder of a shard says of a submission.
+func (h *held) report(a shard.StateAction) stateReport {
+	return stateReport{shard: h.holding.Shard, token: h.holding.Token, state: a.State, serial: a.Serial, returned: a.Returned}
 }
 
-func (e *engine) tellPeer(peer string, id submission.ID, w stateWord) {
+func (e *engine) tellPeer(peer string, id submission.ID, w stateReport) {
 	f := e.frame(peer)
 	f.States = append(f.States, &pb.KeptState{
 		Id:       string(id),
@@ -111,7 +111,7 @@
 }
 
 // tellState tells a submission's home how far it is.
-func (e *engine) tellState(id submission.ID, homeVM string, w stateWord) {
+func (e *engine) tellState(id submission.ID, homeVM string, w stateReport) {
 	if homeVM == e.vm.config.Name {
 		e.learnState(id, w)
 		return
@@ -121,7 +121,7 @@
 
 // learnState takes a word about a submission. Unknown says that the peer that was
 // asked does not drive it.
-func (e *engine) learnState(id submission.ID, w stateWord) {
+func (e *engine) learnState(id submission.ID, w stateReport) {
 	if t := e.transients[id]; t != nil {
 		if p := t.part(w.shard); p != nil {
 			e.learnPart(t, p, w)
@@ -229,7 +229,7 @@
 			delete(e.homes, ev.id)
 		}
 	case ev.found.state.Final():
-		e.learnState(ev.id, stateWord{shard: h.shard, state: ev.found.state})
+		e.learnState(ev.id, stateReport{shard: h.shard, state: ev.found.state})
 		answerAll(askers, StateAnswer{State: h.state})
 	case ev.found.record != nil:
 		if h.record == nil {
@@ -280,7 +280,7 @@
 }
 
 // tellAskers tells the VMs that asked for a submission of its end.
-func (e *engine) tellAskers(h *held, s shard.StateAction, w stateWord) {
+func (e *engine) tellAskers(h *held, s shard.StateAction, w stateReport) {
 	if !s.State.Final() {
 		return
 	}
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -43,7 +43,7 @@
 	// takenBackAt is when its parts were taken back, while that is not decided; 0: it is.
 	takenBackAt time.Duration
 	begun       bool // though no part here says so
-	homeless    []homelessTasks
+	unassigned  []unassignedTasks
 }
 
 // part is what one shard has of it.
@@ -165,7 +165,7 @@
 	h := e.shards[r.Shard]
 	switch {
 	case h == nil:
-		e.tellPeer(from, r.ID, stateWord{shard: r.Shard, token: r.Token})
+		e.tellPeer(from, r.ID, stateReport{shard: r.Shard, token: r.Token})
 	case resumed:
 		e.vm.figures.resumed.Inc(1)
 		klog.InfoS("kept: resumed", "id", r.ID, "home", from, "shard", r.Shard, "token", h.holding.Token)
@@ -230,8 +230,8 @@
 func (e *engine) askPart(t *transient, p *part) {
 	p.asked = e.at
 	if own := e.shards[p.shard]; own != nil {
-		told, _ := own.core.Told(t.record.ID)
-		e.learnPart(t, p, own.word(told))
+		said, _ := own.core.Report(t.record.ID)
+		e.learnPart(t, p, own.report(said))
 		return
 	}
 	f := e.frame(p.holder)
@@ -308,7 +308,7 @@
 // before another part that it is given later, it answers of the one before: the caller would be
 // told that it has not run while it does, or that it is done while a part of it is not. Such an
 // answer says that the holder does not have the part.
-func (e *engine) learnPart(t *transient, p *part, w stateWord) {
+func (e *engine) learnPart(t *transient, p *part, w stateReport) {
 	if t.state.Final() || p.state.Final() {
 		return
 	}
@@ -341,7 +341,7 @@
 		e.giveUp(t, "a holder has ended it")
 	case submission.Rejected:
 		p.state = state
-		if t.all(submission.Rejected) && len(t.homeless) == 0 {
+		if t.all(submission.Rejected) && len(t.unassigned) == 0 {
 			e.refuseTransient(t, policy.Hopeless)
 		}
 	case submission.Failed:
@@ -368,7 +368,7 @@
 // endIfDone ends a submission of which each task has completed, and gives out what waited for the
 // end of a part.
 func (e *engine) endIfDone(t *transient) {
-	if len(t.homeless) > 0 {
+	if len(t.unassigned) > 0 {
 		e.giveElsewhere(t)
 		return
 	}
--- a/internal/kept/vm/transient_test.go
+++ b/internal/kept/vm/transient_test.go
@@ -44,7 +44,7 @@
 	tr := &transient{record: p.record, parts: []*part{p}, waiters: []chan Outcome{make(chan Outcome, 1)}}
 	e := &engine{at: time.Hour, transients: map[submission.ID]*transient{"job": tr}, loads: map[string]*loadView{"a/0": {token: 4}}}
 	for _, state := range []submission.State{submission.Rejected, submission.Cancelled, submission.Unknown, submission.Running} {
-		e.learnState("job", stateWord{shard: "a/0", token: 3, state: state})
+		e.learnState("job", stateReport{shard: "a/0", token: 3, state: state})
 	}
 	if len(tr.waiters[0]) > 0 || p.state != submission.Queued || e.transients["job"] == nil {
 		t.Errorf("the home believed it: %s", p.state)
@@ -58,7 +58,7 @@
 	p := &part{record: &submission.Record{ID: "job", Token: 3, Serial: 8}, shard: "a/0", token: 3, holder: "a1", state: submission.Queued}
 	tr := &transient{record: p.record, parts: []*part{p}, waiters: []chan Outcome{make(chan Outcome, 1)}}
 	e := &engine{at: time.Hour, transients: map[submission.ID]*transient{"job": tr}, loads: map[string]*loadView{"a/0": {token: 3}}}
-	e.learnState("job", stateWord{shard: "a/0", token: 3, state: submission.Rejected, serial: 7})
+	e.learnState("job", stateReport{shard: "a/0", token: 3, state: submission.Rejected, serial: 7})
 	if len(tr.waiters) == 0 || len(tr.waiters[0]) > 0 || p.state != submission.Queued {
 		t.Errorf("the home believed it: %s", p.state)
 	}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	e := newEngine(ctx, v)
-	v.server = link.NewServer(v.beat(), e, c.Now)
+	v.server = link.NewServer(v.heartbeat(), e, c.Now)
 	v.duty(func() {
 		if err := v.server.Serve(c.PeerListen); err != nil {
 			klog.ErrorS(err, "kept: peers' listener ended")
@@ -139,8 +139,8 @@
 
 func (v *VM) duty(f func()) { v.duties.Go(f) }
 
-func (v *VM) beat() *pb.KeptBeat {
-	return &pb.KeptBeat{EntryVm: v.config.Name, Incarnation: v.config.Incarnation}
+func (v *VM) heartbeat() *pb.KeptHeartbeat {
+	return &pb.KeptHeartbeat{EntryVm: v.config.Name, Incarnation: v.config.Incarnation}
 }
 
 // Ready reports whether new callers should come here.
