--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -202,9 +202,11 @@
 	}
 }
 
+// hasUnfinished reports whether a shard has a part of which tasks are to be done, there or, as it was
+// rejected, elsewhere: that part must not be replaced.
 func (t *transient) hasUnfinished(shard string) bool {
 	p := t.part(shard)
-	return p != nil && !p.state.Final()
+	return p != nil && p.state != submission.Done
 }
 
 // endUnassigned ends a submission of which nobody may start what is left.
--- a/internal/kept/vm/takeback.go
+++ b/internal/kept/vm/takeback.go
@@ -32,6 +32,8 @@
 		return
 	}
 	switch {
+	case t.takenBackAt == 0 && t.anyReturned():
+		t.takenBackAt = e.at // a holder has rejected its part by itself
 	case t.takenBackAt == 0 && !t.anyBegun():
 		if reason := e.vm.config.Policy.KeepWaiting(e.at, e.work(t.record, t.came)); reason.Refused() {
 			e.takeBack(t, reason)
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -342,7 +342,7 @@
 	case submission.Rejected:
 		p.state = state
 		if t.all(submission.Rejected) && len(t.unassigned) == 0 {
-			e.refuseTransient(t, policy.Hopeless)
+			e.endRejected(t)
 		}
 	case submission.Failed:
 		p.state = state
@@ -356,6 +356,16 @@
 	}
 }
 
+// endRejected ends a submission of which all that is left was rejected. A task that was given back
+// may have run, and failed.
+func (e *engine) endRejected(t *transient) {
+	if t.begun {
+		e.giveUp(t, "what is left of it cannot be done in time")
+		return
+	}
+	e.refuseTransient(t, policy.Hopeless)
+}
+
 // refuseTransient tells the callers of a submission, of which nothing has begun, when to come
 // again.
 func (e *engine) refuseTransient(t *transient, why policy.Reason) {
