Ends of an earlier hand-in count for nothing in the next one

Cause: after all VMs were off callers send again what had no answer, to run from the start.

Change: of a transient submission that was given anew, only runs count that this holder has started.

Test: TestEndOfAnEarlierHandInCountsForNothing fails without it.

--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -171,3 +171,30 @@
 		w.want("a", submission.Done)
 	}
 }
+
+// Symptom: a caller gets an answer before the tasks of its submission have completed. Sequence: all
+// VMs were off, and the caller sends its submission again; a worker that has not answered the new
+// holder yet then lists the end of a task of the first hand-in. Cause: the end counted for the second
+// hand-in, which begins from the start.
+func TestEndOfAnEarlierHandInCountsForNothing(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	rec := w.submission("a", 1, runhost.Work{Time: 150 * ms})
+	first := worker.Start{Task: submission.TaskRef{ID: "a"}, Run: 1, Token: w.shard.Token(), Deadline: w.now + 700*ms}
+	if r := w.hosts["w1"].Start(w.now, first); r.Verdict != worker.Accepted {
+		t.Fatalf("the first hand-in's task is %s", r.Verdict)
+	}
+	w.hold(2, true)
+	w.works["a"] = runhost.Work{Time: 400 * ms, CPUMilli: 6800}
+	w.assign(rec)
+	for range 50 {
+		w.step()
+	}
+	if told, _ := w.shard.Report("a"); told.State == submission.Done {
+		t.Error("it is done by the end of an earlier hand-in's run")
+	}
+	for range 100 {
+		w.step()
+	}
+	w.want("a", submission.Done)
+}
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -38,6 +38,7 @@
 	stopClock  time.Duration       // the worker's when it acknowledged the stop
 	stopAt     time.Duration       // when that acknowledgement came
 	failed     map[uint64]struct{} // runs that ended as failed
+	starts     map[uint64]*host    // where each of its runs was started under this holder
 	fails      int                 // of them, with those stored earlier
 	checkpoint string
 	avoid      *host // where it last failed
@@ -168,6 +169,14 @@
 	j.steps[t.ref.Step].left--
 }
 
+// startedElse reports whether a run was not started by this holder, for a transient submission that it
+// was given anew. Such a run is of an earlier hand-in, from before its home was lost, and its caller
+// has asked for the whole again: if its end counted, the answer would come before all tasks of this
+// hand-in have completed.
+func (j *job) startedElse(t *task, h *host, run uint64) bool {
+	return j.rec.Transient && !j.resumed && t.starts[run] != h
+}
+
 // startable reports whether a task waits and the steps before its own are done.
 func (j *job) startable(t *task) bool { return t.state == waiting && !j.moving && j.due(t) }
 
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -55,7 +55,14 @@
 	if j.unsaved == 0 {
 		j.unsaved = now
 	}
-	if t := j.task(e.Task.Task); t != nil && t.state != absent {
+	t := j.task(e.Task.Task)
+	switch {
+	case t == nil, t.state == absent:
+	case j.startedElse(t, h, e.Run):
+		if !t.occupies() {
+			t.run = max(t.run, e.Run)
+		}
+	default:
 		s.endedTask(now, h, t, e)
 	}
 }
