--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -383,85 +382,3 @@
 		First:      first,
 	})
 }
-
-// Load is what the shard could take.
-func (s *Shard) Load(now time.Duration) Load {
-	l := Load{Ready: s.scanned && s.anyListed(), Waiting: make(map[string]int)}
-	for _, h := range s.workers {
-		if s.usable(now, h) || h.listed && now < h.fullTill && !s.evacuated {
-			l.RoomMilli += int64(float64(h.info.CPUMilli) * h.record.Share())
-		}
-	}
-	for _, r := range s.rooms(now) {
-		if r.host.record.Admits(now, s.runsOn(r)) {
-			l.FreeMilli = append(l.FreeMilli, r.cpu)
-		}
-	}
-	for _, j := range s.jobs {
-		if j.firstRun == 0 && !j.state.Final() {
-			l.Waiting[j.rec.Queue]++
-		}
-	}
-	l.Queued = s.queued(now, l.RoomMilli)
-	l.Services = s.services()
-	return l
-}
-
-// services returns the services of the workers.
-func (s *Shard) services() []string {
-	var out []string
-	for _, h := range s.workers {
-		if !slices.Contains(out, h.info.Service) {
-			out = append(out, h.info.Service)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// queued sums what waits for room by band and priority.
-func (s *Shard) queued(now time.Duration, room int64) []Queued {
-	type key struct {
-		band     policy.Band
-		priority int
-	}
-	sums := make(map[key]*Queued)
-	for _, j := range s.jobs {
-		if j.state.Final() || !j.anyStartable() {
-			continue
-		}
-		k := key{s.work(j).Band(now), j.rec.Terms.Priority}
-		q := sums[k]
-		if q == nil {
-			q = &Queued{Band: k.band, Priority: k.priority}
-			sums[k] = q
-		}
-		factor := s.factor(j.rec.Queue)
-		for _, t := range j.tasks {
-			if j.startable(t) {
-				q.Milli += t.step.CPUMilli
-				q.Takes += time.Duration(factor * float64(t.step.Estimate) * float64(t.step.CPUMilli) / float64(max(room, 1)))
-			}
-		}
-	}
-	out := make([]Queued, 0, len(sums))
-	for _, q := range sums {
-		out = append(out, *q)
-	}
-	slices.SortFunc(out, func(a, b Queued) int {
-		return cmp.Or(cmp.Compare(a.Band, b.Band), cmp.Compare(a.Priority, b.Priority))
-	})
-	return out
-}
-
-// Fit is how many tasks of a size could start beside what is served before them.
-func (l *Load) Fit(milli, ahead int64) int {
-	if milli <= 0 {
-		return 0
-	}
-	n := 0
-	for _, free := range l.FreeMilli {
-		n += int(free / milli)
-	}
-	return max(n-int((ahead+milli-1)/milli), 0)
-}
--- a/internal/kept/vm/evacuate_test.go
+++ b/internal/kept/vm/evacuate_test.go
@@ -8,9 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/pumiceyard/pumiceyard/internal/kept/evacuation"
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
-	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
@@ -453,64 +451,3 @@
 		}
 	})
 }
-
-// Symptom: a partial answer. Sequence: a shard has completed a part of a submission and is given
-// another one, from an evacuated domain; the message is lost, and asked how far it is, the shard's
-// holder tells of the first part. Cause would be: its word is taken for the second one.
-func TestEndOfAnEarlierPartIsNotThatOfALaterOne(t *testing.T) {
-	testWorld(t, func(w *world) {
-		v := w.vms["a1"]
-		reply := make(chan submission.State, 1)
-		v.post(engineCall(func(e *engine) {
-			rec := equalTasks("job", 2, runhost.Work{Time: 50 * ms})
-			rec.Serial = 9
-			p := &part{record: rec, shard: "b/0", token: e.loads["b/0"].token, holder: e.loads["b/0"].holder}
-			sub := &transient{record: rec, parts: []*part{p}, state: submission.Queued}
-			e.transients["job"] = sub
-			e.learnPart(sub, p, stateReport{shard: "b/0", token: p.token, state: submission.Done, serial: 5})
-			reply <- sub.state
-			delete(e.transients, "job")
-		}))
-		if state := <-reply; state.Final() {
-			t.Errorf("the submission is %s by the word about an earlier part", state)
-		}
-	})
-}
-
-// engineCall looks into an engine, on its goroutine.
-type engineCall func(*engine)
-
-func (f engineCall) apply(e *engine) { f(e) }
-
-// Symptom: an answer before all tasks have completed. Sequence: after a restart of all VMs a shard
-// rejects its part of a submission, as it cannot be done in time; tasks that another shard gave back
-// are given to the first one. Cause: the rejected part was taken for completed and replaced, and
-// its tasks were forgotten.
-func TestRejectedPartIsNotReplaced(t *testing.T) {
-	testWorld(t, func(w *world) {
-		v := w.vms["a1"]
-		reply := make(chan int, 1)
-		v.post(engineCall(func(e *engine) {
-			whole := equalTasks("job", 2, runhost.Work{Time: 50 * ms})
-			rejected, gone := *whole, *whole
-			rejected.Elsewhere = []submission.Task{{Index: 1}}
-			gone.Elsewhere = []submission.Task{{Index: 0}, {Index: 1}}
-			p := &part{record: &rejected, shard: "b/0", state: submission.Rejected}
-			back := unassignedTasks{record: &gone, tasks: []shard.ReturnedTask{{Task: submission.Task{Index: 1}}}}
-			sub := &transient{record: whole, parts: []*part{p}, unassigned: []unassignedTasks{back}}
-			e.transients["job"] = sub
-			e.evacuations.Take(evacuation.Notice{Domain: "a", Revision: 1 << 40, Evacuated: true})
-			e.giveElsewhere(sub)
-			left := sub.ownTasks()
-			for _, u := range sub.unassigned {
-				left += len(u.tasks)
-			}
-			delete(e.transients, "job")
-			e.evacuations.Take(evacuation.Notice{Domain: "a", Revision: 1<<40 + 1})
-			reply <- left
-		}))
-		if left := <-reply; left != 2 {
-			t.Errorf("%d of 2 tasks are left to be done", left)
-		}
-	})
-}
