A task that another shard has is not found; waiting work is ranked once a look

Cause: a last read of the change. What is said of a task that is elsewhere was kept out in four places, each a special case; task() itself now does not find it. Offload ranked all waiting submissions twice each 10 ms, each start made a map, and notices were taken twice from a list.

Change: the above; TakeAll serves the store's and the peers' notices; Shard.Evacuated, Set.complete, which nobody read, are gone. Behaviour is the same, no test was touched.

--- a/internal/kept/evacuation/evacuation.go
+++ b/internal/kept/evacuation/evacuation.go
@@ -24,9 +24,8 @@
 
 // Set is what a VM knows of the evacuations of its site. Its zero value knows of none.
 type Set struct {
-	notices  map[string]Notice
-	askedAt  time.Duration // when the newest answered question left
-	complete bool          // the whole list was read once
+	notices map[string]Notice
+	askedAt time.Duration // when the newest answered question left
 }
 
 // Take takes a notice and reports whether it changes what may start in its domain.
@@ -42,25 +41,32 @@
 	return known.Evacuated != n.Evacuated
 }
 
+// TakeAll takes notices and returns the domains in which they change what may start.
+func (s *Set) TakeAll(notices []Notice) (changed []string) {
+	for _, n := range notices {
+		if s.Take(n) {
+			changed = append(changed, n.Domain)
+		}
+	}
+	return changed
+}
+
 // TakeList takes the list of all evacuations as it was at a revision: a domain that it does not
 // name was not evacuated then. It returns the domains in which it changes what may start.
 //
 // Without it a VM that has missed a withdrawal, as the store's history is lost, would leave the
 // domain alone for ever.
 func (s *Set) TakeList(revision uint64, list []Notice) (changed []string) {
+	changed = s.TakeAll(list)
 	named := make(map[string]bool, len(list))
 	for _, n := range list {
 		named[n.Domain] = true
-		if s.Take(n) {
-			changed = append(changed, n.Domain)
-		}
 	}
 	for _, domain := range slices.Sorted(maps.Keys(s.notices)) {
 		if !named[domain] && s.Take(Notice{Domain: domain, Revision: revision}) {
 			changed = append(changed, domain)
 		}
 	}
-	s.complete = true
 	return changed
 }
 
@@ -68,10 +74,8 @@
 // said was taken.
 func (s *Set) Confirm(asked time.Duration) { s.askedAt = max(s.askedAt, asked) }
 
-// Age is how long ago the store was last asked with success; known is false if it never was.
-func (s *Set) Age(now time.Duration) (age time.Duration, known bool) {
-	return now - s.askedAt, s.complete
-}
+// Age is how long ago the store was last asked with success; before that, the time on the clock.
+func (s *Set) Age(now time.Duration) time.Duration { return now - s.askedAt }
 
 // Evacuated reports whether nothing may start in a domain.
 func (s *Set) Evacuated(domain string) bool { return s.notices[domain].Evacuated }
--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -31,9 +31,6 @@
 	}
 }
 
-// Evacuated reports whether nothing may start here.
-func (s *Shard) Evacuated() bool { return s.evacuated }
-
 // sendAway gives what waits in an evacuated domain to other shards: without it work waits for room
 // that it cannot get, while its caller's time passes and others have room.
 func (s *Shard) sendAway(now time.Duration, j *job) {
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
@@ -38,7 +39,7 @@
 	stopClock  time.Duration       // the worker's when it acknowledged the stop
 	stopAt     time.Duration       // when that acknowledgement came
 	failed     map[uint64]struct{} // runs that ended as failed
-	starts     map[uint64]*host    // where each of its runs was started under this holder
+	starts     []startedRun        // under this holder
 	fails      int                 // of them, with those stored earlier
 	checkpoint string
 	avoid      *host // where it last failed
@@ -54,6 +55,12 @@
 	}
 }
 
+// startedRun is a run that this holder has started.
+type startedRun struct {
+	run  uint64
+	host *host
+}
+
 type job struct {
 	rec      *submission.Record
 	revision uint64
@@ -108,7 +115,7 @@
 	}
 	j.left = len(j.tasks)
 	for _, e := range r.Record.Elsewhere {
-		if t := j.task(e); t != nil && t.state != absent {
+		if t := j.task(e); t != nil {
 			j.leave(t, absent)
 		}
 	}
@@ -123,7 +130,8 @@
 	return j
 }
 
-// task finds a task by its name; nil if the submission has none such.
+// task finds a task by its name; nil if this shard does not have it. What is said of a task that
+// another shard has must not count here: the part would pass for complete with a task to go.
 func (j *job) task(ref submission.Task) *task {
 	if ref.Step < 0 || ref.Step >= len(j.steps) {
 		return nil
@@ -133,7 +141,10 @@
 	if index < 0 || index >= step.Count {
 		return nil
 	}
-	return j.tasks[j.steps[ref.Step].first+index]
+	if t := j.tasks[j.steps[ref.Step].first+index]; t.state != absent {
+		return t
+	}
+	return nil
 }
 
 // busy reports whether any of its tasks takes room at a worker.
@@ -174,7 +185,7 @@
 // has asked for the whole again: if its end counted, the answer would come before all tasks of this
 // hand-in have completed.
 func (j *job) startedElse(t *task, h *host, run uint64) bool {
-	return j.rec.Transient && !j.resumed && t.starts[run] != h
+	return j.rec.Transient && !j.resumed && !slices.Contains(t.starts, startedRun{run, h})
 }
 
 // startable reports whether a task waits and the steps before its own are done.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -57,7 +57,7 @@
 	}
 	t := j.task(e.Task.Task)
 	switch {
-	case t == nil, t.state == absent:
+	case t == nil:
 	case j.startedElse(t, h, e.Run):
 		if !t.occupies() {
 			t.run = max(t.run, e.Run)
@@ -187,7 +187,7 @@
 	switch t.state {
 	case starting, unsure, astray:
 		s.nowRunning(now, h, t)
-	case over, waiting, absent:
+	case over, waiting:
 		s.stray(now, h, r) // a late order that was carried out all the same
 	}
 }
@@ -228,7 +228,7 @@
 func (h *host) resume(now time.Duration, s *Shard, j *job) {
 	for ref, st := range h.strays {
 		t := j.task(ref.Task)
-		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete || t.state == absent {
+		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == complete {
 			continue
 		}
 		delete(h.strays, ref)
--- a/internal/kept/shard/offload.go
+++ b/internal/kept/shard/offload.go
@@ -1,16 +1,24 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Offload gives up to so many tasks that have waited here for a time, the most pressing first, back
-// to their homes, which give them to other shards. The caller knows that others have room.
+// Offload gives tasks that have waited here for a time, the most pressing first, back to their homes,
+// which give them to other shards. room says how many tasks of a processor, in thousandths of a core,
+// may go: the caller knows where others have room. It is asked for the task that is next here.
 //
 // What a home knows of a shard's room is some ten milliseconds old, and a shard may lose its workers:
 // without it tasks wait at a full shard, or at one without workers, to the end of their caller's
 // time beside others that are free.
-func (s *Shard) Offload(now, waited time.Duration, most int) int {
-	given := 0
-	for _, j := range s.byUrgency(now) {
+func (s *Shard) Offload(now, waited time.Duration, room func(milli int64) int) int {
+	ranked := s.byUrgency(now)
+	if len(ranked) == 0 {
+		return 0
+	}
+	given, most := 0, room(ranked[0].nextSize())
+	for _, j := range ranked {
 		if given >= most {
 			break
 		}
@@ -33,15 +41,7 @@
 	return since
 }
 
-// Waits returns the processor of the task that is served next when there is room, in thousandths of
-// a core; 0: nothing waits.
-func (s *Shard) Waits(now time.Duration) int64 {
-	for _, j := range s.byUrgency(now) {
-		for _, t := range j.tasks {
-			if j.startable(t) {
-				return t.step.CPUMilli
-			}
-		}
-	}
-	return 0
+// nextSize is the processor of its first task that may start, in thousandths of a core.
+func (j *job) nextSize() int64 {
+	return j.tasks[slices.IndexFunc(j.tasks, j.startable)].step.CPUMilli
 }
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -361,10 +361,7 @@
 	t.state = starting
 	t.run = max(t.run, t.job.runBase) + 1
 	t.host = r.host
-	if t.starts == nil {
-		t.starts = make(map[uint64]*host)
-	}
-	t.starts[t.run] = r.host
+	t.starts = append(t.starts, startedRun{t.run, r.host})
 	t.since = now
 	t.startedAt = now
 	t.clock = 0
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, o := range s.orphans[r.ID] {
-		if t := j.task(o.end.Task.Task); t != nil && t.state != absent {
+		if t := j.task(o.end.Task.Task); t != nil {
 			s.endedTask(now, o.host, t, o.end)
 		}
 	}
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -68,11 +68,8 @@
 	var changed []string
 	if ev.whole {
 		changed = e.evacuations.TakeList(ev.revision, ev.notices)
-	}
-	for _, n := range ev.notices {
-		if e.evacuations.Take(n) {
-			changed = append(changed, n.Domain)
-		}
+	} else {
+		changed = e.evacuations.TakeAll(ev.notices)
 	}
 	e.evacuations.Confirm(ev.sent)
 	e.enforceEvacuations(changed, "the store")
@@ -80,13 +77,11 @@
 
 // takeEvacuations takes what a peer passes on.
 func (e *engine) takeEvacuations(from string, told []*pb.KeptEvacuation) {
-	var changed []string
-	for _, w := range told {
-		if e.evacuations.Take(evacuation.Notice{Domain: w.Domain, Revision: w.Revision, Evacuated: w.Evacuated}) {
-			changed = append(changed, w.Domain)
-		}
+	notices := make([]evacuation.Notice, len(told))
+	for i, w := range told {
+		notices[i] = evacuation.Notice{Domain: w.Domain, Revision: w.Revision, Evacuated: w.Evacuated}
 	}
-	e.enforceEvacuations(changed, from)
+	e.enforceEvacuations(e.evacuations.TakeAll(notices), from)
 }
 
 // enforceEvacuations puts changes in force at the shards of this VM, and passes them on.
@@ -95,9 +90,8 @@
 		return
 	}
 	for _, domain := range domains {
-		age, _ := e.evacuations.Age(e.at)
 		klog.InfoS("kept: evacuation", "domain", domain, "evacuated", e.evacuations.Evacuated(domain),
-			"revision", e.evacuations.Revision(domain), "from", from, "asked_before", age)
+			"revision", e.evacuations.Revision(domain), "from", from, "asked_before", e.evacuations.Age(e.at))
 		e.vm.figures.setEvacuated(domain, e.evacuations.Evacuated(domain))
 	}
 	for _, h := range e.shards {
--- a/internal/kept/vm/offload.go
+++ b/internal/kept/vm/offload.go
@@ -21,11 +21,7 @@
 		return
 	}
 	h.offloadAt = e.at
-	size := h.core.Waits(e.at)
-	if size == 0 {
-		return
-	}
-	n := h.core.Offload(e.at, waited, e.roomElsewhere(name, size))
+	n := h.core.Offload(e.at, waited, func(milli int64) int { return e.roomElsewhere(name, milli) })
 	if n > 0 {
 		klog.InfoS("kept: tasks given back, others have room", "shard", name, "token", h.holding.Token, "tasks", n)
 	}
