--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -13,6 +13,7 @@
 // host is a worker as its holder sees it.
 type host struct {
 	info     worker.Info
+	origin   Origin
 	listed   bool          // has answered under this token
 	listedAt time.Duration // when it did first
 	missing  time.Duration // since when it is not in the list of workers; 0: it is there
@@ -70,6 +71,7 @@
 			h.record.Prove()
 		}
 		h.info = info
+		h.origin = FromList
 		h.missing = 0
 	}
 	for id, h := range s.workers {
@@ -110,7 +112,7 @@
 	info.Labels = nil
 	info.Rack = ""
 	info.Leaving = false
-	h := &host{info: info, strays: make(map[submission.TaskRef]strayRun)}
+	h := &host{info: info, origin: FromLastLife, strays: make(map[submission.TaskRef]strayRun)}
 	h.record.Prove()
 	s.workers[id] = h
 	s.dirty = true
@@ -136,7 +138,7 @@
 		if _, there := s.workers[info.ID]; there || s.addressTaken(info) {
 			continue
 		}
-		s.workers[info.ID] = &host{info: info, missing: now, strays: make(map[submission.TaskRef]strayRun)}
+		s.workers[info.ID] = &host{info: info, origin: FromHolder, missing: now, strays: make(map[submission.TaskRef]strayRun)}
 	}
 	s.dirty = true
 }
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -377,5 +377,6 @@
 		Waited:     now - t.job.came,
 		Queue:      t.job.rec.Queue,
 		First:      first,
+		Known:      r.host.origin,
 	})
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -17,9 +17,24 @@
 	Checkpoint string
 	Waited     time.Duration // since the submission came to this holder
 	Queue      string
-	First      bool // of the submission, here
+	First      bool   // of the submission, here
+	Known      Origin // how the worker's entry is known
 }
 
+// Origin says how a holder knows what a worker says about itself.
+type Origin uint8
+
+// The origins of a worker's entry.
+const (
+	FromList     Origin = iota // the list of workers
+	FromHolder                 // the shard's earlier holder, whose list was older
+	FromLastLife               // the worker's earlier incarnation
+)
+
+var originNames = [...]string{"list", "earlier holder", "earlier incarnation"}
+
+func (o Origin) String() string { return originNames[o] }
+
 // StopAction ends a run.
 type StopAction struct {
 	Worker worker.Info
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -202,7 +202,8 @@
 			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
-			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited)
+			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited,
+			"known_from", s.Known.String(), "list_age", e.listAge(name))
 	}
 	for _, s := range a.Stops {
 		e.order(h, s.Worker.ID, func(ws *workerSession) {
--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -150,6 +150,10 @@
 	l.at = at
 	l.own = own
 	l.dirty = l.dirty || changed
+	if changed {
+		klog.InfoS("kept: workers of a domain", "domain", domain, "workers", len(infos), "leaving", leavingCount(infos),
+			"read_here", own, "age", e.at-at)
+	}
 	for name, h := range e.shards {
 		switch {
 		case site.DomainOf(name) != domain:
@@ -161,6 +165,25 @@
 	}
 }
 
+// listAge is how long ago the list that a shard's workers are of was read; -1: it has not been.
+func (e *engine) listAge(shard string) time.Duration {
+	if l := e.lists[site.DomainOf(shard)]; l != nil {
+		return e.at - l.at
+	}
+	return -1
+}
+
+// leavingCount is the number of workers that take nothing new.
+func leavingCount(infos []worker.Info) int {
+	n := 0
+	for i := range infos {
+		if infos[i].Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // sameWorker reports whether two entries say the same of a worker. A heartbeat changes the revision.
 func sameWorker(a, b worker.Info) bool {
 	return slices.Equal(a.Labels, b.Labels) && a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain &&
