Failing test: a new holder starts tasks at workers that leave

24 workers of one domain on two shards, half of them give notice that they leave; three seconds later the holder of a shard hands it over, or is killed.

--- a/internal/kept/vm/evacuate_test.go
+++ b/internal/kept/vm/evacuate_test.go
@@ -21,6 +21,7 @@
 type startSeen struct {
 	at     time.Time
 	domain string
+	worker string // its ID
 	task   submission.TaskRef
 }
 
@@ -35,7 +36,7 @@
 	w.fleet.OnStart(func(at worker.Info, s worker.Start) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.seen = append(l.seen, startSeen{at: time.Now(), domain: at.Domain, task: s.Task})
+		l.seen = append(l.seen, startSeen{at: time.Now(), domain: at.Domain, worker: at.ID, task: s.Task})
 	})
 	return l
 }
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -223,9 +223,12 @@
 	return s
 }
 
-// holderOf returns the VM that holds a shard.
-func (w *world) holderOf(shard string) string {
-	it, err := w.store.Get(context.Background(), "pumiceyard/site/shard/"+shard+"/0")
+// holderOf returns the VM that holds the first shard of a domain.
+func (w *world) holderOf(domain string) string { return w.holderOfShard(domain + "/0") }
+
+// holderOfShard returns the VM that holds a shard by the store.
+func (w *world) holderOfShard(shard string) string {
+	it, err := w.store.Get(context.Background(), "pumiceyard/site/shard/"+shard)
 	if err != nil || it.Revision == 0 {
 		w.t.Fatalf("nobody holds %s (%v)", shard, err)
 	}
