A holder starts nothing on a list of workers that is missing or too old

A task that is still running when such a worker exits is lost and run again.

Cause: a VM that takes a shard over goes by the entries that the earlier holder stored, until it has a list of workers of its own (at once for the reader of the domain, up to 0.4 s and a read later for the others). The notice was removed from those entries before they were stored, and nothing said how old they were. Class: a copy of somebody else's state is acted on as if it were current.

Change: a list has an age, from when the store was asked for it. Nothing starts while it is missing, or older than 0.9 of the operators' bound, as long as the store answers this VM; a shard in that state is not ready, so its work is placed elsewhere. While the store does not answer, or in a domain that is cut off, what is known stays in use, and the stored entries keep their notices for that. The reader tells a new holder at once, and says four to eight times as often that the list stands, without sending it; a holder whose list is older than 0.6 of the bound reads it itself (was 3 s, as long as the bound).

Each guard was removed in turn: without the notice in the entries, without the gate, and with a gate that stays closed without the store, one or two of the new tests fail.

--- a/internal/kept/relay/relay.go
+++ b/internal/kept/relay/relay.go
@@ -72,6 +72,7 @@
 	probed   time.Duration
 	answered time.Duration // when a direct call was answered last
 	served   time.Duration // when any call was answered last
+	unserved time.Duration // when a call was last answered on neither way
 	lost     time.Duration // since when no call is answered either way; 0: not so
 	count    func(answered bool)
 }
@@ -104,6 +105,16 @@
 	return r.lost > 0 && r.now()-r.lost > downAfter
 }
 
+// Contact says when a call was last answered, and when one was last answered on neither way; 0: never.
+type Contact struct{ Answered, Unanswered time.Duration }
+
+// Contact returns how calls have fared so far.
+func (r *Router) Contact() Contact {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Contact{Answered: r.served, Unanswered: r.unserved}
+}
+
 // Do makes a call. An answer that turns it away says that nothing was done, so it is
 // returned only if no way was tried without an answer: a call that is turned away on one
 // way may have been carried out on the other.
@@ -163,8 +174,9 @@
 	if r.count != nil {
 		r.count(false)
 	}
+	r.unserved = r.now()
 	if r.lost == 0 {
-		r.lost = r.now()
+		r.lost = r.unserved
 	}
 }
 
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -82,6 +82,13 @@
 	s.dirty = true
 }
 
+// SetListOutdated says whether the list of workers can be had newer than it is known here. Until it is
+// known, nothing starts: a worker may have given notice that it leaves, or have less room.
+func (s *Shard) SetListOutdated(outdated bool) {
+	s.dirty = s.dirty || s.outdated && !outdated
+	s.outdated = outdated
+}
+
 // living drops the entries of workers that are certainly dead: they stay in the list until they
 // expire, and one of them would pass for the newest life at its address.
 func (s *Shard) living(list []worker.Info) []worker.Info {
--- a/internal/kept/shard/load.go
+++ b/internal/kept/shard/load.go
@@ -10,9 +10,9 @@
 
 // Load is what the shard could take.
 func (s *Shard) Load(now time.Duration) Load {
-	l := Load{Ready: s.scanned && s.anyListed(), Waiting: make(map[string]int)}
+	l := Load{Ready: s.scanned && s.anyListed() && !s.outdated, Waiting: make(map[string]int)}
 	for _, h := range s.workers {
-		if s.usable(now, h) || h.listed && now < h.fullTill && !s.evacuated {
+		if s.usable(now, h) || h.listed && now < h.fullTill && !s.evacuated && !s.outdated {
 			l.RoomMilli += int64(float64(h.info.CPUMilli) * h.record.Share())
 		}
 	}
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -283,7 +283,7 @@
 // usable reports whether a worker may get something new.
 func (s *Shard) usable(now time.Duration, h *host) bool {
 	switch {
-	case s.evacuated, !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
+	case s.evacuated, s.outdated, !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
 		return false
 	case now-h.answered > quietMost:
 		return false
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -19,6 +19,7 @@
 	barrierAt time.Duration // when the leases that an earlier holder gave are certainly over
 	barred    bool          // tasks whose place is unknown may not start
 	evacuated bool          // nothing may start in the failure domain
+	outdated  bool          // a newer list of workers can be had
 
 	jobs    map[submission.ID]*job
 	workers map[string]*host
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -93,18 +93,22 @@
 	incarnations map[string]uint64
 	probed       map[string]time.Duration // when a worker of a shard was reached, before its claim
 	loads        map[string]*loadView
-	lists        map[string]*domainList     // of workers, by failure domain of which a shard is held
-	reading      bool                       // the list of workers is read here
-	services     map[string]catalog.Service // that any configuration has named, as the newest says
-	evacuations  evacuation.Set
-	claiming     map[string]bool
-	dividing     bool
-	serial       uint64 // of transient submissions taken here
-	unplacedAt   time.Duration
-	toldUnplaced bool                     // what peers were told last is not 0
-	frames       map[string]*pb.KeptFrame // to be sent at the end of this round
-	prunedAt     time.Duration
-	draining     chan struct{}
+	lists        map[string]*domainList // of workers, by failure domain of which a shard is held
+	listVersions uint64                 // of lists told so far
+	// holdersChanged says that a holder may be there that was not told of the list of workers.
+	holdersChanged bool
+	reading        bool                       // the list of workers is read here
+	lastRead       workersEvent               // what was read last, of all domains
+	services       map[string]catalog.Service // that any configuration has named, as the newest says
+	evacuations    evacuation.Set
+	claiming       map[string]bool
+	dividing       bool
+	serial         uint64 // of transient submissions taken here
+	unplacedAt     time.Duration
+	toldUnplaced   bool                     // what peers were told last is not 0
+	frames         map[string]*pb.KeptFrame // to be sent at the end of this round
+	prunedAt       time.Duration
+	draining       chan struct{}
 }
 
 func newEngine(ctx context.Context, v *VM) *engine {
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -57,7 +57,10 @@
 		items  []store.Item
 		events []store.Event
 	}
-	workersEvent  struct{ list []worker.Info }
+	workersEvent struct {
+		sent time.Duration // when the call left
+		list []worker.Info
+	}
 	servicesEvent struct{ services []catalog.Service }
 	createdEvent  struct {
 		record *submission.Record
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -47,6 +47,7 @@
 // followHoldings takes up the shards that this VM holds by the store, and drops
 // those that it does not. sent is when the store was asked.
 func (e *engine) followHoldings(sent time.Duration) {
+	e.holdersChanged = true
 	all := e.site.Holdings()
 	e.vm.sweeps.Store(len(all) > 0 && e.site.Mine(all[0]))
 	for _, holding := range all {
@@ -89,6 +90,7 @@
 			h.core.HomeLost(e.at, peer)
 		}
 	}
+	e.useOwnReading(site.DomainOf(holding.Shard))
 	e.placeWorkers(h)
 	e.scan(holding.Shard, h)
 	e.vm.figures.takeovers.Inc(1)
--- a/internal/kept/vm/leaving_test.go
+++ b/internal/kept/vm/leaving_test.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -112,3 +115,126 @@
 	}
 	wantNoStartsOn(t, l, leaving, from)
 }
+
+// listCall reports whether a call reads or follows the list of workers.
+func listCall(c relay.Call) bool { return strings.Contains(string(c.Body), `"workers/"`) }
+
+// silenceList has no VM hear of the list of workers.
+func (w *world) silenceList(silent bool) {
+	for _, d := range w.doors {
+		if silent {
+			d.Silence(listCall)
+		} else {
+			d.Silence(nil)
+		}
+	}
+}
+
+// Guards against starts at a worker that gave notice while no VM was there to hear it.
+func TestRestartedVMsStartNothingAtALeavingWorker(t *testing.T) {
+	testWorld(t, func(w *world) {
+		all := []string{"a1", "a2", "b1", "b2"}
+		for _, name := range all {
+			w.kill(name)
+		}
+		leaving := []string{"w-a0", "w-a1", "w-b0", "w-b1"}
+		for _, id := range leaving {
+			w.giveNotice(id)
+		}
+		time.Sleep(leavingWithin)
+		l := watchStarts(w)
+		from := time.Now()
+		for _, name := range all {
+			w.boot(name)
+		}
+		w.silenceList(true) // the list comes some time after all else
+		w.stream("a1", "early", 10*ms, time.Second)
+		w.silenceList(false)
+		time.Sleep(time.Second)
+		if done, _ := w.stream("a1", "job", 10*ms, time.Second); done == 0 {
+			t.Error("nothing was served")
+		}
+		wantNoStartsOn(t, l, leaving, from)
+	})
+}
+
+// Guards against an idle shard, and starts at leaving workers, when the store fails right after a takeover.
+func TestNewHolderWithoutTheStoreGoesByWhatIsStored(t *testing.T) {
+	testWorld(t, func(w *world) {
+		w.giveNotice("w-a0")
+		time.Sleep(leavingWithin)
+		l := watchStarts(w)
+		from := time.Now()
+		holder := w.holderOf("a")
+		next := other(holder)
+		w.silenceList(true)
+		w.kill(holder)
+		time.Sleep(20 * ms)
+		for !w.vms[next].Holds("a/0") {
+			time.Sleep(10 * ms)
+		}
+		for _, d := range w.doors {
+			d.Set(kvstore.Silent)
+		}
+		time.Sleep(2 * time.Second)
+		w.wantEnd(w.submit(next, "job", 8, runhost.Work{Time: 100 * ms}, true), submission.Done)
+		if n := len(l.in("a", from, time.Now())); n == 0 {
+			t.Error("nothing started in the domain")
+		}
+		wantNoStartsOn(t, l, []string{"w-a0"}, from)
+	})
+}
+
+// Guards against starts on an old list: the reader is silent though its link stands.
+func TestNothingStartsOnAnOldList(t *testing.T) {
+	now := time.Hour
+	v := &VM{now: func() time.Duration { return now }, wantWorkers: make(chan bool, 1)}
+	direct := &answering{}
+	v.router = relay.New(direct, noPeers{direct}, v.now)
+	e := newEngine(context.Background(), v)
+	wants := func(outdated bool, when string) {
+		t.Helper()
+		e.at = now
+		if got := e.listOutdated(e.lists["a"]); got != outdated {
+			t.Errorf("the list is outdated: %v, want %v, %s", got, outdated, when)
+		}
+	}
+	call := func() {
+		now += time.Millisecond
+		_, _ = v.router.Do(context.Background(), relay.Call{})
+	}
+	call()
+	wants(true, "without a list")
+	e.lists["a"] = &domainList{at: now}
+	wants(false, "when it is new")
+	now += leavingWithin
+	call()
+	wants(true, "when it is as old as the bound")
+	direct.fails = true
+	call()
+	wants(false, "when the store does not answer")
+	direct.fails = false
+	call()
+	wants(false, "just after the store is back")
+	now += storeSteady + time.Millisecond
+	call()
+	wants(true, "when the store has answered for long")
+	direct.fails = true
+	call()
+	delete(e.lists, "a")
+	wants(false, "without a list and without the store")
+}
+
+// answering is a store's transport that answers each call, or none.
+type answering struct{ fails bool }
+
+func (a *answering) Do(context.Context, relay.Call) (relay.Reply, error) {
+	if a.fails {
+		return relay.Reply{}, relay.ErrNotSent
+	}
+	return relay.Reply{Status: 200}, nil
+}
+
+type noPeers struct{ *answering }
+
+func (noPeers) Reach() bool { return false }
--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -19,23 +19,54 @@
 // Mbit/s the list of 120 takes a fifth of it. A holder that has no word from the reader reads the list
 // itself, so the loss of the reader delays what is new by some seconds, and nothing else.
 
+//
+// A worker that gives notice must get nothing new within a bound that the operators set. So a list has
+// an age, which runs from when the store was asked for it, and nothing starts on one that is missing or
+// too old while the store answers: this VM may have just taken a shard over, or the reader may be slow.
+
 // Times of the lists of workers.
 const (
-	listEvery   = 2 * time.Second        // between two words of a list that has not changed
-	listChanged = 150 * time.Millisecond // between two words of one that changes
-	listFresh   = 3 * time.Second        // without a word for longer a holder reads the list itself
-	listFirst   = 400 * time.Millisecond // the same for the first word, after a shard was taken
+	listEvery   = 2 * time.Second        // between two words with the whole list
+	listChanged = 150 * time.Millisecond // the same while it changes
+	listFirst   = 400 * time.Millisecond // without a first word for longer, a new holder reads it itself
+)
+
+// Times of the lists of workers, as shares of Config.NoticeWithin.
+const (
+	listWait  = 0.2   // for a change, before the store says that there is none
+	listTold  = 0.125 // between two words that the list stands
+	listFresh = 0.6   // a holder reads the list itself if the one that it was told is older
+	listMost  = 0.9   // nothing starts on an older one
 )
 
+// storeSteady is for how long all calls of the store must have been answered before an old list keeps
+// tasks from starting. Around an outage, or in a domain that is cut off, it is all there is.
+const storeSteady = 2500 * time.Millisecond
+
+// noticeWithin is Config.NoticeWithin where the settings do not say.
+const noticeWithin = 2 * time.Second
+
+// noticeShare is a part of the time within which a notice must be in force.
+func (c *Config) noticeShare(share float64) time.Duration {
+	return time.Duration(share * float64(cmp.Or(c.NoticeWithin, noticeWithin)))
+}
+
 // domainList is the list of the workers of a failure domain.
 type domainList struct {
-	infos []worker.Info // by ID
-	at    time.Duration // when it was read, here or by who told of it
-	told  time.Duration // when the other holders were told
-	dirty bool          // it has changed since
-	own   bool          // this VM has read it itself
+	infos   []worker.Info // by ID
+	at      time.Duration // when the store was asked for it, here or by who told of it
+	version uint64        // at this VM, or at the one that told of it
+	from    string        // who told of it; "": it was read here
+
+	told        map[string]bool // other holders that were told the list
+	toldVersion uint64          // that all of them were told
+	toldAt      time.Duration   // when they were told anything
+	wholeAt     time.Duration   // when all of them were told the whole list
 }
 
+// own reports whether this VM has read it itself.
+func (l *domainList) own() bool { return l.from == "" }
+
 // reads reports whether this VM reads the list of workers for the holders of a domain.
 func (e *engine) reads(domain string) bool {
 	return e.shards[site.ShardName(domain, 0)] != nil
@@ -65,37 +96,82 @@
 		case l == nil:
 			reading = reading || e.at-h.takenAt > listFirst
 		default:
-			reading = reading || l.own || e.at-l.at > listFresh
+			reading = reading || l.own() || e.listOld(l)
 		}
+		h.core.SetListOutdated(e.listOutdated(l))
 	}
+	e.holdersChanged = false
 	if reading != e.reading {
 		e.reading = reading
+		e.lastRead = workersEvent{}
 		e.vm.readWorkers(reading)
 	}
 }
 
-// tellWorkers tells the other holders of a domain of its workers.
+// listOld reports whether a list that this VM was told is so old that it reads the list itself.
+func (e *engine) listOld(l *domainList) bool {
+	return e.at-l.at > e.vm.config.noticeShare(listFresh)
+}
+
+// listOutdated reports whether nothing may start on a list as a newer one can be had; nil: there is none
+// yet. While the store does not answer, the list, or what the earlier holder has stored, is all there is.
+func (e *engine) listOutdated(l *domainList) bool {
+	c := e.vm.router.Contact()
+	if l == nil {
+		return c.Answered >= c.Unanswered
+	}
+	return e.at-c.Unanswered > storeSteady && c.Answered-l.at > e.vm.config.noticeShare(listMost)
+}
+
+// tellWorkers tells the other holders of a domain of its workers: the whole list if it has changed, to a
+// holder that is new, and now and then; else that it stands.
 func (e *engine) tellWorkers(domain string, l *domainList) {
-	pace := listEvery
-	if l.dirty {
+	changed := l.version != l.toldVersion
+	pace := e.vm.config.noticeShare(listTold)
+	if changed {
 		pace = listChanged
 	}
-	if e.at-l.told < pace {
-		return
-	}
-	l.told = e.at
-	l.dirty = false
-	list, err := json.Marshal(l.infos)
-	if err != nil {
-		klog.ErrorS(err, "kept: the workers of a domain have no JSON form", "domain", domain)
+	due := e.at-l.toldAt >= pace
+	if !due && !e.holdersChanged {
 		return
 	}
+	all := due && (changed || e.at-l.wholeAt >= listEvery)
+	told := make(map[string]bool)
+	var list []byte
 	for _, holder := range e.site.HoldersIn(domain) {
-		if holder != e.vm.config.Name && e.links[holder] != nil {
-			f := e.frame(holder)
-			f.Workers = append(f.Workers, &pb.KeptWorkers{Domain: domain, List: list, AgeNs: uint64(e.at - l.at)})
+		if holder == e.vm.config.Name || e.links[holder] == nil {
+			continue
 		}
+		w := &pb.KeptWorkers{Domain: domain, AgeNs: uint64(e.at - l.at), Version: l.version}
+		switch {
+		case all || !l.told[holder]:
+			if list == nil {
+				list = encodeWorkers(l.infos)
+			}
+			w.List = list
+		case !due:
+			told[holder] = true
+			continue
+		}
+		told[holder] = true
+		f := e.frame(holder)
+		f.Workers = append(f.Workers, w)
+	}
+	l.told = told
+	if due {
+		l.toldAt = e.at
+	}
+	if all {
+		l.wholeAt, l.toldVersion = e.at, l.version
+	}
+}
+
+// forgetTold has a peer told the whole lists again: its process or its link is new.
+func (e *engine) forgetTold(peer string) {
+	for _, l := range e.lists {
+		delete(l.told, peer)
 	}
+	e.holdersChanged = true
 }
 
 // forgetList forgets the list of a domain of which nothing is held any more: it will be out of date when
@@ -111,48 +187,81 @@
 	if !e.heldDomains()[w.Domain] {
 		return // this VM has just lost its shard there
 	}
-	if l := e.lists[w.Domain]; l != nil && e.at-time.Duration(w.AgeNs) < l.at {
+	at := e.at - time.Duration(w.AgeNs)
+	l := e.lists[w.Domain]
+	if l != nil && at < l.at {
 		return // an older list than the one here: of an earlier reader, or one that the store does not answer
 	}
+	if len(w.List) == 0 {
+		if l != nil && l.from == from && l.version == w.Version {
+			l.at = at
+		}
+		return
+	}
 	var infos []worker.Info
 	if err := json.Unmarshal(w.List, &infos); err != nil {
 		klog.ErrorS(err, "kept: a peer's list of workers cannot be read", "peer", from, "domain", w.Domain)
 		return
 	}
-	e.setList(w.Domain, infos, e.at-time.Duration(w.AgeNs), false)
+	e.setList(w.Domain, infos, at, from, w.Version)
+}
+
+// encodeWorkers is a list of workers as it is told; a worker's entry always has a JSON form.
+func encodeWorkers(infos []worker.Info) []byte {
+	list, err := json.Marshal(infos)
+	if err != nil {
+		panic("vm: the workers of a domain have no JSON form: " + err.Error())
+	}
+	return list
 }
 
 // apply takes what this VM has read.
 func (ev workersEvent) apply(e *engine) {
-	byDomain := make(map[string][]worker.Info)
-	for _, info := range ev.list {
-		byDomain[info.Domain] = append(byDomain[info.Domain], info)
+	if !e.reading {
+		return // it was under way when the reader's word came
 	}
+	e.lastRead = ev
 	for domain := range e.heldDomains() {
-		if l := e.lists[domain]; e.reads(domain) || l == nil || l.own || e.at-l.at > listFresh {
-			e.setList(domain, byDomain[domain], e.at, true)
+		e.useOwnReading(domain)
+	}
+}
+
+// useOwnReading takes the list of a domain as this VM has read it last, unless its reader tells of it.
+func (e *engine) useOwnReading(domain string) {
+	l := e.lists[domain]
+	switch {
+	case !e.reading, e.lastRead.list == nil, l != nil && e.lastRead.sent < l.at:
+	case l != nil && !e.reads(domain) && !l.own() && !e.listOld(l):
+	default:
+		infos := []worker.Info{}
+		for _, info := range e.lastRead.list {
+			if info.Domain == domain {
+				infos = append(infos, info)
+			}
 		}
+		e.setList(domain, infos, e.lastRead.sent, "", 0)
 	}
 }
 
-// setList takes the list of a domain's workers, and holds those of the shards here if it has changed.
-func (e *engine) setList(domain string, infos []worker.Info, at time.Duration, own bool) {
+// setList takes the list of a domain's workers from this VM's own reading, or from who told of it, and
+// holds those of the shards here if it has changed.
+func (e *engine) setList(domain string, infos []worker.Info, at time.Duration, from string, version uint64) {
 	slices.SortFunc(infos, func(a, b worker.Info) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Revision, b.Revision))
 	})
 	l := e.lists[domain]
 	if l == nil {
-		l = &domainList{dirty: true}
+		l = &domainList{}
 		e.lists[domain] = l
 	}
 	changed := l.infos == nil || !slices.EqualFunc(l.infos, infos, sameWorker)
-	l.infos = infos
-	l.at = at
-	l.own = own
-	l.dirty = l.dirty || changed
+	if changed || l.from != from {
+		l.version = cmp.Or(version, e.nextListVersion())
+	}
+	l.infos, l.at, l.from = infos, at, from
 	if changed {
 		klog.InfoS("kept: workers of a domain", "domain", domain, "workers", len(infos), "leaving", leavingCount(infos),
-			"read_here", own, "age", e.at-at)
+			"told_by", from, "age", e.at-at)
 	}
 	for name, h := range e.shards {
 		switch {
@@ -165,7 +274,14 @@
 	}
 }
 
-// listAge is how long ago the list that a shard's workers are of was read; -1: it has not been.
+// nextListVersion numbers the lists that this VM tells; no other process tells the same number.
+func (e *engine) nextListVersion() uint64 {
+	e.listVersions++
+	return e.vm.config.Incarnation + e.listVersions
+}
+
+// listAge is how long ago the store was asked for the list that a shard's workers are of; -1: there is
+// none.
 func (e *engine) listAge(shard string) time.Duration {
 	if l := e.lists[site.DomainOf(shard)]; l != nil {
 		return e.at - l.at
--- a/internal/kept/vm/noted.go
+++ b/internal/kept/vm/noted.go
@@ -25,7 +25,6 @@
 	var list []worker.Info
 	for _, id := range h.core.WorkerIDs() {
 		info, _ := h.core.WorkerInfo(id)
-		info.Leaving = false
 		info.Revision = 0
 		list = append(list, info)
 	}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -164,6 +164,7 @@
 	e.incarnations[ev.name] = ev.incarnation
 	e.doubt(ev.name)
 	e.tellEvacuations(ev.name)
+	e.forgetTold(ev.name)
 	e.site.Suspect(ev.name, false)
 	for _, h := range e.shards {
 		h.loadAt = e.at - loadEvery // the peer may have missed the last word
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
@@ -185,7 +186,9 @@
 func TestHolderWithoutFreshWordsReadsTheListItself(t *testing.T) {
 	now := time.Hour
 	v := &VM{now: func() time.Duration { return now }, wantWorkers: make(chan bool, 1)}
+	v.router = relay.New(nil, nil, v.now)
 	e := newEngine(context.Background(), v)
+	fresh := v.config.noticeShare(listFresh)
 	e.shards["a/1"] = &held{core: shard.New(now, shard.DefaultSettings(), 1, now), takenAt: now, noting: true}
 	wants := func(reading bool, when string) {
 		t.Helper()
@@ -203,11 +206,11 @@
 	wants(true, "without a first word")
 	word(0)
 	wants(false, "after a word")
-	now += 2 * time.Second
-	word(2 * time.Second)
-	now += listFresh - 2*time.Second + time.Millisecond
+	now += fresh / 2
+	word(fresh / 2)
+	now += fresh/2 + time.Millisecond
 	wants(true, "after a word that brought an old list")
 	word(0)
-	now += listFresh + time.Millisecond
+	now += fresh + time.Millisecond
 	wants(true, "without a word for long")
 }
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -54,8 +54,10 @@
 	LinkBytes   float64 // what this VM's link carries a second, in bytes; 0: not known
 	// CatalogWithin is how soon a change of the configuration is in force; 0: in 2 s.
 	CatalogWithin time.Duration
-	LeaseMost     time.Duration // longest lease of runs at a worker
-	Now           func() time.Duration
+	// NoticeWithin is how soon a worker that says it leaves gets nothing new; 0: in 2 s.
+	NoticeWithin time.Duration
+	LeaseMost    time.Duration // longest lease of runs at a worker
+	Now          func() time.Duration
 }
 
 // Bounds of an entry VM.
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -22,8 +22,7 @@
 	// An operator's change must be in force within some seconds, also when a watch has gone
 	// silent: it is asked anew after this part of them and the way's own bound (450 ms).
 	catalogShare  = 0.45
-	catalogWithin = 2 * time.Second        // where the settings do not say
-	workersWait   = 900 * time.Millisecond // a leaving worker must be known within 2 s
+	catalogWithin = 2 * time.Second // where the settings do not say
 	// Workers rewrite their entries at each heartbeat, so a watch of them comes back
 	// at once: without a pause 48 workers cost 32 calls a second at each holder.
 	workersPause = 450 * time.Millisecond
@@ -245,18 +244,18 @@
 			list[it.Key] = known
 		}
 	}
-	send := func() {
-		v.post(workersEvent{list: slices.Collect(maps.Values(list))})
+	send := func(sent time.Duration) {
+		v.post(workersEvent{sent: sent, list: slices.AppendSeq([]worker.Info{}, maps.Values(list))})
 	}
-	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: workersWait, pause: v.workersPause}
-	f.whole = func(_ time.Duration, _ uint64, items []store.Item) {
+	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: v.config.noticeShare(listWait), pause: v.workersPause}
+	f.whole = func(sent time.Duration, _ uint64, items []store.Item) {
 		clear(list)
 		for _, it := range items {
 			take(it)
 		}
-		send()
+		send(sent)
 	}
-	f.some = func(_ time.Duration, events []store.Event) {
+	f.some = func(sent time.Duration, events []store.Event) {
 		for _, e := range events {
 			if e.Deleted {
 				delete(list, e.Key)
@@ -264,9 +263,7 @@
 				take(e.Item)
 			}
 		}
-		if len(events) > 0 {
-			send()
-		}
+		send(sent) // an answer without changes says that the list stands
 	}
 	f.run(ctx)
 }
