The newest report of a worker's room decides, and runs of unknown submissions take room

What callers would see: a task on a worker that has no room for it, at services whose workers do not guard their room (LIMIT).

Cause: a report was taken in the order in which it came, so an older list (of another reader, or of a takeover) undid a smaller room; runs that a worker lists and whose submission the holder does not know took no room in its books; an entry that cannot be used, such as one without any room, left the list with the next full read, and the worker was used by its old entry for up to 3 s.

Change: of two reports of an incarnation the one with the higher store revision counts; a worker that does not guard its room gets nothing while it runs what is not known here; an entry that is still there and cannot be used keeps its worker from new starts.

Evidence: room_test.go; without the revision check TestLateReportOfALargerRoomIsIgnored fails, without the rule on unknown runs TestRunsOfUnknownSubmissionsTakeRoom does. A shrink in a takeover is in force before the first start by the gate on outdated lists. Allowing entries with no room at all was tried and taken back: TestForeignEntriesNameNoWorker found that an entry without the field then passes.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -69,12 +69,15 @@
 			s.workers[info.ID] = h
 			s.replaced(now, info)
 		}
+		h.missing = 0
+		if info.Revision < h.info.Revision {
+			continue // a late word: another reader's list may be older
+		}
 		if info.Cold && !h.info.Cold {
 			h.record.Prove()
 		}
 		h.info = info
 		h.origin = FromList
-		h.missing = 0
 	}
 	for id, h := range s.workers {
 		if !present[id] && h.missing == 0 {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -265,7 +265,8 @@
 	var out []*room
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		h := s.workers[id]
-		if !s.usable(now, h) {
+		// How much room a run takes whose submission is not known here is not known either.
+		if !s.usable(now, h) || len(h.strays) > 0 && !s.settings.guardsRoom(h.info.Service) {
 			continue
 		}
 		r := &room{host: h, cpu: h.info.CPUMilli, mem: h.info.MemMB, gpu: h.info.GPU, byTasks: make(map[stepKey]int)}
--- /dev/null
+++ b/internal/kept/shard/room_test.go
@@ -0,0 +1,89 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// newUnguardedWorld is a world of workers that start whatever they are told to.
+func newUnguardedWorld(t *testing.T, workers int) *world {
+	w := newWorld(t, workers)
+	w.unguarded = true
+	for _, h := range w.hosts {
+		h.Unguarded = true
+	}
+	w.hold(2, true)
+	w.run(100 * ms)
+	return w
+}
+
+// setRoom changes the room of a worker, and what it says of itself.
+func (w *world) setRoom(id string, milli int64) {
+	w.revision++
+	w.hosts[id].Info.CPUMilli = milli
+	w.hosts[id].Info.Revision += 1000 * w.revision
+	w.list()
+}
+
+// Guards against starts beyond a room that has shrunk, and against room that is not used when it has grown.
+func TestRoomInForceIsTheNewest(t *testing.T) {
+	w := newUnguardedWorld(t, 1)
+	w.assign(w.submission("first", 1, runhost.Work{Time: 300 * ms}))
+	w.run(20 * ms)
+	w.setRoom("w0", 7000)
+	w.assign(w.submission("second", 1, runhost.Work{Time: 300 * ms}))
+	w.run(200 * ms)
+	if n := w.runs("second"); n != 0 {
+		t.Errorf("%d starts beyond the room", n)
+	}
+	w.setRoom("w0", 0)
+	w.run(200 * ms)
+	w.want("first", submission.Done)
+	if n := w.runs("second"); n != 0 {
+		t.Errorf("%d starts without any room", n)
+	}
+	w.setRoom("w0", 16000)
+	w.run(400 * ms)
+	w.want("second", submission.Done)
+}
+
+// Guards against a late report of a larger room that undoes a newer one.
+func TestLateReportOfALargerRoomIsIgnored(t *testing.T) {
+	w := newUnguardedWorld(t, 1)
+	old := w.hosts["w0"].Info
+	w.setRoom("w0", 7000)
+	w.shard.Workers(w.now, []worker.Info{old})
+	w.assign(w.submission("a", 2, runhost.Work{Time: 100 * ms}))
+	w.run(50 * ms)
+	if n := w.runs("a"); n != 1 {
+		t.Errorf("%d starts in a room for one", n)
+	}
+	w.run(200 * ms)
+	w.want("a", submission.Done)
+}
+
+// Guards against starts beyond the room by a new holder that does not know what runs there.
+func TestRunsOfUnknownSubmissionsTakeRoom(t *testing.T) {
+	w := newUnguardedWorld(t, 1)
+	w.assign(w.submission("before", 2, runhost.Work{Time: 2 * time.Second}))
+	w.run(50 * ms)
+	w.hold(3, true)
+	w.assign(w.stored("after", 2, runhost.Work{Time: 100 * ms}))
+	w.run(3 * time.Second)
+	w.want("after", submission.Done)
+}
+
+// Guards against room that is given again while a run there is being stopped.
+func TestRunThatIsStoppedTakesRoom(t *testing.T) {
+	w := newUnguardedWorld(t, 1)
+	w.assign(w.submission("a", 2, runhost.Work{Time: time.Second}))
+	w.run(50 * ms)
+	w.shard.Cancel(w.now, "a")
+	w.assign(w.submission("b", 2, runhost.Work{Time: 50 * ms}))
+	w.run(300 * ms)
+	w.want("b", submission.Done)
+}
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -168,6 +168,12 @@
 type Settings struct {
 	Policy    policy.Settings
 	SaveAfter time.Duration // an unfinished submission's ends are stored after this, to be acknowledged
+	// GuardsRoom reports whether the workers of a service reject what does not fit; nil: all do.
+	GuardsRoom func(service string) bool
+}
+
+func (s *Settings) guardsRoom(service string) bool {
+	return s.GuardsRoom == nil || s.GuardsRoom(service)
 }
 
 // DefaultSettings are for workers with leases of a second.
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -45,6 +45,9 @@
 	late    func(StartAction) time.Duration
 	pending []pendingStart
 	records *records // nil: all writes are done at once
+
+	unguarded bool // workers start whatever they are told to
+	revision  uint64
 	// back is when a worker that has crashed starts again, by its address.
 	back  map[string]time.Duration
 	lives int
@@ -107,6 +110,7 @@
 	}
 	settings := DefaultSettings()
 	settings.Policy = w.policy
+	settings.GuardsRoom = func(string) bool { return !w.unguarded }
 	w.shard = New(w.now, settings, token, barrier)
 	clear(w.seen)
 	w.list()
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -101,6 +101,7 @@
 func (e *engine) shardSettings() shard.Settings {
 	s := shard.DefaultSettings()
 	s.Policy = e.vm.config.Policy
+	s.GuardsRoom = func(service string) bool { return e.services[service].GuardsRoom }
 	return s
 }
 
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -249,10 +249,12 @@
 	}
 	f := &follower{vm: v, prefix: v.config.Lists.WorkerPrefix, wait: v.config.noticeShare(listWait), pause: v.workersPause}
 	f.whole = func(sent time.Duration, _ uint64, items []store.Item) {
-		clear(list)
+		there := make(map[string]bool, len(items))
 		for _, it := range items {
+			there[it.Key] = true
 			take(it)
 		}
+		maps.DeleteFunc(list, func(key string, _ worker.Info) bool { return !there[key] })
 		send(sent)
 	}
 	f.some = func(sent time.Duration, events []store.Event) {
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -110,6 +110,8 @@
 	Info   worker.Info
 	Works  func(worker.Start) Work // what the task of an order does
 	Ledger *Ledger
+	// Unguarded has it start whatever it is told to, and counts a start beyond its room as a fault.
+	Unguarded bool
 
 	token    uint64
 	deadline time.Duration
@@ -222,9 +224,12 @@
 		reply.Verdict = worker.Late
 	case s.Run <= h.barred[s.Task]:
 		reply.Verdict = worker.Outrun
-	case h.used()+work.CPUMilli > h.Info.CPUMilli:
+	case h.used()+work.CPUMilli > h.Info.CPUMilli && !h.Unguarded:
 		reply.Verdict = worker.NoRoom
 	default:
+		if used := h.used() + work.CPUMilli; used > h.Info.CPUMilli {
+			h.Ledger.Faults = append(h.Ledger.Faults, fmt.Sprintf("%s of %d has %d in use after a start", h.Info.ID, h.Info.CPUMilli, used))
+		}
 		h.running = append(h.running, &run{task: s.Task, number: s.Run, work: work, began: now})
 		h.Ledger.begin(s.Task, s.Run, h.Info.ID)
 	}
