Stand-in workers that tasks crash; the soak hands in such work

The fleet ends a worker whose task crashes it and begins its next life 2 s later under another ID, which the soak's site lists in place of the old one. One submission in 60 of the soak crashes its workers: it has to end as failed, never with more starts than the users' bound allows, and all others as before.

--- /dev/null
+++ b/internal/kept/vm/losses_test.go
@@ -0,0 +1,60 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// wantGivenUp checks how many workers a submission that crashes them has taken down.
+func (w *world) wantGivenUp(id submission.ID, most int) {
+	w.t.Helper()
+	if n := w.fleet.Crashes(id); n == 0 || n > most {
+		w.t.Errorf("%d workers have crashed under %s, want 1 to %d", n, id, most)
+	}
+	if n := w.fleet.StartsAfterCrashes(); n > runhost.StartsAfterMost {
+		w.t.Errorf("a task was started %d times after %d crashes", n, runhost.CrashesMost)
+	}
+}
+
+// Guards against a task that takes down one worker after the other, and against an answer that never comes.
+func TestSubmissionThatCrashesWorkersFails(t *testing.T) {
+	testWorld(t, func(w *world) {
+		w.wantEnd(w.submit("a1", "poison", 1, runhost.Work{Time: 50 * ms, Crashes: true}, true), submission.Failed)
+		w.wantGivenUp("poison", 2)
+		w.wantEnd(w.submit("a1", "next", 4, runhost.Work{Time: 50 * ms}, true), submission.Done)
+	})
+}
+
+// Guards against a count that is lost when holders change between the crashes.
+func TestLossesAreCountedOnAfterATakeover(t *testing.T) {
+	for name, transient := range map[string]bool{"stored": false, "transient": true} {
+		t.Run(name, func(t *testing.T) {
+			testWorld(t, func(w *world) {
+				home := other(w.holderOf("a"))
+				out := w.submit(home, "poison", 1, runhost.Work{Time: 50 * ms, Crashes: true}, transient)
+				for w.fleet.Crashes("poison") == 0 {
+					time.Sleep(10 * ms)
+				}
+				time.Sleep(1300 * ms) // the lease of the worker that has crashed is over
+				for _, d := range w.domains {
+					if holder := w.holderOf(d); holder != home {
+						w.kill(holder)
+					}
+				}
+				if transient {
+					<-out // failed, or to be sent again as the holder is away
+				} else {
+					w.wantTaken(out)
+					time.Sleep(12 * time.Second)
+					if s := w.state(home, "poison"); s != submission.Failed {
+						t.Errorf("it is %s, want failed", s)
+					}
+				}
+				w.wantGivenUp("poison", runhost.CrashesMost)
+			})
+		})
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,8 +36,16 @@
 	seen  func(worker.Info, worker.Start)
 	on    map[string]int  // starts by worker
 	dark  map[string]bool // workers that nobody reaches
+
+	crashFor time.Duration // how long a worker that a task has crashed is down
+	restart  func(old, next worker.Info)
+	lives    int
+	down     map[string]bool // crashed, and to be started again
 }
 
+// CrashFor is how long workers that tasks have crashed are down.
+const CrashFor = 2 * time.Second
+
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
@@ -46,9 +56,74 @@
 		cut:    make(map[string]bool),
 		on:     make(map[string]int),
 		dark:   make(map[string]bool),
+		down:   make(map[string]bool),
+
+		crashFor: CrashFor,
+	}
+}
+
+// OnRestart has each next life of a worker that a task has crashed reported.
+func (f *Fleet) OnRestart(restart func(old, next worker.Info)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restart = restart
+}
+
+// advance brings all workers to the present, with the lock held: a run that has ended by itself on a
+// worker that nobody has called since would still count as running.
+func (f *Fleet) advance(now time.Duration) {
+	for _, h := range f.hosts {
+		h.Advance(now)
+		if id := h.Info.ID; h.Crashed() && !f.down[id] {
+			f.down[id] = true
+			time.AfterFunc(f.crashFor, func() { f.startAgain(h.Info) })
+		}
 	}
 }
 
+// startAgain begins the next life of a worker that has crashed.
+func (f *Fleet) startAgain(old worker.Info) {
+	f.mu.Lock()
+	f.lives++
+	next := old
+	_, first, again := strings.Cut(old.ID, "of-")
+	if !again {
+		first = old.ID
+	}
+	next.ID = fmt.Sprintf("life%d-of-%s", f.lives, first)
+	delete(f.down, old.ID)
+	restart := f.restart
+	f.mu.Unlock()
+	f.Add(next)
+	if restart != nil {
+		restart(old, next)
+	}
+}
+
+// Crashes is how many workers have crashed under the tasks of a submission.
+func (f *Fleet) Crashes(id submission.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for ref, k := range f.Ledger.Crashes {
+		if ref.ID == id {
+			n += k
+		}
+	}
+	return n
+}
+
+// StartsAfterCrashes is the most that a task was started after as many crashes as the users' bound allows.
+func (f *Fleet) StartsAfterCrashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, n := range f.Ledger.StartsAfter {
+		most = max(most, n)
+	}
+	return most
+}
+
 // Add starts a worker.
 func (f *Fleet) Add(info worker.Info) {
 	f.mu.Lock()
@@ -118,6 +193,7 @@
 	info := old.Info
 	old.Advance(time.Since(f.began))
 	old.Crash()
+	f.down[old.Info.ID] = true // its next life begins now
 	f.mu.Unlock()
 	info.ID = id
 	f.Add(info)
@@ -187,6 +263,9 @@
 		return nil, ""
 	}
 	h = w.fleet.hosts[to.Address]
+	if h != nil && h.Crashed() {
+		return nil, ""
+	}
 	if h != nil && h.Info.ID != to.ID {
 		return nil, h.Info.ID
 	}
@@ -201,11 +280,7 @@
 	}
 	w.fleet.mu.Lock()
 	now := time.Since(w.fleet.began)
-	// All workers get to the present, or a run that has ended by itself on a worker that
-	// nobody has called since would still count as running.
-	for _, other := range w.fleet.hosts {
-		other.Advance(now)
-	}
+	w.fleet.advance(now)
 	h, successor := w.reach(to)
 	answered := h != nil
 	reply := silent
@@ -259,10 +334,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Since(f.began)
-	for _, other := range f.hosts {
-		other.Advance(now)
+	f.advance(now)
+	if !h.Crashed() {
+		f.start(h, now, s)
 	}
-	f.start(h, now, s)
 }
 
 // Stop implements worker.Orders.
--- a/internal/tool/keptsite/keptsite.go
+++ b/internal/tool/keptsite/keptsite.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	StoreAddr string
 
 	servers []io.Closer
+	listed  sync.Map // addresses at which workers are listed, by their own
 }
 
 // Figures of the stand-ins.
@@ -64,6 +66,7 @@
 // their own, such as those of proxies.
 func StartBehind(listen string, domains []string, perDomain int, front func(address string) (string, error)) (*Site, error) {
 	s := &Site{Store: kvstore.New(), Fleet: fleet.New()}
+	s.Fleet.OnRestart(s.listAgain)
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
@@ -115,9 +118,23 @@
 		return err
 	}
 	s.Store.Put(daemon.WorkerPrefix+id, value)
+	s.listed.Store(info.Address, listed.Address)
 	return nil
 }
 
+// listAgain lists the next life of a worker in place of the one that has crashed.
+func (s *Site) listAgain(old, next worker.Info) {
+	if front, known := s.listed.Load(next.Address); known {
+		next.Address = front.(string)
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic("keptsite: a worker has no JSON form: " + err.Error())
+	}
+	s.Store.Put(daemon.WorkerPrefix+next.ID, value)
+	s.Store.Delete(daemon.WorkerPrefix + old.ID)
+}
+
 // Stop ends the stand-ins.
 func (s *Site) Stop() {
 	for _, c := range s.servers {
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -17,12 +17,15 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 	"github.com/pumiceyard/pumiceyard/internal/tool/keptsite"
 )
 
@@ -201,10 +204,19 @@
 }
 
 func work(key string, tasks uint32, millis int, transient bool) client.Work {
+	return workOf(key, tasks, millis, transient, fmt.Sprintf(`{"run_millis":%d,"cpu_milli":2000}`, millis))
+}
+
+// crashing is work whose tasks crash their workers.
+func crashing(key string, millis int) client.Work {
+	return workOf(key, 1, millis, false, fmt.Sprintf(`{"run_millis":%d,"cpu_milli":2000,"crash":true}`, millis))
+}
+
+func workOf(key string, tasks uint32, millis int, transient bool, spec string) client.Work {
 	return client.Work{
 		Queue:     "crew-assignment",
 		Key:       key,
-		Spec:      fmt.Sprintf(`{"run_millis":%d,"cpu_milli":2000}`, millis),
+		Spec:      spec,
 		Steps:     []client.WorkStep{{Count: tasks, CPUMilli: 2000, MemoryMB: 64, Estimate: time.Duration(millis) * time.Millisecond}},
 		Transient: transient,
 	}
@@ -218,6 +230,9 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		key := fmt.Sprintf("s%d-c%d-%d", s.opt.Seed, caller, n)
 		w := work(key, 1+r.Uint32N(4), 20+r.IntN(400), r.IntN(2) == 0)
+		if r.IntN(crashingEvery) == 0 {
+			w = crashing(crashingPrefix+key, r.IntN(100))
+		}
 		at := s.vms[r.IntN(len(s.vms))]
 		under.Go(func() { s.submit(at, w) })
 		time.Sleep(submitPause + time.Duration(r.IntN(40))*time.Millisecond)
@@ -226,6 +241,12 @@
 
 const attemptWithin = 6 * time.Second
 
+// One submission in crashingEvery has a task that crashes its workers; its key begins with crashingPrefix.
+const (
+	crashingEvery  = 60
+	crashingPrefix = "crashing-"
+)
+
 // submit makes one attempt and keeps what was promised.
 func (s *soak) submit(at *process, w client.Work) {
 	ctx, cancel := context.WithTimeout(context.Background(), attemptWithin)
@@ -260,12 +281,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healedWithin)
 	defer cancel()
+	failed := make(map[string]bool)
 	for _, key := range s.accepted() {
 		state, err := k.Wait(ctx, key)
-		if err != nil || state != client.StateDone {
-			return s.broken("the accepted submission %s ends: it is %s (%v)", key, state, err)
+		want := client.StateDone
+		if strings.HasPrefix(key, crashingPrefix) || s.mayHaveFailed(key, state) {
+			want = client.StateFailed
+			failed[key] = true
+		}
+		if err != nil || state != want {
+			return s.broken("the accepted submission %s ends as %s: it is %s (%v)", key, want, state, err)
 		}
 	}
+	if n := s.site.Fleet.StartsAfterCrashes(); n > runhost.StartsAfterMost {
+		return s.broken("a task that crashes its workers is given up: it was started %d times after %d crashes", n, runhost.CrashesMost)
+	}
 	time.Sleep(endedSlack)
 	if faults := s.site.Fleet.Faults(); len(faults) > 0 {
 		return s.broken("no task runs twice at once: %s", faults[0])
@@ -276,13 +306,19 @@
 		}
 	}
 	for _, key := range s.accepted() {
-		if !s.site.Fleet.DoneOnce(key) {
+		if !failed[key] && !s.site.Fleet.DoneOnce(key) {
 			return s.broken("each task of an accepted submission completes: %s", key)
 		}
 	}
 	return nil
 }
 
+// mayHaveFailed reports whether a submission may be shown as failed though its tasks do not crash: two
+// workers have crashed under them.
+func (s *soak) mayHaveFailed(key string, state client.State) bool {
+	return state == client.StateFailed && s.site.Fleet.Crashes(submission.ID(key)) > 1
+}
+
 func (s *soak) accepted() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
