--- a/internal/kept/vm/evacuate_property_test.go
+++ b/internal/kept/vm/evacuate_property_test.go
@@ -1,8 +1,10 @@
 package vm
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +39,8 @@
 	asked    map[string][]span // evacuations, from the acknowledgement
 	cuts     map[string][]span
 	faults   []time.Time
+	away     span                 // the store was, for some VM
+	notices  map[string]time.Time // of workers that leave
 	hand     int
 	attempts []*attempt
 	tasks    map[submission.ID]int
@@ -63,9 +67,11 @@
 		p.toggleCut(domain)
 	case 5:
 		p.fault()
+		p.beginAway()
 		p.doors[name].Set([]kvstore.Fault{kvstore.Refuses, kvstore.Silent, kvstore.LosesReply}[a.N%3])
 	case 6:
 		p.fault()
+		p.endAway()
 		for _, d := range p.doors {
 			d.Set(kvstore.Serves)
 		}
@@ -79,6 +85,8 @@
 		if a.N%3 == 0 {
 			p.restartAll()
 		}
+	case 11:
+		p.notice("w-" + domain + "0")
 	default:
 		p.load(a.N)
 	}
@@ -88,6 +96,46 @@
 
 func (p *evacuations) fault() { p.faults = append(p.faults, time.Now()) }
 
+// beginAway notes that the store does not serve a VM.
+func (p *evacuations) beginAway() {
+	if p.away.from.IsZero() || !p.away.to.IsZero() {
+		p.away = span{from: time.Now()}
+	}
+}
+
+// endAway notes that the store serves all VMs again. What VMs did while it did not, and soon after, is not
+// held against them.
+func (p *evacuations) endAway() {
+	if !p.away.from.IsZero() && p.away.to.IsZero() {
+		p.away.to = time.Now()
+	}
+}
+
+// notice has a worker leave, which serves on.
+func (p *evacuations) notice(id string) {
+	if p.notices[id].IsZero() {
+		p.giveNotice(id)
+		p.notices[id] = time.Now()
+	}
+}
+
+// judgeNotice holds a start against its worker's notice.
+func (p *evacuations) judgeNotice(s startSeen) error {
+	asked, left := p.notices[s.worker]
+	if !left || s.at.Sub(asked) <= leavingWithin || p.unsettled(s) {
+		return nil
+	}
+	return fmt.Errorf("%v starts at %s %v after its notice", s.task, s.worker, s.at.Sub(asked))
+}
+
+// unsettled reports whether the store was away, or the domain cut off, within a time before a start.
+func (p *evacuations) unsettled(s startSeen) bool {
+	spans := append(slices.Clone(p.cuts[s.domain]), p.away)
+	return slices.ContainsFunc(spans, func(c span) bool {
+		return !c.from.IsZero() && s.at.After(c.from) && (c.to.IsZero() || s.at.Sub(c.to) < touchFor)
+	})
+}
+
 func (p *evacuations) ask(domain string) {
 	p.evacuate(domain)
 	if s := p.asked[domain]; len(s) == 0 || !s[len(s)-1].to.IsZero() {
@@ -234,14 +282,11 @@
 	if f := p.fleet.Faults(); len(f) > 0 {
 		return fmt.Errorf("%v", f)
 	}
-	for _, s := range p.log.in("a", time.Time{}, time.Now()) {
-		if err := p.judge(s); err != nil {
-			return err
-		}
-	}
-	for _, s := range p.log.in("b", time.Time{}, time.Now()) {
-		if err := p.judge(s); err != nil {
-			return err
+	for _, domain := range p.domains {
+		for _, s := range p.log.in(domain, time.Time{}, time.Now()) {
+			if err := errors.Join(p.judge(s), p.judgeNotice(s)); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -280,7 +325,7 @@
 
 // Whatever operators ask for, one domain or both, again and again, beside kills, cuts, a store that
 // turns VMs away or loses its history, and starts that are carried out late: nothing starts in an
-// evacuated domain, no task runs twice at once, no refusal is untrue, and no accepted work is lost.
+// evacuated domain, or at a worker that has given notice, no task runs twice at once, no refusal is untrue, and no accepted work is lost.
 func TestEvacuationsHoldBesideRandomFaults(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	parameters.MinSuccessfulTests = 25
@@ -296,8 +341,11 @@
 				asked: make(map[string][]span),
 				cuts:  make(map[string][]span),
 				tasks: make(map[submission.ID]int),
+
+				notices: make(map[string]time.Time),
 			}
 			p.log = watchStarts(p.world)
+			p.slowLists(100 * ms)
 			for _, a := range acts {
 				p.do(a)
 			}
--- a/internal/kept/vm/leaving_test.go
+++ b/internal/kept/vm/leaving_test.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// slowLists has each call for the list of workers take longer.
+func (w *world) slowLists(by time.Duration) {
+	for _, d := range w.doors {
+		d.Slow(func(c relay.Call) time.Duration {
+			if listCall(c) {
+				return by
+			}
+			return 0
+		})
+	}
+}
+
 // Guards against starts at a worker that gave notice while no VM was there to hear it.
 func TestRestartedVMsStartNothingAtALeavingWorker(t *testing.T) {
 	testWorld(t, func(w *world) {
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -278,6 +278,7 @@
 	mu     sync.Mutex
 	fault  Fault
 	silent func(relay.Call) bool // calls that get no answer; nil: none
+	slow   func(relay.Call) time.Duration
 }
 
 // Door returns a way to the store whose calls take delay.
@@ -297,6 +298,22 @@
 	d.silent = silent
 }
 
+// Slow has some calls take longer, as those with large answers do on a narrow link.
+func (d *Door) Slow(extra func(relay.Call) time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = extra
+}
+
+func (d *Door) extra(c relay.Call) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.slow == nil {
+		return 0
+	}
+	return d.slow(c)
+}
+
 func (d *Door) treatment(c relay.Call) Fault {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -314,7 +331,7 @@
 	select {
 	case <-ctx.Done():
 		return relay.Reply{}, ctx.Err()
-	case <-time.After(d.delay):
+	case <-time.After(d.delay + d.extra(c)):
 	}
 	f := d.treatment(c)
 	switch f {
