--- a/spec/check.sh
+++ b/spec/check.sh
@@ -35,6 +35,10 @@
 fails|evacuate|the old shard's holder is no condition of the move: runs twice at once|-DNO_GUARD
 fails|evacuate|a running task's submission moves: runs twice at once|-DNO_REST
 fails|evacuate|new holder does not ask before its first start: starts in the domain|-DNO_ASK
+holds|crash|a task that crashes its workers is given up, one whose worker is lost once is not|
+fails|crash|losses are not stored: a task takes down a fourth worker|-DNO_STORE
+fails|crash|losses do not go with a move: a task takes down a fourth worker|-DNO_CARRY
+fails|crash|a loss counts each time that it is learnt: an innocent task is given up|-DNO_ONCE
 fails|atmostonce|reached: a recoverer's task starts|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=1
 fails|atmostonce|reached: a recoverer finds the close|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=2
 fails|atmostonce|reached: a recoverer adopts every task|-DRECOVERERS=1 -DMAXFAULT=0 -DREACH=3
