What is learnt of a lost worker later counts for tasks that are no suspects yet

Cause: corrections (a worker has certainly ended, or answers again) were passed over when no open task was a suspect. A first loss at the same moment as others weighs nothing, so its task is none: the loss stayed uncertain, and never counted against a stored task.

--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -49,7 +49,7 @@
 func (s *Shard) blame(now time.Duration, t *task, l submission.Loss) {
 	t.losses = submission.AddLoss(t.losses, l)
 	t.lostAt = now
-	s.suspects = true
+	s.anyLosses = true
 	if t.job.rec.Transient {
 		s.out.Notes = append(s.out.Notes, NoteAction{Home: t.job.rec.Home, Task: t.ref, Losses: slices.Clone(t.losses)})
 		return
@@ -112,7 +112,7 @@
 
 // correct changes what is known of the loss of a worker, for all tasks that were there.
 func (s *Shard) correct(now time.Duration, id string, change func(*submission.Loss)) {
-	if !s.suspects {
+	if !s.anyLosses {
 		return
 	}
 	var tasks []*task
@@ -164,7 +164,7 @@
 // suspects wait as under load no worker gets empty by itself, and those that suspects have. Beside a
 // suspect only others of its submission start: whichever of them it is, the submission has failed.
 func (s *Shard) divideRooms(rooms []*room) (open, alone []*room) {
-	if !s.suspects {
+	if !s.anyLosses {
 		return rooms, nil
 	}
 	wait, inUse := s.countSuspects()
@@ -188,22 +188,20 @@
 
 // countSuspects counts the suspects that may start, and the workers that suspects have.
 func (s *Shard) countSuspects() (wait, inUse int) {
-	any := false
+	s.anyLosses = false
 	hosts := make(map[*host]bool)
 	for _, j := range s.jobs {
 		for _, t := range j.tasks {
+			s.anyLosses = s.anyLosses || t.state != complete && len(t.losses) > 0
 			switch {
 			case t.state == complete || !s.suspect(t):
-				continue
 			case t.occupies():
 				hosts[t.host] = true
 			case !j.state.Final() && j.startable(t):
 				wait++
 			}
-			any = true
 		}
 	}
-	s.suspects = any
 	return wait, len(hosts)
 }
 
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -21,20 +21,20 @@
 	evacuated bool          // nothing may start in the failure domain
 	outdated  bool          // a newer list of workers can be had
 
-	jobs     map[submission.ID]*job
-	workers  map[string]*host
-	past     map[submission.ID]endedJob    // that ended here lately
-	dead     map[string]time.Duration      // workers that another incarnation has replaced, since when
-	early    map[string]earlyListing       // listings that came before the records
-	orphans  map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
-	shortAt  time.Duration                 // when runs of transient submissions that nobody lists are over
-	pace     map[string]*policy.Pace       // by queue
-	losses   []lostWorker                  // lately
-	suspects bool                          // a task may have taken its worker down
-	out      Actions
-	pruneAt  time.Duration
-	sweepAt  time.Duration // when all submissions are looked through next
-	dirty    bool          // something may start
+	jobs      map[submission.ID]*job
+	workers   map[string]*host
+	past      map[submission.ID]endedJob    // that ended here lately
+	dead      map[string]time.Duration      // workers that another incarnation has replaced, since when
+	early     map[string]earlyListing       // listings that came before the records
+	orphans   map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
+	shortAt   time.Duration                 // when runs of transient submissions that nobody lists are over
+	pace      map[string]*policy.Pace       // by queue
+	losses    []lostWorker                  // lately
+	anyLosses bool                          // a worker was lost under a task that is here
+	out       Actions
+	pruneAt   time.Duration
+	sweepAt   time.Duration // when all submissions are looked through next
+	dirty     bool          // something may start
 }
 
 // endedJob is what is remembered of a submission that has ended here. A message
@@ -163,7 +163,7 @@
 // add takes a submission among the open ones.
 func (s *Shard) add(j *job) {
 	s.jobs[j.rec.ID] = j
-	s.suspects = s.suspects || len(j.rec.Progress.Lost) > 0
+	s.anyLosses = s.anyLosses || len(j.rec.Progress.Lost) > 0
 }
 
 // Knows returns the state of a submission here.
