A worker that answers again is no loss at all; a list that is told anew stays fresh

Two faults found by reading. A loss that was taken back weighed nothing and still counted among the three after which a transient task is given up: TestWorkersThatAreCutOffFailNoStoredTask also looks at what is left. A holder that was told the same list under another version (its reader had lost and taken its shard again) did not believe later words that the list stands, and read the list itself until the next whole one: TestListThatStandsStaysFresh fails without the change.

--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -132,9 +132,15 @@
 
 // foundAgain takes back the loss of a worker that was only silent.
 func (s *Shard) foundAgain(now time.Duration, h *host) {
-	if h.lapsed {
-		h.lapsed = false
-		s.reweigh(now, h.info.ID)
+	if !h.lapsed {
+		return
+	}
+	h.lapsed = false
+	s.reweigh(now, h.info.ID)
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			t.losses = slices.DeleteFunc(t.losses, func(l submission.Loss) bool { return l.Worker == h.info.ID })
+		}
 	}
 }
 
--- a/internal/kept/shard/crash_test.go
+++ b/internal/kept/shard/crash_test.go
@@ -105,13 +105,17 @@
 func TestWorkersThatAreCutOffFailNoStoredTask(t *testing.T) {
 	w := newWorld(t, 3)
 	w.run(100 * ms)
-	w.assign(w.stored("s", 1, runhost.Work{Time: 500 * ms}))
+	w.assign(w.stored("s", 1, runhost.Work{Time: 1500 * ms}))
 	for range 3 {
 		w.run(200 * ms)
 		last := w.starts[len(w.starts)-1].Worker.ID
 		w.cut[last] = true
-		w.run(2 * time.Second)
+		w.run(1200 * ms)
 		clear(w.cut)
+		w.run(50 * ms)
+	}
+	if l := w.shard.jobs["s"].tasks[0].losses; len(l) > 0 {
+		t.Errorf("workers that answer again count as lost: %+v", l)
 	}
 	w.run(10 * time.Second)
 	w.want("s", submission.Done)
--- a/internal/kept/vm/leaving_test.go
+++ b/internal/kept/vm/leaving_test.go
@@ -207,7 +207,7 @@
 	wants := func(outdated bool, when string) {
 		t.Helper()
 		e.at = now
-		if got := e.listOutdated(e.lists["a"]); got != outdated {
+		if got := e.listOutdated(e.lists["a"], v.router.Contact()); got != outdated {
 			t.Errorf("the list is outdated: %v, want %v, %s", got, outdated, when)
 		}
 	}
--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
+	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
@@ -17,8 +18,7 @@
 // of the domain when it changes. Workers rewrite their entries at each heartbeat: on a site of 1,100
 // workers a reader gets 730 entries a second, of which one or none has changed, and on a link of 2
 // Mbit/s the list of 120 takes a fifth of it. A holder that has no word from the reader reads the list
-// itself, so the loss of the reader delays what is new by some seconds, and nothing else.
-
+// itself, so the loss of the reader delays what is new for some time, and nothing else.
 //
 // A worker that gives notice must get nothing new within a bound that the operators set. So a list has
 // an age, which runs from when the store was asked for it, and nothing starts on one that is missing or
@@ -84,6 +84,7 @@
 // followLists has the list of workers read here while nobody tells of it, and tells the other holders.
 func (e *engine) followLists() {
 	reading := false
+	contact := e.vm.router.Contact()
 	for name, h := range e.shards {
 		domain := site.DomainOf(name)
 		l := e.lists[domain]
@@ -98,7 +99,7 @@
 		default:
 			reading = reading || l.own() || e.listOld(l)
 		}
-		h.core.SetListOutdated(e.listOutdated(l))
+		h.core.SetListOutdated(e.listOutdated(l, contact))
 	}
 	e.holdersChanged = false
 	if reading != e.reading {
@@ -115,8 +116,7 @@
 
 // listOutdated reports whether nothing may start on a list as a newer one can be had; nil: there is none
 // yet. While the store does not answer, the list, or what the earlier holder has stored, is all there is.
-func (e *engine) listOutdated(l *domainList) bool {
-	c := e.vm.router.Contact()
+func (e *engine) listOutdated(l *domainList, c relay.Contact) bool {
 	if l == nil {
 		return c.Answered >= c.Unanswered
 	}
@@ -255,8 +255,11 @@
 		e.lists[domain] = l
 	}
 	changed := l.infos == nil || !slices.EqualFunc(l.infos, infos, sameWorker)
-	if changed || l.from != from {
-		l.version = cmp.Or(version, e.nextListVersion())
+	switch {
+	case from != "":
+		l.version = version
+	case changed || !l.own():
+		l.version = e.nextListVersion()
 	}
 	l.infos, l.at, l.from = infos, at, from
 	if changed {
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -214,3 +214,25 @@
 	now += fresh + time.Millisecond
 	wants(true, "without a word for long")
 }
+
+// Guards against a list that ages though its reader says that it stands: the reader has read it anew, with
+// the same content under another version.
+func TestListThatStandsStaysFresh(t *testing.T) {
+	now := time.Hour
+	v := &VM{now: func() time.Duration { return now }}
+	e := newEngine(context.Background(), v)
+	e.at = now
+	e.shards["a/1"] = &held{core: shard.New(now, shard.DefaultSettings(), 1, now), takenAt: now, noting: true}
+	for version := range uint64(2) {
+		e.takeWorkers("reader", &pb.KeptWorkers{Domain: "a", List: []byte(`[]`), Version: version + 1})
+	}
+	e.at += time.Second
+	e.takeWorkers("reader", &pb.KeptWorkers{Domain: "a", Version: 1})
+	if e.listAge("a/1") != time.Second {
+		t.Error("a word of an earlier version counts")
+	}
+	e.takeWorkers("reader", &pb.KeptWorkers{Domain: "a", Version: 2})
+	if age := e.listAge("a/1"); age != 0 {
+		t.Errorf("the list is %v old after a word that it stands", age)
+	}
+}
