--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -192,6 +192,11 @@
 	return open, alone
 }
 
+// roomsFor returns the rooms for suspects that those of a submission may have.
+func roomsFor(j *job, alone []*room) []*room {
+	return slices.DeleteFunc(slices.Clone(alone), func(r *room) bool { return r.suspect != nil && r.suspect != j })
+}
+
 // countSuspects counts the suspects that may start, and the workers that suspects have.
 func (s *Shard) countSuspects() (wait, inUse int) {
 	s.anyLosses = false
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -161,17 +161,12 @@
 			if !j.startable(t) || !s.lossKnown(now, t) {
 				continue
 			}
-			t.alone = s.suspect(t)
-			if !t.alone {
-				if r := s.choose(now, t, open); r != nil {
-					s.start(now, t, r)
-				}
-				continue
+			rooms := open
+			if s.suspect(t) {
+				rooms = roomsFor(j, alone)
 			}
-			own := slices.DeleteFunc(slices.Clone(alone), func(r *room) bool { return r.suspect != nil && r.suspect != j })
-			if r := s.choose(now, t, own); r != nil {
+			if r := s.choose(now, t, rooms); r != nil {
 				s.start(now, t, r)
-				r.suspect = j
 			}
 		}
 	}
@@ -385,6 +380,9 @@
 	t.stopClock = 0
 	t.progress = policy.Progress{}
 	r.take(t)
+	if t.alone = s.suspect(t); t.alone {
+		r.suspect = t.job
+	}
 	s.out.Starts = append(s.out.Starts, StartAction{
 		Worker:     r.host.info,
 		Task:       t.ref,
