--- a/internal/kept/shard/crash_test.go
+++ b/internal/kept/shard/crash_test.go
@@ -20,15 +20,7 @@
 }
 
 // crashesOf is how many workers have crashed under the tasks of a submission.
-func (w *world) crashesOf(id submission.ID) int {
-	sum := 0
-	for ref, n := range w.ledger.Crashes {
-		if ref.ID == id {
-			sum += n
-		}
-	}
-	return sum
-}
+func (w *world) crashesOf(id submission.ID) int { return runhost.SumOf(w.ledger.Crashes, id) }
 
 // crash ends the life of a worker.
 func (w *world) crash(ids ...string) {
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -327,12 +327,4 @@
 }
 
 // runs counts the starts of all tasks of a submission.
-func (w *world) runs(id submission.ID) int {
-	n := 0
-	for ref, starts := range w.ledger.Starts {
-		if ref.ID == id {
-			n += starts
-		}
-	}
-	return n
-}
+func (w *world) runs(id submission.ID) int { return runhost.SumOf(w.ledger.Starts, id) }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -104,13 +104,7 @@
 func (f *Fleet) Crashes(id submission.ID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for ref, k := range f.Ledger.Crashes {
-		if ref.ID == id {
-			n += k
-		}
-	}
-	return n
+	return runhost.SumOf(f.Ledger.Crashes, id)
 }
 
 // StartsAfterCrashes is the most that a task was started after as many crashes as the users' bound allows.
@@ -210,13 +204,7 @@
 func (f *Fleet) Starts(id submission.ID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for ref, k := range f.Ledger.Starts {
-		if ref.ID == id {
-			n += k
-		}
-	}
-	return n
+	return runhost.SumOf(f.Ledger.Starts, id)
 }
 
 // StartsOn is how many starts a worker has taken.
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -79,6 +79,17 @@
 // Done is how often a task has completed.
 func (l *Ledger) Done(ref submission.TaskRef) int { return l.done[ref] }
 
+// SumOf adds counts by task up over the tasks of a submission.
+func SumOf(counts map[submission.TaskRef]int, id submission.ID) int {
+	n := 0
+	for ref, k := range counts {
+		if ref.ID == id {
+			n += k
+		}
+	}
+	return n
+}
+
 func (l *Ledger) begin(ref submission.TaskRef, run uint64, where string) {
 	l.Starts[ref]++
 	l.live[ref]++
