--- a/internal/kept/shard/property_test.go
+++ b/internal/kept/shard/property_test.go
@@ -130,8 +130,6 @@
 type play struct {
 	*world
 	made map[submission.ID]runhost.Work
-
-	recordsMade map[submission.ID]*submission.Record
 }
 
 func newPlay(t *testing.T) *play {
