Losses go to homes in a message of their own

Found by reading the diff: a note with 0 failed runs says that a task has completed, and losses were added to that note. A home of an earlier release, in a rolling upgrade, would have taken the loss of a task's worker for its end, and the next holder of the part would have answered with a task to go. A field that an earlier release does not know is passed over. TestHomeKeepsLossesApartFromEnds holds the two apart.

--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -257,6 +257,7 @@
 		f.Elsewhere = append(f.Elsewhere, w.Elsewhere...)
 		f.Workers = append(f.Workers, w.Workers...)
 		f.Evacuations = append(f.Evacuations, w.Evacuations...)
+		f.Losses = append(f.Losses, w.Losses...)
 	}
 	return f
 }
@@ -264,7 +265,7 @@
 // Says reports whether a frame is more than a heartbeat.
 func Says(f *pb.KeptFrame) bool {
 	parts := len(f.Assign) + len(f.States) + len(f.Queries) + len(f.Cancelled) + len(f.Loads) + len(f.Calls) +
-		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers) + len(f.Evacuations)
+		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers) + len(f.Evacuations) + len(f.Losses)
 	return parts > 0 || f.Unplaced != nil
 }
 
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -92,9 +92,15 @@
 // NoteAction tells the home of a transient submission what has become of a task, so
 // that a later holder can go on from there.
 type NoteAction struct {
+	Home  string
+	Task  submission.TaskRef
+	Fails int // runs that have failed; 0: the task has completed
+}
+
+// LossesAction tells the home of a transient submission which workers were lost under a task.
+type LossesAction struct {
 	Home   string
 	Task   submission.TaskRef
-	Fails  int // runs that have failed; 0: the task has completed, unless workers were lost under it
 	Losses []submission.Loss
 }
 
@@ -123,7 +129,8 @@
 	States []StateAction
 	Notes  []NoteAction
 
-	Losses  []LossAction
+	Lost    []LossAction
+	Losses  []LossesAction
 	GivenUp []GivenUpAction
 }
 
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -229,6 +229,9 @@
 		e.storeMove(name, h, m)
 	}
 	e.reportLosses(name, a)
+	for _, l := range a.Losses {
+		e.tellLosses(l)
+	}
 	for _, n := range a.Notes {
 		e.tellNote(n) // before the state: what is told as returned has not completed
 	}
--- a/internal/kept/vm/losses.go
+++ b/internal/kept/vm/losses.go
@@ -28,7 +28,7 @@
 
 // reportLosses logs and counts workers that were lost with tasks on them, and tasks given up for it.
 func (e *engine) reportLosses(name string, a shard.Actions) {
-	for _, l := range a.Losses {
+	for _, l := range a.Lost {
 		e.vm.figures.lostUnder(l.Unrelated, l.Tasks)
 		klog.InfoS("kept: worker lost under tasks", "worker", l.Worker, "shard", name, "tasks", l.Tasks, "others_lost_too", l.Unrelated)
 	}
@@ -38,3 +38,32 @@
 			"shard", name, "losses", fmt.Sprintf("%+v", g.Losses))
 	}
 }
+
+// tellLosses tells a submission's home which workers were lost under a task.
+func (e *engine) tellLosses(a shard.LossesAction) {
+	if a.Home == e.vm.config.Name {
+		e.learnLosses(a.Task, a.Losses)
+		return
+	}
+	f := e.frame(a.Home)
+	f.Losses = append(f.Losses, &pb.KeptLosses{
+		Id:     string(a.Task.ID),
+		Step:   uint32(a.Task.Step),
+		Index:  uint32(a.Task.Index),
+		Losses: encodeLosses(a.Losses),
+	})
+}
+
+// learnLosses keeps which workers were lost under a task, for the next holder.
+func (e *engine) learnLosses(ref submission.TaskRef, losses []submission.Loss) {
+	t := e.transients[ref.ID]
+	if t == nil || t.state.Final() {
+		return
+	}
+	for _, p := range t.parts {
+		if p.record.Has(ref.Task) {
+			p.changed = e.at
+			p.record.Progress.NoteLosses(ref.Task, losses)
+		}
+	}
+}
--- a/internal/kept/vm/losses_test.go
+++ b/internal/kept/vm/losses_test.go
@@ -1,9 +1,11 @@
 package vm
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
@@ -58,3 +60,20 @@
 		})
 	}
 }
+
+// Guards against a home that takes the loss of a task's worker for the task's end.
+func TestHomeKeepsLossesApartFromEnds(t *testing.T) {
+	v := &VM{now: func() time.Duration { return time.Hour }}
+	e := newEngine(context.Background(), v)
+	rec := equalTasks("s", 2, runhost.Work{Time: 50 * ms})
+	e.transients["s"] = &transient{record: rec, parts: []*part{{record: rec}}}
+	ref := submission.TaskRef{ID: "s", Task: submission.Task{Index: 1}}
+	for range 2 {
+		frameEvent{from: "a2", frame: &pb.KeptFrame{Losses: []*pb.KeptLosses{{
+			Id: "s", Index: 1, Losses: []*pb.KeptLoss{{Worker: "w", Run: 1, Weight: 1}},
+		}}}}.apply(e)
+	}
+	if p := rec.Progress; len(p.Done) > 0 || len(p.Lost[ref.Task]) != 1 {
+		t.Errorf("the progress is %+v, want one loss and no end", p)
+	}
+}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -216,7 +216,12 @@
 	for _, n := range f.Notes {
 		ref := submission.TaskRef{ID: submission.ID(n.Id)}
 		ref.Step, ref.Index = int(n.Step), int(n.Index)
-		e.learnNote(ref, int(n.Fails), lossesOf(n.Losses))
+		e.learnNote(ref, int(n.Fails))
+	}
+	for _, w := range f.Losses {
+		ref := submission.TaskRef{ID: submission.ID(w.Id)}
+		ref.Step, ref.Index = int(w.Step), int(w.Index)
+		e.learnLosses(ref, lossesOf(w.Losses))
 	}
 	for _, s := range f.States {
 		e.learnState(submission.ID(s.Id), stateReport{shard: s.Shard, token: s.Token, state: submission.State(s.State), serial: s.Serial, returned: returnedOf(s.Returned)})
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -398,7 +398,7 @@
 // tellNote tells a submission's home what has become of a task.
 func (e *engine) tellNote(n shard.NoteAction) {
 	if n.Home == e.vm.config.Name {
-		e.learnNote(n.Task, n.Fails, n.Losses)
+		e.learnNote(n.Task, n.Fails)
 		return
 	}
 	f := e.frame(n.Home)
@@ -407,13 +407,11 @@
 		Step:  uint32(n.Task.Step),
 		Index: uint32(n.Task.Index),
 		Fails: uint32(n.Fails),
-
-		Losses: encodeLosses(n.Losses),
 	})
 }
 
 // learnNote keeps what has become of a task, for the next holder.
-func (e *engine) learnNote(ref submission.TaskRef, fails int, losses []submission.Loss) {
+func (e *engine) learnNote(ref submission.TaskRef, fails int) {
 	t := e.transients[ref.ID]
 	if t == nil || t.state.Final() {
 		return
@@ -421,10 +419,7 @@
 	for _, p := range t.parts {
 		if p.record.Has(ref.Task) {
 			p.changed = e.at
-			p.record.Progress.NoteLosses(ref.Task, losses)
-			if fails > 0 || len(losses) == 0 {
-				p.record.Progress.Note(ref.Task, fails)
-			}
+			p.record.Progress.Note(ref.Task, fails)
 		}
 	}
 }
