One way for a holder's word of a task into the record at its home

learnNote and learnLosses held the same loop over the parts of a submission; both now give learnProgress what they note. No behaviour changes: the notes and losses taken are the same, and the tests of both stand as they were.

--- a/internal/kept/vm/losses.go
+++ b/internal/kept/vm/losses.go
@@ -56,14 +56,5 @@
 
 // learnLosses keeps which workers were lost under a task, for the next holder.
 func (e *engine) learnLosses(ref submission.TaskRef, losses []submission.Loss) {
-	t := e.transients[ref.ID]
-	if t == nil || t.state.Final() {
-		return
-	}
-	for _, p := range t.parts {
-		if p.record.Has(ref.Task) {
-			p.changed = e.at
-			p.record.Progress.NoteLosses(ref.Task, losses)
-		}
-	}
+	e.learnProgress(ref, func(p *submission.Progress) { p.NoteLosses(ref.Task, losses) })
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -412,6 +412,11 @@
 
 // learnNote keeps what has become of a task, for the next holder.
 func (e *engine) learnNote(ref submission.TaskRef, fails int) {
+	e.learnProgress(ref, func(p *submission.Progress) { p.Note(ref.Task, fails) })
+}
+
+// learnProgress takes a holder's word of a task into the record of the part that has it.
+func (e *engine) learnProgress(ref submission.TaskRef, note func(*submission.Progress)) {
 	t := e.transients[ref.ID]
 	if t == nil || t.state.Final() {
 		return
@@ -419,7 +424,7 @@
 	for _, p := range t.parts {
 		if p.record.Has(ref.Task) {
 			p.changed = e.at
-			p.record.Progress.Note(ref.Task, fails)
+			note(&p.record.Progress)
 		}
 	}
 }
