The stand-in fleet's restart time is a constant

It was an exported constant, copied into a field that nothing sets. No behaviour changes: a worker that a task has crashed is down for 2 s as before.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -37,14 +37,13 @@
 	on    map[string]int  // starts by worker
 	dark  map[string]bool // workers that nobody reaches
 
-	crashFor time.Duration // how long a worker that a task has crashed is down
-	restart  func(old, next worker.Info)
-	lives    int
-	down     map[string]bool // crashed, and to be started again
+	restart func(old, next worker.Info)
+	lives   int
+	down    map[string]bool // crashed, and to be started again
 }
 
-// CrashFor is how long workers that tasks have crashed are down.
-const CrashFor = 2 * time.Second
+// crashFor is how long a worker that a task has crashed is down.
+const crashFor = 2 * time.Second
 
 // New returns a fleet without workers.
 func New() *Fleet {
@@ -57,8 +56,6 @@
 		on:     make(map[string]int),
 		dark:   make(map[string]bool),
 		down:   make(map[string]bool),
-
-		crashFor: CrashFor,
 	}
 }
 
@@ -76,7 +73,7 @@
 		h.Advance(now)
 		if id := h.Info.ID; h.Crashed() && !f.down[id] {
 			f.down[id] = true
-			time.AfterFunc(f.crashFor, func() { f.startAgain(h.Info) })
+			time.AfterFunc(crashFor, func() { f.startAgain(h.Info) })
 		}
 	}
 }
