--- a/internal/kept/vm/evacuate_test.go
+++ b/internal/kept/vm/evacuate_test.go
@@ -17,64 +17,9 @@
 // inForce is how soon after its acknowledgement an evacuation holds at every VM that is in touch.
 const inForce = time.Second
 
-// startSeen is a start at a worker.
-type startSeen struct {
-	at     time.Time
-	domain string
-	worker string // its ID
-	task   submission.TaskRef
-}
-
-// startLog is what the workers of a world were told to start.
-type startLog struct {
-	mu   sync.Mutex
-	seen []startSeen
-}
-
-func watchStarts(w *world) *startLog {
-	l := &startLog{}
-	w.fleet.OnStart(func(at worker.Info, s worker.Start) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.seen = append(l.seen, startSeen{at: time.Now(), domain: at.Domain, worker: at.ID, task: s.Task})
-	})
-	return l
-}
-
-// in returns the starts in a domain from one time to another.
-func (l *startLog) in(domain string, from, to time.Time) []startSeen {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []startSeen
-	for _, s := range l.seen {
-		if s.domain == domain && !s.at.Before(from) && s.at.Before(to) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 func (w *world) evacuate(domain string) { w.store.Put("config/evacuated/"+domain, []byte("{}")) }
 func (w *world) giveBack(domain string) { w.store.Delete("config/evacuated/" + domain) }
 
-// stream hands in a transient submission of one task at a VM again and again, for some time, and
-// returns how many ended well and how many did not.
-func (w *world) stream(at, name string, every, during time.Duration) (done, other int) {
-	var outs []chan Outcome
-	for i := range int(during / every) {
-		outs = append(outs, w.submit(at, submission.ID(fmt.Sprintf("%s%d", name, i)), 1, runhost.Work{Time: 40 * ms}, true))
-		time.Sleep(every)
-	}
-	for _, out := range outs {
-		if o := <-out; o.Kind == Ended && o.State == submission.Done {
-			done++
-		} else {
-			other++
-		}
-	}
-	return done, other
-}
-
 func wantNoStarts(t *testing.T, l *startLog, domain string, from, to time.Time) {
 	t.Helper()
 	if late := l.in(domain, from, to); len(late) > 0 {
@@ -82,6 +27,16 @@
 	}
 }
 
+// wantUsedAgain checks that work starts in the first domain once its return is in force.
+func wantUsedAgain(t *testing.T, w *world, l *startLog, every time.Duration) {
+	t.Helper()
+	back := time.Now().Add(inForce)
+	w.stream("a1", "after", every, 2*time.Second)
+	if len(l.in("a", back, time.Now())) == 0 {
+		t.Error("nothing starts in the domain after it was given back")
+	}
+}
+
 // Symptom: work starts in a domain that an operator has emptied. Sequence: a steady load at its
 // VMs, then the evacuation, then its end. Callers of the domain's VMs are served on by others.
 func TestNothingStartsInAnEvacuatedDomain(t *testing.T) {
@@ -94,11 +49,7 @@
 		}
 		wantNoStarts(t, l, "a", from, time.Now())
 		w.giveBack("a")
-		back := time.Now().Add(inForce)
-		w.stream("a1", "after", 50*ms, 2*time.Second)
-		if len(l.in("a", back, time.Now())) == 0 {
-			t.Error("nothing starts in the domain after it was given back")
-		}
+		wantUsedAgain(t, w, l, 50*ms)
 	})
 }
 
@@ -272,11 +223,7 @@
 		wantNoStarts(t, l, "a", from, time.Now())
 		w.giveBack("a")
 		w.store.Compact()
-		back := time.Now().Add(inForce)
-		w.stream("a1", "after", 20*ms, 2*time.Second)
-		if len(l.in("a", back, time.Now())) == 0 {
-			t.Error("nothing starts in the domain after it was given back")
-		}
+		wantUsedAgain(t, w, l, 20*ms)
 	})
 }
 
