What closes a whole shard to starts is named once

An evacuation and an outdated list each stood in usable and, again, in the sum of a shard's room; a third reason would have had to be added to both. No behaviour changes.

--- a/internal/kept/shard/load.go
+++ b/internal/kept/shard/load.go
@@ -12,7 +12,7 @@
 func (s *Shard) Load(now time.Duration) Load {
 	l := Load{Ready: s.scanned && s.anyListed() && !s.outdated, Waiting: make(map[string]int)}
 	for _, h := range s.workers {
-		if s.usable(now, h) || h.listed && now < h.fullTill && !s.evacuated && !s.outdated {
+		if s.usable(now, h) || h.listed && now < h.fullTill && !s.closed() {
 			l.RoomMilli += int64(float64(h.info.CPUMilli) * h.record.Share())
 		}
 	}
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -291,10 +291,13 @@
 	r.byTasks[stepKey{t.ref.ID, t.ref.Step}]++
 }
 
+// closed reports whether nothing may start at any worker here.
+func (s *Shard) closed() bool { return s.evacuated || s.outdated }
+
 // usable reports whether a worker may get something new.
 func (s *Shard) usable(now time.Duration, h *host) bool {
 	switch {
-	case s.evacuated, s.outdated, !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
+	case s.closed(), !h.listed, h.info.Leaving, now < h.fullTill, now < h.sickTill:
 		return false
 	case now-h.answered > quietMost:
 		return false
