--- a/internal/connection/submissions/submissions.go
+++ b/internal/connection/submissions/submissions.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -29,8 +30,6 @@
 
 const (
 	answerWithin = 30 * time.Second // unless the caller's own deadline comes first
-	keyMost      = 64               // bytes
-	tasksMost    = 4096
 )
 
 // Handler serves the interface.
@@ -41,26 +40,10 @@
 type service struct{ entry Entry }
 
 var (
-	errKey   = errors.New("key: 1 to 64 letters, digits, - or _")
-	errSteps = errors.New("steps: 1 or more, with 1 to 4096 tasks in all, each after earlier ones only")
 	errQueue = errors.New("queue: there is none of that name")
 	errStart = errors.New("no configuration has come yet; nothing has run")
 )
 
-func validKey(key string) bool {
-	if key == "" || len(key) > keyMost {
-		return false
-	}
-	for _, c := range key {
-		switch {
-		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-', c == '_':
-		default:
-			return false
-		}
-	}
-	return true
-}
-
 // SubmitWork implements the service.
 func (s *service) SubmitWork(ctx context.Context, req *connect.Request[pb.SubmitWorkRequest]) (*connect.Response[pb.SubmitWorkResponse], error) {
 	c := s.entry.Catalog()
@@ -98,11 +81,7 @@
 }
 
 func record(q *catalog.Queue, m *pb.SubmitWorkRequest) (*submission.Record, error) {
-	if !validKey(m.Key) {
-		return nil, errKey
-	}
 	rec := &submission.Record{ID: submission.ID(m.Key), Queue: q.Name, Spec: m.Spec, Terms: q.Terms, Transient: m.Transient}
-	tasks := uint32(0)
 	for i, w := range m.Steps {
 		step := submission.Step{
 			Count:        int(w.Count),
@@ -114,21 +93,14 @@
 			MaxPerWorker: int(w.MostPerWorker),
 		}
 		for _, a := range w.After {
-			if int(a) >= i {
-				return nil, errSteps
-			}
 			step.After = append(step.After, int(a))
 		}
-		tasks += w.Count
-		if w.Count == 0 || tasks > tasksMost {
-			return nil, errSteps
+		if w.Count == 0 {
+			return nil, &submission.InvalidError{Field: fmt.Sprintf("step %d: count", i), Why: "a step has tasks"}
 		}
 		rec.Steps = append(rec.Steps, step)
 	}
-	if tasks == 0 {
-		return nil, errSteps
-	}
-	return rec, nil
+	return rec, rec.Validate()
 }
 
 var states = map[submission.State]pb.WorkState{
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -208,7 +208,11 @@
 // DecodeRecord reads a record from its value in the store.
 func DecodeRecord(id ID, value []byte) (*Record, error) {
 	r := &Record{ID: id}
-	if err := json.Unmarshal(value, r); err != nil {
+	err := json.Unmarshal(value, r)
+	if err == nil {
+		err = r.Validate()
+	}
+	if err != nil {
 		return nil, &DecodeError{ID: id, Err: err}
 	}
 	return r, nil
--- a/internal/kept/vm/transient_test.go
+++ b/internal/kept/vm/transient_test.go
@@ -14,7 +14,7 @@
 // Cause: the second time it was handed over as new, as this holder had been told of it.
 func TestHandedOverAgainIsStillNotNew(t *testing.T) {
 	e := &engine{at: time.Hour, shards: map[string]*held{}, frames: map[string]*pb.KeptFrame{}}
-	p := &part{record: &submission.Record{ID: "job"}, shard: "a/0"}
+	p := &part{record: &submission.Record{ID: "job", Steps: []submission.Step{{Count: 1}}}, shard: "a/0"}
 	last := func(holder string) *pb.KeptAssign {
 		a := e.frame(holder).Assign
 		return a[len(a)-1]
