--- a/internal/kept/vm/reborn_test.go
+++ b/internal/kept/vm/reborn_test.go
@@ -16,22 +16,27 @@
 func bornWorld(t *testing.T, workers int, play func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, "a")
-		for i := range workers {
-			name := fmt.Sprintf("a%d", i)
-			w.addWorker(worker.Info{
-				ID: "w-" + name, Born: time.Now().UnixMilli(), Service: "desk", Address: "worker-" + name, Domain: "a",
-				CPUMilli: 16000, MemMB: 65536,
-			})
-		}
-		w.boot("a1")
-		w.boot("a2")
-		time.Sleep(3 * time.Second)
+		w := newBornWorld(t, workers)
 		play(w)
 		w.end()
 	})
 }
 
+func newBornWorld(t testing.TB, workers int) *world {
+	w := newWorld(t, "a")
+	for i := range workers {
+		name := fmt.Sprintf("a%d", i)
+		w.addWorker(worker.Info{
+			ID: "w-" + name, Born: time.Now().UnixMilli(), Service: "desk", Address: "worker-" + name, Domain: "a",
+			CPUMilli: 16000, MemMB: 65536,
+		})
+	}
+	w.boot("a1")
+	w.boot("a2")
+	time.Sleep(3 * time.Second)
+	return w
+}
+
 // restart ends a worker's incarnation and begins the next one under the same ID; listed: it writes its entry
 // at once.
 func (w *world) restart(name string, listed bool) {
--- a/internal/kept/vm/starts_test.go
+++ b/internal/kept/vm/starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,13 @@
 	return l
 }
 
+// of returns the starts of a submission's tasks.
+func (l *startLog) of(id submission.ID) []startSeen {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(l.seen), func(s startSeen) bool { return s.task.ID != id })
+}
+
 // in returns the starts in a domain from one time to another.
 func (l *startLog) in(domain string, from, to time.Time) []startSeen {
 	l.mu.Lock()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -232,6 +232,14 @@
 	return runhost.SumOf(f.Ledger.Starts, id)
 }
 
+// Running is how many runs of a submission's tasks are under way.
+func (f *Fleet) Running(id submission.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance(time.Since(f.began))
+	return f.Ledger.Live(id)
+}
+
 // StartsOn is how many starts a worker has taken.
 func (f *Fleet) StartsOn(id string) int {
 	f.mu.Lock()
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -79,6 +79,9 @@
 // Done is how often a task has completed.
 func (l *Ledger) Done(ref submission.TaskRef) int { return l.done[ref] }
 
+// Live is how many runs of a submission's tasks are under way.
+func (l *Ledger) Live(id submission.ID) int { return SumOf(l.live, id) }
+
 // SumOf adds counts by task up over the tasks of a submission.
 func SumOf(counts map[submission.TaskRef]int, id submission.ID) int {
 	n := 0
