A worker's shard is worked out once, not for each shard held at each change of the list

What callers saw: to be measured on the whole fleet; found on the engine's parts. When one worker of a failure domain changes, each holder goes over the list of the domain for each shard that it holds, and hashes each worker's address with each shard of the domain to learn whose it is.

It grows with workers x shards x shards held.

Tests: the division of a list is that of its addresses, also after changes and for another division; what a change allocates a worker does not grow from 110 to 880 workers. All of internal/kept/vm passes.

--- a/internal/kept/vm/lists.go
+++ b/internal/kept/vm/lists.go
@@ -58,6 +58,10 @@
 	version uint64        // at this VM, or at the one that told of it
 	from    string        // who told of it; "": it was read here
 
+	division site.Division            // that the workers are divided by
+	shards   map[string]string        // of the workers, by address
+	byShard  map[string][]worker.Info // nil: they are not divided yet
+
 	told        map[string]bool // other holders that were told the list
 	toldVersion uint64          // that all of them were told
 	toldAt      time.Duration   // when they were told anything
@@ -263,6 +267,7 @@
 	}
 	l.infos, l.at, l.from = infos, at, from
 	if changed {
+		l.byShard = nil
 		klog.InfoS("kept: workers of a domain", "domain", domain, "workers", len(infos), "leaving", leavingCount(infos),
 			"told_by", from, "age", e.at-at)
 	}
@@ -277,6 +282,29 @@
 	}
 }
 
+// divide returns the workers of a list by shard. The shard of an address is worked out once: each is hashed
+// with each shard of the domain.
+func (l *domainList) divide(d site.Division) map[string][]worker.Info {
+	if l.division != d {
+		l.division, l.shards, l.byShard = d, nil, nil
+	}
+	if l.byShard != nil {
+		return l.byShard
+	}
+	shards := make(map[string]string, len(l.infos))
+	l.byShard = make(map[string][]worker.Info)
+	for _, info := range l.infos {
+		name, known := l.shards[info.Address]
+		if !known {
+			name = d.ShardOf(info.Address)
+		}
+		shards[info.Address] = name
+		l.byShard[name] = append(l.byShard[name], info)
+	}
+	l.shards = shards
+	return l.byShard
+}
+
 // nextListVersion numbers the lists that this VM tells; no other process tells the same number.
 func (e *engine) nextListVersion() uint64 {
 	e.listVersions++
--- /dev/null
+++ b/internal/kept/vm/lists_test.go
@@ -0,0 +1,92 @@
+package vm
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+)
+
+func workersAt(n int) []worker.Info {
+	var out []worker.Info
+	for i := range n {
+		id := fmt.Sprintf("w%d", i)
+		out = append(out, worker.Info{ID: id, Service: "desk", Address: "10.1.0.1:" + id, Domain: "a", CPUMilli: 16000, MemMB: 4096, Revision: uint64(i + 1)})
+	}
+	return out
+}
+
+// Guards against a worker that is held in a shard of which it is not, as shards are worked out once for an address.
+func TestListIsDividedLikeItsAddresses(t *testing.T) {
+	l := &domainList{}
+	d := site.Division{Domain: "a", Shards: 7}
+	check := func(infos []worker.Info) {
+		t.Helper()
+		l.infos, l.byShard = infos, nil
+		n := 0
+		for name, of := range l.divide(d) {
+			for _, info := range of {
+				if want := d.ShardOf(info.Address); name != want {
+					t.Errorf("%s is in %s, want %s", info.ID, name, want)
+				}
+				n++
+			}
+		}
+		if n != len(infos) || len(l.shards) != len(infos) {
+			t.Errorf("%d of %d workers are in shards, %d addresses are remembered", n, len(infos), len(l.shards))
+		}
+	}
+	check(workersAt(40))
+	check(workersAt(60)[10:])
+	d.Shards = 9
+	check(workersAt(60)[10:])
+}
+
+// Guards against a change of one worker that costs each holder all workers times all shards of its domain.
+func TestDividingAListAgainDoesNotGrow(t *testing.T) {
+	perWorker := func(workers int) float64 {
+		l := &domainList{infos: workersAt(workers)}
+		d := site.Division{Domain: "a", Shards: workers / 11}
+		l.divide(d)
+		allocs := testing.AllocsPerRun(5, func() {
+			l.byShard = nil
+			l.divide(d)
+		})
+		return allocs / float64(workers)
+	}
+	if small, large := perWorker(110), perWorker(880); large > 1.1*small {
+		t.Errorf("%.2f allocations a worker in a domain of 880, %.2f in one of 110", large, small)
+	}
+}
+
+// BenchmarkListChange is what a holder of a fifth of a domain's shards does when one worker of the domain has
+// changed.
+func BenchmarkListChange(b *testing.B) {
+	for _, workers := range []int{100, 418, 836, 1670} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			d := site.Division{Domain: "a", Shards: workers / 11}
+			infos := workersAt(workers)
+			l := &domainList{infos: infos}
+			l.divide(d)
+			for b.Loop() {
+				l.byShard = nil
+				for i := range d.Shards / 5 {
+					if len(l.divide(d)[site.ShardName("a", i)]) == 0 {
+						b.Fatal("a shard without workers")
+					}
+				}
+			}
+			began := time.Now()
+			for i := range d.Shards / 5 {
+				for _, info := range infos {
+					if d.ShardOf(info.Address) == site.ShardName("a", i) {
+						continue
+					}
+				}
+			}
+			b.ReportMetric(float64(time.Since(began))*float64(b.N)/float64(b.Elapsed()), "hashed-each-time/divided-once")
+		})
+	}
+}
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -14,15 +14,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
-// shardOf is the shard that a worker belongs to; "" if its domain is not divided yet.
-func (e *engine) shardOf(info worker.Info) string {
-	d, known := e.site.Division(info.Domain)
-	if !known {
-		return ""
-	}
-	return d.ShardOf(info.Address)
-}
-
 // divideDomains writes into how many shards a domain of a new site is divided.
 func (e *engine) divideDomains() {
 	for _, domain := range e.site.Undivided(e.at) {
@@ -192,9 +183,10 @@
 // placeWorkers holds the workers of a shard.
 func (e *engine) placeWorkers(h *held) {
 	var own []worker.Info
-	if l := e.lists[site.DomainOf(h.holding.Shard)]; l != nil {
-		for _, info := range l.infos {
-			if e.shardOf(info) == h.holding.Shard && e.serves(info) {
+	domain := site.DomainOf(h.holding.Shard)
+	if d, known := e.site.Division(domain); known && e.lists[domain] != nil {
+		for _, info := range e.lists[domain].divide(d)[h.holding.Shard] {
+			if e.serves(info) {
 				own = append(own, info)
 			}
 		}
