News of a large site gather at VMs that hold nothing

Each change of the site (a key of a VM, a holder of a shard) wakes the watch of each VM, and there are the more changes the more VMs there are.

Change: a VM that holds nothing, on a site of more than 13, whose domain's shards all have holders that it reaches, reads changes together, once in VMs / (5% of the reads that the store serves a second), 0.5 s at most. A lost link to a holder, a start, or a shard of its own ends that at once.

--- a/internal/kept/site/site.go
+++ b/internal/kept/site/site.go
@@ -298,6 +298,24 @@
 	return slices.DeleteFunc(out, func(m Member) bool { return m.Name == s.self.Name })
 }
 
+// Size is the number of entry VMs whose keys are there.
+func (s *Site) Size() int { return len(s.members) }
+
+// Covered reports whether each shard of a failure domain has a holder that is there and not suspected.
+func (s *Site) Covered(domain string) bool {
+	d, known := s.divisions[domain]
+	if !known {
+		return false
+	}
+	for i := range d.Shards {
+		holder := s.Holding(ShardName(domain, i)).Holder
+		if _, there := s.members[holder]; !there || s.suspected[holder] {
+			return false
+		}
+	}
+	return true
+}
+
 // Holding returns who holds a shard.
 func (s *Site) Holding(shard string) Holding {
 	if v, known := s.shards[shard]; known {
--- a/internal/kept/vm/holding.go
+++ b/internal/kept/vm/holding.go
@@ -41,9 +41,23 @@
 	}
 	e.site.Contact(ev.sent, e.at)
 	e.followHoldings(ev.sent)
+	e.noteCalm()
 	e.linksDue = true
 }
 
+// noteCalm says whether news of the site may reach this VM late: it holds nothing, and each shard of its
+// domain has a holder that it can reach. New holders speak up by themselves.
+func (e *engine) noteCalm() {
+	calm := 0
+	if n := e.site.Size(); n > site.SmallSite && len(e.shards) == 0 && e.at-e.startedAt > calmAfter && e.site.Covered(e.vm.config.Domain) {
+		calm = n
+	}
+	e.vm.siteCalm.Store(int64(calm))
+}
+
+// calmAfter is how long after its start a VM follows the site at once: the others start with it.
+const calmAfter = 5 * time.Second
+
 // followHoldings takes up the shards that this VM holds by the store, and drops
 // those that it does not. sent is when the store was asked.
 func (e *engine) followHoldings(sent time.Duration) {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -195,6 +195,7 @@
 	e.up[ev.name] = false
 	e.waiting.forget(ev.name)
 	e.site.Suspect(ev.name, true)
+	e.noteCalm()
 	e.vm.calls.setReach(ev.name, false)
 	e.homeLost(ev.name)
 }
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -22,6 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, "a", "b", "c", "d")
 		w.weights = make(map[string]float64)
+		w.storeReads = 4000
 		for _, d := range w.domains {
 			for i := range 24 {
 				w.addDeskWorker(fmt.Sprintf("%s%d", d, i), d)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -52,6 +52,7 @@
 	Policy      policy.Settings
 	Weight      float64 // processor of this VM, in cores; 0: not known
 	LinkBytes   float64 // what this VM's link carries a second, in bytes; 0: not known
+	StoreReads  float64 // reads of the store a second that all VMs may make together; 0: not known
 	// CatalogWithin is how soon a change of the configuration is in force; 0: in 2 s.
 	CatalogWithin time.Duration
 	// NoticeWithin is how soon a worker that says it leaves gets nothing new; 0: in 2 s.
@@ -94,6 +95,8 @@
 
 	trip atomic.Int64 // how long answers of workers to orders usually take, in nanoseconds
 
+	siteCalm atomic.Int64 // VMs of the site, while its news need not reach this VM at once; 0: they must
+
 	sessionGone atomic.Bool // the session's key was deleted though nobody ended it
 
 	cancel context.CancelFunc
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -46,7 +46,7 @@
 	vm     *VM
 	prefix string
 	wait   time.Duration
-	pause  func(pace time.Duration, events []store.Event) time.Duration // after an answer with changes; nil: none
+	pause  func(pace time.Duration, events []store.Event) time.Duration // after an answer with changes, made so soon; nil: none
 	whole  func(sent time.Duration, revision uint64, items []store.Item)
 	some   func(sent time.Duration, events []store.Event)
 }
@@ -128,8 +128,27 @@
 	pause.For(ctx, min(time.Duration(failures)*watchPause, watchMost))
 }
 
+// What all VMs of a site together may spend on following its changes, as a share of the reads that the
+// store serves, and the most that a change may wait for it.
+//
+// Each change wakes the watch of each VM, and there are the more changes the more VMs there are: calls grow
+// with the square of the site.
+const (
+	siteShare     = 0.05
+	sitePauseMost = 500 * time.Millisecond
+)
+
+// sitePause is how long changes of the site may gather after some were read.
+func (v *VM) sitePause(time.Duration, []store.Event) time.Duration {
+	vms := v.siteCalm.Load()
+	if vms == 0 || v.config.StoreReads <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(vms)/(siteShare*v.config.StoreReads)*float64(time.Second)), sitePauseMost)
+}
+
 func (v *VM) watchSite(ctx context.Context) {
-	f := &follower{vm: v, prefix: site.Prefix, wait: siteWait}
+	f := &follower{vm: v, prefix: site.Prefix, wait: siteWait, pause: v.sitePause}
 	f.whole = func(sent time.Duration, _ uint64, items []store.Item) {
 		v.post(siteEvent{sent: sent, whole: true, items: items})
 	}
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -37,6 +37,8 @@
 	lives   uint64
 	domains []string
 	weights map[string]float64 // processor of VMs, in cores; absent: not known
+
+	storeReads float64 // a second, by all VMs; 0: not known
 }
 
 func testWorld(t *testing.T, play func(w *world)) {
@@ -149,7 +151,9 @@
 		},
 		Weight:    w.weights[name],
 		LeaseMost: time.Second,
-		Now:       func() time.Duration { return time.Hour + time.Since(w.began) },
+
+		StoreReads: w.storeReads,
+		Now:        func() time.Duration { return time.Hour + time.Since(w.began) },
 	})
 }
 
