A dead worker whose birth was never learnt stays dead

Cause: since incarnations have births, a worker that another incarnation has replaced is remembered by ID and birth. One that was known by a 421 only, and was replaced before it said when it was born, was remembered without; its entry, with a birth, passed for the newest at the address and ended what ran at its successor.

Change: dead workers are remembered by ID with their birth; an entry is of the dead one if either birth is not known, or it is not later.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -120,10 +120,14 @@
 	if len(s.dead) == 0 {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(info worker.Info) bool {
-		_, dead := s.dead[info.Incarnation().String()]
-		return dead
-	})
+	return slices.DeleteFunc(slices.Clone(list), func(info worker.Info) bool { return s.isDead(info.Incarnation()) })
+}
+
+// isDead reports whether an incarnation has been replaced. Where a birth is not known, that of its ID that
+// was replaced last is meant.
+func (s *Shard) isDead(i worker.Incarnation) bool {
+	d, known := s.dead[i.ID]
+	return known && (i.Born == 0 || d.born == 0 || i.Born <= d.born)
 }
 
 // Succeed takes the incarnation that answers at the address of one that is gone. Its machine has the
@@ -133,7 +137,7 @@
 // off from the list nobody there reads it: its workers would be idle until the heal, all of them if
 // they came back together. The new life runs nothing, and may be cold.
 func (s *Shard) Succeed(now time.Duration, gone worker.Info, next worker.Incarnation) {
-	s.dead[gone.Incarnation().String()] = now
+	s.dead[gone.ID] = deadWorker{born: gone.Born, at: now}
 	info := gone
 	info.ID, info.Born = next.ID, next.Born
 	info.Labels = nil
@@ -145,8 +149,7 @@
 	}
 	s.WorkerGone(now, gone.ID)
 	_, known := s.workers[next.ID]
-	_, dead := s.dead[next.String()]
-	if next.ID == "" || known || dead || s.addressTaken(gone) || !s.settings.guardsRoom(info.Service) {
+	if next.ID == "" || known || s.isDead(next) || s.addressTaken(gone) || !s.settings.guardsRoom(info.Service) {
 		return
 	}
 	s.lossesAt(now, info)
--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -220,3 +220,28 @@
 		t.Error("an end of the earlier incarnation is acknowledged to the next one")
 	}
 }
+
+// Guards against the entry of a worker that was replaced before its birth was known: it passed for the newest
+// one at its address, and what ran at its successor for lost.
+func TestEntryOfADeadWorkerWithoutAKnownBirthIsDropped(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(50 * ms)
+	first := w.hosts["w0"].Info
+	delete(w.hosts, "w0")
+	w.addHost("w9", first.Address)
+	second := worker.Incarnation{ID: "w5"} // answered once, and crashed before anything else was heard of it
+	w.shard.Succeed(w.now, first, second)
+	gone, _ := w.shard.WorkerInfo("w5")
+	w.shard.Succeed(w.now, gone, worker.Incarnation{ID: "w9"})
+	w.run(50 * ms)
+	w.assign(w.submission("a", 2, runhost.Work{Time: 500 * ms}))
+	w.run(100 * ms)
+	late := gone
+	late.Born, late.Revision = 7, 1000
+	w.shard.Workers(w.now, []worker.Info{late})
+	w.run(time.Second)
+	w.want("a", submission.Done)
+	if n := w.runs("a"); n != 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -55,7 +55,7 @@
 	s.losses = slices.DeleteFunc(s.losses, func(l lostWorker) bool { return now-l.at > pastFor })
 	maps.DeleteFunc(s.orphans, func(_ submission.ID, o []orphanEnd) bool { return now-o[0].at > pastFor })
 	s.forgetStarts(now)
-	maps.DeleteFunc(s.dead, func(_ string, since time.Duration) bool { return now-since > pastFor })
+	maps.DeleteFunc(s.dead, func(_ string, d deadWorker) bool { return now-d.at > pastFor })
 	maps.DeleteFunc(s.past, func(_ submission.ID, p endedJob) bool { return now-p.at > pastFor })
 }
 
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -24,7 +24,7 @@
 	jobs      map[submission.ID]*job
 	workers   map[string]*host
 	past      map[submission.ID]endedJob    // that ended here lately
-	dead      map[string]time.Duration      // incarnations of workers that another has replaced, since when
+	dead      map[string]deadWorker         // workers that another incarnation has replaced, by ID
 	leftovers map[string]unseenStarts       // of workers that are known no more, by ID
 	early     map[string]earlyListing       // listings that came before the records
 	orphans   map[submission.ID][]orphanEnd // ends of runs of submissions not known yet
@@ -49,6 +49,12 @@
 	at       time.Duration
 }
 
+// deadWorker is the newest incarnation of a worker that another has replaced.
+type deadWorker struct {
+	born int64 // 0: not known
+	at   time.Duration
+}
+
 // pastFor is how long ended submissions are remembered. Calls of the store that
 // had no answer may be carried out some seconds later.
 const pastFor = time.Minute
@@ -72,7 +78,7 @@
 		workers:   make(map[string]*host),
 		early:     make(map[string]earlyListing),
 		past:      make(map[submission.ID]endedJob),
-		dead:      make(map[string]time.Duration),
+		dead:      make(map[string]deadWorker),
 		leftovers: make(map[string]unseenStarts),
 		pace:      make(map[string]*policy.Pace),
 	}
