An entry of an earlier incarnation does not end what runs at its successor

Cause: the store was silent from 19 to 24 s. A worker crashed at 15 and 20 s, so the list that came back with the store named two dead incarnations at its address and not the third, which had no entry yet and was known by its 421. The second was dropped as dead; the first, which this VM had never known as it had started at 15.9 s, then passed for the newest at the address, and what ran at the third for lost.

Change: an entry at the address of a known worker counts for nothing if that one was born later, or, where births are not known, if its entry is newer.

Ruled out: silence (the runs went on and ended by themselves; a lease is a second), a takeover (the same VM started both), late starts (run 1 began 48 ms before run 2).

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -80,6 +80,8 @@
 		switch {
 		case known && (info.Born == 0 && h.info.Born > 0 || h.info.Incarnation().Succeeds(info.Incarnation())):
 			continue // it says nothing of the incarnation that is known
+		case !known && s.outlived(info):
+			continue
 		case known && info.Incarnation().Succeeds(h.info.Incarnation()):
 			h, cold = s.succeedUnderID(now, h, info, FromList), false
 		case !known:
@@ -114,6 +116,21 @@
 	s.outdated = outdated
 }
 
+// outlived reports whether a worker that is known at the address of another is a later one. Entries stay
+// until they expire, for longer while the store is away, and the later one may have none yet.
+func (s *Shard) outlived(info worker.Info) bool {
+	for _, h := range s.workers {
+		if h.info.Address != info.Address {
+			continue
+		}
+		if h.info.Born > 0 && info.Born > 0 {
+			return h.info.Born > info.Born
+		}
+		return h.info.Revision > info.Revision
+	}
+	return false
+}
+
 // living drops the entries of workers that are certainly dead: they stay in the list until they
 // expire, and one of them would pass for the newest life at its address.
 func (s *Shard) living(list []worker.Info) []worker.Info {
--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -245,3 +245,35 @@
 		t.Errorf("%d runs of two tasks", n)
 	}
 }
+
+// Guards against the entry of a worker that ended before the last one did, and that this holder has never known:
+// with the last one's dropped, it passed for the newest at the address, and what ran at its successor for lost.
+func TestEntryOfAnEarlierDeadWorkerIsDropped(t *testing.T) {
+	for _, births := range []bool{true, false} {
+		t.Run(fmt.Sprintf("births %v", births), func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.run(50 * ms)
+			last := w.hosts["w0"].Info
+			earlier := last
+			earlier.ID, earlier.Born, earlier.Revision = "w-earlier", last.Born-1, last.Revision
+			last.Revision++
+			if !births {
+				earlier.Born, last.Born = 0, 0
+			}
+			w.shard.Workers(w.now, []worker.Info{last, earlier})
+			delete(w.hosts, "w0")
+			w.addHost("w9", last.Address) // the store is away: it has no entry yet
+			w.shard.Succeed(w.now, last, worker.Incarnation{ID: "w9"})
+			w.run(50 * ms)
+			w.assign(w.submission("a", 2, runhost.Work{Time: 500 * ms}))
+			w.run(100 * ms)
+			w.shard.Workers(w.now, []worker.Info{last, earlier})
+			w.shard.Workers(w.now, []worker.Info{earlier})
+			w.run(time.Second)
+			w.want("a", submission.Done)
+			if n := w.runs("a"); births && n != 2 {
+				t.Errorf("%d runs of two tasks", n)
+			}
+		})
+	}
+}
