A worker that refuses in its own name is gone

A 421 that names the very ID that was meant, without a birth, was taken for the next incarnation of that ID, which then was none: the worker stayed among the known ones, its session had ended, and nobody would have held it again. Before births such a worker was dropped.

Change: only a later birth makes an incarnation under the same ID; anything else that refuses is gone. TestWorkerThatRefusesInItsOwnNameIsGone fails without it.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -160,7 +160,7 @@
 	info.Labels = nil
 	info.Rack = ""
 	info.Leaving = false
-	if next.ID == gone.ID {
+	if next.Succeeds(gone.Incarnation()) {
 		s.succeedKnown(now, info)
 		return
 	}
--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -277,3 +277,18 @@
 		})
 	}
 }
+
+// Guards against a worker that stays in use though nobody speaks to it any more: it says that it is another
+// incarnation, and names the one that was meant.
+func TestWorkerThatRefusesInItsOwnNameIsGone(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(50 * ms)
+	info, _ := w.shard.WorkerInfo("w0")
+	w.shard.Succeed(w.now, info, worker.Incarnation{ID: "w0"})
+	if _, known := w.shard.WorkerInfo("w0"); known {
+		t.Error("it is still used")
+	}
+	w.assign(w.submission("a", 2, runhost.Work{Time: 50 * ms}))
+	w.run(200 * ms)
+	w.want("a", submission.Done)
+}
