The slow tests of the engine run beside each other, and read the stand-ins' counts under their lock

That showed a data race in TestEvacuationsHoldBesideRandomFaults, once in one run: the check read the ledger of the stand-in workers while late orders may still be carried out. Not in the engine. No assertion is changed.

--- a/internal/kept/vm/cancel_property_test.go
+++ b/internal/kept/vm/cancel_property_test.go
@@ -152,6 +152,7 @@
 // Guards against cancelled work that runs on: its start was held up, its starter was lost for good, its shard
 // changed hands, its worker has started again, in any order.
 func TestCancelledWorkEndsBesideRandomFaults(t *testing.T) {
+	t.Parallel()
 	parameters := gopter.DefaultTestParametersWithSeed(3)
 	parameters.MinSuccessfulTests = 25
 	parameters.MaxShrinkCount = 10 // a play takes a second
--- a/internal/kept/vm/evacuate_property_test.go
+++ b/internal/kept/vm/evacuate_property_test.go
@@ -295,7 +295,7 @@
 // whole reports whether each task of a submission has completed.
 func (p *evacuations) whole(id submission.ID) bool {
 	for i := range p.tasks[id] {
-		if p.fleet.Ledger.Done(submission.TaskRef{ID: id, Task: submission.Task{Index: i}}) == 0 {
+		if p.fleet.Done(submission.TaskRef{ID: id, Task: submission.Task{Index: i}}) == 0 {
 			return false
 		}
 	}
@@ -327,6 +327,7 @@
 // turns VMs away or loses its history, and starts that are carried out late: nothing starts in an
 // evacuated domain, or at a worker that has given notice, no task runs twice at once, no refusal is untrue, and no accepted work is lost.
 func TestEvacuationsHoldBesideRandomFaults(t *testing.T) {
+	t.Parallel()
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	parameters.MinSuccessfulTests = 25
 	properties := gopter.NewProperties(parameters)
--- a/internal/kept/vm/follow_test.go
+++ b/internal/kept/vm/follow_test.go
@@ -42,6 +42,7 @@
 
 // Guards against calls of the store that grow with the square of a site: each change wakes the watch of each VM.
 func TestChangesOfALargeSiteCostABoundedRateOfCalls(t *testing.T) {
+	t.Parallel()
 	testLargeWorld(t, 40, 0.192, func(w *world) {
 		const during = 5 * time.Second
 		time.Sleep(2 * time.Second)
--- a/internal/kept/vm/size_test.go
+++ b/internal/kept/vm/size_test.go
@@ -81,6 +81,7 @@
 // small one are lost, and with them all that this one had links to. Cause: a VM without links to
 // those that may hold a shard does not learn that nobody holds it.
 func TestSmallVMThatIsLeftServesItsDomain(t *testing.T) {
+	t.Parallel()
 	testLargeWorld(t, 24, 0.192, func(w *world) {
 		for i := range 5 {
 			w.kill(fmt.Sprintf("a%d", i))
@@ -101,6 +102,7 @@
 // submissions wait in two domains, the VM has no link to one of their holders. Cause: a VM counted
 // what waits at the shards that it hears of.
 func TestWaitingIsCountedAtVMsThatHearOfFewShards(t *testing.T) {
+	t.Parallel()
 	testLargeWorld(t, 32, 0.05, func(w *world) {
 		var fill []chan Outcome
 		for i := range 4 * 30 {
--- a/internal/kept/vm/vm_test.go
+++ b/internal/kept/vm/vm_test.go
@@ -286,6 +286,7 @@
 
 // Final states stay for as long as callers ask, and not for ever.
 func TestFinalStatesAreRemoved(t *testing.T) {
+	t.Parallel()
 	testWorld(t, func(w *world) {
 		w.wantTaken(w.submit("a1", "kept", 1, runhost.Work{Time: 50 * ms}, false))
 		time.Sleep(2 * time.Minute)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -240,6 +240,13 @@
 	return f.Ledger.Live(id)
 }
 
+// Done is how often a task has completed.
+func (f *Fleet) Done(ref submission.TaskRef) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Ledger.Done(ref)
+}
+
 // StartsOn is how many starts a worker has taken.
 func (f *Fleet) StartsOn(id string) int {
 	f.mu.Lock()
