A look for claims does not sort what it only counts

The sort is gone, and two comments that spoke of it.

Checked: vet and tests of internal/kept/site with the race detector, takeover and size tests of internal/kept/vm.

--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -228,8 +228,8 @@
 	site   *Site
 	held   func() map[string]int // shards by entry VM
 	ableIn func() map[string]int // entry VMs that are not suspected, by failure domain
-	ranked func() []ranked       // in the order in which they may take a shard of this VM's domain, but for ties
-	all    func() []ranked       // entry VMs of all domains
+	own    func() []ranked       // entry VMs of this VM's domain that are not suspected
+	all    func() []ranked       // the same of all domains
 }
 
 // ranked is an entry VM as it may take a shard.
@@ -240,13 +240,12 @@
 
 func (s *Site) newLook() *look {
 	l := &look{site: s, held: sync.OnceValue(s.held), ableIn: sync.OnceValue(s.countAble)}
-	l.ranked = sync.OnceValue(func() []ranked { return l.candidates(s.self.Domain) })
+	l.own = sync.OnceValue(func() []ranked { return l.candidates(s.self.Domain) })
 	l.all = sync.OnceValue(func() []ranked { return l.candidates("") })
 	return l
 }
 
-// candidates returns the entry VMs of a failure domain, or of all, that are not suspected, those with the
-// least burden first.
+// candidates returns the entry VMs of a failure domain, or of all, that are not suspected.
 func (l *look) candidates(domain string) []ranked {
 	held := l.held()
 	var out []ranked
@@ -255,7 +254,6 @@
 			out = append(out, ranked{Member: m, burden: burden(m, held[m.Name]+1)})
 		}
 	}
-	slices.SortFunc(out, func(a, b ranked) int { return cmp.Compare(a.burden, b.burden) })
 	return out
 }
 
@@ -263,7 +261,7 @@
 // then those that have least to do, then rendezvous hashing decides. The one excepted takes no part.
 func (l *look) rank(shard, except string) (rank int, able bool) {
 	s := l.site
-	candidates := l.ranked
+	candidates := l.own
 	if DomainOf(shard) != s.self.Domain {
 		candidates = l.all
 	}
