An entry of the list does not replace a worker known by its own answer

What callers saw: on sites whose workers do not say when they started, a task could run twice at once: a worker restarts, answers at its address, and an entry of an ended incarnation ends what runs there.

Cause: isOutlived compares start times, and without them revisions. A worker that is known by its answer has the revision of the entry before it, one that the previous holder stored has revision 0, so any other entry at the address passed for a later worker.

Evidence: TestUnseenEntryDoesNotReplaceAWorkerKnownByItsAnswer and TestExpiringEntryDoesNotReplaceAWorkerOfThePreviousHolder fail without the change (5 runs of four tasks; the submission does not end).

Change: without start times, a worker whose own entry has not been read here counts as the later one.

TestEntryOfAnEarlierReplacedWorkerIsIgnored now checks the number of runs also without start times.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -122,16 +122,17 @@
 
 // isOutlived reports whether a later worker than the given one is known at the same address. An entry
 // stays in the list until it expires, longer while the store is down, and the later worker may not have
-// an entry yet.
+// an entry yet. Without start times, a worker whose own entry has not been read here counts as the later one: if
+// it has been replaced as well, its successor refuses its orders.
 func (s *Shard) isOutlived(info worker.Info) bool {
 	for _, h := range s.workers {
-		if h.info.Address != info.Address {
-			continue
-		}
-		if h.info.Born > 0 && info.Born > 0 {
+		switch {
+		case h.info.Address != info.Address:
+		case h.info.Born > 0 && info.Born > 0:
 			return h.info.Born > info.Born
+		default:
+			return h.origin != FromList || h.info.Revision > info.Revision
 		}
-		return h.info.Revision > info.Revision
 	}
 	return false
 }
--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -273,13 +273,65 @@
 			w.shard.UpdateWorkers(w.now, []worker.Info{earlier})
 			w.run(time.Second)
 			w.expectState("a", submission.Done)
-			if n := w.startCount("a"); births && n != 2 {
+			if n := w.startCount("a"); n != 2 {
 				t.Errorf("%d runs of two tasks", n)
 			}
 		})
 	}
 }
 
+// Guards against a second run of a task after a worker has restarted twice unseen. The holder knows the worker that
+// runs by its answer only, and then reads the entry of the one before it, which it has never known. It was taken for
+// a later worker at the address, and the runs there for ended.
+func TestUnseenEntryDoesNotReplaceAWorkerKnownByItsAnswer(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(50 * ms)
+	first := w.hosts["w0"].Info
+	w.shard.UpdateWorkers(w.now, []worker.Info{first, w.hosts["w1"].Info})
+	delete(w.hosts, "w0")
+	w.addHost("w9", first.Address)
+	w.hosts["w9"].Info.Born = 0 // workers of this site do not say when they started
+	first.Born = 0
+	w.shard.WorkerRestarted(w.now, first, worker.Incarnation{ID: "w9"})
+	w.run(50 * ms)
+	w.assign(w.submission("a", 4, runhost.Work{Time: 500 * ms}))
+	w.run(100 * ms)
+	unseen := first
+	unseen.ID, unseen.Revision = "w5", 1000
+	w.shard.UpdateWorkers(w.now, []worker.Info{unseen, w.hosts["w1"].Info})
+	w.run(time.Second)
+	w.expectState("a", submission.Done)
+	if n := w.startCount("a"); n != 4 {
+		t.Errorf("%d runs of four tasks", n)
+	}
+}
+
+// Guards against a second run of a task after a takeover. The new holder has the workers that the earlier one stored,
+// and then reads the entry of an ended incarnation of one of them, which has not expired yet. It was taken for a later
+// worker at the address, and the runs there for ended.
+func TestExpiringEntryDoesNotReplaceAWorkerOfThePreviousHolder(t *testing.T) {
+	w := newWorld(t, 1)
+	first := w.hosts["w0"].Info
+	first.Born = 0
+	delete(w.hosts, "w0")
+	w.addHost("w9", first.Address)
+	w.hosts["w9"].Info.Born = 0 // workers of this site do not say when they started
+	w.shard = New(w.now, DefaultSettings(), 2, w.now+1100*ms)
+	stored := w.hosts["w9"].Info
+	stored.Revision = 0
+	w.shard.AddWorkersOfPreviousHolder(w.now, []worker.Info{stored})
+	w.shard.AddRecords(w.now, nil)
+	w.run(50 * ms)
+	w.assign(w.submission("a", 2, runhost.Work{Time: 500 * ms}))
+	w.run(100 * ms)
+	w.shard.UpdateWorkers(w.now, []worker.Info{first})
+	w.run(time.Second)
+	w.expectState("a", submission.Done)
+	if n := w.startCount("a"); n != 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
+
 // Guards against a worker that stays in use though it answers no orders: it refuses them as another incarnation,
 // and names the one that they were meant for.
 func TestWorkerThatRefusesAsAnotherIncarnationIsRemoved(t *testing.T) {
