--- /dev/null
+++ b/internal/kept/vm/restart_property_test.go
@@ -0,0 +1,152 @@
+package vm
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// To run more than the default number of plays: go test ./internal/kept/vm -run Random -timeout 0
+// -random-runs 1000 -random-seed 7
+var (
+	randomRuns = flag.Int("random-runs", 12, "number of plays of random faults")
+	randomSeed = flag.Uint64("random-seed", 1, "seed of the first play")
+)
+
+// restartRun is one run of random worker restarts while VMs are killed and the store is away. The entries of
+// ended incarnations stay in the list of workers for a while, and those of new ones come late or never.
+type restartRun struct {
+	*world
+	rand    *rand.Rand
+	births  bool // workers report when they started
+	lives   int
+	entries map[string]worker.Info // by address: of the incarnation that runs there
+	jobs    int
+}
+
+const restartRunWorkers = 4
+
+// newRestartRun returns a site of one domain with workers that have run for some seconds.
+func newRestartRun(t *testing.T, seed uint64) *restartRun {
+	r := &restartRun{world: newWorld(t, "a"), rand: rand.New(rand.NewPCG(seed, 3)), births: seed%2 == 0, entries: make(map[string]worker.Info)}
+	for i := range restartRunWorkers {
+		info := worker.Info{ID: fmt.Sprintf("w-a%d", i), Service: "desk", Address: fmt.Sprintf("worker-a%d", i), Domain: "a", CPUMilli: 16000, MemMB: 65536}
+		if r.births {
+			info.Born = time.Now().UnixMilli()
+		}
+		r.entries[info.Address] = info
+		r.addWorker(info)
+	}
+	for _, name := range []string{"a1", "a2", "a3"} {
+		r.boot(name)
+	}
+	time.Sleep(3 * time.Second)
+	return r
+}
+
+// upTo returns a random duration below d.
+func (r *restartRun) upTo(d time.Duration) time.Duration { return time.Duration(r.rand.Int64N(int64(d))) }
+
+// restart ends a worker and starts the next incarnation at its address. Its entry is written after a while, if it
+// still runs then; that of the earlier one stays for some seconds.
+func (r *restartRun) restart() {
+	address := fmt.Sprintf("worker-a%d", r.rand.IntN(restartRunWorkers))
+	old := r.entries[address]
+	id := old.ID
+	if !r.births || r.rand.IntN(3) > 0 {
+		r.lives++
+		id = fmt.Sprintf("w-life%04d", r.lives)
+	}
+	info := r.fleet.RestartWorker(address, id)
+	r.entries[address] = info
+	down := r.upTo(1500 * ms)
+	r.fleet.SetUnreachable(id, true)
+	time.AfterFunc(down, func() { r.fleet.SetUnreachable(id, false) })
+	time.AfterFunc(down+r.upTo(2500*ms), func() {
+		if now := r.entries[address]; now.Incarnation() == info.Incarnation() {
+			r.putWorkerEntry(info)
+		}
+	})
+	if id != old.ID {
+		time.AfterFunc(r.upTo(9*time.Second), func() { r.store.Delete("workers/" + old.ID) })
+	}
+}
+
+// silenceStore makes the store answer no VM, or only some, for a while.
+func (r *restartRun) silenceStore() {
+	for name, d := range r.storeTransports {
+		if r.rand.IntN(3) > 0 {
+			d.SetFault(kvstore.NoReply)
+			time.AfterFunc(r.upTo(6*time.Second), func() { r.storeTransports[name].SetFault(kvstore.NoFault) })
+		}
+	}
+}
+
+// cutWorker makes a worker unreachable for a while.
+func (r *restartRun) cutWorker() {
+	id := r.entries[fmt.Sprintf("worker-a%d", r.rand.IntN(restartRunWorkers))].ID
+	r.fleet.SetUnreachable(id, true)
+	time.AfterFunc(r.upTo(2500*ms), func() { r.fleet.SetUnreachable(id, false) })
+}
+
+func (r *restartRun) submitSome() {
+	names := slices.Sorted(maps.Keys(r.vms))
+	for range 1 + r.rand.IntN(3) {
+		r.jobs++
+		id := submission.ID(fmt.Sprintf("s%d", r.jobs))
+		work := runhost.Work{Time: 50*ms + r.upTo(1500*ms)}
+		out := r.submit(names[r.rand.IntN(len(names))], id, 1+r.rand.IntN(4), work, r.rand.IntN(2) == 0)
+		go func() { <-out }()
+	}
+}
+
+func (r *restartRun) step() {
+	switch r.rand.IntN(10) {
+	case 0, 1, 2:
+		r.restart()
+	case 3:
+		r.silenceStore()
+	case 4:
+		names := slices.Sorted(maps.Keys(r.vms))
+		name := names[r.rand.IntN(len(names))]
+		r.kill(name)
+		time.Sleep(r.upTo(300 * ms))
+		r.boot(name)
+	case 5:
+		r.cutWorker()
+	default:
+		r.submitSome()
+	}
+	time.Sleep(r.upTo(500 * ms))
+}
+
+// Guards against a task that runs twice at once because an entry of an ended incarnation of a worker, which comes
+// late or is read again after an outage of the store, is taken for the incarnation that runs at the address.
+func TestRandomRestartsOfWorkersRunNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	for seed := *randomSeed; seed < *randomSeed+uint64(*randomRuns); seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRestartRun(t, seed)
+			for range 60 {
+				r.step()
+			}
+			time.Sleep(21 * time.Second) // until the callers of killed VMs give up
+			for name := range r.vms {
+				r.kill(name)
+			}
+			if faults := r.fleet.Violations(); len(faults) > 0 {
+				t.Errorf("seed %d, births %v: %v", seed, r.births, faults)
+			}
+		})
+	}
+}
