A refusal says 'not run' only if no holder that is gone may have started a task

Cause: that a part was sent to a second holder of its shard, and so may have been started by the first, was a fact of the part. The second holder heard of no run and returned all tasks; the part, without tasks, was dropped, and the fact with it. The tasks went to another shard as tasks that nobody had begun, came back, and were refused.

Change: 'may have run' belongs to the submission. It is set when a part is sent again and goes with the submission until its answer, which is then 'not known'.

Ruled out: two runs at once on this path. The next holder releases the tasks after the transient barrier of 1.3 s, when the leases that the killed one granted are over (1 s, and 0.1 s for clocks).

--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -160,7 +160,7 @@
 	for _, r := range reported {
 		if p.record.HasTask(r.Task) { // otherwise it was reassigned before
 			returned = append(returned, r)
-			t.started = t.started || r.Run > 0
+			t.mayHaveRun = t.mayHaveRun || r.Run > 0
 		}
 	}
 	if len(returned) == 0 {
@@ -254,7 +254,7 @@
 func (t *transientSubmission) addPart(p *part) {
 	// A copy, as a caller may be iterating over the parts.
 	parts := slices.DeleteFunc(slices.Clone(t.parts), func(old *part) bool { return old.shard == p.shard })
-	t.started = t.started || len(parts) < len(t.parts)
+	t.mayHaveRun = t.mayHaveRun || len(parts) < len(t.parts)
 	t.parts = append(parts, p)
 }
 
--- a/internal/kept/vm/recall.go
+++ b/internal/kept/vm/recall.go
@@ -43,11 +43,10 @@
 	}
 }
 
-// anyStarted reports whether a task of the submission may have started. A part that was resent counts, as an
-// earlier holder may have started it.
+// anyStarted reports whether a task of the submission may have started.
 func (t *transientSubmission) anyStarted() bool {
-	return t.started || slices.ContainsFunc(t.parts, func(p *part) bool {
-		return p.resends > 0 || p.state == submission.Running || p.state == submission.Done
+	return t.mayHaveRun || slices.ContainsFunc(t.parts, func(p *part) bool {
+		return p.state == submission.Running || p.state == submission.Done
 	})
 }
 
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -39,7 +39,7 @@
 	endedAt        time.Duration
 	outcomeWaiters []chan Outcome    // callers of Submit
 	recalledAt     time.Duration     // when its parts were recalled; 0: no recall is in progress
-	started        bool              // tasks have started that none of the parts accounts for
+	mayHaveRun     bool              // a task may have started that none of the parts accounts for
 	unassigned     []unassignedTasks // tasks that no shard has
 }
 
@@ -204,6 +204,8 @@
 // resendPart sends a part once more: to the new holder of its shard, or to the same one that did not get it.
 func (e *engine) resendPart(t *transientSubmission, p *part, l *knownLoad) {
 	p.resends++
+	// The part, which says so too, is dropped once its tasks have moved to other shards.
+	t.mayHaveRun = true
 	if p.resends > maxResends {
 		// The shard's holder changed, or did not get the part, more than maxResends times.
 		e.giveUp(t, "a shard of it changes hands again and again")
@@ -361,10 +363,10 @@
 	}
 }
 
-// endRejected ends a submission whose parts were all rejected. If a returned task may have run and failed,
-// the callers are told that the submission may have run.
+// endRejected ends a submission whose parts were all rejected. If a task of it may have run before, the callers
+// are told so.
 func (e *engine) endRejected(t *transientSubmission) {
-	if t.started {
+	if t.mayHaveRun {
 		e.giveUp(t, "what is left of it cannot be done in time")
 		return
 	}
