load: a job with two answers is logged with both

The test of the load tool said only that a job got two different answers, which could not tell the causes apart. The line names the ticket, both outcomes and their reasons.

--- a/internal/tool/load/job.go
+++ b/internal/tool/load/job.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pumiceyard/pumiceyard/client"
 	"github.com/pumiceyard/pumiceyard/internal/tool/workload"
 )
@@ -93,6 +95,10 @@
 	if p.again != nil {
 		r.Wrong = r.Wrong || p.wrong(p.again)
 		r.Contradicted = contradict(answerUnder(p.again.Ticket, answer), p.again.Outcome)
+		if r.Contradicted {
+			klog.InfoS("load: a job got two different answers", "ticket", p.again.Ticket, "last_ticket", answer.Ticket, "tickets", len(p.tickets),
+				"last_outcome", answer.Outcome, "last_reason", answer.Reason, "again_outcome", p.again.Outcome, "again_reason", p.again.Reason)
+		}
 	}
 	return r
 }
