A submission's end is recorded at a worker before it is answered as failed

Cause: a driver that gave a submission up answered 'failed' at once if something had started, and after the settle time-out if it knew nothing. Another driver that had recovered the submission established 'not run', or completed it.

Change: after the settle time-out the answer is Unknown, recorded as closed_unknown. 'Failed' after a start is answered once its record is accepted by the worker of a started task (result messages name their worker now); a worker that a recovery has sealed refuses it, and the driver points to that recovery. A driver that has taken over says 'failed' only if a task has not started, as the one below it may complete running tasks. A record 'not run' beside records of tasks is read as failed.

The simulation has a guard more.

--- a/internal/process/holder/lease.go
+++ b/internal/process/holder/lease.go
@@ -159,9 +159,7 @@
 	for _, g := range ev.groups {
 		id := wire.ID(g.Submission)
 		for _, r := range g.Results {
-			if r.State == pb.TaskState_TASK_STATE_NOT_RUN {
-				r.Worker = w.id // the home may have to ask it
-			}
+			r.Worker = w.id // the home may have to ask it
 			h.endFlight(w, taskKey{id, r.Index}, r)
 		}
 	}
--- a/internal/process/home/act.go
+++ b/internal/process/home/act.go
@@ -194,6 +194,7 @@
 	ended := make(map[uint32]bool, len(ev.resp.Results))
 	for _, r := range ev.resp.Results {
 		ended[r.Index] = true
+		r.Worker = ev.worker
 		h.taskResult(e, "", ticket.Generation{}, r)
 	}
 	var rest []uint32
@@ -237,7 +238,7 @@
 func (h *Home) taskResult(e *entry, owner string, gen ticket.Generation, r *pb.TaskResult) {
 	switch r.State {
 	case pb.TaskState_TASK_STATE_DONE:
-		h.act(e, e.job.TaskDone(r.Index, r.Output))
+		h.act(e, e.job.TaskDone(r.Index, r.Worker, r.Output))
 	case pb.TaskState_TASK_STATE_FAILED:
 		h.act(e, e.job.TaskFailed(r.Index, reason.TaskFailed, r.Reason))
 	case pb.TaskState_TASK_STATE_STOPPED:
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -70,12 +70,15 @@
 	tasks          []task
 	batches        []batch
 	counts         [endedWithoutOutput + 1]int
-	started        bool // at least one task is known to have started
+	started        bool   // at least one task is known to have started
+	startedOn      string // worker of such a task; "": not known
 	// followed are the workers that reported running tasks when they were sealed.
 	followed       []string
+	stopsSent      int     // number of followed workers that were told to stop the tasks
+	tookOver       bool    // another driver may still be alive, under a lower generation
 	pendingEnd     *Answer // set by GiveUp: the answer that is planned, nil before
 	settleDeadline time.Time
-	closeAttempts  int // number of candidates asked to record NotRun
+	closeAttempts  int // number of candidates asked to record the end
 	answer         *Answer
 	// superseded is the author of a higher generation, 0 while there is none.
 	superseded     uint64
@@ -143,6 +146,7 @@
 		above = j.gen
 	}
 	j.gen = above.TakeoverBy(j.self)
+	j.tookOver = true
 	j.closeAttempts = 0
 	b := int32(len(j.batches))
 	j.batches = append(j.batches, batch{workers: candidates, unreachable: incomplete})
@@ -220,15 +224,15 @@
 	}
 }
 
-// TaskDone records the output of a task that completed, no matter which driver
+// TaskDone records the output of a task that completed on a worker, no matter which driver
 // started it. A second output for the same index is ignored: counting it again
 // would make a partial answer look complete.
-func (j *Job) TaskDone(index uint32, output []byte) Actions {
+func (j *Job) TaskDone(index uint32, worker string, output []byte) Actions {
 	var a Actions
 	if !j.isOpen(index) {
 		return a
 	}
-	j.started = true
+	j.recordStart(worker)
 	j.tasks[index].output = output
 	j.setState(index, completed, 0)
 	j.resolveBatches(&a)
@@ -243,12 +247,20 @@
 	if !j.isOpen(index) {
 		return a
 	}
-	j.started = true
+	j.recordStart("")
 	j.setState(index, endedWithoutOutput, 0)
 	j.finishWithFailure(&a, Answer{Outcome: reason.Failed, Reason: code, Detail: detail, FailedTask: index})
 	return a
 }
 
+// recordStart records that a task is known to have started on a worker; "": which is not known.
+func (j *Job) recordStart(worker string) {
+	j.started = true
+	if j.startedOn == "" {
+		j.startedOn = worker
+	}
+}
+
 // isOpen reports whether a report on a task can still change anything.
 func (j *Job) isOpen(index uint32) bool {
 	if j.answer != nil || int(index) >= len(j.tasks) {
--- a/internal/request/job/job_test.go
+++ b/internal/request/job/job_test.go
@@ -160,3 +160,29 @@
 		t.Errorf("actions %+v, want an answer and a stop at w1", a)
 	}
 }
+
+// Guards against two different answers to one job: the driver answered Failed because the reply to its own record of
+// NotRun was late, and the caller, who asked another entry VM as well, got NotRun from that record.
+func TestLateRecordOfNotRunIsNoFailure(t *testing.T) {
+	spec := testSpec(2)
+	j := New(spec, 9)
+	gen := j.Generation()
+	indexes := j.Assign("o1", []string{"w1"}, 2)
+	j.GiveUp(start, reason.DeadlineExceeded, "the deadline passed", 0)
+	var a Actions
+	for _, i := range indexes {
+		a = j.TaskNotStarted("o1", gen, i, reason.QueueFull, "")
+	}
+	if len(a.Seal) != 1 || a.Seal[0].Closed != closedNotRun {
+		t.Fatalf("actions %+v, want a record of NotRun at a candidate", a)
+	}
+	first := j.Tick(start.Add(spec.SettleTimeout)).Answer
+	if first == nil || first.Outcome != reason.Unknown {
+		t.Fatalf("the answer is %+v, want Unknown", first)
+	}
+	other, _ := Recover(spec, 7, spec.CloseCandidates, false, gen)
+	second := other.HandleSealReply(SealReply{Worker: spec.CloseCandidates[0], RequestedGen: other.Generation(), Sealed: true, HighestGen: other.Generation(), Closed: closedNotRun}).Answer
+	if second == nil || second.Outcome != reason.NotRun {
+		t.Fatalf("the other VM's answer is %+v, want NotRun", second)
+	}
+}
--- a/internal/request/job/property_test.go
+++ b/internal/request/job/property_test.go
@@ -210,7 +210,8 @@
 func sequences() gopter.Gen { return gen.SliceOfN(propertySteps, gen.UInt32()) }
 
 // Guards against a task that runs twice, so that a crew is booked twice or an order
-// reaches a bench twice, and against the answer NotRun for a submission that ran. The
+// reaches a bench twice, against the answer NotRun for a submission that ran, and against
+// two different final answers to one submission. The
 // events are starts, results, seals and submissions in any order, with messages lost,
 // late, duplicated and reordered, and crashes, pauses and restarts of every process.
 // The failure would be a driver that takes a task for not started although another
@@ -240,6 +241,7 @@
 		"a recovery that asks one candidate":          sealAllCandidates,
 		"a restarted home that takes its old tickets": homeIncarnation,
 		"not run without recording it at a candidate": recordBeforeNotRun,
+		"failed without recording it at a candidate":  recordBeforeFailed,
 	}
 	for name, disabled := range guards {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/job/seal.go
+++ b/internal/request/job/seal.go
@@ -121,14 +121,20 @@
 // worker.
 func (j *Job) repeatClosedAnswer(a *Actions, r SealReply) {
 	outcome := reason.Failed
-	if r.Closed == closedNotRun {
+	switch {
+	case r.Closed == closedUnknown:
+		outcome = reason.Unknown
+	case r.Closed == closedNotRun && len(r.Records) == 0:
 		outcome = reason.NotRun
 	}
 	j.setAnswer(a, Answer{Outcome: outcome, Reason: r.Closed, Detail: "ended earlier, read back from worker " + r.Worker})
 }
 
-// closedNotRun is recorded at a candidate if no task has started.
-const closedNotRun reason.Code = "closed_not_run"
+// What is recorded at a candidate when a submission ends before a task is known to have started.
+const (
+	closedNotRun  reason.Code = "closed_not_run" // no task has started
+	closedUnknown reason.Code = "closed_unknown" // it could not be established whether one has
+)
 
 // applyRecord updates a task from a worker's record. Running tasks are added to
 // follow.
@@ -136,7 +142,7 @@
 	if !j.isOpen(rec.Index) {
 		return
 	}
-	j.started = true
+	j.recordStart(follow.Worker)
 	switch rec.State {
 	case RecordRunning:
 		if j.tasks[rec.Index].state != running {
@@ -210,9 +216,12 @@
 	return j.GiveUp(now, reason.Cancelled, "cancelled by the caller", 0)
 }
 
-// GiveUp ends the job early: no more tasks are assigned, and owners have to return
-// those that have not started. The answer is NotRun if it is established within the
-// settle timeout that no task has started, and otherwise Failed.
+// GiveUp ends the job early: no more tasks are assigned, owners have to return those
+// that have not started, and the end is recorded at a candidate before it is answered.
+// The answer is Failed if a task is known to have started, and NotRun if it is
+// established that none has. If neither can be established and recorded within the
+// settle timeout, it is Unknown: an entry VM that recovers the submission may still
+// establish either, or complete it.
 func (j *Job) GiveUp(now time.Time, code reason.Code, detail string, retryAfter time.Duration) Actions {
 	var a Actions
 	if j.answer != nil || j.pendingEnd != nil {
@@ -220,10 +229,6 @@
 	}
 	j.pendingEnd = &Answer{Outcome: reason.Failed, Reason: code, Detail: detail, RetryAfter: retryAfter}
 	j.settleDeadline = now.Add(j.spec.SettleTimeout)
-	if j.started {
-		j.finishWithFailure(&a, *j.pendingEnd)
-		return a
-	}
 	a.Withdraw = j.ownersToWithdraw()
 	j.answerIfKnown(&a)
 	return a
@@ -235,7 +240,10 @@
 	switch {
 	case j.answer != nil:
 	case j.pendingEnd != nil && !now.Before(j.settleDeadline):
-		j.finishWithFailure(&a, *j.pendingEnd)
+		end := *j.pendingEnd
+		end.Outcome = reason.Unknown
+		end.Detail += "; whether a task had started could not be established in time"
+		j.finishWithFailure(&a, end)
 	case j.pendingEnd == nil && !now.Before(j.spec.Deadline):
 		return j.GiveUp(now, reason.DeadlineExceeded, "the deadline passed", 0)
 	}
@@ -269,6 +277,9 @@
 	if j.answer != nil {
 		return
 	}
+	if j.closeAttempts > 0 {
+		return // the end may have been recorded, and another driver may repeat it
+	}
 	if j.counts[completed] == len(j.tasks) {
 		j.complete(a)
 		return
@@ -276,27 +287,47 @@
 	if j.pendingEnd == nil {
 		return
 	}
-	if j.started {
-		j.finishWithFailure(a, *j.pendingEnd)
-		return
-	}
-	if j.counts[unassigned] == len(j.tasks) && j.closeAttempts == 0 {
-		j.recordNotRun(a)
+	j.stopFollowed(a)
+	if j.started && j.cannotComplete() || j.counts[unassigned] == len(j.tasks) {
+		j.recordEnd(a)
 	}
 }
 
-// recordNotRun asks the next candidate to record that the submission ended without
-// running. One record is enough, since a recovering entry VM asks all candidates.
-func (j *Job) recordNotRun(a *Actions) {
-	if j.closeAttempts >= len(j.spec.CloseCandidates) {
+// cannotComplete reports whether no driver can complete the submission any more once
+// the end is recorded at a candidate. A driver with a higher generation reads the record,
+// or has sealed the candidate, which refuses it then. One with a lower generation may
+// still complete it from the results of running tasks, unless some task has not started.
+func (j *Job) cannotComplete() bool { return !j.tookOver || j.counts[unassigned] > 0 }
+
+// stopFollowed stops the tasks on the followed workers that were not told so yet.
+func (j *Job) stopFollowed(a *Actions) {
+	a.Stop = append(a.Stop, j.followed[j.stopsSent:]...)
+	j.stopsSent = len(j.followed)
+}
+
+// recordEnd asks the next candidate to record how the submission ended. Without the
+// record, another driver that has recovered the submission could answer differently.
+// One record is enough: that driver asks all candidates. If it cannot ask the one with
+// the record, it takes tasks that no other candidate knows for lost. After a start the
+// record has to be on the worker of a started task, so that one of these is among them.
+func (j *Job) recordEnd(a *Actions) {
+	candidates := j.spec.CloseCandidates
+	if j.startedOn != "" {
+		candidates = []string{j.startedOn}
+	}
+	if j.closeAttempts >= len(candidates) {
 		end := *j.pendingEnd
 		end.Outcome = reason.Unknown
-		end.Detail += "; no candidate could be reached to record that nothing ran"
+		end.Detail += "; no candidate could be reached to record the end"
 		j.setAnswer(a, end)
 		return
 	}
-	j.recordSeal(j.spec.CloseCandidates[j.closeAttempts])
-	a.Seal = append(a.Seal, Seal{Worker: j.spec.CloseCandidates[j.closeAttempts], Gen: j.gen, Closed: closedNotRun})
+	closed := closedNotRun
+	if j.started {
+		closed = j.pendingEnd.Reason
+	}
+	j.recordSeal(candidates[j.closeAttempts])
+	a.Seal = append(a.Seal, Seal{Worker: candidates[j.closeAttempts], Gen: j.gen, Closed: closed})
 	j.closeAttempts++
 }
 
@@ -312,7 +343,7 @@
 func (j *Job) CloseFailed(asked ticket.Generation) Actions {
 	var a Actions
 	if j.awaitsClose(asked) {
-		j.recordNotRun(&a)
+		j.recordEnd(&a)
 	}
 	return a
 }
@@ -327,10 +358,13 @@
 		j.yieldTo(&a, r.HighestGen)
 		return a
 	}
+	if r.Closed != "" {
+		j.repeatClosedAnswer(&a, r)
+		return a
+	}
 	end := *j.pendingEnd
-	end.Outcome = reason.NotRun
-	if len(r.Records) > 0 {
-		end.Outcome = reason.Failed
+	if !j.started && len(r.Records) == 0 {
+		end.Outcome = reason.NotRun
 	}
 	j.setAnswer(&a, end)
 	return a
@@ -359,7 +393,11 @@
 	a.Withdraw = j.ownersToWithdraw()
 	a.Stop = j.followed
 	if len(j.spec.CloseCandidates) > 0 {
-		a.Seal = append(a.Seal, Seal{Worker: j.spec.CloseCandidates[0], Gen: j.gen, Closed: ans.Reason})
+		closed := ans.Reason
+		if ans.Outcome == reason.Unknown {
+			closed = closedUnknown
+		}
+		a.Seal = append(a.Seal, Seal{Worker: j.spec.CloseCandidates[0], Gen: j.gen, Closed: closed})
 	}
 	j.setAnswer(a, ans)
 }
--- a/internal/request/job/simulation_test.go
+++ b/internal/request/job/simulation_test.go
@@ -45,6 +45,7 @@
 	sealAllCandidates
 	homeIncarnation
 	recordBeforeNotRun
+	recordBeforeFailed
 )
 
 // counters counts events over many simulations.
@@ -65,10 +66,11 @@
 type submission struct {
 	id             ticket.ID
 	home           string
-	starts         []int  // number of starts, by task index
-	toldNotRun     bool   // a caller got the answer NotRun
-	hasFinalAnswer bool   // a final answer has arrived; reset when the faults end
-	driver         uint64 // incarnation of the driver that an answer named
+	starts         []int   // number of starts, by task index
+	toldNotRun     bool    // a caller got the answer NotRun
+	hasFinalAnswer bool    // a final answer has arrived; reset when the faults end
+	final          *Answer // the first final answer that is not Unknown
+	driver         uint64  // incarnation of the driver that an answer named
 }
 
 const (
@@ -194,4 +196,13 @@
 		w.counters.unknowns++
 	}
 	s.hasFinalAnswer = true
+	if a.Outcome == reason.Unknown {
+		return
+	}
+	if s.final != nil && s.final.Outcome != a.Outcome {
+		w.reportViolation("%v was answered as %s (%s), and then as %s (%s)", s.id, s.final.Outcome, s.final.Reason, a.Outcome, a.Reason)
+	}
+	if s.final == nil {
+		s.final = a
+	}
 }
--- a/internal/tool/advice/entries.go
+++ b/internal/tool/advice/entries.go
@@ -43,6 +43,7 @@
 	{NotCompleted, "answer_discarded", "the work ran, its output is no longer kept", "fetch answers sooner, or raise `retain_answer_bytes`"},
 	{NotCompleted, "stopped", "a task ran and was stopped on request", "see the power steps of the same time; submit anew if the template is idempotent"},
 	{NotCompleted, "closed_not_run", "the submission was ended at its workers before anything ran", "submit anew under a new ticket"},
+	{NotCompleted, "closed_unknown", "the submission was given up before it was known whether a task had started", "check by the work itself whether it ran; never repeat it blindly"},
 	{TimelineStep, "sealed", "the worker was told by another driver not to start this generation", "nothing: the later driver goes on"},
 	{TimelineStep, "stale_epoch", "a start came under a lease that has passed on", "nothing: the worker refused it, and the home asks"},
 	{TimelineStep, "duplicate_task", "the worker knows the task already", "nothing: the home reads the earlier start's result"},
