A home remembers its refusals, and repeats them

What callers saw: 'not run' for a job that ran, and two answers for it: not_run deadline_too_short, and complete.

Cause: the home refused the first request of a ticket as not run and forgot it. A second request under the ticket, which the caller had sent through another entry VM before the refusal arrived, was taken for new.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -318,3 +318,20 @@
 	f.ask(f.submission(1, 1))
 	f.takeAnswers(reason.Complete)
 }
+
+// Guards against "not run" for a submission that runs afterwards: its caller sent a second request under the ticket
+// through another entry VM before the refusal of the first one arrived, and the second one was taken for new.
+func TestRequestAfterARefusalIsRefusedAsWell(t *testing.T) {
+	f := newFixture(t)
+	limit := f.h.cfg.Settings.MaxJobs
+	f.h.cfg.Settings.MaxJobs = 0
+	s := f.submission(1, 1)
+	s.First = true
+	f.ask(s)
+	f.takeAnswers(reason.NotRun)
+	f.h.cfg.Settings.MaxJobs = limit
+	s.First = false
+	f.ask(s)
+	f.takeAnswers(reason.NotRun)
+	f.noBatch()
+}
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -50,6 +50,7 @@
 	now    time.Time
 
 	admission *admission.Controller
+	refusals  refusals
 	load      load
 	peers     []spill.Peer // reused
 	stamps    uint64       // of owners' workers
@@ -165,19 +166,32 @@
 		h.attach(e, hash, ev.reply)
 		return
 	}
+	if a := h.refusals.answer(id); a != nil {
+		ev.reply(a)
+		return
+	}
 	if h.open >= h.cfg.Settings.MaxJobs {
-		ev.reply(&job.Answer{Outcome: h.refusedOutcome(&ev.sub), Reason: reason.QueueFull, Detail: "too many submissions are open", RetryAfter: time.Second})
+		h.refuse(&ev, &job.Answer{Outcome: h.refusedOutcome(&ev.sub), Reason: reason.QueueFull, Detail: "too many submissions are open", RetryAfter: time.Second})
 		return
 	}
 	refusal := h.admit(&ev.sub)
 	if refusal != nil && ev.sub.First {
-		h.cfg.Timelines.Add(id, timeline.Step{At: h.now, Event: "refused", Reason: refusal.Reason, Detail: refusal.Detail})
-		ev.reply(&job.Answer{Outcome: reason.NotRun, Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
+		h.refuse(&ev, &job.Answer{Outcome: reason.NotRun, Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
 		return
 	}
 	h.accept(ev.sub, hash, ev.reply, refusal)
 }
 
+// refuse answers a submission that is not taken in.
+func (h *Home) refuse(ev *submitEvent, a *job.Answer) {
+	id := ev.sub.Ticket.ID
+	if a.Outcome == reason.NotRun {
+		h.refusals.add(id, a)
+	}
+	h.cfg.Timelines.Add(id, timeline.Step{At: h.now, Event: "refused", Reason: a.Reason, Detail: a.Detail})
+	ev.reply(a)
+}
+
 // refusedOutcome is what can be said of a submission without asking any worker.
 func (h *Home) refusedOutcome(s *Submission) reason.Outcome {
 	if s.First {
