Random worlds on virtual time: true refusals, and seeds that once failed are always played

TestRandomRefusalsAreTrue kills holders while their workers are cut off, and evacuates both domains at random moments of the takeover.

--- a/internal/kept/vm/refusal_test.go
+++ b/internal/kept/vm/refusal_test.go
@@ -1,7 +1,10 @@
 package vm
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -38,3 +41,119 @@
 		w.wantEnd(fill, submission.Done)
 	})
 }
+
+// refusalRun is one run of random kills, evacuations and outages beside workers that are cut off for a while, on a
+// site that is too small for its load, so that tasks wait, move between shards and are refused.
+type refusalRun struct {
+	*evacuationRun
+	rand *rand.Rand
+}
+
+// loseHolderAndMove kills the holder of a domain together with the network of some of its workers, and evacuates the
+// domain and then the other one at random moments of the takeover.
+func (r *refusalRun) loseHolderAndMove() {
+	i := r.rand.IntN(2)
+	domain, other := r.domains[i], r.domains[1-i]
+	r.stopEvacuation(other)
+	for range 1 + r.rand.IntN(2) {
+		r.cutWorker(domain)
+	}
+	holder := r.holderOf(domain)
+	if r.vms[holder] == nil {
+		return // it was killed, and its shard has no new holder yet
+	}
+	r.killVM(holder)
+	r.pauseUpTo(1500 * ms)
+	r.boot(holder)
+	r.startEvacuation(domain)
+	r.pauseUpTo(1500 * ms)
+	r.startEvacuation(other)
+	r.pauseUpTo(500 * ms)
+	r.stopEvacuation(domain)
+	r.stopEvacuation(other)
+}
+
+// cutWorker makes a worker of a domain unreachable for a while.
+func (r *refusalRun) cutWorker(domain string) {
+	id := fmt.Sprintf("w-%s%d", domain, r.rand.IntN(3))
+	r.fleet.SetUnreachable(id, true)
+	time.AfterFunc(time.Duration(r.rand.IntN(3000))*ms, func() { r.fleet.SetUnreachable(id, false) })
+}
+
+// pauseUpTo waits for a random time below d.
+func (r *refusalRun) pauseUpTo(d time.Duration) { time.Sleep(time.Duration(r.rand.Int64N(int64(d)))) }
+
+func (r *refusalRun) step() {
+	switch op := r.rand.IntN(12); op {
+	case 0:
+		r.killVM(vmNames[r.rand.IntN(len(vmNames))])
+		r.pauseUpTo(400 * ms)
+		for _, name := range vmNames {
+			if r.vms[name] == nil {
+				r.boot(name)
+			}
+		}
+	case 1, 2:
+		r.cutWorker(r.domains[r.rand.IntN(2)])
+	case 3:
+		r.startEvacuation(r.domains[r.rand.IntN(2)])
+	case 4:
+		r.stopEvacuation(r.domains[r.rand.IntN(2)])
+	case 5, 6:
+		r.loseHolderAndMove()
+	default:
+		for range 1 + r.rand.IntN(3) {
+			r.lastID++
+			id := submission.ID(fmt.Sprintf("s%d", r.lastID))
+			r.tasks[id] = 1 + r.rand.IntN(5)
+			r.submitWithRetries(r.rand.IntN(len(vmNames)), id, runhost.Work{Time: time.Duration(50+r.rand.IntN(1200)) * ms})
+		}
+	}
+	r.pauseUpTo(400 * ms)
+	r.pollCallers()
+}
+
+// checkRefusals returns an error if a submission was refused at its first attempt and a task of it has run.
+func (r *refusalRun) checkRefusals() error {
+	for _, c := range r.callers {
+		if c.outcome != nil && c.outcome.Kind == Refused && c.attempts == 1 && r.fleet.Starts(c.id) > 0 {
+			return fmt.Errorf("%s was refused (%s), but has run", c.id, c.outcome.Reason)
+		}
+	}
+	return nil
+}
+
+// Guards against a refusal that says "not run" though a task has run, and against two runs of a task at once, after
+// any sequence of killed holders and homes, cut-off workers, evacuations, moves and recalls.
+func TestRandomRefusalsAreTrue(t *testing.T) {
+	t.Parallel()
+	for _, seed := range randomSeeds(17) {
+		synctest.Test(t, func(t *testing.T) {
+			r := &refusalRun{
+				evacuationRun: &evacuationRun{
+					world:     newTwoDomainWorld(t),
+					evacuated: make(map[string][]span),
+					cuts:      make(map[string][]span),
+					tasks:     make(map[submission.ID]int),
+				},
+				rand: rand.New(rand.NewPCG(seed, 5)),
+			}
+			for range 80 {
+				r.step()
+			}
+			for range 60 {
+				time.Sleep(500 * ms)
+				r.pollCallers()
+			}
+			if err := r.checkRefusals(); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			for name := range r.vms {
+				r.kill(name)
+			}
+			if faults := r.fleet.Violations(); len(faults) > 0 {
+				t.Errorf("seed %d: %v", seed, faults)
+			}
+		})
+	}
+}
--- a/internal/kept/vm/restart_property_test.go
+++ b/internal/kept/vm/restart_property_test.go
@@ -23,6 +23,15 @@
 	randomSeed = flag.Uint64("random-seed", 1, "seed of the first play")
 )
 
+// randomSeeds returns the seeds to play: those that once failed, then as many as were asked for.
+func randomSeeds(failedOnce ...uint64) []uint64 {
+	seeds := failedOnce
+	for i := range *randomRuns {
+		seeds = append(seeds, *randomSeed+uint64(i))
+	}
+	return seeds
+}
+
 // restartRun is one run of random worker restarts while VMs are killed and the store is away. The entries of
 // ended incarnations stay in the list of workers for a while, and those of new ones come late or never.
 type restartRun struct {
@@ -55,7 +64,9 @@
 }
 
 // upTo returns a random duration below d.
-func (r *restartRun) upTo(d time.Duration) time.Duration { return time.Duration(r.rand.Int64N(int64(d))) }
+func (r *restartRun) upTo(d time.Duration) time.Duration {
+	return time.Duration(r.rand.Int64N(int64(d)))
+}
 
 // restart ends a worker and starts the next incarnation at its address. Its entry is written after a while, if it
 // still runs then; that of the earlier one stays for some seconds.
@@ -134,7 +145,7 @@
 // late or is read again after an outage of the store, is taken for the incarnation that runs at the address.
 func TestRandomRestartsOfWorkersRunNoTaskTwice(t *testing.T) {
 	t.Parallel()
-	for seed := *randomSeed; seed < *randomSeed+uint64(*randomRuns); seed++ {
+	for _, seed := range randomSeeds(3) {
 		synctest.Test(t, func(t *testing.T) {
 			r := newRestartRun(t, seed)
 			for range 60 {
