A failed run that is recorded is not counted again when its worker lists it to the next holder

Cause: a failure is recorded, then acknowledged to the worker. A holder that is lost in between leaves both, the record with the count and the worker that lists the end again; the next holder added them up.

Change: records, notes to homes and returned tasks carry the numbers of the failed runs. The count stays for builds that do not know them. The random play of stored submissions checks the failed runs of a failed submission.

Ruled out: the home's own count (it takes the maximum), runs of the first attempt of a job that was sent again.

--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -53,7 +53,7 @@
 	for _, t := range j.tasks {
 		// Suspects stay, so that they crash no workers of another domain, unless this one is evacuated.
 		if t.state == taskWaiting && len(j.returned)-before < limit && (s.evacuated || !s.isSuspect(t)) {
-			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, FailedRuns: t.failures, Losses: t.losses})
+			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, Failures: t.failures, FailedRuns: t.failedRuns, Losses: t.losses})
 			j.closeTask(t, taskElsewhere)
 		}
 	}
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -97,11 +98,11 @@
 // of its runs have failed.
 func (s *Shard) reportOutcome(t *task) {
 	if t.job.rec.Transient && !t.job.state.Final() && (t.state == taskCompleted || t.failures > 0) {
-		failures := t.failures
-		if t.state == taskCompleted {
-			failures = 0
+		o := OutcomeAction{Home: t.job.rec.Home, Task: t.ref}
+		if t.state != taskCompleted {
+			o.Failures, o.FailedRuns = t.failures, slices.Clone(t.failedRuns)
 		}
-		s.actions.Outcomes = append(s.actions.Outcomes, OutcomeAction{Home: t.job.rec.Home, Task: t.ref, FailedRuns: failures})
+		s.actions.Outcomes = append(s.actions.Outcomes, o)
 	}
 }
 
@@ -132,13 +133,10 @@
 // countFailure counts a failed run of a task, once. The submission fails when runs of one task have
 // failed as often as its queue allows.
 func (s *Shard) countFailure(now time.Duration, h *host, t *task, run uint64) {
-	if _, counted := t.countedFailures[run]; counted {
-		return
-	}
-	if t.countedFailures == nil {
-		t.countedFailures = make(map[uint64]struct{})
+	if slices.Contains(t.failedRuns, run) {
+		return // it was recorded, and the worker has not heard that its end is acknowledged
 	}
-	t.countedFailures[run] = struct{}{}
+	t.failedRuns = append(t.failedRuns, run)
 	t.failures++
 	if first := t.job.firstFailedOn; first != nil && first != h {
 		first.health.ForgiveFailure(t.job.rec.ID) // it fails on several workers, so they are not at fault
--- a/internal/kept/shard/property_test.go
+++ b/internal/kept/shard/property_test.go
@@ -130,6 +130,7 @@
 type randomPlay struct {
 	*world
 	submitted map[submission.ID]runhost.Work
+	attempts  map[submission.ID]int
 }
 
 func newPlay(t *testing.T) *randomPlay {
@@ -141,7 +142,7 @@
 		ackedFailures:    make(map[submission.TaskRef]int),
 		listed:           make(map[string][]worker.Ended),
 	}
-	return &randomPlay{world: w, submitted: make(map[submission.ID]runhost.Work)}
+	return &randomPlay{world: w, submitted: make(map[submission.ID]runhost.Work), attempts: make(map[submission.ID]int)}
 }
 
 // event is a random event. Op selects what happens, N the worker or submission and the amount.
@@ -207,6 +208,7 @@
 		rec.Steps = append(rec.Steps, step)
 	}
 	p.submitted[id] = p.workOf[id]
+	p.attempts[id] = rec.Terms.Attempts
 	p.records.revision++
 	s := StoredRecord{Record: rec, Revision: p.records.revision}
 	p.records.open[id] = s
@@ -280,6 +282,8 @@
 			return fmt.Errorf("%s has not ended, it is %s", id, p.states[id])
 		case state == submission.Failed && !work.Fails && !work.Crashes && p.maxWorkersEnded(id) < 2:
 			return fmt.Errorf("%s has failed, its tasks do not, and no two workers have crashed under one", id)
+		case state == submission.Failed && work.Fails && p.ledger.MaxFailures(id) < p.attempts[id] && p.maxWorkersEnded(id) < 2:
+			return fmt.Errorf("%s has failed after %d failed runs of a task, it has %d attempts", id, p.ledger.MaxFailures(id), p.attempts[id])
 		case state == submission.Done && (work.Fails || work.Crashes):
 			return fmt.Errorf("%s is done, its tasks do not complete", id)
 		}
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -79,7 +79,8 @@
 type ReturnedTask struct {
 	Task       submission.Task
 	Run        uint64            // number of its newest run; 0: it never started
-	FailedRuns int               // runs that have failed
+	Failures   int               // number of runs that have failed
+	FailedRuns []uint64          // their numbers, as far as they are known
 	Losses     []submission.Loss // workers that were lost while they ran it
 }
 
@@ -94,7 +95,8 @@
 type OutcomeAction struct {
 	Home       string
 	Task       submission.TaskRef
-	FailedRuns int // runs that have failed; 0: the task has completed
+	Failures   int      // number of runs that have failed; 0: the task has completed
+	FailedRuns []uint64 // their numbers, as far as they are known
 }
 
 // TaskLossesAction reports to the home VM of a transient submission which workers were lost while
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -88,9 +88,11 @@
 
 // Progress is the stored progress of an unfinished submission.
 type Progress struct {
-	Done   []Task          `json:"d,omitempty"` // completed tasks
-	Failed map[Task]int    `json:"f,omitempty"` // number of failed runs, of tasks that are not done
-	Losses map[Task][]Loss `json:"l,omitempty"` // losses of workers that ran them, of tasks that are not done
+	Done   []Task       `json:"d,omitempty"` // completed tasks
+	Failed map[Task]int `json:"f,omitempty"` // number of failed runs, of tasks that are not done
+	// FailedRuns are the numbers of these runs. Runs that an earlier release counted are missing.
+	FailedRuns map[Task][]uint64 `json:"i,omitempty"`
+	Losses     map[Task][]Loss   `json:"l,omitempty"` // losses of workers that ran them, of tasks that are not done
 }
 
 // Record is a submission as it is stored.
@@ -176,8 +178,9 @@
 }
 
 // RecordOutcome records that a task has completed (failedRuns is 0), or how many of its runs have
-// failed.
-func (p *Progress) RecordOutcome(t Task, failedRuns int) {
+// failed, with their numbers as far as they are known. Workers may list the end of a run again, so
+// a run must not be counted twice.
+func (p *Progress) RecordOutcome(t Task, failedRuns int, runs ...uint64) {
 	if failedRuns == 0 {
 		p.Done = append(p.Done, t)
 		return
@@ -185,7 +188,15 @@
 	if p.Failed == nil {
 		p.Failed = make(map[Task]int)
 	}
-	p.Failed[t] = max(p.Failed[t], failedRuns)
+	if p.FailedRuns == nil {
+		p.FailedRuns = make(map[Task][]uint64)
+	}
+	for _, run := range runs {
+		if !slices.Contains(p.FailedRuns[t], run) {
+			p.FailedRuns[t] = append(p.FailedRuns[t], run)
+		}
+	}
+	p.Failed[t] = max(p.Failed[t], failedRuns, len(p.FailedRuns[t]))
 }
 
 // Encode returns the stored form of a record.
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -131,9 +131,10 @@
 			Step:  uint32(r.Task.Step),
 			Index: uint32(r.Task.Index),
 			Run:   r.Run,
-			Fails: uint32(r.FailedRuns),
+			Fails: uint32(r.Failures),
 
-			Losses: encodeLosses(r.Losses),
+			FailedRuns: r.FailedRuns,
+			Losses:     encodeLosses(r.Losses),
 		})
 	}
 	return out
@@ -145,9 +146,9 @@
 		out = append(out, shard.ReturnedTask{
 			Task:       submission.Task{Step: int(r.Step), Index: int(r.Index)},
 			Run:        r.Run,
-			FailedRuns: int(r.Fails),
-
-			Losses: decodeLosses(r.Losses),
+			Failures:   int(r.Fails),
+			FailedRuns: r.FailedRuns,
+			Losses:     decodeLosses(r.Losses),
 		})
 	}
 	return out
@@ -269,8 +270,8 @@
 	for i, r := range returned {
 		included[i] = r.Task
 		rec.MaxRunElsewhere = max(rec.MaxRunElsewhere, r.Run)
-		if r.FailedRuns > 0 {
-			rec.Progress.RecordOutcome(r.Task, r.FailedRuns)
+		if r.Failures > 0 {
+			rec.Progress.RecordOutcome(r.Task, r.Failures, r.FailedRuns...)
 		}
 		rec.Progress.RecordLosses(r.Task, r.Losses)
 	}
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -223,7 +223,7 @@
 	for _, n := range f.Notes {
 		ref := submission.TaskRef{ID: submission.ID(n.Id)}
 		ref.Step, ref.Index = int(n.Step), int(n.Index)
-		e.applyTaskOutcome(ref, int(n.Fails))
+		e.applyTaskOutcome(ref, int(n.Fails), n.FailedRuns)
 	}
 	for _, w := range f.Losses {
 		ref := submission.TaskRef{ID: submission.ID(w.Id)}
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -406,7 +406,7 @@
 // have failed.
 func (e *engine) reportTaskOutcome(n shard.OutcomeAction) {
 	if n.Home == e.vm.config.Name {
-		e.applyTaskOutcome(n.Task, n.FailedRuns)
+		e.applyTaskOutcome(n.Task, n.Failures, n.FailedRuns)
 		return
 	}
 	f := e.frame(n.Home)
@@ -414,13 +414,15 @@
 		Id:    string(n.Task.ID),
 		Step:  uint32(n.Task.Step),
 		Index: uint32(n.Task.Index),
-		Fails: uint32(n.FailedRuns),
+		Fails: uint32(n.Failures),
+
+		FailedRuns: n.FailedRuns,
 	})
 }
 
 // applyTaskOutcome records a task's completion or failed runs, for the next holder.
-func (e *engine) applyTaskOutcome(ref submission.TaskRef, failedRuns int) {
-	e.updateProgress(ref, func(p *submission.Progress) { p.RecordOutcome(ref.Task, failedRuns) })
+func (e *engine) applyTaskOutcome(ref submission.TaskRef, failures int, failedRuns []uint64) {
+	e.updateProgress(ref, func(p *submission.Progress) { p.RecordOutcome(ref.Task, failures, failedRuns...) })
 }
 
 // updateProgress changes the progress in the record of the part that has a task.
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -49,6 +49,7 @@
 type Ledger struct {
 	running     map[submission.TaskRef]int
 	completions map[submission.TaskRef]int
+	failures    map[submission.TaskRef]int
 	Starts      map[submission.TaskRef]int
 	// Crashes counts the workers that have crashed while they ran a task, StartsAfterCrashLimit the starts of the
 	// task after CrashLimit of them had.
@@ -69,6 +70,7 @@
 	return &Ledger{
 		running:     make(map[submission.TaskRef]int),
 		completions: make(map[submission.TaskRef]int),
+		failures:    make(map[submission.TaskRef]int),
 		Starts:      make(map[submission.TaskRef]int),
 
 		Crashes:               make(map[submission.TaskRef]int),
@@ -79,6 +81,17 @@
 // Completions returns how many times a task has completed.
 func (l *Ledger) Completions(ref submission.TaskRef) int { return l.completions[ref] }
 
+// MaxFailures returns the number of failed runs of the task of a submission that has the most.
+func (l *Ledger) MaxFailures(id submission.ID) int {
+	most := 0
+	for ref, n := range l.failures {
+		if ref.ID == id {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // CountRunning returns how many runs of a submission's tasks are in progress.
 func (l *Ledger) CountRunning(id submission.ID) int { return SumOf(l.running, id) }
 
@@ -108,8 +121,11 @@
 // end records that a run has ended.
 func (l *Ledger) end(ref submission.TaskRef, reason worker.EndReason) {
 	l.running[ref]--
-	if reason == worker.Completed {
+	switch reason {
+	case worker.Completed:
 		l.completions[ref]++
+	case worker.Failed:
+		l.failures[ref]++
 	}
 }
 
