--- a/internal/kept/vm/refusal_test.go
+++ b/internal/kept/vm/refusal_test.go
@@ -46,7 +46,8 @@
 // site that is too small for its load, so that tasks wait, move between shards and are refused.
 type refusalRun struct {
 	*evacuationRun
-	rand *rand.Rand
+	rand        *rand.Rand
+	restartsAll bool // all VMs are restarted together from time to time
 }
 
 // loseHolderAndMove kills the holder of a domain together with the network of some of its workers, and evacuates the
@@ -83,7 +84,21 @@
 // pauseUpTo waits for a random time below d.
 func (r *refusalRun) pauseUpTo(d time.Duration) { time.Sleep(time.Duration(r.rand.Int64N(int64(d)))) }
 
+// restartAllApart kills all VMs at once and boots each after a time of its own.
+func (r *refusalRun) restartAllApart() {
+	for _, name := range vmNames {
+		r.killVM(name)
+	}
+	for _, i := range r.rand.Perm(len(vmNames)) {
+		r.pauseUpTo(500 * ms)
+		r.boot(vmNames[i])
+	}
+}
+
 func (r *refusalRun) step() {
+	if r.restartsAll && r.rand.IntN(12) == 0 {
+		r.restartAllApart()
+	}
 	switch op := r.rand.IntN(12); op {
 	case 0:
 		r.killVM(vmNames[r.rand.IntN(len(vmNames))])
@@ -113,6 +128,29 @@
 	r.pollCallers()
 }
 
+func newRefusalRun(t *testing.T, seed uint64) *refusalRun {
+	return &refusalRun{
+		evacuationRun: &evacuationRun{
+			world:     newTwoDomainWorld(t),
+			evacuated: make(map[string][]span),
+			cuts:      make(map[string][]span),
+			tasks:     make(map[submission.ID]int),
+		},
+		rand: rand.New(rand.NewPCG(seed, 5)),
+	}
+}
+
+// play makes random events happen, and lets all submissions end.
+func (r *refusalRun) play() {
+	for range 80 {
+		r.step()
+	}
+	for range 60 {
+		time.Sleep(500 * ms)
+		r.pollCallers()
+	}
+}
+
 // checkRefusals returns an error if a submission was refused at its first attempt and a task of it has run.
 func (r *refusalRun) checkRefusals() error {
 	for _, c := range r.callers {
@@ -129,22 +167,8 @@
 	t.Parallel()
 	for _, seed := range randomSeeds(17) {
 		synctest.Test(t, func(t *testing.T) {
-			r := &refusalRun{
-				evacuationRun: &evacuationRun{
-					world:     newTwoDomainWorld(t),
-					evacuated: make(map[string][]span),
-					cuts:      make(map[string][]span),
-					tasks:     make(map[submission.ID]int),
-				},
-				rand: rand.New(rand.NewPCG(seed, 5)),
-			}
-			for range 80 {
-				r.step()
-			}
-			for range 60 {
-				time.Sleep(500 * ms)
-				r.pollCallers()
-			}
+			r := newRefusalRun(t, seed)
+			r.play()
 			if err := r.checkRefusals(); err != nil {
 				t.Errorf("seed %d: %v", seed, err)
 			}
--- /dev/null
+++ b/internal/kept/vm/whole_answer_test.go
@@ -0,0 +1,41 @@
+package vm
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+)
+
+// checkAnswers returns an error if a submission was answered as done before each of its tasks had completed.
+func (r *refusalRun) checkAnswers() error {
+	for _, c := range r.callers {
+		if c.outcome != nil && c.outcome.Kind == Ended && c.outcome.State == submission.Done && !r.allCompleted(c.id) {
+			return fmt.Errorf("%s was answered as done after %d attempts, and not all of its %d tasks have completed", c.id, c.attempts, r.tasks[c.id])
+		}
+	}
+	return nil
+}
+
+// Guards against an answer "done" for a submission with a task that has not completed: all VMs are restarted, callers
+// send their submissions again, and ends of the earlier attempts or of parts that have moved count for the present one.
+func TestRandomRestartsOfAllVMsGiveWholeAnswers(t *testing.T) {
+	t.Parallel()
+	for _, seed := range randomSeeds() {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRefusalRun(t, seed)
+			r.restartsAll = true
+			r.play()
+			if err := r.checkAnswers(); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			for name := range r.vms {
+				r.kill(name)
+			}
+			if faults := r.fleet.Violations(); len(faults) > 0 {
+				t.Errorf("seed %d: %v", seed, faults)
+			}
+		})
+	}
+}
