A stop ends and waits for the links that still release their leases

Cause: retire and reconcile release leases in goroutines of their own. A link is taken out of the set first, so that a stop neither ended it nor waited for it: Release went on for up to its time-out after the VM had stopped.

Change: links that are being released are kept until they are, their goroutines are counted with the control calls, and stop ends them and waits.

--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,9 +24,10 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[string]*workerLink
-	stopped bool
+	mu        sync.Mutex
+	links     map[string]*workerLink
+	releasing map[*upstream.Link]struct{} // links that are not in links any more and still release their leases
+	stopped   bool
 }
 
 type workerLink struct {
@@ -41,6 +44,8 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		links:   make(map[string]*workerLink),
+
+		releasing: make(map[*upstream.Link]struct{}),
 	}
 }
 
@@ -60,16 +65,15 @@
 		listed, ok := s.Workers[id]
 		switch {
 		case !ok || listed.Incarnation != l.vm.Incarnation:
-			delete(w.links, id)
-			go l.link.Release()
+			w.removeLink(id, l)
 		case w.wanted(listed, live, leaving):
 			if l.retiring {
 				l.retiring = false
-				go w.vm.holder.Unretire(id)
+				w.calls.Go(func() { w.vm.holder.Unretire(id) })
 			}
 		case !l.retiring:
 			l.retiring = true
-			go w.retire(id, l)
+			w.calls.Go(func() { w.retire(id, l) })
 		}
 	}
 	for id, worker := range s.Workers {
@@ -98,14 +102,22 @@
 	case <-w.ctx.Done():
 	}
 	w.mu.Lock()
-	stays := !l.retiring || w.links[id] != l
-	if !stays {
-		delete(w.links, id)
+	defer w.mu.Unlock()
+	if l.retiring && w.links[id] == l {
+		w.removeLink(id, l)
 	}
-	w.mu.Unlock()
-	if !stays {
+}
+
+// removeLink removes a link and releases its lease in a goroutine that stop ends and waits for. w.mu must be held.
+func (w *workerSet) removeLink(id string, l *workerLink) {
+	delete(w.links, id)
+	w.releasing[l.link] = struct{}{}
+	w.calls.Go(func() {
 		l.link.Release()
-	}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.releasing, l.link)
+	})
 }
 
 func (w *workerSet) wanted(worker fleet.VM, live []string, leaving map[string]uint64) bool {
@@ -147,6 +159,9 @@
 	for _, l := range w.takeAll() {
 		l.link.Stop()
 	}
+	for _, l := range w.releasingLinks() {
+		l.Stop()
+	}
 	w.calls.Wait()
 	w.control.Close()
 }
@@ -160,6 +175,13 @@
 	return links
 }
 
+// releasingLinks returns the links that are being released.
+func (w *workerSet) releasingLinks() []*upstream.Link {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.releasing))
+}
+
 var errNotListed = errors.New("the worker is not in the platform's list")
 
 // call runs a control call in a new goroutine.
