--- a/internal/kept/shard/failures_test.go
+++ b/internal/kept/shard/failures_test.go
@@ -8,6 +8,42 @@
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
+// Guards against a submission that never ends, and whose progress is never stored again, as one write found the queue of
+// the journal full.
+func TestWritesThatWereNotQueuedAreRepeated(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(50 * ms)
+	rec := w.submission("a", 1, runhost.Work{Time: 20 * ms, Fails: true})
+	rec.Transient = false
+	w.shard.Assign(w.now, StoredRecord{Record: rec, Revision: 1})
+	refused := map[string]int{}
+	for range 1000 {
+		w.now += testTick
+		w.hosts["w0"].Advance(w.now)
+		w.sendHold("w0")
+		w.shard.Tick(w.now)
+		a := w.shard.TakeActions()
+		for _, s := range a.Starts {
+			w.sendStart(s)
+		}
+		for _, s := range a.Saves {
+			refused["progress"]++
+			w.shard.WriteNotQueued(w.now, s.Record.ID)
+		}
+		for _, f := range a.Finals {
+			if refused["final"]++; refused["final"] < 3 {
+				w.shard.WriteNotQueued(w.now, f.ID)
+				continue
+			}
+			w.finals[f.ID] = f.State
+			w.shard.FinalStored(w.now, f.ID)
+		}
+	}
+	if w.finals["a"] != submission.Failed || w.shard.Size() > 0 {
+		t.Errorf("its final state is %s after %v refused writes, want failed", w.finals["a"], refused)
+	}
+}
+
 // Guards against a submission that fails before its attempts are used up. A failed run was recorded, and the holder was
 // lost before the worker heard that its end is acknowledged: the worker lists the end to the next holder once more.
 func TestRecordedFailureIsNotCountedAgain(t *testing.T) {
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -87,6 +87,7 @@
 	receivedAt    time.Duration // when this holder received it
 	firstRunAt    time.Duration // when the first run was known to have begun; 0: none yet
 	saving        bool          // its progress is being stored
+	writeRetryAt  time.Duration // when a write that was not queued is tried again; 0: there is none
 	unsavedSince  time.Duration // when the oldest ended run arrived that is not stored; 0: none
 	endStored     bool          // its final state is stored, or need not be
 	firstFailedOn *host         // the first worker on which a task of it failed
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -35,6 +35,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		s.repeatOrders(now, j)
+		s.retryWrite(now, j)
 		s.saveProgress(now, j)
 		s.rejectIfWaitTooLong(now, j)
 		s.drainIfEvacuated(now, j)
@@ -130,7 +131,7 @@
 // acknowledged. Ends are acknowledged in order, so the worker would otherwise list all its later ends
 // in each answer.
 func (s *Shard) saveProgress(now time.Duration, j *job) {
-	if j.rec.Transient || j.saving || j.reassigning || j.unsavedSince == 0 || j.state.Final() || now-j.unsavedSince < s.settings.SaveDelay {
+	if j.rec.Transient || j.saving || j.writeRetryAt > 0 || j.reassigning || j.unsavedSince == 0 || j.state.Final() || now-j.unsavedSince < s.settings.SaveDelay {
 		return
 	}
 	j.unsavedSince = 0
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -256,6 +256,35 @@
 	}
 }
 
+// writeRetryInterval is the time until a write that could not be queued is tried again.
+const writeRetryInterval = 300 * time.Millisecond
+
+// WriteNotQueued handles a write of a submission's progress or final state that was not queued, as too many others
+// wait for the store. It is tried again later.
+func (s *Shard) WriteNotQueued(now time.Duration, id submission.ID) {
+	j, known := s.jobs[id]
+	if !known {
+		return
+	}
+	j.writeRetryAt = now + writeRetryInterval
+	j.changeAttempts(attemptSaving, attemptWanted)
+	j.saving = false
+	if j.unsavedSince == 0 {
+		j.unsavedSince = now
+	}
+}
+
+// retryWrite repeats a write that was not queued.
+func (s *Shard) retryWrite(now time.Duration, j *job) {
+	if j.writeRetryAt == 0 || now < j.writeRetryAt {
+		return
+	}
+	j.writeRetryAt = 0
+	if j.state.Final() && !j.endStored {
+		s.endSubmission(now, j, j.state, j.endReason)
+	}
+}
+
 // RecordConflict handles a write that the store refused because the record has changed in the
 // store: the submission was cancelled, or ended by another holder.
 func (s *Shard) RecordConflict(now time.Duration, id submission.ID) {
--- a/internal/kept/vm/persist.go
+++ b/internal/kept/vm/persist.go
@@ -30,8 +30,8 @@
 		},
 	})
 	if !ok {
-		// The workers still list the ends of the runs, so that a new holder learns of them.
-		klog.InfoS("kept: journal is full, a final state is in memory only", "id", f.ID)
+		klog.InfoS("kept: journal is full, a final state is stored later", "id", f.ID)
+		h.core.WriteNotQueued(e.now, f.ID)
 	}
 }
 
@@ -89,7 +89,8 @@
 		},
 	})
 	if !ok {
-		klog.InfoS("kept: journal is full, progress is not stored", "id", s.Record.ID)
+		klog.InfoS("kept: journal is full, progress is stored later", "id", s.Record.ID)
+		h.core.WriteNotQueued(e.now, s.Record.ID)
 	}
 }
 
