--- a/internal/kept/shard/failures_test.go
+++ b/internal/kept/shard/failures_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,24 @@
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
+// Guards against stored submissions that wait for most of a minute though all workers are idle: all that the workers run
+// fails, so that each of them is ejected.
+func TestFailingSubmissionsEndThoughAllWorkersAreEjected(t *testing.T) {
+	w := newWorld(t, 3)
+	w.run(100 * ms)
+	for i := range 25 {
+		rec := w.submission(submission.ID(fmt.Sprintf("s%d", i)), 1, runhost.Work{Time: 20 * ms, Fails: true})
+		rec.Transient = false
+		w.shard.Assign(w.now, StoredRecord{Record: rec, Revision: 1})
+	}
+	w.run(20 * time.Second)
+	for i := range 25 {
+		if id := submission.ID(fmt.Sprintf("s%d", i)); w.finals[id] != submission.Failed {
+			t.Errorf("%s has not ended, it is %s", id, w.states[id])
+		}
+	}
+}
+
 // Guards against a submission that never ends, and whose progress is never stored again, as one write found the queue of
 // the journal full.
 func TestWritesThatWereNotQueuedAreRepeated(t *testing.T) {
