A refused ticket may be tried again after five seconds

A home repeats its refusals, and a caller's key stays bound to its ticket: a key whose first request was refused would have been refused until 4,096 others were.

Change: a refusal is repeated for 5 s, the time for which another request may be on its way; the repeated one says when to come back. TestRefusedTicketMayBeTriedAgainLater fails without the bound.

--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -335,3 +335,21 @@
 	f.takeAnswers(reason.NotRun)
 	f.noBatch()
 }
+
+// Guards against a key that can never be used again: its first request was refused, and it stays bound to the ticket.
+func TestRefusedTicketMayBeTriedAgainLater(t *testing.T) {
+	f := newFixture(t)
+	limit := f.h.cfg.Settings.MaxJobs
+	f.h.cfg.Settings.MaxJobs = 0
+	s := f.submission(1, 1)
+	s.First = true
+	f.ask(s)
+	f.takeAnswers(reason.NotRun)
+	f.h.cfg.Settings.MaxJobs = limit
+	s.First = false
+	f.ask(s)
+	f.pass(f.takeAnswers(reason.NotRun)[0].RetryAfter)
+	again := f.submission(1, 1)
+	f.ask(again)
+	f.takeBatch()
+}
--- a/internal/process/home/home.go
+++ b/internal/process/home/home.go
@@ -166,7 +166,7 @@
 		h.attach(e, hash, ev.reply)
 		return
 	}
-	if a := h.refusals.answer(id); a != nil {
+	if a := h.refusals.answer(h.now, id); a != nil {
 		ev.reply(a)
 		return
 	}
@@ -186,7 +186,7 @@
 func (h *Home) refuse(ev *submitEvent, a *job.Answer) {
 	id := ev.sub.Ticket.ID
 	if a.Outcome == reason.NotRun {
-		h.refusals.add(id, a)
+		h.refusals.add(h.now, id, a)
 	}
 	h.cfg.Timelines.Add(id, timeline.Step{At: h.now, Event: "refused", Reason: a.Reason, Detail: a.Detail})
 	ev.reply(a)
