--- a/internal/kept/vm/restart_property_test.go
+++ b/internal/kept/vm/restart_property_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,11 +37,26 @@
 // ended incarnations stay in the list of workers for a while, and those of new ones come late or never.
 type restartRun struct {
 	*world
-	rand    *rand.Rand
-	births  bool // workers report when they started
-	lives   int
+	rand   *rand.Rand
+	births bool // workers report when they started
+	lives  int
+	jobs   int
+
+	mu      sync.Mutex
 	entries map[string]worker.Info // by address: of the incarnation that runs there
-	jobs    int
+}
+
+// entry returns the entry of the incarnation that runs at an address.
+func (r *restartRun) entry(address string) worker.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[address]
+}
+
+func (r *restartRun) setEntry(info worker.Info) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries[info.Address] = info
 }
 
 const restartRunWorkers = 4
@@ -53,7 +69,7 @@
 		if r.births {
 			info.Born = time.Now().UnixMilli()
 		}
-		r.entries[info.Address] = info
+		r.setEntry(info)
 		r.addWorker(info)
 	}
 	for _, name := range []string{"a1", "a2", "a3"} {
@@ -72,19 +88,19 @@
 // still runs then; that of the earlier one stays for some seconds.
 func (r *restartRun) restart() {
 	address := fmt.Sprintf("worker-a%d", r.rand.IntN(restartRunWorkers))
-	old := r.entries[address]
+	old := r.entry(address)
 	id := old.ID
 	if !r.births || r.rand.IntN(3) > 0 {
 		r.lives++
 		id = fmt.Sprintf("w-life%04d", r.lives)
 	}
 	info := r.fleet.RestartWorker(address, id)
-	r.entries[address] = info
+	r.setEntry(info)
 	down := r.upTo(1500 * ms)
 	r.fleet.SetUnreachable(id, true)
 	time.AfterFunc(down, func() { r.fleet.SetUnreachable(id, false) })
 	time.AfterFunc(down+r.upTo(2500*ms), func() {
-		if now := r.entries[address]; now.Incarnation() == info.Incarnation() {
+		if now := r.entry(address); now.Incarnation() == info.Incarnation() {
 			r.putWorkerEntry(info)
 		}
 	})
@@ -105,7 +121,7 @@
 
 // cutWorker makes a worker unreachable for a while.
 func (r *restartRun) cutWorker() {
-	id := r.entries[fmt.Sprintf("worker-a%d", r.rand.IntN(restartRunWorkers))].ID
+	id := r.entry(fmt.Sprintf("worker-a%d", r.rand.IntN(restartRunWorkers))).ID
 	r.fleet.SetUnreachable(id, true)
 	time.AfterFunc(r.upTo(2500*ms), func() { r.fleet.SetUnreachable(id, false) })
 }
