Serials of two homes cannot meet

Cause: a serial was the home's incarnation plus a count. Homes that start together have incarnations so close that their serials can meet, and a holder takes the submission of one for an attempt of the other that it has completed.

Change: serials begin at a hash of the home's name and incarnation.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -106,6 +106,7 @@
 	claimsInFlight  map[string]bool
 	layoutInFlight  bool
 	transientSerial uint64 // counts the transient submissions accepted here
+	serialBase      uint64 // serials begin above it; 0: not computed yet
 	unplacedSentAt  time.Duration
 	unplacedSent    bool                     // the last count of unplaced submissions sent to peers was not 0
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
@@ -101,8 +103,13 @@
 // nextSerial returns the number of an attempt to run a transient submission or some of its tasks. A part
 // that is resent keeps its number.
 func (e *engine) nextSerial() uint64 {
+	if e.serialBase == 0 {
+		// A hash, as the incarnations of VMs that start together are so close that the serials of two homes could meet:
+		// a holder would take one's submission for an attempt of the other's.
+		e.serialBase = xxhash.Sum64String(e.vm.config.Name + "@" + strconv.FormatUint(e.vm.config.Incarnation, 10))
+	}
 	e.transientSerial++
-	return e.vm.config.Incarnation + e.transientSerial
+	return e.serialBase + e.transientSerial
 }
 
 // splitIntoParts chooses shards for a submission and makes a part for each. Submissions that isDivisible
--- a/internal/kept/vm/whole_answer_test.go
+++ b/internal/kept/vm/whole_answer_test.go
@@ -1,9 +1,11 @@
 package vm
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 )
@@ -39,3 +41,19 @@
 		})
 	}
 }
+
+// Guards against an answer before the end: the serials of two homes met, and a holder took the submission of one for an
+// attempt of the other that it had completed.
+func TestSerialsOfTwoHomesDiffer(t *testing.T) {
+	seen := make(map[uint64]string)
+	for i, name := range []string{"a1", "a2", "b1"} {
+		e := newEngine(context.Background(), &VM{config: Config{Name: name, Incarnation: uint64(7 + i)}, now: func() time.Duration { return time.Hour }})
+		for range 1000 {
+			serial := e.nextSerial()
+			if other, taken := seen[serial]; taken {
+				t.Fatalf("%s and %s both use the serial %d", name, other, serial)
+			}
+			seen[serial] = name
+		}
+	}
+}
