--- a/internal/kept/shard/attempt.go
+++ b/internal/kept/shard/attempt.go
@@ -35,10 +35,7 @@
 	t.attemptAt = c.host
 	s.hasAttempts = true
 	t.job.unsavedSince = max(now-s.settings.SaveDelay, 1)
-	c.reserve(t)
-	if s.isSuspect(t) {
-		c.suspect = t.job
-	}
+	s.takePlace(t, c)
 }
 
 // startAttempted starts the tasks whose attempts are stored. If the worker cannot be used any more, the task gets
@@ -87,7 +84,7 @@
 	for ref, a := range j.rec.Progress.Attempts {
 		if t := j.task(ref); t != nil && a.Token >= j.rec.Token && a.Token < s.token {
 			t.earlierAttempt = a
-			t.earlierRunBase = (a.Token - j.rec.Token) * runsPerToken
+			t.earlierRunBase = runBaseUnder(j.rec, a.Token)
 		}
 	}
 }
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -296,16 +296,21 @@
 				continue
 			}
 			if c := byHost[h]; c != nil {
-				c.reserve(t)
-				if s.isSuspect(t) {
-					c.suspect = j
-				}
+				s.takePlace(t, c)
 			}
 		}
 	}
 	return slices.DeleteFunc(out, func(c *candidate) bool { return c.freeCPUMilli <= 0 })
 }
 
+// takePlace takes the resources of a task from a candidate, which a suspect has to itself then.
+func (s *Shard) takePlace(t *task, c *candidate) {
+	c.reserve(t)
+	if s.isSuspect(t) {
+		c.suspect = t.job
+	}
+}
+
 // reserve takes the resources of a task from the free capacity.
 func (c *candidate) reserve(t *task) {
 	c.freeCPUMilli -= t.step.CPUMilli
@@ -409,10 +414,8 @@
 	t.acceptClock = 0
 	t.stopAckClock = 0
 	t.progress = policy.Progress{}
-	c.reserve(t)
-	if t.startedAlone = s.isSuspect(t); t.startedAlone {
-		c.suspect = t.job
-	}
+	t.startedAlone = s.isSuspect(t)
+	s.takePlace(t, c)
 	s.actions.Starts = append(s.actions.Starts, StartAction{
 		Worker:     c.host.info,
 		Task:       t.ref,
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -145,11 +145,14 @@
 // runBase returns the number above which run numbers begin, so that they are higher than those of
 // earlier holders, including runs that no worker lists. A worker refuses a run whose number is not
 // higher than that of a run of the same task that ended there.
-func (s *Shard) runBase(r *submission.Record) uint64 {
-	if s.token <= r.Token {
+func (s *Shard) runBase(r *submission.Record) uint64 { return runBaseUnder(r, s.token) }
+
+// runBaseUnder returns the number above which run numbers begin under a token.
+func runBaseUnder(r *submission.Record, token uint64) uint64 {
+	if token <= r.Token {
 		return 0
 	}
-	return (s.token - r.Token) * runsPerToken
+	return (token - r.Token) * runsPerToken
 }
 
 // runsPerToken is how many run numbers are reserved for one task under one token. Runs that are
--- a/internal/process/home/failure_test.go
+++ b/internal/process/home/failure_test.go
@@ -323,22 +323,15 @@
 // through another entry VM before the refusal of the first one arrived, and the second one was taken for new.
 func TestRequestAfterARefusalIsRefusedAsWell(t *testing.T) {
 	f := newFixture(t)
-	limit := f.h.cfg.Settings.MaxJobs
-	f.h.cfg.Settings.MaxJobs = 0
-	s := f.submission(1, 1)
-	s.First = true
-	f.ask(s)
-	f.takeAnswers(reason.NotRun)
-	f.h.cfg.Settings.MaxJobs = limit
-	s.First = false
+	s := f.refusedAtFirst()
 	f.ask(s)
 	f.takeAnswers(reason.NotRun)
 	f.noBatch()
 }
 
-// Guards against a key that can never be used again: its first request was refused, and it stays bound to the ticket.
-func TestRefusedTicketMayBeTriedAgainLater(t *testing.T) {
-	f := newFixture(t)
+// refusedAtFirst returns a submission whose first request the home has refused, as a later request brings it.
+func (f *fixture) refusedAtFirst() Submission {
+	f.t.Helper()
 	limit := f.h.cfg.Settings.MaxJobs
 	f.h.cfg.Settings.MaxJobs = 0
 	s := f.submission(1, 1)
@@ -347,7 +340,13 @@
 	f.takeAnswers(reason.NotRun)
 	f.h.cfg.Settings.MaxJobs = limit
 	s.First = false
-	f.ask(s)
+	return s
+}
+
+// Guards against a key that can never be used again: its first request was refused, and it stays bound to the ticket.
+func TestRefusedTicketMayBeTriedAgainLater(t *testing.T) {
+	f := newFixture(t)
+	f.ask(f.refusedAtFirst())
 	f.pass(f.takeAnswers(reason.NotRun)[0].RetryAfter)
 	again := f.submission(1, 1)
 	f.ask(again)
