vm tests: one player of random seeds

Change: playSeeds plays each seed as a subtest of its own name, and the worlds end with end. Seeds, steps and assertions are as they were.

Checked: the three worlds and TestSerialsOfTwoHomesDiffer pass with -race; vet.

--- a/internal/kept/vm/refusal_test.go
+++ b/internal/kept/vm/refusal_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -164,20 +163,12 @@
 // Guards against a refusal that says "not run" though a task has run, and against two runs of a task at once, after
 // any sequence of killed holders and homes, cut-off workers, evacuations, moves and recalls.
 func TestRandomRefusalsAreTrue(t *testing.T) {
-	t.Parallel()
-	for _, seed := range randomSeeds(17) {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRefusalRun(t, seed)
-			r.play()
-			if err := r.checkRefusals(); err != nil {
-				t.Errorf("seed %d: %v", seed, err)
-			}
-			for name := range r.vms {
-				r.kill(name)
-			}
-			if faults := r.fleet.Violations(); len(faults) > 0 {
-				t.Errorf("seed %d: %v", seed, faults)
-			}
-		})
-	}
+	playSeeds(t, []uint64{17}, func(t *testing.T, seed uint64) {
+		r := newRefusalRun(t, seed)
+		r.play()
+		if err := r.checkRefusals(); err != nil {
+			t.Error(err)
+		}
+		r.end()
+	})
 }
--- a/internal/kept/vm/restart_property_test.go
+++ b/internal/kept/vm/restart_property_test.go
@@ -24,13 +24,18 @@
 	randomSeed = flag.Uint64("random-seed", 1, "seed of the first play")
 )
 
-// randomSeeds returns the seeds to play: those that once failed, then as many as were asked for.
-func randomSeeds(failedOnce ...uint64) []uint64 {
+// playSeeds plays the seeds that once failed, then as many as were asked for, each on virtual time.
+func playSeeds(t *testing.T, failedOnce []uint64, play func(t *testing.T, seed uint64)) {
+	t.Parallel()
 	seeds := failedOnce
 	for i := range *randomRuns {
 		seeds = append(seeds, *randomSeed+uint64(i))
 	}
-	return seeds
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
+		})
+	}
 }
 
 // restartRun is one run of random worker restarts while VMs are killed and the store is away. The entries of
@@ -160,20 +165,12 @@
 // Guards against a task that runs twice at once because an entry of an ended incarnation of a worker, which comes
 // late or is read again after an outage of the store, is taken for the incarnation that runs at the address.
 func TestRandomRestartsOfWorkersRunNoTaskTwice(t *testing.T) {
-	t.Parallel()
-	for _, seed := range randomSeeds(3) {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRestartRun(t, seed)
-			for range 60 {
-				r.step()
-			}
-			time.Sleep(21 * time.Second) // until the callers of killed VMs give up
-			for name := range r.vms {
-				r.kill(name)
-			}
-			if faults := r.fleet.Violations(); len(faults) > 0 {
-				t.Errorf("seed %d, births %v: %v", seed, r.births, faults)
-			}
-		})
-	}
+	playSeeds(t, []uint64{3}, func(t *testing.T, seed uint64) {
+		r := newRestartRun(t, seed)
+		for range 60 {
+			r.step()
+		}
+		time.Sleep(21 * time.Second) // until the callers of killed VMs give up
+		r.end()
+	})
 }
--- a/internal/kept/vm/whole_answer_test.go
+++ b/internal/kept/vm/whole_answer_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
@@ -23,23 +22,15 @@
 // Guards against an answer "done" for a submission with a task that has not completed: all VMs are restarted, callers
 // send their submissions again, and ends of the earlier attempts or of parts that have moved count for the present one.
 func TestRandomRestartsOfAllVMsGiveWholeAnswers(t *testing.T) {
-	t.Parallel()
-	for _, seed := range randomSeeds() {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRefusalRun(t, seed)
-			r.restartsAll = true
-			r.play()
-			if err := r.checkAnswers(); err != nil {
-				t.Errorf("seed %d: %v", seed, err)
-			}
-			for name := range r.vms {
-				r.kill(name)
-			}
-			if faults := r.fleet.Violations(); len(faults) > 0 {
-				t.Errorf("seed %d: %v", seed, faults)
-			}
-		})
-	}
+	playSeeds(t, nil, func(t *testing.T, seed uint64) {
+		r := newRefusalRun(t, seed)
+		r.restartsAll = true
+		r.play()
+		if err := r.checkAnswers(); err != nil {
+			t.Error(err)
+		}
+		r.end()
+	})
 }
 
 // Guards against an answer before the end: the serials of two homes met, and a holder took the submission of one for an
