vm: the base of serials is worked out when the engine is made

Cause: nextSerial computed it at its first call and kept it beside the count, on the way of each transient submission.

Change: lastSerial begins at serialBase; the serials are the same numbers as before. vet, staticcheck and the tests TestSerialsOfTwoHomesDiffer, TestTaskOfAKilledHolderIsNotRefusedAfterAMove and TestRejected* of internal/kept/vm pass.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -105,8 +105,7 @@
 	evacuations     evacuation.Set
 	claimsInFlight  map[string]bool
 	layoutInFlight  bool
-	transientSerial uint64 // counts the transient submissions accepted here
-	serialBase      uint64 // serials begin above it; 0: not computed yet
+	lastSerial      uint64 // of an attempt at a transient submission
 	unplacedSentAt  time.Duration
 	unplacedSent    bool                     // the last count of unplaced submissions sent to peers was not 0
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
@@ -119,6 +118,7 @@
 	self := site.Member{Name: c.Name, Incarnation: c.Incarnation, Domain: c.Domain, Address: c.PeerAddress, Cores: c.Cores}
 	return &engine{
 		vm:               v,
+		lastSerial:       serialBase(&v.config),
 		ctx:              ctx,
 		site:             site.New(site.DefaultSettings(), self, c.Domains, v.now()),
 		shards:           make(map[string]*heldShard),
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -103,13 +103,15 @@
 // nextSerial returns the number of an attempt to run a transient submission or some of its tasks. A part
 // that is resent keeps its number.
 func (e *engine) nextSerial() uint64 {
-	if e.serialBase == 0 {
-		// A hash, as the incarnations of VMs that start together are so close that the serials of two homes could meet:
-		// a holder would take one's submission for an attempt of the other's.
-		e.serialBase = xxhash.Sum64String(e.vm.config.Name + "@" + strconv.FormatUint(e.vm.config.Incarnation, 10))
-	}
-	e.transientSerial++
-	return e.serialBase + e.transientSerial
+	e.lastSerial++
+	return e.lastSerial
+}
+
+// serialBase returns the number above which the serials of a home begin. It is a hash, as the incarnations of VMs that
+// start together are so close that the serials of two homes could meet: a holder would take one's submission for an
+// attempt of the other's.
+func serialBase(c *Config) uint64 {
+	return xxhash.Sum64String(c.Name + "@" + strconv.FormatUint(c.Incarnation, 10))
 }
 
 // splitIntoParts chooses shards for a submission and makes a part for each. Submissions that isDivisible
