fleet stand-in: a planned restart replaces only the incarnation that has crashed

Cause: restartCrashed forgot that a worker was down and added its next incarnation under two separate locks. A call in between planned another restart, which two seconds later replaced a live worker; its runs stayed in the ledger as running. Also, a restart planned before RestartWorker replaced the worker took effect on the new incarnation.

Change: a planned restart is kept by incarnation instead of by worker ID, and replaces it under one lock unless another one is at its address.

Ruled out: a fault of the dispatcher; the worker was replaced at 12.845 s with eight runs under way, without a crash.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -36,9 +36,9 @@
 	startsByWorker map[string]int  // by worker ID
 	unreachable    map[string]bool // worker IDs that no VM can reach
 
-	onRestart func(old, next worker.Info)
-	restarts  int
-	down      map[string]bool // worker IDs that have crashed and will be restarted
+	onRestart      func(old, next worker.Info)
+	restarts       int
+	restartPlanned map[*runhost.Host]bool // incarnations that have crashed and will be replaced
 }
 
 // crashDowntime is how long a worker is down after a task has crashed it.
@@ -57,7 +57,7 @@
 		partitioned:    make(map[string]bool),
 		startsByWorker: make(map[string]int),
 		unreachable:    make(map[string]bool),
-		down:           make(map[string]bool),
+		restartPlanned: make(map[*runhost.Host]bool),
 	}
 }
 
@@ -74,37 +74,47 @@
 func (f *Fleet) advance(now time.Duration) {
 	for _, h := range f.hosts {
 		h.Advance(now)
-		if id := h.Info.ID; h.Crashed() && !f.down[id] {
-			f.down[id] = true
-			time.AfterFunc(crashDowntime, func() { f.restartCrashed(h.Info) })
+		if h.Crashed() && !f.restartPlanned[h] {
+			f.restartPlanned[h] = true
+			time.AfterFunc(crashDowntime, func() { f.restartCrashed(h) })
 		}
 	}
 }
 
-// restartCrashed starts the next incarnation of a worker that has crashed. If the worker reports when it
-// started (Born), every second restart keeps its ID.
-func (f *Fleet) restartCrashed(old worker.Info) {
+// restartCrashed replaces an incarnation that has crashed, unless that was done already.
+func (f *Fleet) restartCrashed(crashed *runhost.Host) {
 	f.mu.Lock()
-	f.restarts++
-	next := old
-	if old.Born > 0 && f.restarts%2 == 0 {
-		next.Born = time.Now().UnixMilli()
-	} else {
-		_, first, again := strings.Cut(old.ID, "of-")
-		if !again {
-			first = old.ID
-		}
-		next.ID = fmt.Sprintf("life%d-of-%s", f.restarts, first)
+	delete(f.restartPlanned, crashed)
+	if f.hosts[crashed.Info.Address] != crashed {
+		f.mu.Unlock()
+		return
 	}
-	delete(f.down, old.ID)
+	next := f.nextIncarnation(crashed.Info)
+	f.addRestarted(next)
 	onRestart := f.onRestart
 	f.mu.Unlock()
-	f.addRestarted(next)
 	if onRestart != nil {
-		onRestart(old, next)
+		onRestart(crashed.Info, next)
 	}
 }
 
+// nextIncarnation returns the incarnation that follows one that has crashed. If the worker reports when it
+// started (Born), every second restart keeps its ID. f.mu must be held.
+func (f *Fleet) nextIncarnation(crashed worker.Info) worker.Info {
+	f.restarts++
+	next := crashed
+	if crashed.Born > 0 && f.restarts%2 == 0 {
+		next.Born = time.Now().UnixMilli()
+		return next
+	}
+	_, first, again := strings.Cut(crashed.ID, "of-")
+	if !again {
+		first = crashed.ID
+	}
+	next.ID = fmt.Sprintf("life%d-of-%s", f.restarts, first)
+	return next
+}
+
 // Crashes returns how many workers have crashed while they ran tasks of a submission.
 func (f *Fleet) Crashes(id submission.ID) int {
 	f.mu.Lock()
@@ -131,11 +141,8 @@
 	f.add(info)
 }
 
-// addRestarted adds a new incarnation of a worker, whose clock starts again.
+// addRestarted adds a new incarnation of a worker, whose clock starts again. f.mu must be held.
 func (f *Fleet) addRestarted(info worker.Info) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.down, info.ID)
 	f.add(info).ClockOffset = clockAfterRestart - time.Since(f.startedAt)
 }
 
@@ -207,12 +214,11 @@
 // ID, which may be the same. It returns the new incarnation.
 func (f *Fleet) RestartWorker(address, id string) worker.Info {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	old := f.hosts[address]
 	info := old.Info
 	old.Advance(time.Since(f.startedAt))
 	old.Crash()
-	f.down[old.Info.ID] = true // keeps advance from restarting it as well
-	f.mu.Unlock()
 	info.ID = id
 	if info.Born > 0 {
 		info.Born = max(time.Now().UnixMilli(), info.Born+1)
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +43,66 @@
 		}
 	})
 }
+
+// crashingWorkers returns a fleet of n workers, each of which crashes under a task at the same moment.
+func crashingWorkers(t *testing.T, n int) *Fleet {
+	f := New()
+	f.SetWork("crash", runhost.Work{CPUMilli: 1000, Crashes: true})
+	for i := range n {
+		info := worker.Info{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("w%d", i), Domain: "a", CPUMilli: 16000}
+		f.Add(info)
+		r := f.ClientFrom("a").Start(t.Context(), info, worker.Start{Task: submission.TaskRef{ID: "crash", Task: submission.Task{Index: i}}, Run: 1, Token: 1, Deadline: time.Hour})
+		if r.Verdict != worker.Accepted {
+			t.Fatalf("%s: %s", info.ID, r.Verdict)
+		}
+	}
+	return f
+}
+
+// expectRestarts checks how many restarts of crashed workers there were.
+func (f *Fleet) expectRestarts(t *testing.T, want int) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.restarts != want {
+		t.Errorf("%d restarts of crashed workers, want %d", f.restarts, want)
+	}
+}
+
+// Guards against a worker that is replaced while it is up, as a call at the moment of its restart plans another one.
+func TestCallsDuringARestartPlanNoOtherOne(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, restartBesideCalls)
+	}
+}
+
+// restartBesideCalls lets workers restart while others call the fleet, and checks that each restarts once.
+func restartBesideCalls(t *testing.T) {
+	const workers, callers = 40, 16
+	f := crashingWorkers(t, workers)
+	f.Running("crash")
+	var calls sync.WaitGroup
+	for range callers {
+		calls.Go(func() {
+			time.Sleep(crashDowntime)
+			for range 200 {
+				f.Running("crash")
+			}
+		})
+	}
+	calls.Wait()
+	time.Sleep(2 * crashDowntime)
+	f.Running("crash")
+	f.expectRestarts(t, workers)
+}
+
+// Guards against a worker that is replaced while it is up, as a restart was planned before it was restarted by hand.
+func TestPlannedRestartLeavesAWorkerThatWasRestartedByHand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := crashingWorkers(t, 1)
+		f.Running("crash")
+		f.RestartWorker("w0", "w0-again")
+		time.Sleep(2 * crashDowntime)
+		f.expectRestarts(t, 0)
+	})
+}
