--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -132,6 +132,7 @@
 	for _, forgotten := range []bool{false, true} {
 		t.Run(fmt.Sprintf("forgotten meanwhile %v", forgotten), func(t *testing.T) {
 			w := newWorld(t, 2)
+			w.ordersOutliveWorkers = true
 			w.run(50 * ms)
 			w.startDelay = func(s StartAction) time.Duration {
 				if s.Run == 1 && s.Worker.ID == "w0" {
--- a/internal/kept/vm/cancel_property_test.go
+++ b/internal/kept/vm/cancel_property_test.go
@@ -154,6 +154,17 @@
 // them was lost for good, their shard has a new holder, or their worker restarted, in any order.
 func TestCancelledWorkEndsBesideRandomFaults(t *testing.T) {
 	t.Parallel()
+	playCancellations(t, func(*world) {})
+}
+
+// The same where a delayed start also reaches the next incarnation of its worker under the same ID.
+func TestCancelledWorkEndsThoughStartsOutliveWorkers(t *testing.T) {
+	t.Parallel()
+	playCancellations(t, func(w *world) { w.fleet.LetStartsOutliveWorkers() })
+}
+
+// playCancellations plays random events in worlds that are prepared by prepare.
+func playCancellations(t *testing.T, prepare func(*world)) {
 	parameters := gopter.DefaultTestParametersWithSeed(3)
 	parameters.MinSuccessfulTests = 25
 	parameters.MaxShrinkCount = 10 // each run takes a second
@@ -165,6 +176,7 @@
 	properties.Property("no cancelled submission runs on", prop.ForAll(func(events []randomCancelEvent) (ok bool, err error) {
 		synctest.Test(t, func(t *testing.T) {
 			r := &cancellationRun{world: newWorldWithIncarnations(t, 3), cancelledAt: make(map[submission.ID]time.Time), withoutStore: make(map[string]bool)}
+			prepare(r.world)
 			r.log = watchStarts(r.world)
 			for _, ev := range events {
 				if err = r.do(ev); err != nil {
--- a/internal/kept/vm/worker_restart_test.go
+++ b/internal/kept/vm/worker_restart_test.go
@@ -100,6 +100,7 @@
 // clock starts from zero again, so the deadline of the order does not make it reject the order.
 func TestLateStartReachesTheNextIncarnation(t *testing.T) {
 	testWorldWithIncarnations(t, 2, func(w *world) {
+		w.fleet.LetStartsOutliveWorkers()
 		delayed := 0
 		w.fleet.DelayStarts(func(s worker.Start) time.Duration {
 			if s.Task.ID == "late" && s.Run == 1 && delayed < 2 {
