Stored work runs while all workers of its shard are ejected

What callers saw: 25 stored submissions whose tasks all fail took 48 s; the workers were idle.

Cause: when all that runs fails, every worker is ejected for up to 8 s, again and again, and one or two starts are made a round.

For transient ones nothing changes: they can go to another shard.

Ruled out: a floor for transient work too, as a shard of sick workers would use up the attempts of work that others can do.

--- a/internal/kept/policy/health.go
+++ b/internal/kept/policy/health.go
@@ -82,9 +82,12 @@
 	h.slowness += (ratio - h.slowness) * slownessWeight
 }
 
+// IsEjected reports whether the worker gets no tasks at present.
+func (h *WorkerHealth) IsEjected(now time.Duration) bool { return now < h.ejectedUntil }
+
 // CanAccept reports whether the worker may get another task while it has a number of tasks.
 func (h *WorkerHealth) CanAccept(now time.Duration, current int) bool {
-	if now < h.ejectedUntil {
+	if h.IsEjected(now) {
 		return false
 	}
 	if h.slowStartLimit > 0 && current >= h.slowStartLimit {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -166,6 +166,7 @@
 		return
 	}
 	s.placementDue = false
+	s.allEjected = s.areAllEjected(now)
 	s.startAttempted(now)
 	shared, exclusive := s.divideCandidates(s.candidates(now))
 	if len(shared)+len(exclusive) == 0 {
@@ -370,10 +371,23 @@
 	case step.MaxPerWorker > 0 && c.tasksByStep[stepKey{t.ref.ID, t.ref.Step}] >= step.MaxPerWorker:
 		return false
 	default:
-		return c.host.health.CanAccept(now, s.runCount(c))
+		n := s.runCount(c)
+		return c.host.health.CanAccept(now, n) || n == 0 && !t.job.rec.Transient && s.allEjected
 	}
 }
 
+// areAllEjected reports whether all workers that could be used are ejected. Then the tasks are more likely to be at
+// fault than the workers, and a stored submission cannot go to another shard: it would wait though the workers are idle.
+// So each ejected worker gets one task of a stored submission at a time.
+func (s *Shard) areAllEjected(now time.Duration) bool {
+	for _, h := range s.workers {
+		if s.isUsable(now, h) && !h.health.IsEjected(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Shard) runCount(c *candidate) int {
 	n := 0
 	for _, count := range c.tasksByStep {
