Random world: a stored attempt counts as a crash only if its run had begun

The check that no harmless submission is given up allowed a failure once two workers had ended under attempts that were stored, begun or not. So it could not see a task that is given up by starts that never were.

Change: the world notes on which incarnations a run of a task has begun. A stored attempt, an attempt of an earlier holder, or a loss counts only if a run had begun there. What the present holder has on a worker counts as before, as its order may have arrived.

--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -61,8 +61,10 @@
 	knownBorn  map[string]int64
 	missedHold map[string]bool
 	// endedUnder are the workers whose incarnations have ended while the holder had to assume that a task
-	// was there: the order may not have arrived, or the run may have ended with its lease during a partition.
+	// was there: the order may not have arrived, or the run may have ended with its lease during a partition. An
+	// attempt or a loss that an earlier holder stored counts only if a run of the task had begun there.
 	endedUnder map[submission.TaskRef]map[string]bool
+	begunAt    map[submission.TaskRef]map[string]bool // the incarnations on which a run of a task has begun
 }
 
 // crashDowntime is how long a crashed worker is down.
@@ -95,6 +97,7 @@
 		policy:         policy.Defaults(),
 		restartAt:      make(map[string]time.Duration),
 		endedUnder:     make(map[submission.TaskRef]map[string]bool),
+		begunAt:        make(map[submission.TaskRef]map[string]bool),
 
 		knownBorn:  make(map[string]int64),
 		missedHold: make(map[string]bool),
@@ -253,32 +256,42 @@
 	}
 	for _, j := range w.shard.jobs {
 		for _, t := range j.tasks {
-			under := t.occupies() && t.host.info.ID == id || t.earlierAttempt.Worker == name
+			under := t.occupies() && t.host.info.ID == id || t.earlierAttempt.Worker == name && w.begunAt[t.ref][name]
 			for _, l := range t.losses {
-				under = under || l.Worker == name
+				under = under || l.Worker == name && w.begunAt[t.ref][name]
 			}
 			if under {
-				w.recordEndedUnder(t.ref, name)
+				addName(w.endedUnder, t.ref, name)
 			}
 		}
 	}
 	if w.records == nil {
 		return
 	}
-	for _, s := range w.records.open { // the next holder has to assume that a stored attempt was carried out
+	for _, s := range w.records.open {
 		for task, a := range s.Record.Progress.Attempts {
-			if a.Worker == name {
-				w.recordEndedUnder(submission.TaskRef{ID: s.Record.ID, Task: task}, name)
+			if ref := (submission.TaskRef{ID: s.Record.ID, Task: task}); a.Worker == name && w.begunAt[ref][name] {
+				addName(w.endedUnder, ref, name)
 			}
 		}
 	}
 }
 
-func (w *world) recordEndedUnder(ref submission.TaskRef, name string) {
-	if w.endedUnder[ref] == nil {
-		w.endedUnder[ref] = make(map[string]bool)
+// addName adds the name of an incarnation to those of a task.
+func addName(names map[submission.TaskRef]map[string]bool, ref submission.TaskRef, name string) {
+	if names[ref] == nil {
+		names[ref] = make(map[string]bool)
 	}
-	w.endedUnder[ref][name] = true
+	names[ref][name] = true
+}
+
+// startAt passes a start order to a worker, and records the run if it has begun.
+func (w *world) startAt(h *runhost.Host, order worker.Start) worker.Reply {
+	r := h.Start(w.now, order)
+	if r.Verdict == worker.Accepted {
+		addName(w.begunAt, order.Task, h.Info.Incarnation().String())
+	}
+	return r
 }
 
 // answering returns a worker, or nil if it does not answer.
@@ -385,7 +398,7 @@
 	silence := worker.Reply{Verdict: worker.NoAnswer}
 	if w.startDelay != nil {
 		if d := w.startDelay(s); d > 0 {
-			w.pendingStarts = append(w.pendingStarts, w.delayed(id, d, func(h *runhost.Host) { h.Start(w.now, order) }))
+			w.pendingStarts = append(w.pendingStarts, w.delayed(id, d, func(h *runhost.Host) { w.startAt(h, order) }))
 			w.shard.HandleStartReply(w.now, id, s.Task, s.Run, silence)
 			return
 		}
@@ -395,7 +408,7 @@
 		w.shard.HandleStartReply(w.now, id, s.Task, s.Run, silence)
 		return
 	}
-	r := h.Start(w.now, order)
+	r := w.startAt(h, order)
 	if w.losesStartReply != nil && w.losesStartReply(s) {
 		r = silence
 	}
