A full answer to a watch is followed at once, and renews no age

Cause: the store returns at most 500 events to a watch. The reader of the list of workers paused for 0.45 s after each answer, so it took 1,040 changes a second where the workers make 2,000, and fell behind by almost a second for every two. Each answer renewed the age of the list, whatever it had left out, so the check of the age saw nothing.

Change: store.Changes says whether an answer may be full. It is followed without a pause, and the list counts as known up to the last answer that was not full. The stand-in store returns 500 events at most.

Ruled out: the way of the list to the other holders (0.2 to 0.5 s), and failing calls of the store, which suspend the check (none in these trials).

Test: TestNoticeIsKnownInTimeThoughTheListChangesFast has 55 starts at a leaving worker without the change, none with it.

--- a/internal/kept/store/store.go
+++ b/internal/kept/store/store.go
@@ -59,6 +59,7 @@
 type Changes struct {
 	Events   []Event
 	Revision uint64 // to continue the watch from
+	More     bool   // the answer is full: later changes may have been left out
 }
 
 // Store is the platform's store. The errors of this package have definite meanings. After any other
--- a/internal/kept/vm/leaving_worker_test.go
+++ b/internal/kept/vm/leaving_worker_test.go
@@ -254,3 +254,47 @@
 type noPeers struct{ *fakeTransport }
 
 func (noPeers) AnyReachesStore() bool { return false }
+
+// Guards against starts on a leaving worker as the list of workers changes faster than its reader takes the changes, so
+// that it knows each of them later than the one before.
+func TestNoticeIsKnownInTimeThoughTheListChangesFast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTwoDomainWorld(t)
+		defer w.end()
+		stopped := make(chan struct{})
+		defer close(stopped)
+		go w.rewriteEntries(2000, stopped)
+		time.Sleep(6*time.Second + 2*ms) // between two rewrites
+		l := watchStarts(w)
+		w.announceLeaving("w-a0")
+		from := time.Now().Add(maxLeaveNoticeDelay)
+		time.Sleep(maxLeaveNoticeDelay)
+		if done, _ := w.submitRepeatedly("a1", "job", 20*ms, 2*time.Second); done == 0 {
+			t.Error("no submission was completed")
+		}
+		wantNoStartsOn(t, l, []string{"w-a0"}, from)
+	})
+}
+
+// rewriteEntries rewrites the entries of all workers as they are, in turn and so many times a second, until stopped.
+func (w *world) rewriteEntries(perSecond int, stopped chan struct{}) {
+	const interval = 5 * ms
+	ids := []string{"a0", "a1", "a2", "b0", "b1", "b2"}
+	for next := 0; ; {
+		select {
+		case <-stopped:
+			return
+		case <-time.After(interval):
+		}
+		for range perSecond * int(interval) / int(time.Second) {
+			key := "workers/w-" + ids[next%len(ids)]
+			next++
+			it, err := w.store.Get(context.Background(), key)
+			if err != nil {
+				w.t.Error(err)
+				return
+			}
+			w.store.Put(key, it.Value)
+		}
+	}
+}
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -52,9 +52,11 @@
 	maxWait time.Duration // of the store for a change, before it answers that there is none
 	// pause is how long to wait after changes, so that more gather; gathered is the time in which these
 	// did. nil: no pause.
-	pause      func(gathered time.Duration, events []store.Event) time.Duration
-	onSnapshot func(requestedAt time.Duration, revision uint64, items []store.Item) // called with all keys
-	onChanges  func(requestedAt time.Duration, events []store.Event)                // called with each answer of a watch, also without changes
+	pause func(gathered time.Duration, events []store.Event) time.Duration
+	// onSnapshot is called with all keys, onChanges with each answer of a watch, also without changes. All
+	// changes made before knownAt are known then.
+	onSnapshot func(knownAt time.Duration, revision uint64, items []store.Item)
+	onChanges  func(knownAt time.Duration, events []store.Event)
 }
 
 // run reads the whole prefix and then watches its changes. It starts again when the store no longer has
@@ -67,7 +69,7 @@
 		if err == nil {
 			f.onSnapshot(requestedAt, rev, items)
 			failures = 0
-			err = f.watchChanges(ctx, rev)
+			err = f.watchChanges(ctx, rev, requestedAt)
 		}
 		if ctx.Err() != nil {
 			return
@@ -81,10 +83,13 @@
 	}
 }
 
-// watchChanges watches the changes after a revision until ctx ends or the history is lost.
-func (f *prefixWatcher) watchChanges(ctx context.Context, rev uint64) error {
+// watchChanges watches the changes after a revision until ctx ends or the history is lost. All changes made
+// before knownAt are known. After an answer that left changes out it asks for them at once: with a pause
+// after each, a watcher of many keys would fall behind further and further.
+func (f *prefixWatcher) watchChanges(ctx context.Context, rev uint64, knownAt time.Duration) error {
 	failures := 0
 	answered := f.vm.now()
+	var gathered []store.Event // since the last pause
 	for {
 		requestedAt := f.vm.now()
 		watchCtx, cancel := context.WithTimeout(ctx, f.maxWait+rangeTimeout)
@@ -94,10 +99,17 @@
 		case err == nil:
 			failures = 0
 			rev = max(rev, c.Revision)
-			f.onChanges(requestedAt, c.Events)
-			if f.pause != nil && len(c.Events) > 0 {
-				pause.For(ctx, f.pause(f.vm.now()-answered, c.Events))
+			gathered = append(gathered, c.Events...)
+			if c.More {
+				f.onChanges(knownAt, c.Events)
+				continue
+			}
+			knownAt = requestedAt
+			f.onChanges(knownAt, c.Events)
+			if f.pause != nil && len(gathered) > 0 {
+				pause.For(ctx, f.pause(f.vm.now()-answered, gathered))
 			}
+			gathered = gathered[:0]
 			answered = f.vm.now()
 		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
 			return err
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -17,7 +17,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/store/kvcall"
 )
 
-// maxPageItems is how many items a Range returns at most.
+// maxPageItems is how many items a Range, or events a Watch, returns at most.
 const maxPageItems = 500
 
 type lease struct {
@@ -145,9 +145,14 @@
 	}
 	c := store.Changes{Revision: s.revision}
 	for _, e := range s.history {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			c.Events = append(c.Events, e)
+		if e.Revision <= after || !strings.HasPrefix(e.Key, prefix) {
+			continue
+		}
+		if n := len(c.Events); n >= maxPageItems && c.Events[n-1].Revision < e.Revision {
+			c.Revision, c.More = c.Events[n-1].Revision, true
+			break
 		}
+		c.Events = append(c.Events, e)
 	}
 	return c, s.changed, nil
 }
