A watcher that stays behind keeps no events

The change before collected the events of full answers until the next one that is not full, without a bound if a watcher never catches up. The pause goes by the events of the last answer instead, and by the time in which those gathered.

--- a/internal/kept/vm/leaving_worker_test.go
+++ b/internal/kept/vm/leaving_worker_test.go
@@ -276,7 +276,8 @@
 	})
 }
 
-// rewriteEntries rewrites the entries of all workers as they are, in turn and so many times a second, until stopped.
+// rewriteEntries makes perSecond writes a second, until stopped is closed. They rewrite the entries of all workers
+// in turn, as they are.
 func (w *world) rewriteEntries(perSecond int, stopped chan struct{}) {
 	const interval = 5 * ms
 	ids := []string{"a0", "a1", "a2", "b0", "b1", "b2"}
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -89,7 +89,6 @@
 func (f *prefixWatcher) watchChanges(ctx context.Context, rev uint64, knownAt time.Duration) error {
 	failures := 0
 	answered := f.vm.now()
-	var gathered []store.Event // since the last pause
 	for {
 		requestedAt := f.vm.now()
 		watchCtx, cancel := context.WithTimeout(ctx, f.maxWait+rangeTimeout)
@@ -99,17 +98,13 @@
 		case err == nil:
 			failures = 0
 			rev = max(rev, c.Revision)
-			gathered = append(gathered, c.Events...)
-			if c.More {
-				f.onChanges(knownAt, c.Events)
-				continue
+			if !c.More {
+				knownAt = requestedAt
 			}
-			knownAt = requestedAt
 			f.onChanges(knownAt, c.Events)
-			if f.pause != nil && len(gathered) > 0 {
-				pause.For(ctx, f.pause(f.vm.now()-answered, gathered))
+			if f.pause != nil && len(c.Events) > 0 && !c.More {
+				pause.For(ctx, f.pause(f.vm.now()-answered, c.Events))
 			}
-			gathered = gathered[:0]
 			answered = f.vm.now()
 		case ctx.Err() != nil, errors.Is(err, store.ErrCompacted):
 			return err
