--- a/internal/kept/shard/property_test.go
+++ b/internal/kept/shard/property_test.go
@@ -320,6 +320,15 @@
 	randomSeed = flag.Int64("random-seed", 1, "seed of the first play")
 )
 
+// play plays events and returns what is wrong after them.
+func (p *randomPlay) play(acts []event) error {
+	p.advance(100 * ms)
+	for _, a := range acts {
+		p.apply(a)
+	}
+	return p.settleAndCheck()
+}
+
 // playRandomFaults plays random events in worlds that are prepared by prepare.
 func playRandomFaults(t *testing.T, prepare func(*randomPlay)) {
 	parameters := gopter.DefaultTestParametersWithSeed(*randomSeed)
@@ -332,11 +341,7 @@
 	properties.Property("each task once, in order, to the end", prop.ForAll(func(acts []event) (bool, error) {
 		p := newPlay(t)
 		prepare(p)
-		p.advance(100 * ms)
-		for _, a := range acts {
-			p.apply(a)
-		}
-		err := p.settleAndCheck()
+		err := p.play(acts)
 		return err == nil, err
 	}, acts))
 	properties.TestingRun(t)
@@ -352,3 +357,25 @@
 func TestStoredSubmissionsSurviveOrdersThatOutliveWorkers(t *testing.T) {
 	playRandomFaults(t, func(p *randomPlay) { p.ordersOutliveWorkers = true })
 }
+
+// Guards against faults that random plays have shown before.
+func TestPlaysThatOnceFailed(t *testing.T) {
+	plays := map[string][]event{
+		"a task runs twice at once": {{13, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 1}, {0, 0}, {0, 0}, {0, 0}, {0, 0},
+			{4, 0}, {4, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 0}, {7, 0}, {0, 0}, {4, 0}, {0, 0}, {0, 0}, {0, 55}, {5, 130}, {13, 88}},
+		"a task runs twice at once, as it was found": {{13, 162}, {6, 333}, {8, 79}, {0, 479}, {10, 491}, {3, 239}, {5, 347}, {13, 147},
+			{1, 709}, {11, 384}, {7, 982}, {6, 159}, {4, 434}, {7, 809}, {12, 177}, {10, 361}, {6, 255}, {9, 284}, {1, 722}, {4, 599},
+			{10, 157}, {12, 399}, {11, 500}, {5, 259}, {13, 202}},
+		"a submission waits beside idle workers": slices.Repeat([]event{{0, 0}}, 25),
+		"a submission that crashes workers has not ended": {{7, 326}, {2, 233}, {9, 398}, {8, 141}, {0, 74}, {6, 655}, {13, 767}, {2, 602},
+			{11, 283}, {2, 555}, {12, 794}, {12, 65}, {2, 462}, {3, 526}, {12, 684}, {11, 362}, {7, 621}, {11, 553}, {8, 723}, {11, 163},
+			{0, 88}, {11, 274}, {11, 77}, {4, 183}, {11, 326}},
+	}
+	for name, acts := range plays {
+		t.Run(name, func(t *testing.T) {
+			if err := newPlay(t).play(acts); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
