shard: whether all workers are ejected belongs to the candidates

It was kept in the shard at each placement and read by fits, which fitsElsewhere calls as well, between placements and with the value of the last one. Now it is worked out with the candidates that it is about, at the same cost, and the shard has a field less. Read from the diff; not seen to do harm.

Run: all tests of the package pass, among them TestFailingSubmissionsEndThoughAllWorkersAreEjected and TestPlaysThatOnceFailed.

--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -166,7 +166,6 @@
 		return
 	}
 	s.placementDue = false
-	s.allEjected = s.areAllEjected(now)
 	s.startAttempted(now)
 	shared, exclusive := s.divideCandidates(s.candidates(now))
 	if len(shared)+len(exclusive) == 0 {
@@ -263,7 +262,8 @@
 	freeGPU      int64
 	tasksByStep  map[stepKey]int
 
-	suspect *job // the submission of a suspect task that runs there; nil: none
+	suspect    *job // the submission of a suspect task that runs there; nil: none
+	lastResort bool // all workers that could be used are ejected: see areAllEjected
 }
 
 // stepKey identifies a step of a submission.
@@ -275,6 +275,7 @@
 // candidates returns the usable workers that have free CPU.
 func (s *Shard) candidates(now time.Duration) []*candidate {
 	byHost := make(map[*host]*candidate, len(s.workers))
+	lastResort := s.areAllEjected(now)
 	var out []*candidate
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		h := s.workers[id]
@@ -283,7 +284,7 @@
 		if !s.isUsable(now, h) || len(h.strayRuns) > 0 && !s.settings.enforcesCapacity(h.info.Service) {
 			continue
 		}
-		c := &candidate{host: h, freeCPUMilli: h.info.CPUMilli, freeMemMB: h.info.MemMB, freeGPU: h.info.GPU, tasksByStep: make(map[stepKey]int)}
+		c := &candidate{host: h, freeCPUMilli: h.info.CPUMilli, freeMemMB: h.info.MemMB, freeGPU: h.info.GPU, tasksByStep: make(map[stepKey]int), lastResort: lastResort}
 		byHost[h] = c
 		out = append(out, c)
 	}
@@ -372,7 +373,7 @@
 		return false
 	default:
 		n := s.runCount(c)
-		return c.host.health.CanAccept(now, n) || n == 0 && !t.job.rec.Transient && s.allEjected
+		return c.host.health.CanAccept(now, n) || n == 0 && !t.job.rec.Transient && c.lastResort
 	}
 }
 
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -36,7 +36,6 @@
 	actions               Actions      // since the last TakeActions
 	nextPruneAt           time.Duration
 	nextSweepAt           time.Duration
-	allEjected            bool // at the last placement: see areAllEjected
 	placementDue          bool // an event may have made a task startable
 }
 
