shard: one function makes the progress of a submission due at once

The same expression, with its guard against the value that means nothing, stood where a loss is added and where an attempt is wanted. Run: the tests of crashes, losses and takeovers pass.

--- a/internal/kept/shard/attempt.go
+++ b/internal/kept/shard/attempt.go
@@ -34,7 +34,7 @@
 	t.attempt = attemptWanted
 	t.attemptAt = c.host
 	s.hasAttempts = true
-	t.job.unsavedSince = max(now-s.settings.SaveDelay, 1)
+	s.saveAtOnce(now, t.job)
 	s.takePlace(t, c)
 }
 
--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -59,7 +59,7 @@
 		s.actions.TaskLosses = append(s.actions.TaskLosses, TaskLossesAction{Home: t.job.rec.Home, Task: t.ref, Losses: slices.Clone(t.losses)})
 		return
 	}
-	t.job.unsavedSince = max(now-s.settings.SaveDelay, 1)
+	s.saveAtOnce(now, t.job)
 }
 
 // unrelatedLosses reports whether a worker that had none of the given submissions was lost at the same
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -149,6 +149,11 @@
 	s.actions.Saves = append(s.actions.Saves, SaveAction{Record: &rec, Revision: j.revision})
 }
 
+// saveAtOnce makes the progress of a submission due to be stored, in place of after SaveDelay.
+func (s *Shard) saveAtOnce(now time.Duration, j *job) {
+	j.unsavedSince = max(now-s.settings.SaveDelay, 1) // 0 means that there is nothing to store
+}
+
 // forgetMissingWorkers removes workers that have left the list and no longer answer.
 func (s *Shard) forgetMissingWorkers(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
