--- a/internal/kept/shard/failures_test.go
+++ b/internal/kept/shard/failures_test.go
@@ -15,9 +15,7 @@
 	w := newWorld(t, 3)
 	w.run(100 * ms)
 	for i := range 25 {
-		rec := w.submission(submission.ID(fmt.Sprintf("s%d", i)), 1, runhost.Work{Time: 20 * ms, Fails: true})
-		rec.Transient = false
-		w.shard.Assign(w.now, StoredRecord{Record: rec, Revision: 1})
+		w.assign(w.storedSubmission(submission.ID(fmt.Sprintf("s%d", i)), 1, runhost.Work{Time: 20 * ms, Fails: true}))
 	}
 	w.run(20 * time.Second)
 	for i := range 25 {
@@ -32,9 +30,7 @@
 func TestWritesThatWereNotQueuedAreRepeated(t *testing.T) {
 	w := newWorld(t, 1)
 	w.run(50 * ms)
-	rec := w.submission("a", 1, runhost.Work{Time: 20 * ms, Fails: true})
-	rec.Transient = false
-	w.shard.Assign(w.now, StoredRecord{Record: rec, Revision: 1})
+	w.assign(w.storedSubmission("a", 1, runhost.Work{Time: 20 * ms, Fails: true}))
 	refused := map[string]int{}
 	for range 1000 {
 		w.now += testTick
--- a/internal/kept/shard/incarnation_test.go
+++ b/internal/kept/shard/incarnation_test.go
@@ -142,7 +142,7 @@
 			}
 			w.assign(w.submission("a", 2, runhost.Work{Time: 6 * time.Second, CPUMilli: 1000}))
 			w.run(300 * ms)
-			if len(w.pendingStarts) == 0 {
+			if len(w.pendingOrders) == 0 {
 				t.Fatal("no start is delayed")
 			}
 			w.restart("w0")
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -44,8 +44,7 @@
 	// startDelay returns by how much a start order is delayed, which then has no answer; 0: it is not.
 	startDelay    func(StartAction) time.Duration
 	stopDelay     func(StopAction) time.Duration // the same for stop orders
-	pendingStarts []pendingOrder
-	pendingStops  []pendingOrder
+	pendingOrders []pendingOrder
 	// ordersOutliveWorkers makes delayed orders reach the next incarnation of their worker under the same ID. By
 	// default they are lost with the incarnation that received them.
 	ordersOutliveWorkers bool
@@ -173,8 +172,7 @@
 
 func (w *world) step() {
 	w.now += testTick
-	w.pendingStarts = w.carryOutDue(w.pendingStarts)
-	w.pendingStops = w.carryOutDue(w.pendingStops)
+	w.carryOutDue()
 	for _, id := range slices.Sorted(maps.Keys(w.hosts)) {
 		w.hosts[id].Advance(w.now)
 	}
@@ -186,9 +184,9 @@
 	w.execute()
 }
 
-// carryOutDue carries out the delayed orders that are due and returns the others.
-func (w *world) carryOutDue(orders []pendingOrder) []pendingOrder {
-	for _, p := range orders {
+// carryOutDue carries out the delayed orders that are due.
+func (w *world) carryOutDue() {
+	for _, p := range w.pendingOrders {
 		h := w.hosts[p.worker]
 		if p.at > w.now || h == nil || h.Crashed() || w.isUnknownToHolder(h) {
 			continue
@@ -197,16 +195,16 @@
 			p.carryOut(h)
 		}
 	}
-	return slices.DeleteFunc(orders, func(p pendingOrder) bool { return p.at <= w.now })
+	w.pendingOrders = slices.DeleteFunc(w.pendingOrders, func(p pendingOrder) bool { return p.at <= w.now })
 }
 
-// delayed returns an order that a worker carries out after a delay.
-func (w *world) delayed(id string, d time.Duration, carryOut func(*runhost.Host)) pendingOrder {
+// delay has a worker carry out an order after a delay.
+func (w *world) delay(id string, d time.Duration, carryOut func(*runhost.Host)) {
 	p := pendingOrder{at: w.now + d, worker: id, carryOut: carryOut}
 	if h := w.hosts[id]; h != nil && !h.Crashed() {
 		p.received = h
 	}
-	return p
+	w.pendingOrders = append(w.pendingOrders, p)
 }
 
 // restartCrashed restarts the workers that crashed crashDowntime ago, every second one under a new ID.
@@ -256,11 +254,8 @@
 	}
 	for _, j := range w.shard.jobs {
 		for _, t := range j.tasks {
-			under := t.occupies() && t.host.info.ID == id || t.earlierAttempt.Worker == name && w.begunAt[t.ref][name]
-			for _, l := range t.losses {
-				under = under || l.Worker == name && w.begunAt[t.ref][name]
-			}
-			if under {
+			recorded := t.earlierAttempt.Worker == name || slices.ContainsFunc(t.losses, func(l submission.Loss) bool { return l.Worker == name })
+			if t.occupies() && t.host.info.ID == id || recorded && w.begunAt[t.ref][name] {
 				addName(w.endedUnder, t.ref, name)
 			}
 		}
@@ -398,7 +393,7 @@
 	silence := worker.Reply{Verdict: worker.NoAnswer}
 	if w.startDelay != nil {
 		if d := w.startDelay(s); d > 0 {
-			w.pendingStarts = append(w.pendingStarts, w.delayed(id, d, func(h *runhost.Host) { w.startAt(h, order) }))
+			w.delay(id, d, func(h *runhost.Host) { w.startAt(h, order) })
 			w.shard.HandleStartReply(w.now, id, s.Task, s.Run, silence)
 			return
 		}
@@ -426,7 +421,7 @@
 	}
 	switch h := w.answering(id); {
 	case delay > 0:
-		w.pendingStops = append(w.pendingStops, w.delayed(id, delay, func(h *runhost.Host) { h.Stop(w.now, order) }))
+		w.delay(id, delay, func(h *runhost.Host) { h.Stop(w.now, order) })
 	case h != nil:
 		reply = h.Stop(w.now, order)
 	}
