--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -55,13 +55,13 @@
 // Events from the store: what was read, and the results of writes, which may have failed.
 type (
 	siteEvent struct {
-		requestedAt time.Duration // when the store was asked
+		requestedAt time.Duration // when the store was asked: all changes made before are known
 		complete    bool
 		items       []store.Item
 		events      []store.Event
 	}
 	workersEvent struct {
-		requestedAt time.Duration // when the store was asked
+		requestedAt time.Duration // when the store was asked: all changes made before are known
 		workers     []worker.Info
 	}
 	servicesEvent     struct{ services []catalog.Service }
@@ -94,7 +94,7 @@
 	}
 	// evacuationsEvent brings evacuations that were read from the store.
 	evacuationsEvent struct {
-		requestedAt time.Duration // when the store was asked
+		requestedAt time.Duration // when the store was asked: all changes made before are known
 		complete    bool          // the notices are all evacuations as of the revision, not only changes
 		revision    uint64
 		notices     []evacuation.Notice
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -161,11 +161,11 @@
 // watchSite watches the keys of the site: members, domains and shards.
 func (v *VM) watchSite(ctx context.Context) {
 	f := &prefixWatcher{vm: v, prefix: site.Prefix, maxWait: siteWatchWait, pause: v.sitePause}
-	f.onSnapshot = func(requestedAt time.Duration, _ uint64, items []store.Item) {
-		v.post(siteEvent{requestedAt: requestedAt, complete: true, items: items})
+	f.onSnapshot = func(knownAt time.Duration, _ uint64, items []store.Item) {
+		v.post(siteEvent{requestedAt: knownAt, complete: true, items: items})
 	}
-	f.onChanges = func(requestedAt time.Duration, events []store.Event) {
-		v.post(siteEvent{requestedAt: requestedAt, events: events})
+	f.onChanges = func(knownAt time.Duration, events []store.Event) {
+		v.post(siteEvent{requestedAt: knownAt, events: events})
 	}
 	f.run(ctx)
 }
@@ -190,19 +190,19 @@
 		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
 	}
 	f := &prefixWatcher{vm: v, prefix: v.config.StoreLayout.CatalogPrefix, maxWait: time.Duration(catalogWaitShare * float64(cmp.Or(v.config.MaxCatalogDelay, defaultCatalogDelay)))}
-	f.onSnapshot = func(requestedAt time.Duration, revision uint64, items []store.Item) {
+	f.onSnapshot = func(knownAt time.Duration, revision uint64, items []store.Item) {
 		for _, it := range items {
 			apply(it)
 		}
-		v.post(evacuationsEvent{requestedAt: requestedAt, complete: true, revision: revision, notices: v.evacuationsIn(items)})
+		v.post(evacuationsEvent{requestedAt: knownAt, complete: true, revision: revision, notices: v.evacuationsIn(items)})
 	}
-	f.onChanges = func(requestedAt time.Duration, events []store.Event) {
+	f.onChanges = func(knownAt time.Duration, events []store.Event) {
 		for _, e := range events {
 			if !e.Deleted {
 				apply(e.Item)
 			}
 		}
-		v.post(evacuationsEvent{requestedAt: requestedAt, notices: v.evacuationChanges(events)})
+		v.post(evacuationsEvent{requestedAt: knownAt, notices: v.evacuationChanges(events)})
 	}
 	f.run(ctx)
 }
@@ -279,20 +279,20 @@
 			workers[it.Key] = known
 		}
 	}
-	send := func(requestedAt time.Duration) {
-		v.post(workersEvent{requestedAt: requestedAt, workers: slices.AppendSeq([]worker.Info{}, maps.Values(workers))})
+	send := func(knownAt time.Duration) {
+		v.post(workersEvent{requestedAt: knownAt, workers: slices.AppendSeq([]worker.Info{}, maps.Values(workers))})
 	}
 	f := &prefixWatcher{vm: v, prefix: v.config.StoreLayout.WorkerPrefix, maxWait: v.config.leaveNoticeShare(listWatchShare), pause: v.workersPause}
-	f.onSnapshot = func(requestedAt time.Duration, _ uint64, items []store.Item) {
+	f.onSnapshot = func(knownAt time.Duration, _ uint64, items []store.Item) {
 		present := make(map[string]bool, len(items))
 		for _, it := range items {
 			present[it.Key] = true
 			apply(it)
 		}
 		maps.DeleteFunc(workers, func(key string, _ worker.Info) bool { return !present[key] })
-		send(requestedAt)
+		send(knownAt)
 	}
-	f.onChanges = func(requestedAt time.Duration, events []store.Event) {
+	f.onChanges = func(knownAt time.Duration, events []store.Event) {
 		for _, e := range events {
 			if e.Deleted {
 				delete(workers, e.Key)
@@ -300,7 +300,7 @@
 				apply(e.Item)
 			}
 		}
-		send(requestedAt) // also without changes: that renews the age of the list
+		send(knownAt) // also without changes: that renews the age of the list
 	}
 	f.run(ctx)
 }
