Counts of waiting submissions: the test reads them while none changes

Cause: the test. It reads the counts 2.5 s after it stored submissions of 2 s, and counts of other domains may be two seconds old. When the 120 submissions before leave a worker unused, the first stored one starts there at once, and the next one 2.0 s later: half a second before the reading.

Change: the stored submissions run for 6 s, as the others do.

Ruled out: a count that stays wrong (the VMs agree again within 0.5 s), tasks returned meanwhile (none between 5.6 and 8.2 s).

--- a/internal/kept/vm/large_site_test.go
+++ b/internal/kept/vm/large_site_test.go
@@ -104,22 +104,28 @@
 func TestWaitingIsCountedAtVMsThatHearOfFewShards(t *testing.T) {
 	t.Parallel()
 	testLargeWorld(t, 32, 0.05, func(w *world) {
+		// Runs outlast the reading of the counts, as a count may be two seconds old and none may change meanwhile:
+		// an unused worker starts the first stored submission, and the next one when that has ended.
+		work := runhost.Work{Time: 6 * time.Second}
 		var fill []chan Outcome
 		for i := range 4 * 30 {
 			at := w.domains[i%4] + "0"
-			fill = append(fill, w.submit(at, submission.ID(fmt.Sprintf("fill-%d", i)), 2, runhost.Work{Time: 6 * time.Second}, true))
+			fill = append(fill, w.submit(at, submission.ID(fmt.Sprintf("fill-%d", i)), 2, work, true))
 		}
 		time.Sleep(500 * ms)
 		const stored = 20
 		for i := range stored {
 			at := w.domains[i%4] + "0"
-			w.wantAccepted(w.submit(at, submission.ID(fmt.Sprintf("wait-%d", i)), 2, runhost.Work{Time: 2 * time.Second}, false))
+			w.wantAccepted(w.submit(at, submission.ID(fmt.Sprintf("wait-%d", i)), 2, work, false))
 		}
 		time.Sleep(2500 * ms)
 		all := w.waitingAt("a0", "q")
 		if all < stored {
 			t.Errorf("a0 counts %d waiting submissions, want at least %d", all, stored)
 		}
+		if n := w.waitingAtHolders("q"); n != all {
+			t.Errorf("a0 counts %d waiting submissions, the holders of the shards have %d", all, n)
+		}
 		for _, at := range []string{"a7", "b5", "c6", "d7"} {
 			if n := w.waitingAt(at, "q"); n != all {
 				t.Errorf("%d waiting submissions are counted at %s, %d at a0", n, at, all)
@@ -131,6 +137,31 @@
 	})
 }
 
+// waitingAtHolders sums the submissions of a queue that wait in the shards, as their holders know them.
+func (w *world) waitingAtHolders(queue string) int {
+	sum := 0
+	for _, v := range w.vms {
+		reply := make(chan int, 1)
+		v.post(waitingHereEvent{queue: queue, reply: reply})
+		sum += <-reply
+	}
+	return sum
+}
+
+type waitingHereEvent struct {
+	queue string
+	reply chan int
+}
+
+func (ev waitingHereEvent) apply(e *engine) {
+	n := 0
+	for _, h := range e.shards {
+		load := h.core.Load(e.now)
+		n += load.UnstartedByQueue[ev.queue]
+	}
+	ev.reply <- n
+}
+
 // Guards against new workers that are not used, and removed workers that still get starts, after the loss of the
 // domain's list reader, because no other VM reads the list instead. The next holder of the domain's first shard
 // must do so.
