entry: a worker whose retiring is withdrawn is taken into use in order

What operators could see: a worker whose lease a VM renews and that gets no tasks (the engine without subcommand, not platform).

Cause, found by reading, not seen on a site: reconcile told the holder Retire and Unretire by a goroutine each. When retiring is withdrawn at once, as when a VM joins and leaves, Unretire may arrive first; the worker then stays ejected while the link no longer counts as retiring. A second retiring could also end at the time limit of the first.

Change: one goroutine of a link retires the worker, waits, and releases the lease or takes the worker into use again. It looks at what is wanted before each step, so that it follows any sequence of changes.

Evidence: TestWithdrawnRetiringLeavesTheWorkerInUse, on virtual time: with the goroutines of before in its place it fails in the first of its 50 plays ("0 workers are in use, want 1"); with the change, 5 times 50 plays with -race pass. Tests of entry, holder and tool/load pass with -race.

Ruled out: pushing both under the lock of the set, as the holder's loop takes that lock in Send while the ring may be full.

--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -33,7 +33,9 @@
 type workerLink struct {
 	vm       fleet.VM
 	link     *upstream.Link
-	retiring bool // the lease is released once nothing runs on the worker
+	retiring bool          // the lease is released once nothing runs on the worker
+	retirer  bool          // a goroutine runs retire
+	kept     chan struct{} // receives after retiring was withdrawn
 }
 
 func newWorkerSet(vm *VM) *workerSet {
@@ -66,14 +68,8 @@
 		switch {
 		case !ok || listed.Incarnation != l.vm.Incarnation:
 			w.removeLink(id, l)
-		case w.wanted(listed, live, leaving):
-			if l.retiring {
-				l.retiring = false
-				w.calls.Go(func() { w.vm.holder.Unretire(id) })
-			}
-		case !l.retiring:
-			l.retiring = true
-			w.calls.Go(func() { w.retire(id, l) })
+		default:
+			w.setRetiring(id, l, !w.wanted(listed, live, leaving))
 		}
 	}
 	for id, worker := range s.Workers {
@@ -83,10 +79,47 @@
 	}
 }
 
-// retire releases a lease once nothing runs on the worker, or at the time limit
-// of a planned stop, since a long task would otherwise keep the worker from its
-// next holder.
+// setRetiring begins to retire a worker, or withdraws that. w.mu must be held.
+func (w *workerSet) setRetiring(id string, l *workerLink, retiring bool) {
+	if l.retiring == retiring {
+		return
+	}
+	l.retiring = retiring
+	switch {
+	case !retiring:
+		select {
+		case l.kept <- struct{}{}:
+		default:
+		}
+	case !l.retirer:
+		l.retirer = true
+		w.calls.Go(func() { w.retire(id, l) })
+	}
+}
+
+// retire releases a lease once nothing runs on the worker, or takes the worker into use again when retiring is
+// withdrawn. One goroutine does both, as the holder must get them in order.
 func (w *workerSet) retire(id string, l *workerLink) {
+	for w.continueRetiring(l) {
+		idle := w.awaitIdle(id, l)
+		if w.endRetiring(id, l, idle) {
+			return
+		}
+		w.vm.holder.Unretire(id)
+	}
+}
+
+// continueRetiring reports whether the worker is still to be retired. False: retire ends.
+func (w *workerSet) continueRetiring(l *workerLink) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l.retirer = l.retiring
+	return l.retiring
+}
+
+// awaitIdle retires a worker and returns true when nothing runs there, or at the time limit of a planned stop, since
+// a long task would otherwise keep the worker from its next holder. False: retiring was withdrawn before.
+func (w *workerSet) awaitIdle(id string, l *workerLink) bool {
 	idle := make(chan struct{}, 1)
 	w.vm.holder.Retire(id, func() {
 		select {
@@ -96,16 +129,40 @@
 	})
 	bound := time.NewTimer(millis(w.vm.settings.ShutdownMillis))
 	defer bound.Stop()
-	select {
-	case <-idle:
-	case <-bound.C:
-	case <-w.ctx.Done():
+	for {
+		select {
+		case <-idle:
+			return true
+		case <-bound.C:
+			return true
+		case <-w.ctx.Done():
+			return true
+		case <-l.kept:
+			if !w.isRetiring(l) {
+				return false
+			}
+		}
 	}
+}
+
+func (w *workerSet) isRetiring(l *workerLink) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if l.retiring && w.links[id] == l {
-		w.removeLink(id, l)
+	return l.retiring
+}
+
+// endRetiring removes the link of an idle worker that is still to be retired. False: the link is kept.
+func (w *workerSet) endRetiring(id string, l *workerLink, idle bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.links[id] != l {
+		return true
 	}
+	if !idle || !l.retiring {
+		return false
+	}
+	w.removeLink(id, l)
+	return true
 }
 
 // removeLink removes a link and releases its lease in a goroutine that stop ends and waits for. w.mu must be held.
@@ -132,7 +189,11 @@
 	self := upstream.Identity{EntryVM: w.vm.settings.Name, Incarnation: w.vm.incarnation}
 	settings := w.vm.settings.upstream()
 	settings.MayAcquire = func() bool { return w.vm.control.MayAct(time.Now()) }
-	return &workerLink{vm: worker, link: upstream.Start(settings, target, self, w.vm.settings.dialer(), w.vm.holder)}
+	return &workerLink{
+		vm:   worker,
+		link: upstream.Start(settings, target, self, w.vm.settings.dialer(), w.vm.holder),
+		kept: make(chan struct{}, 1),
+	}
 }
 
 // Send implements holder.Workers.
