--- a/cmd/pumiceyard/soak.go
+++ b/cmd/pumiceyard/soak.go
@@ -46,7 +46,7 @@
 	c.Flags().IntVar(&seeds, "seeds", 1, "number of seeds, run one after the other")
 	c.Flags().DurationVar(&opt.Duration, "duration", 10*time.Second, "how long faults are injected, for each seed")
 	c.Flags().IntVar(&opt.VMs, "vms", 4, "number of entry VMs, in two failure domains")
-	c.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the VMs' logs (default a new temporary one)")
+	c.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the logs of the VMs and of the faults, created if missing (default a new temporary one)")
 	_ = c.MarkFlagRequired("daemon")
 	return c
 }
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -10,14 +10,25 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/daemon"
 )
 
+// fault is a fault to inject: its kind, the VM, worker or failure domain that it concerns, and for how long.
+type fault struct {
+	kind   string
+	target string
+	inject func() // returns when the fault has ended
+}
+
 // injectFaults starts a random fault at random intervals until ctx ends. Faults may overlap.
 func (s *soak) injectFaults(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for ctx.Err() == nil {
 		s.faultCount++
-		fault := s.randomFault()
-		running.Go(fault)
+		f := s.randomFault()
+		running.Go(func() {
+			s.faults.write("begins", f)
+			f.inject()
+			s.faults.write("ends", f)
+		})
 		select {
 		case <-ctx.Done():
 		case <-time.After(minFaultInterval + time.Duration(s.rand.IntN(600))*time.Millisecond):
@@ -26,29 +37,33 @@
 }
 
 // randomFault returns a fault to inject. The seed determines its kind, target and duration.
-func (s *soak) randomFault() func() {
+func (s *soak) randomFault() fault {
 	p := s.vms[s.rand.IntN(len(s.vms))]
 	w := s.workerProxies[s.rand.IntN(len(s.workerProxies))]
 	d := time.Duration(s.rand.Int64N(int64(maxFaultDuration)))
 	domain := domains[s.rand.IntN(len(domains))]
-	choices := []func(){
-		func() { s.restart(p, syscall.SIGKILL) },
-		func() { s.restart(p, syscall.SIGTERM) },
-		func() { s.pause(p, d) },
-		func() { p.signal(syscall.SIGHUP) },
-		func() { applyFor(d, p.storeProxy, func(x *proxy) { x.dropToTarget, x.dropToCaller = true, true }) },
-		func() { applyFor(d, p.storeProxy, func(x *proxy) { x.dropToCaller = true }) },
-		func() { applyFor(d, p.storeProxy, func(x *proxy) { x.delay = 120 * time.Millisecond }) },
-		func() { applyFor(d, p.storeProxy, func(x *proxy) { x.resetNew = true }) },
-		func() { p.storeProxy.resetConnections() },
-		func() { applyFor(d, p.peerProxy, func(x *proxy) { x.dropToTarget, x.dropToCaller = true, true }) },
-		func() { applyFor(d, p.peerProxy, func(x *proxy) { x.dropToCaller = true }) },
-		func() { p.peerProxy.resetConnections() },
-		func() { applyFor(d, w, func(x *proxy) { x.dropToTarget, x.dropToCaller = true, true }) },
-		func() { applyFor(d, w, func(x *proxy) { x.dropToCaller = true }) },
-		func() { w.resetConnections() },
-		func() { s.silenceStore(d) },
-		func() { s.evacuate(domain, d) },
+	store, peer := p.name+"'s store", p.name+"'s listener for peers"
+	worker := "the worker at " + w.address()
+	dropAll := func(x *proxy) { x.dropToTarget, x.dropToCaller = true, true }
+	dropReplies := func(x *proxy) { x.dropToCaller = true }
+	choices := []fault{
+		{"kill", p.name, func() { s.restart(p, syscall.SIGKILL) }},
+		{"planned stop", p.name, func() { s.restart(p, syscall.SIGTERM) }},
+		{"pause", p.name, func() { s.pause(p, d) }},
+		{"reload", p.name, func() { p.signal(syscall.SIGHUP) }},
+		{"silence", store, func() { applyFor(d, p.storeProxy, dropAll) }},
+		{"replies lost", store, func() { applyFor(d, p.storeProxy, dropReplies) }},
+		{"delay", store, func() { applyFor(d, p.storeProxy, func(x *proxy) { x.delay = 120 * time.Millisecond }) }},
+		{"new connections reset", store, func() { applyFor(d, p.storeProxy, func(x *proxy) { x.resetNew = true }) }},
+		{"connections reset", store, func() { p.storeProxy.resetConnections() }},
+		{"silence", peer, func() { applyFor(d, p.peerProxy, dropAll) }},
+		{"replies lost", peer, func() { applyFor(d, p.peerProxy, dropReplies) }},
+		{"connections reset", peer, func() { p.peerProxy.resetConnections() }},
+		{"silence", worker, func() { applyFor(d, w, dropAll) }},
+		{"replies lost", worker, func() { applyFor(d, w, dropReplies) }},
+		{"connections reset", worker, func() { w.resetConnections() }},
+		{"replies lost", "the store of all VMs", func() { s.silenceStore(d) }},
+		{"evacuation", domain, func() { s.evacuate(domain, d) }},
 	}
 	return choices[s.rand.IntN(len(choices))]
 }
--- /dev/null
+++ b/internal/tool/soak/logs.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Logs of a soak: SEED-VM.log of each VM and SEED-faults.log, all with klog's line headers, so that the lines of
+// all of them can be merged by time.
+
+// logTimeFormat is the time in klog's line headers; logTimeAt is where it begins.
+const (
+	logTimeFormat = "0102 15:04:05.000000"
+	logTimeAt     = 1
+)
+
+// faultLog writes when faults begin and end. It is safe for concurrent use.
+type faultLog struct {
+	mu  sync.Mutex
+	out io.WriteCloser
+	err error // the first failed write
+}
+
+// newFaultLog creates the log, and its directory if that does not exist.
+func newFaultLog(dir string, seed uint64) (*faultLog, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	out, err := os.Create(filepath.Join(dir, fmt.Sprintf("%d-faults.log", seed)))
+	if err != nil {
+		return nil, err
+	}
+	return &faultLog{out: out}, nil
+}
+
+func (l *faultLog) write(what string, f fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, err := fmt.Fprintf(l.out, "I%s soak] \"fault %s\" kind=%q target=%q\n", time.Now().Format(logTimeFormat), what, f.kind, f.target)
+	if l.err == nil {
+		l.err = err
+	}
+}
+
+// close closes the log. The error is that of the first failed write, if any.
+func (l *faultLog) close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.out.Close(); l.err == nil {
+		l.err = err
+	}
+	return l.err
+}
+
+// logLine is a line of a log and the name of the file without its seed, such as "vm1".
+type logLine struct{ from, text string }
+
+func (l logLine) time() string {
+	if len(l.text) < logTimeAt+len(logTimeFormat) {
+		return ""
+	}
+	return l.text[logTimeAt : logTimeAt+len(logTimeFormat)]
+}
+
+// linesOf returns the lines of all logs of a seed that name a submission, and those of the faults until the last of
+// them, by time.
+func linesOf(dir string, seed uint64, key string) ([]logLine, error) {
+	named, err := regexp.Compile(`(^|[^\w-])` + regexp.QuoteMeta(key) + `($|[^\w-])`)
+	if err != nil {
+		return nil, err
+	}
+	paths, err := filepath.Glob(filepath.Join(dir, fmt.Sprintf("%d-*.log", seed)))
+	if err != nil {
+		return nil, err
+	}
+	var lines, faults []logLine
+	for _, path := range paths {
+		from := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), fmt.Sprintf("%d-", seed)), ".log")
+		of, err := readLines(path, from)
+		if err != nil {
+			return nil, err
+		}
+		if from == "faults" {
+			faults = of
+			continue
+		}
+		lines = append(lines, slices.DeleteFunc(of, func(l logLine) bool { return !named.MatchString(l.text) })...)
+	}
+	byTime := func(a, b logLine) int { return strings.Compare(a.time(), b.time()) }
+	slices.SortStableFunc(lines, byTime)
+	if len(lines) == 0 {
+		return nil, nil
+	}
+	last := lines[len(lines)-1]
+	lines = append(lines, slices.DeleteFunc(faults, func(l logLine) bool { return byTime(l, last) > 0 })...)
+	slices.SortStableFunc(lines, byTime)
+	return lines, nil
+}
+
+func readLines(path, from string) ([]logLine, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var out []logLine
+	for scanner := bufio.NewScanner(f); ; {
+		if !scanner.Scan() {
+			return out, scanner.Err()
+		}
+		out = append(out, logLine{from, scanner.Text()})
+	}
+}
+
+// submissionKey finds the key of a submission of a soak in a text.
+var submissionKey = regexp.MustCompile(`(` + crashingPrefix + `)?s\d+-c\d+-\d+`)
+
+// printLines prints the lines of the submission that a violation names.
+func (s *soak) printLines(v *Violation) {
+	key := submissionKey.FindString(v.Guarantee)
+	if key == "" {
+		return
+	}
+	lines, err := linesOf(s.opt.LogDir, s.opt.Seed, key)
+	if err != nil {
+		fmt.Fprintf(s.opt.Out, "seed %d: the logs in %s cannot be read: %v\n", s.opt.Seed, s.opt.LogDir, err)
+		return
+	}
+	fmt.Fprintf(s.opt.Out, "seed %d: the lines of %s and the faults until then:\n", s.opt.Seed, key)
+	for _, l := range lines {
+		fmt.Fprintf(s.opt.Out, "%-8s%s\n", l.from, l.text)
+	}
+}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -35,7 +35,7 @@
 	Seed     uint64
 	Duration time.Duration // how long faults are injected; the recovery takes some seconds more
 	VMs      int
-	LogDir   string // directory for the VMs' logs
+	LogDir   string // directory for the logs of the VMs and of the faults; created if it does not exist
 	Out      io.Writer
 }
 
@@ -59,6 +59,7 @@
 	vms           []*process
 	workerProxies []*proxy
 	startedAt     time.Time
+	faults        *faultLog
 
 	mu         sync.Mutex
 	acceptedAt map[string]time.Time // by key of the accepted stored submissions
@@ -86,9 +87,13 @@
 		acceptedAt: make(map[string]time.Time),
 		outcomes:   make(map[string]int),
 	}
+	var err error
+	if s.faults, err = newFaultLog(opt.LogDir, opt.Seed); err != nil {
+		return err
+	}
 	defer s.stop()
 	if err := s.start(ctx); err != nil {
-		return err
+		return errors.Join(err, s.faults.close())
 	}
 	working, stop := context.WithTimeout(ctx, opt.Duration)
 	defer stop()
@@ -99,7 +104,11 @@
 	s.injectFaults(working)
 	submitters.Wait()
 	s.clearFaults()
-	err := s.checkGuarantees(ctx)
+	err = s.checkGuarantees(ctx)
+	if broken := new(Violation); errors.As(err, &broken) {
+		s.printLines(broken)
+	}
+	err = errors.Join(err, s.faults.close())
 	fmt.Fprintf(opt.Out, "seed %d: %d faults, %v, %.1f s: %v\n", opt.Seed, s.faultCount, s.outcomes, time.Since(s.startedAt).Seconds(), resultText(err))
 	return err
 }
