spec: a model of "not run" for a task that moves between shards

refusal.pml: the home of a transient task, two holders of one shard, the first of which may go on after it was replaced, and one of another shard; the task is returned, given again, recalled, rejected; messages come late, in any order, or never.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -38,6 +38,10 @@
 fails|evacuate|the old shard's holder is no condition of the move: runs twice at once|-DNO_GUARD
 fails|evacuate|a running task's submission moves: runs twice at once|-DNO_REST
 fails|evacuate|new holder does not ask before its first start: starts in the domain|-DNO_ASK
+holds|refusal|a task that moves between shards: "not run" is true|
+fails|refusal|a second holder is a fact of the part: "not run" is false|-DNO_SUBMISSION_FACT
+fails|refusal|a returned task does not name its run: "not run" is false|-DNO_RUN_NUMBER
+fails|refusal|a task that has begun is rejected: "not run" is false|-DNO_RECALL_CHECK
 holds|crash|a task that crashes its workers is given up, one whose worker is lost once is not|
 fails|crash|losses are not stored: a task takes down a fourth worker|-DNO_STORE
 fails|crash|losses do not go with a move: a task takes down a fourth worker|-DNO_CARRY
