soak: log lines of up to 1 MB are read

The scanner's default of 64 KB would end the print of a broken submission with an error at a longer line. Read, not seen. Tests of the package pass.

--- a/internal/tool/soak/logs.go
+++ b/internal/tool/soak/logs.go
@@ -22,6 +22,8 @@
 	logTimeAt     = 1
 )
 
+const maxLineBytes = 1 << 20 // of a log
+
 // faultLog writes when faults begin and end. It is safe for concurrent use.
 type faultLog struct {
 	mu  sync.Mutex
@@ -112,12 +114,12 @@
 	}
 	defer f.Close()
 	var out []logLine
-	for scanner := bufio.NewScanner(f); ; {
-		if !scanner.Scan() {
-			return out, scanner.Err()
-		}
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
 		out = append(out, logLine{from, scanner.Text()})
 	}
+	return out, scanner.Err()
 }
 
 // submissionKey finds the key of a submission of a soak in a text.
