soak: the log reader and time layout of logstory are used

Left: logstory.WriteTimeline merges a submission's lines as well; it shows no faults and prints another format, so that linesOf stays until it takes a log whose lines are all shown.

--- a/internal/tool/logstory/logstory.go
+++ b/internal/tool/logstory/logstory.go
@@ -27,6 +27,9 @@
 
 var klogLine = regexp.MustCompile(`^` + LinePrefixPattern + `"([^"]*)" ?(.*)$`)
 
+// TimeLayout is the layout of the time in a klog header, as matched by LinePrefixPattern.
+const TimeLayout = "0102 15:04:05.000000"
+
 const maxLineBytes = 1 << 20 // bytes
 
 // NewScanner returns a scanner over the lines of a log.
--- a/internal/tool/losses/losses.go
+++ b/internal/tool/losses/losses.go
@@ -81,8 +81,6 @@
 	fieldText = regexp.MustCompile(`(\w+)=(?:"((?:[^"\\]|\\.)*)"|(\S+))`)
 )
 
-const timeLayout = "0102 15:04:05.000000"
-
 // Read reads the logs of all entry VMs and counts the attempts by cause. It compares times
 // of different VMs, so their clocks should agree to within a few milliseconds.
 func Read(logs []io.Reader, phaseLength time.Duration) (*Report, error) {
@@ -111,7 +109,7 @@
 		if m == nil {
 			continue // not a line about a submission
 		}
-		at, err := time.Parse(timeLayout, m[1])
+		at, err := time.Parse(logstory.TimeLayout, m[1])
 		if err != nil {
 			return nil, fmt.Errorf("invalid time in a log line: %w", err)
 		}
--- a/internal/tool/soak/logs.go
+++ b/internal/tool/soak/logs.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"os"
@@ -11,18 +10,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/tool/logstory"
 )
 
 // Logs of a soak: SEED-VM.log of each VM and SEED-faults.log, all with klog's line headers, so that the lines of
 // all of them can be merged by time.
 
-// logTimeFormat is the time in klog's line headers; logTimeAt is where it begins.
-const (
-	logTimeFormat = "0102 15:04:05.000000"
-	logTimeAt     = 1
-)
-
-const maxLineBytes = 1 << 20 // of a log
+// logTimeAt is where the time begins in klog's line headers.
+const logTimeAt = 1
 
 // faultLog writes when faults begin and end. It is safe for concurrent use.
 type faultLog struct {
@@ -46,7 +42,7 @@
 func (l *faultLog) write(what string, f fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, err := fmt.Fprintf(l.out, "I%s soak] \"fault %s\" kind=%q target=%q\n", time.Now().Format(logTimeFormat), what, f.kind, f.target)
+	_, err := fmt.Fprintf(l.out, "I%s soak] \"fault %s\" kind=%q target=%q\n", time.Now().Format(logstory.TimeLayout), what, f.kind, f.target)
 	if l.err == nil {
 		l.err = err
 	}
@@ -66,10 +62,10 @@
 type logLine struct{ from, text string }
 
 func (l logLine) time() string {
-	if len(l.text) < logTimeAt+len(logTimeFormat) {
+	if len(l.text) < logTimeAt+len(logstory.TimeLayout) {
 		return ""
 	}
-	return l.text[logTimeAt : logTimeAt+len(logTimeFormat)]
+	return l.text[logTimeAt : logTimeAt+len(logstory.TimeLayout)]
 }
 
 // linesOf returns the lines of all logs of a seed that name a submission, and those of the faults until the last of
@@ -114,8 +110,7 @@
 	}
 	defer f.Close()
 	var out []logLine
-	scanner := bufio.NewScanner(f)
-	scanner.Buffer(nil, maxLineBytes)
+	scanner := logstory.NewScanner(f)
 	for scanner.Scan() {
 		out = append(out, logLine{from, scanner.Text()})
 	}
