vm: a test of a round that stands still between reading the clock and taking its events (red)

What callers saw: a task ran twice at once on one worker, both runs ordered by the same VM, none late, neither stopped before the other began.

Cause suspected: the engine reads the clock, then takes the waiting events. If its thread stands still between the two, a start that is answered meanwhile counts as running since before it was sent. A hold that left after that reading and was answered just before the start arrived, in the same millisecond of the worker's clock, then counts as newer than the start. It lacks the run, and the task is released without a stop.

--- /dev/null
+++ b/internal/kept/vm/stalled_round_test.go
@@ -0,0 +1,119 @@
+package vm
+
+import (
+	"context"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// stalledRound places the first start and a hold so that the hold leaves after the engine has read the clock for a round,
+// and is answered just before the start arrives, in the same millisecond of the worker's clock. The engine stands still
+// until both answers have arrived, the start's first.
+type stalledRound struct {
+	worker.Client
+	startedAt time.Time
+
+	started, overtaken sync.Once
+	armed              atomic.Bool   // the engine's next round is to stand still
+	clockRead          chan struct{} // closed when it stands still
+	holdLeaves         chan struct{}
+	goOn               chan struct{} // closed when both answers have arrived
+	clockReadAt        time.Time
+}
+
+// now reads the clock of the VM.
+func (c *stalledRound) now(clock func() time.Duration) time.Duration {
+	now := clock()
+	if isCalledInRound() && c.armed.CompareAndSwap(true, false) {
+		c.clockReadAt = time.Now()
+		close(c.clockRead)
+		<-c.goOn
+	}
+	return now
+}
+
+// isCalledInRound reports whether the caller's caller was called by the engine, to read the clock for a round.
+func isCalledInRound() bool {
+	callers := make([]uintptr, 4)
+	frames := runtime.CallersFrames(callers[:runtime.Callers(3, callers)])
+	for {
+		f, more := frames.Next()
+		if strings.HasSuffix(f.Function, "(*engine).runRound") {
+			return true
+		}
+		if !more {
+			return false
+		}
+	}
+}
+
+func (c *stalledRound) Start(ctx context.Context, to worker.Info, s worker.Start) (r worker.Reply) {
+	c.started.Do(func() {
+		c.armed.Store(true)
+		<-c.holdLeaves
+		time.Sleep(100 * time.Microsecond)
+	})
+	r = c.Client.Start(ctx, to, s)
+	r.Clock = r.Clock.Truncate(ms)
+	return r
+}
+
+// Hold answers within a few milliseconds, as if runs ended all the time.
+func (c *stalledRound) Hold(ctx context.Context, to worker.Info, o worker.Hold) (l worker.Listing, r worker.Reply) {
+	o.Wait = min(o.Wait, 4*ms)
+	overtaken := false
+	select {
+	case <-c.clockRead:
+		if time.Now().After(c.clockReadAt) {
+			c.overtaken.Do(func() { overtaken = true })
+		}
+	default:
+	}
+	if overtaken {
+		time.Sleep(ms - time.Since(c.startedAt)%ms)
+		close(c.holdLeaves)
+		o.Wait = 0
+	}
+	l, r = c.Client.Hold(ctx, to, o)
+	l.Clock, r.Clock = l.Clock.Truncate(ms), r.Clock.Truncate(ms)
+	if overtaken {
+		time.Sleep(ms)
+		time.AfterFunc(ms, func() { close(c.goOn) })
+	}
+	return l, r
+}
+
+// Guards against a task that runs twice at once: the engine's thread stands still after it has read the clock, a start
+// is answered meanwhile, and a listing that was asked for later than that reading, but lacks the run, is taken for newer.
+func TestRoundThatStandsStillReleasesNoRunningTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		c := &stalledRound{startedAt: time.Now(), clockRead: make(chan struct{}), holdLeaves: make(chan struct{}), goOn: make(chan struct{})}
+		clock := w.clock
+		w.clock = func() time.Duration { return c.now(clock) }
+		w.workers = func(inner worker.Client) worker.Client {
+			c.Client = inner
+			return c
+		}
+		w.addDeskWorker("a0", "a")
+		w.boot("a1")
+		time.Sleep(5 * time.Second)
+		out := w.submit("a1", "s", 1, runhost.Work{Time: 300 * ms}, true)
+		w.wantEnd(out, submission.Done)
+		select {
+		case <-c.goOn:
+		default:
+			t.Error("no round has stood still")
+		}
+		w.end()
+	})
+}
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -41,6 +41,7 @@
 
 	workers func(worker.Client) worker.Client     // wraps the client of a VM that boots
 	events  func(string, link.Events) link.Events // wraps what receives the frames that reach a VM that boots; nil: nothing
+	clock   func() time.Duration                  // the clock of VMs that boot
 
 	bindsLate func(name string) bool // whether a VM that boots has late binding; nil: as in policy
 	submitted int                    // by serveAllHomes
@@ -105,6 +106,7 @@
 		policy:          policy.Defaults(),
 		workers:         func(c worker.Client) worker.Client { return c },
 	}
+	w.clock = func() time.Duration { return time.Hour + time.Since(w.startedAt) }
 	w.store.Put("config/catalog", []byte("1"))
 	return w
 }
@@ -179,7 +181,7 @@
 
 		StoreReadsPerSecond: w.storeReadsPerSecond,
 		wrapEvents:          wrapEvents,
-		Now:                 func() time.Duration { return time.Hour + time.Since(w.startedAt) },
+		Now:                 w.clock,
 	})
 }
 
