vm: the engine reads the clock after it has taken a round's events

**What callers saw.** A task ran twice at once on one worker, both runs ordered by the same VM, neither late.

**Cause.** The engine read the clock, then took the waiting events. What arrived between the two was applied at a time before it happened. A start that was answered then counted as running since too early, and a hold that had left after the reading and was answered just before the start arrived, in the same millisecond of the worker's clock, counted as newer than the start. It lacked the run: the task was released without a stop and started again. Whether this is what happened on the users' machines is not shown.

**Change.** The clock is read after the events are taken. Each event was posted before that, so no event is applied at a time before it happened, and a hold that left after that time left after the answer of the start had arrived: its listing has the run, or the run has ended. The same holds for the acknowledgement of a stop (stopAckAt). The slice of events stays valid: only the round drains the ring, once.

**Ruled out.** Requiring a later millisecond of the worker's clock in handleUnlisted would also pass the test, but leaves the other events with times before they happened.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -81,7 +81,7 @@
 type engine struct {
 	vm                *VM
 	ctx               context.Context
-	now               time.Duration // at the start of this round
+	now               time.Duration // when this round had taken its events
 	site              *site.Site
 	shards            map[string]*heldShard
 	tracked           map[submission.ID]*trackedSubmission // stored submissions
@@ -167,8 +167,11 @@
 // runRound applies all queued events, runs what is due, and sends at most one frame to each
 // peer.
 func (e *engine) runRound(time.Time) {
+	events := e.vm.events.Drain()
+	// The clock is read after the events are taken: an event applied at a time before it happened could make a listing that
+	// was asked for before a start was answered count as newer than the answer.
 	e.now = e.vm.now()
-	for _, ev := range e.vm.events.Drain() {
+	for _, ev := range events {
 		ev.apply(e)
 	}
 	e.maintainLinks()
