shard, vm: a release of a task that was ordered to start is logged and counted with its reason

Cause: of two runs of a task at once nothing logged said why the first one had been given up.

Change: each release in the shard names a ReleaseReason, and a ReleaseAction reports it with the time since the start was ordered and since the worker's newest listing. The VM logs "kept: task released", at most 200 lines a second with a count of those left out, and counts tasks_released_total{why}. Completed tasks have neither.

Conclusion: go test ./internal/kept/shard -run Release and ./internal/kept/vm -run 'Release|LineLimit' pass.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -296,17 +296,17 @@
 	if h, known := s.workers[id]; known {
 		s.confirmLoss(now, h.incarnation)
 	}
-	s.remove(now, id, true)
+	s.remove(now, id, true, IncarnationEnded)
 }
 
 // remove releases the tasks of a worker whose runs have ended, and removes it. ended says that its
 // incarnation has certainly ended.
-func (s *Shard) remove(now time.Duration, id string, ended bool) {
+func (s *Shard) remove(now time.Duration, id string, ended bool, why ReleaseReason) {
 	h, known := s.workers[id]
 	if !known {
 		return
 	}
-	s.releaseAll(now, h, ended)
+	s.releaseAll(now, h, ended, why)
 	s.forgetHost(now, h)
 }
 
@@ -317,7 +317,7 @@
 	if !known {
 		return
 	}
-	s.releaseAll(now, h, false)
+	s.releaseAll(now, h, false, LeaseExpired)
 	h.leaseExpired = true
 	if h.missingSince > 0 {
 		s.forgetHost(now, h)
@@ -325,11 +325,11 @@
 }
 
 // releaseAll releases all tasks of a worker whose runs have ended, and records its loss.
-func (s *Shard) releaseAll(now time.Duration, h *host, ended bool) {
+func (s *Shard) releaseAll(now time.Duration, h *host, ended bool, why ReleaseReason) {
 	tasks := s.tasksOn(h)
 	s.recordLoss(now, h, tasks, ended)
 	for _, t := range tasks {
-		s.release(now, t)
+		s.release(now, t, why)
 	}
 	clear(h.strayRuns)
 	h.strayCPUMilli = 0
@@ -351,12 +351,13 @@
 }
 
 // release makes a task that certainly does not run startable again, unless it is not to run any more.
-func (s *Shard) release(now time.Duration, t *task) {
+func (s *Shard) release(now time.Duration, t *task, why ReleaseReason) {
 	if t.state == taskStoppingForGood || t.job.state.Final() {
 		t.state = taskEnded
 	} else {
 		t.state = taskWaiting
 	}
+	s.tellRelease(now, t, why, t.state == taskWaiting)
 	t.host = nil
 	t.stateSince = now
 	s.placementDue = true
--- a/internal/kept/shard/incarnation.go
+++ b/internal/kept/shard/incarnation.go
@@ -111,7 +111,7 @@
 			delete(old.unresolvedStarts, run)
 			continue
 		}
-		s.release(now, t)
+		s.release(now, t, IncarnationEnded)
 	}
 	s.confirmLoss(now, old.incarnation)
 	s.forgetHost(now, old)
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -63,6 +63,8 @@
 	mayHaveVanished bool               // an earlier holder may have started a run that no worker lists
 	earlierAttempt  submission.Attempt // that an earlier holder has stored, until its outcome is known
 	earlierRunBase  uint64             // the runs of that attempt have higher numbers
+
+	lastRelease lastRelease
 }
 
 // occupies reports whether the task occupies capacity of its worker.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -98,7 +98,7 @@
 		s.countFailure(now, h, t, e.Run)
 	}
 	if current {
-		s.release(now, t)
+		s.release(now, t, RunEnded)
 	}
 	s.reportOutcome(t)
 }
@@ -279,7 +279,7 @@
 		// The listing counts only if the hold was sent after the run was known to have begun: the answer
 		// to a hold that was waiting when the run began may lack it.
 		if sentAt > t.stateSince && clock >= t.acceptClock {
-			s.release(now, t)
+			s.release(now, t, NotListed)
 		}
 	case taskUnconfirmed:
 		if sentAt >= t.stateSince {
@@ -287,7 +287,7 @@
 		}
 	case taskStoppingToRestart, taskStoppingForGood:
 		if t.stopAckClock > 0 && sentAt >= t.stopAckAt && clock >= t.stopAckClock {
-			s.release(now, t)
+			s.release(now, t, StopConfirmed)
 		}
 	}
 }
--- a/internal/kept/shard/replies.go
+++ b/internal/kept/shard/replies.go
@@ -28,15 +28,17 @@
 		s.setRunning(now, h, t)
 	case worker.NoRoom:
 		h.fullUntil = now + fullBackoff
-		s.release(now, t)
+		s.release(now, t, RefusedNoRoom)
 		h.recordNoRoom(s.cpuMilliOn(h), t.step)
 	case worker.Unavailable:
 		h.unavailableUntil = now + unavailableBackoff
-		s.release(now, t)
-	case worker.Superseded, worker.DeadlinePassed:
-		s.release(now, t)
+		s.release(now, t, RefusedUnavailable)
+	case worker.Superseded:
+		s.release(now, t, RefusedSuperseded)
+	case worker.DeadlinePassed:
+		s.release(now, t, RefusedLate)
 	case worker.Malformed:
-		s.release(now, t)
+		s.release(now, t, RefusedMalformed)
 		s.endSubmission(now, t.job, submission.Failed, "a worker cannot read the task")
 	case worker.Fenced:
 		t.state = taskUnconfirmed // a newer holder decides; this one will learn of it from the store
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -84,7 +84,7 @@
 				s.countVanished(now, t)
 				s.confirmStoredLosses(now, t)
 				vanished = append(vanished, t)
-				s.release(now, t)
+				s.release(now, t, BarrierLifted)
 			}
 		}
 	}
@@ -159,7 +159,7 @@
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
 		if h.missingSince > 0 && now-h.missingSince > missingTimeout && now-h.newestListingSentAt > missingTimeout {
-			s.remove(now, id, false)
+			s.remove(now, id, false, WorkerForgotten)
 		}
 	}
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -136,6 +136,7 @@
 	WorkerLosses []WorkerLossAction
 	TaskLosses   []TaskLossesAction
 	GivenUp      []GivenUpAction
+	Releases     []ReleaseAction
 
 	Speeds     []SpeedAction
 	BadReports []BadReport
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -40,6 +40,7 @@
 	taskFactor     func(submission.TaskRef) float64 // by which factor a task takes longer than others of its submission; nil: 1
 	speeds         []SpeedAction                    // that the shard has told
 	badReports     []BadReport
+	releases       []ReleaseAction
 	handleLag      map[string]time.Duration // how long after a worker answered a hold the shard handles the answer
 	lagged         []laggedListing
 	clockJump      map[string]time.Duration // by how much the clock in a worker's listings is ahead of that in its other answers
@@ -405,6 +406,7 @@
 	a := w.shard.TakeActions()
 	w.speeds = append(w.speeds, a.Speeds...)
 	w.badReports = append(w.badReports, a.BadReports...)
+	w.releases = append(w.releases, a.Releases...)
 	for _, s := range a.Acks {
 		w.ackedEnds[s.Worker] = s.UpTo
 	}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -128,6 +128,7 @@
 	unplacedSent    bool                     // the last count of unplaced submissions sent to peers was not 0
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
 	prunedAt        time.Duration
+	releaseLines    lineLimit
 	drained         chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
 
@@ -260,6 +261,7 @@
 		e.storeReassign(name, h, m)
 	}
 	e.logLosses(name, a)
+	e.logReleases(name, h.holding.Token, a.Releases)
 	e.logSpeeds(name, a)
 	for _, l := range a.TaskLosses {
 		e.reportTaskLosses(l)
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -60,6 +60,7 @@
 	lapsedReservations tally.Counter            // for grants without a reply
 	poolDemands        tally.Gauge              // submissions with tasks that wait for grants of this VM
 	lostTasks          map[string]tally.Counter // tasks whose worker was lost: suspects or unrelated
+	releases           map[string]tally.Counter // of tasks of which a start was ordered, by reason
 }
 
 // queueMetrics are the metrics of one queue.
@@ -120,6 +121,7 @@
 		lapsedReservations: scope.Counter("reservations_lapsed_total"),
 		poolDemands:        scope.Gauge("pool_demands"),
 		lostTasks:          make(map[string]tally.Counter),
+		releases:           make(map[string]tally.Counter),
 	}
 	m.storeCalls = map[bool]tally.Counter{
 		true:  scope.Tagged(map[string]string{"answered": "true"}).Counter("store_calls_total"),
@@ -243,6 +245,11 @@
 	}
 }
 
+// countRelease counts the release of a task of which a start was ordered.
+func (m *metrics) countRelease(why string) {
+	count(m.releases, m.scope, "tasks_released_total", "why", why)
+}
+
 // count adds one to the counter of a tag's value, and makes the counter when the value first occurs.
 func count(known map[string]tally.Counter, scope tally.Scope, name, tag, value string) {
 	c := known[value]
--- /dev/null
+++ b/internal/kept/vm/releases.go
@@ -0,0 +1,34 @@
+package vm
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
+)
+
+// maxReleaseLines is how many lines about released tasks are written in a second.
+const maxReleaseLines = 200
+
+// logReleases logs and counts the tasks of which a start was ordered and that were released.
+func (e *engine) logReleases(name string, token uint64, releases []shard.ReleaseAction) {
+	for _, r := range releases {
+		e.vm.metrics.countRelease(r.Reason.String())
+		omitted, allowed := e.releaseLines.allow(e.now, maxReleaseLines)
+		if !allowed {
+			continue
+		}
+		klog.InfoS("kept: task released", "id", r.Task.ID, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run,
+			"worker", r.Worker, "shard", name, "token", token, "why", r.Reason.String(), "starts_again", r.StartsAgain,
+			"since_start", ageString(r.SinceStart), "since_listing", ageString(r.SinceListing), "omitted", omitted)
+	}
+}
+
+// ageString returns an age for a log line; a negative one is not known.
+func ageString(age time.Duration) string {
+	if age < 0 {
+		return "unknown"
+	}
+	return age.String()
+}
