shard, vm: a listed run is told whose task was released or has another run

Cause: a listing that shows a run of a task that was released, or a run beside the task's newest one, left no trace but a stop, and within 600 ms of the worker's first answer not even that. A listed run with a higher number than that of the task's run was taken for it without a word.

Change: an UnexpectedRunAction reports each such run when it is first listed, with the task's state, its newest run, whether this holder ordered the run, and the reason and age of the last release. A run of a submission that is not known here is told once it is stopped, as its home may still hand it over. The VM logs "kept: run listed that should not be", at most 100 lines a second, and counts unexpected_runs_total.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -82,6 +82,7 @@
 type strayRun struct {
 	run      uint64
 	stopSent bool
+	told     bool // it was reported as an unexpected run
 }
 
 // Conditions under which a worker gets no new tasks.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -196,6 +196,9 @@
 		s.handleStrayRun(now, h, r)
 		return
 	}
+	if t.occupies() && r.Run > t.newestRun {
+		s.tellUnexpected(now, h, r, false)
+	}
 	t.newestRun = r.Run
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
@@ -239,6 +242,9 @@
 		st.stopSent = true
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
+	if !st.told {
+		st.told = s.tellStray(now, h, r, st.stopSent)
+	}
 	h.strayRuns[r.Task] = st
 }
 
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -137,6 +137,7 @@
 	TaskLosses   []TaskLossesAction
 	GivenUp      []GivenUpAction
 	Releases     []ReleaseAction
+	Unexpected   []UnexpectedRunAction
 
 	Speeds     []SpeedAction
 	BadReports []BadReport
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -41,6 +41,7 @@
 	speeds         []SpeedAction                    // that the shard has told
 	badReports     []BadReport
 	releases       []ReleaseAction
+	unexpected     []UnexpectedRunAction
 	handleLag      map[string]time.Duration // how long after a worker answered a hold the shard handles the answer
 	lagged         []laggedListing
 	clockJump      map[string]time.Duration // by how much the clock in a worker's listings is ahead of that in its other answers
@@ -407,6 +408,7 @@
 	w.speeds = append(w.speeds, a.Speeds...)
 	w.badReports = append(w.badReports, a.BadReports...)
 	w.releases = append(w.releases, a.Releases...)
+	w.unexpected = append(w.unexpected, a.Unexpected...)
 	for _, s := range a.Acks {
 		w.ackedEnds[s.Worker] = s.UpTo
 	}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -129,6 +129,7 @@
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
 	prunedAt        time.Duration
 	releaseLines    lineLimit
+	unexpectedLines lineLimit
 	drained         chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
 
@@ -262,6 +263,7 @@
 	}
 	e.logLosses(name, a)
 	e.logReleases(name, h.holding.Token, a.Releases)
+	e.logUnexpected(name, h.holding.Token, a.Unexpected)
 	e.logSpeeds(name, a)
 	for _, l := range a.TaskLosses {
 		e.reportTaskLosses(l)
--- a/internal/kept/vm/releases.go
+++ b/internal/kept/vm/releases.go
@@ -8,8 +8,11 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 )
 
-// maxReleaseLines is how many lines about released tasks are written in a second.
-const maxReleaseLines = 200
+// Lines of one kind that are written in a second.
+const (
+	maxReleaseLines    = 200
+	maxUnexpectedLines = 100
+)
 
 // logReleases logs and counts the tasks of which a start was ordered and that were released.
 func (e *engine) logReleases(name string, token uint64, releases []shard.ReleaseAction) {
@@ -25,6 +28,21 @@
 	}
 }
 
+// logUnexpected logs and counts the runs that workers list though their tasks were released or have other runs.
+func (e *engine) logUnexpected(name string, token uint64, runs []shard.UnexpectedRunAction) {
+	for _, r := range runs {
+		e.vm.metrics.unexpectedRuns.Inc(1)
+		omitted, allowed := e.unexpectedLines.allow(e.now, maxUnexpectedLines)
+		if !allowed {
+			continue
+		}
+		klog.InfoS("kept: run listed that should not be", "id", r.Task.ID, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run,
+			"worker", r.Worker, "shard", name, "token", token, "started_here", r.StartedHere, "stop_sent", r.StopSent,
+			"task_state", r.State, "newest_run", r.NewestRun, "newest_at", r.NewestAt,
+			"released", r.Released.String(), "released_run", r.ReleasedRun, "released_ago", ageString(r.ReleasedAgo), "omitted", omitted)
+	}
+}
+
 // ageString returns an age for a log line; a negative one is not known.
 func ageString(age time.Duration) string {
 	if age < 0 {
--- a/internal/kept/vm/releases_test.go
+++ b/internal/kept/vm/releases_test.go
@@ -1,17 +1,21 @@
 package vm
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/oplog"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -99,3 +103,48 @@
 		t.Errorf("%d lines written, %d told as left out and %d not yet, want 30, 180 and 90", written, omitted, l.omitted)
 	}
 }
+
+// ghostClient lists a run of a submission at one worker, from when it is told to.
+type ghostClient struct {
+	worker.Client
+	worker string
+	run    worker.Running
+	shown  *atomic.Bool
+}
+
+func (c *ghostClient) Hold(ctx context.Context, at worker.Info, h worker.Hold) (worker.Listing, worker.Reply) {
+	l, r := c.Client.Hold(ctx, at, h)
+	if at.ID == c.worker && r.Verdict == worker.Accepted && c.shown.Load() {
+		l.Running = append(l.Running, c.run)
+	}
+	return l, r
+}
+
+// Guards against a run that goes on though its submission has ended, and that no line names.
+func TestListedRunThatShouldNotBeIsLogged(t *testing.T) {
+	var figures []string
+	lines := logOf(func() {
+		synctest.Test(t, func(t *testing.T) {
+			var shown atomic.Bool
+			w := newWorld(t, "a", "b")
+			w.workers = func(c worker.Client) worker.Client {
+				return &ghostClient{Client: c, worker: "w-a1", run: worker.Running{Task: submission.TaskRef{ID: "s"}, Run: 7}, shown: &shown}
+			}
+			w.populate()
+			holder := w.holderOf("a")
+			w.wantEnd(w.submit(holder, "s", 1, runhost.Work{Time: 50 * ms}, true), submission.Done)
+			shown.Store(true)
+			time.Sleep(2 * time.Second)
+			figures = scrape(w.vms[holder])
+			w.end()
+		})
+	})
+	got := withAll(lines, `"kept: run listed that should not be"`)
+	if len(got) != 1 || len(withAll(got, `id="s" step=0 index=0 run=7 worker="w-a1" shard="a/`, "token=", "started_here=false", `task_state="submission has left"`,
+		"newest_run=0", `newest_at=""`, `released="not released"`, `released_ago="unknown"`)) != 1 {
+		t.Errorf("%q, want one line about the run", got)
+	}
+	if got := withAll(figures, "pumiceyard_kept_unexpected_runs_total{"); len(got) != 1 || !strings.HasSuffix(got[0], " 1") {
+		t.Errorf("the counter of such runs is %q, want 1", got)
+	}
+}
