vm: the time from the decision of a start to its sending is measured

Cause: a start is decided in the engine's round and sent by a goroutine of its own; how much later showed nowhere.

Change: histogram start_delay_seconds, from the engine's time of the decision, and a line "kept: start sent late" from 100 ms on, at most 50 a second. The deadline of the order is as before.

Conclusion: TestStartThatIsSentLateIsLogged passes.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -232,11 +232,12 @@
 		}
 	}
 	for _, s := range a.Starts {
+		decidedAt := e.now
 		if s.IsFirst {
 			e.vm.metrics.queue(s.Queue).firstStart.RecordDuration(s.Waited)
 		}
 		e.sendOrder(h, s.Worker.ID, func(ws *workerSession) {
-			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
+			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint}, decidedAt)
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
 			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited,
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -60,6 +60,7 @@
 	lapsedReservations tally.Counter            // for grants without a reply
 	poolDemands        tally.Gauge              // submissions with tasks that wait for grants of this VM
 	lostTasks          map[string]tally.Counter // tasks whose worker was lost: suspects or unrelated
+	startDelay         tally.Histogram          // from the decision of a start to its sending
 	unexpectedRuns     tally.Counter            // listed though their tasks were released or have other runs
 	releases           map[string]tally.Counter // of tasks of which a start was ordered, by reason
 }
@@ -122,6 +123,7 @@
 		lapsedReservations: scope.Counter("reservations_lapsed_total"),
 		poolDemands:        scope.Gauge("pool_demands"),
 		lostTasks:          make(map[string]tally.Counter),
+		startDelay:         scope.Histogram("start_delay_seconds", timeBuckets),
 		unexpectedRuns:     scope.Counter("unexpected_runs_total"),
 		releases:           make(map[string]tally.Counter),
 	}
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -308,13 +308,14 @@
 	average.Store(before + (int64(sample)-before)/weight)
 }
 
-// start sends an order to start a run and posts the worker's reply.
-func (ws *workerSession) start(ctx context.Context, s worker.Start) {
+// start sends an order to start a run, decided at a time of the engine, and posts the worker's reply.
+func (ws *workerSession) start(ctx context.Context, s worker.Start, decidedAt time.Duration) {
 	s.Token = ws.token
 	s.Deadline = ws.startDeadline()
 	ctx, cancel := context.WithTimeout(ctx, ws.orderTimeout())
 	defer cancel()
 	requestedAt := ws.vm.now()
+	ws.recordStartDelay(s, requestedAt-decidedAt)
 	r := ws.checkIncarnation(ws.vm.config.Workers.Start(ctx, *ws.info.Load(), s))
 	ws.recordClock(requestedAt, r)
 	ws.recordOrder(ws.vm.now()-requestedAt, r)
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -104,6 +104,8 @@
 
 	sessionKeyDeleted atomic.Bool // the watch saw this VM's own member key deleted
 
+	startLines lineLimit // about starts that were sent late
+
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 }
