vm: late and long rounds of the engine are measured and logged

Cause: a VM that was held up, as on a busy machine, left no trace of it.

Change: histograms round_seconds and round_late_seconds, a counter slow_rounds_total{how} that keeps rounds that began late apart from those that took long, and a line "kept: round late" when either is 200 ms or more, at most one a second. A round is due when its oldest event came in, or by its timer, but not before the previous one has ended. Two readings of the clock a round more, and one for the first event.

Figures: the cost was not measured.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -128,6 +128,7 @@
 	unplacedSent    bool                     // the last count of unplaced submissions sent to peers was not 0
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
 	prunedAt        time.Duration
+	rounds          roundTimes
 	releaseLines    lineLimit
 	unexpectedLines lineLimit
 	drained         chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -61,6 +61,10 @@
 	poolDemands        tally.Gauge              // submissions with tasks that wait for grants of this VM
 	lostTasks          map[string]tally.Counter // tasks whose worker was lost: suspects or unrelated
 	startDelay         tally.Histogram          // from the decision of a start to its sending
+	roundDuration      tally.Histogram
+	roundLateness      tally.Histogram          // from when a round was due to its begin
+	roundsLate         tally.Counter            // that began much later than due
+	roundsLong         tally.Counter            // that took long
 	unexpectedRuns     tally.Counter            // listed though their tasks were released or have other runs
 	releases           map[string]tally.Counter // of tasks of which a start was ordered, by reason
 }
@@ -124,6 +128,10 @@
 		poolDemands:        scope.Gauge("pool_demands"),
 		lostTasks:          make(map[string]tally.Counter),
 		startDelay:         scope.Histogram("start_delay_seconds", timeBuckets),
+		roundDuration:      scope.Histogram("round_seconds", timeBuckets),
+		roundLateness:      scope.Histogram("round_late_seconds", timeBuckets),
+		roundsLate:         scope.Tagged(map[string]string{"how": "late"}).Counter("slow_rounds_total"),
+		roundsLong:         scope.Tagged(map[string]string{"how": "long"}).Counter("slow_rounds_total"),
 		unexpectedRuns:     scope.Counter("unexpected_runs_total"),
 		releases:           make(map[string]tally.Counter),
 	}
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -104,6 +104,8 @@
 
 	sessionKeyDeleted atomic.Bool // the watch saw this VM's own member key deleted
 
+	oldestEvent waitingSince
+
 	startLines lineLimit // about starts that were sent late
 
 	cancel     context.CancelFunc
@@ -148,7 +150,7 @@
 	v.spawn(func() { v.sweepFinals(ctx) })
 	v.spawn(func() { v.watchWorkers(ctx) })
 	v.spawn(func() { v.watchCatalog(ctx) })
-	v.spawn(func() { ring.Loop(ctx, v.events, e.roundInterval, e.runRound) })
+	v.spawn(func() { ring.Loop(ctx, v.events, e.roundInterval, e.runTimedRound) })
 	klog.InfoS("kept: started", "vm", c.Name, "incarnation", c.Incarnation, "domain", c.Domain, "address", c.PeerAddress)
 	return v
 }
@@ -202,6 +204,7 @@
 // post queues an event for the engine; false: it was dropped. The queue is full only when the engine
 // cannot keep up at all.
 func (v *VM) post(e event) bool {
+	v.oldestEvent.note(v.now)
 	if v.events.TryPush(e) {
 		return true
 	}
