--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -98,7 +98,7 @@
 		s.countFailure(now, h, t, e.Run)
 	}
 	if current {
-		s.release(now, t)
+		s.release(now, t, RunEnded)
 	}
 	s.reportOutcome(t)
 }
@@ -196,6 +196,9 @@
 		s.handleStrayRun(now, h, r)
 		return
 	}
+	if t.occupies() && r.Run > t.newestRun {
+		s.tellUnexpected(now, h, r, false)
+	}
 	t.newestRun = r.Run
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
@@ -239,6 +242,9 @@
 		st.stopSent = true
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
+	if !st.told {
+		st.told = s.tellStray(now, h, r, st.stopSent)
+	}
 	h.strayRuns[r.Task] = st
 }
 
@@ -279,7 +285,7 @@
 		// The listing counts only if the hold was sent after the run was known to have begun: the answer
 		// to a hold that was waiting when the run began may lack it.
 		if sentAt > t.stateSince && clock >= t.acceptClock {
-			s.release(now, t)
+			s.release(now, t, NotListed)
 		}
 	case taskUnconfirmed:
 		if sentAt >= t.stateSince {
@@ -287,7 +293,7 @@
 		}
 	case taskStoppingToRestart, taskStoppingForGood:
 		if t.stopAckClock > 0 && sentAt >= t.stopAckAt && clock >= t.stopAckClock {
-			s.release(now, t)
+			s.release(now, t, StopConfirmed)
 		}
 	}
 }
