shard: a failing test of a run that one listing lacks and the next one shows; late starts are sent late

The world has starts that are sent some time after they are decided, with a deadline that counts from the sending.

--- a/internal/kept/shard/listed_test.go
+++ b/internal/kept/shard/listed_test.go
@@ -6,31 +6,30 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// releaseBeforeItBegins has the first run of a task released while its start order is on its way to w0: the worker is
-// silent, its lease is taken for expired, and then it carries out the order. It does not answer before it is told to.
+// releaseBeforeItBegins has the first run of a task released before its start order is sent: w0 is silent, its lease
+// expires, and then it carries out the order. It does not answer before it is told to.
 func (w *world) releaseBeforeItBegins(r *submission.Record) {
 	w.unreachable["w0"] = true
 	w.run(600 * ms)
-	w.startDelay = func(s StartAction) time.Duration {
+	w.startLag = func(s StartAction) time.Duration {
 		if s.Task.ID == r.ID && s.Run == 1 {
-			return 150 * ms
+			return 800 * ms
 		}
 		return 0
 	}
 	w.assign(r)
-	w.run(140 * ms)
-	w.shard.WorkerLeaseExpired(w.now, "w0")
-	w.run(20 * ms)
-	if n := w.ledger.CountRunning(r.ID); n != 1 {
-		w.t.Fatalf("%d runs have begun, want 1", n)
+	w.run(820 * ms)
+	if n := w.ledger.CountRunning(r.ID); n != 1 || w.shard.jobs[r.ID].tasks[0].state != taskWaiting {
+		w.t.Fatalf("%d runs have begun, want 1 whose task waits", n)
 	}
 }
 
 // Guards against a task that runs twice at once, as it starts again beside a run that its worker lists: the start order
-// was carried out after the worker's lease was taken for expired.
+// was sent after the worker's lease had expired.
 func TestRunListedAfterItsReleaseKeepsItsTask(t *testing.T) {
 	for _, bornKnown := range []bool{true, false} {
 		t.Run(fmt.Sprintf("start time known %v", bornKnown), func(t *testing.T) {
@@ -51,6 +50,21 @@
 	}
 }
 
+// Guards against a task that runs twice at once, as a listing that is older than its run is taken for a newer one, and the
+// next listing shows the run.
+func TestRunListedAgainKeepsItsTask(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.assign(w.submission("a", 1, runhost.Work{Time: 200 * ms}))
+	w.run(50 * ms)
+	w.shard.HandleListing(w.now, "w0", w.now, worker.Listing{Clock: w.now})
+	w.run(time.Second)
+	w.expectState("a", submission.Done)
+	if n := w.startCount("a"); n != 1 {
+		t.Errorf("%d runs, want one", n)
+	}
+}
+
 // Guards against a task that runs twice at once, as a start order is still on its way when the lease of its worker is
 // taken for expired, and the next one overtakes it.
 func TestStartOnItsWayOutlivesTheLease(t *testing.T) {
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -50,7 +50,8 @@
 	losesStartReply func(StartAction) bool
 	// startDelay returns by how much a start order is delayed, which then has no answer; 0: it is not.
 	startDelay    func(StartAction) time.Duration
-	stopDelay     func(StopAction) time.Duration // the same for stop orders
+	stopDelay     func(StopAction) time.Duration  // the same for stop orders
+	startLag      func(StartAction) time.Duration // how long after its decision a start order is sent, with a deadline from then; nil: 0
 	pendingOrders []pendingOrder
 	// ordersOutliveWorkers makes delayed orders reach the next incarnation of their worker under the same ID. By
 	// default they are lost with the incarnation that received them.
@@ -440,6 +441,19 @@
 		order.Deadline += h.ClockOffset
 	}
 	silence := worker.Reply{Verdict: worker.NoAnswer}
+	if w.startLag != nil {
+		if d := w.startLag(s); d > 0 {
+			order.Deadline += d
+			w.delay(id, d, func(h *runhost.Host) {
+				r := w.startAt(h, order)
+				if w.unreachable[id] {
+					r = silence
+				}
+				w.shard.HandleStartReply(w.now, id, s.Task, s.Run, r)
+			})
+			return
+		}
+	}
 	if w.startDelay != nil {
 		if d := w.startDelay(s); d > 0 {
 			w.delay(id, d, func(h *runhost.Host) { w.startAt(h, order) })
