shard: a run that a worker lists keeps its task from starting until it has ended

What callers saw: a task ran twice at once, on one worker; the first run went on to its end.

Only Resume looked at such runs; Assign and Join did not. And a lease that expired released tasks whose start order had no answer yet and was still valid.

Change: while a worker lists a run of a task, no other run of it starts. The newest run that this holder has started there goes on as the task's run. Any other is stopped, at once if its task is known here, and the stop is repeated after a second if the run is still listed. Workers that list such runs are counted by task, so that the check of a waiting task is one look-up; the count goes with the run's end, with a listing that lacks it, and with the worker's lease or incarnation. Assign and Join stop the runs that are listed from before, and number the new ones above them; their ends count for nothing, as startedByOther says. Such tasks are neither returned to their home nor reassigned, and their submission has begun, so that it is not refused as not run. When a lease expires, a task whose start order has no answer and is still valid is kept until that is void; after an answer, or none, it counts as sent just then. Nothing starts at a worker whose lease has expired until it answers.

Conclusion: what was ruled out is only that the class remains in the core. A real lost worker costs no wait: its lease outlives the starts that were sent to it. Not run: -race of the package.

--- a/internal/kept/shard/doc.go
+++ b/internal/kept/shard/doc.go
@@ -23,14 +23,19 @@
 // # Invariants
 //
 // A task never has two runs at the same time, and none starts after one of its runs has completed.
-// Three mechanisms ensure this:
+// Four mechanisms ensure this:
 //
 //   - Fencing token. Once a worker has seen a token, only its holder, or that of a newer
 //     one, can start or stop runs there or extend the lease.
 //   - Run numbers. A start order without an answer may still be carried out seconds
 //     later. Once the worker has acknowledged a stop of the same run, it never is.
 //   - Leases. A worker that cannot be reached ends all its runs when its lease expires.
-//     Only then are their tasks started elsewhere.
+//     Only then are their tasks started elsewhere, and once start orders that have no answer yet
+//     are void.
+//   - Listings. While a worker lists a run of a task, no other run of it starts, until the run has
+//     ended or the worker's lease or incarnation has. If this holder started the run, and no later
+//     one, it goes on as the task's run. Any other is stopped: that of an earlier attempt to have
+//     the submission carried out, an older one, or one of an earlier holder that was not handed over.
 //
 // # Recovery
 //
--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -52,7 +52,7 @@
 	before := len(j.returned)
 	for _, t := range j.tasks {
 		// Suspects stay, so that they crash no workers of another domain, unless this one is evacuated.
-		if t.state == taskWaiting && len(j.returned)-before < limit && (s.evacuated || !s.isSuspect(t)) {
+		if t.state == taskWaiting && !j.hasStrayRun(t) && len(j.returned)-before < limit && (s.evacuated || !s.isSuspect(t)) {
 			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, Failures: t.failures, FailedRuns: t.failedRuns, Losses: t.losses})
 			j.closeTask(t, taskElsewhere)
 			s.recordReturn(now, t)
@@ -70,7 +70,7 @@
 
 // isIdle reports whether none of its tasks runs or may be running.
 func (j *job) isIdle() bool {
-	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.occupies() || t.state == taskUnlocated })
+	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.occupies() || t.state == taskUnlocated || j.hasStrayRun(t) })
 }
 
 // areLossOutcomesKnown reports whether all its tasks may start as far as their losses are concerned.
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -69,19 +69,43 @@
 	}
 }
 
-// removeStrayRun forgets a stray run that has ended, and what the stray runs use.
-func (h *host) removeStrayRun(ref submission.TaskRef) {
-	if _, known := h.strayRuns[ref]; known {
-		delete(h.strayRuns, ref)
-		h.strayCPUMilli = 0
-	}
-}
-
 // strayRun is a run that a worker lists and that belongs to no task here, or to a task that must not run
 // there.
 type strayRun struct {
 	run      uint64
 	stopSent bool
+	stopAt   time.Duration // when the stop was last sent
+}
+
+// strayCounts are the numbers of workers that list a stray run, by task.
+type strayCounts map[submission.TaskRef]int
+
+// setStrayRun remembers a stray run of a worker, in place of an earlier one of the same task.
+func (s *Shard) setStrayRun(h *host, ref submission.TaskRef, st strayRun) {
+	if _, known := h.strayRuns[ref]; !known {
+		s.strayCounts[ref]++
+	}
+	h.strayRuns[ref] = st
+}
+
+// removeStrayRun forgets a stray run that has ended, or is none any more, and what the stray runs use.
+func (s *Shard) removeStrayRun(h *host, ref submission.TaskRef) {
+	if _, known := h.strayRuns[ref]; !known {
+		return
+	}
+	delete(h.strayRuns, ref)
+	h.strayCPUMilli = 0
+	s.placementDue = true
+	if s.strayCounts[ref]--; s.strayCounts[ref] == 0 {
+		delete(s.strayCounts, ref)
+	}
+}
+
+// clearStrayRuns forgets all stray runs of a worker whose runs have ended.
+func (s *Shard) clearStrayRuns(h *host) {
+	for ref := range h.strayRuns {
+		s.removeStrayRun(h, ref)
+	}
 }
 
 // Conditions under which a worker gets no new tasks.
@@ -311,28 +335,48 @@
 }
 
 // WorkerLeaseExpired handles the certain expiry of a worker's lease: all runs that were started there
-// before have ended. A worker that has left the list is removed.
+// before have ended. Nothing starts there until it answers. A worker that has left the list is removed.
 func (s *Shard) WorkerLeaseExpired(now time.Duration, id string) {
 	h, known := s.workers[id]
-	if !known {
-		return
-	}
-	s.releaseAll(now, h, false)
-	h.leaseExpired = true
-	if h.missingSince > 0 {
-		s.forgetHost(now, h)
+	switch {
+	case !known:
+	case h.missingSince > 0:
+		s.remove(now, id, false)
+	case !h.leaseExpired:
+		h.leaseExpired = true
+		s.releaseAll(now, h, false)
 	}
 }
 
-// releaseAll releases all tasks of a worker whose runs have ended, and records its loss.
+// startValidity is how long after it was sent a start order may still be carried out: 700 ms on a worker's clock, which
+// may be 2% slow.
+const startValidity = 715 * time.Millisecond
+
+// mayStillBegin reports whether the newest run of a task may begin though its worker's lease has expired: the start order
+// has no answer and is still valid.
+func (t *task) mayStillBegin(now time.Duration) bool {
+	return t.occupies() && !t.hasBegun && t.stopAckClock == 0 && t.startedAt > 0 && now-t.startedAt < startValidity
+}
+
+// hasLapsed reports whether a task has to be released that was kept when its worker's lease expired: its start order is
+// void, and the worker has not answered.
+func (t *task) hasLapsed(now time.Duration) bool {
+	return t.orderVoidAt > 0 && now >= t.orderVoidAt && t.occupies() && t.host.leaseExpired
+}
+
+// releaseAll releases the tasks of a worker whose runs have ended, and records its loss. A task whose start order may
+// still be carried out is kept until the order is void, unless the worker is being removed.
 func (s *Shard) releaseAll(now time.Duration, h *host, ended bool) {
 	tasks := s.tasksOn(h)
 	s.recordLoss(now, h, tasks, ended)
 	for _, t := range tasks {
+		if h.leaseExpired && h.missingSince == 0 && !ended && t.mayStillBegin(now) {
+			t.orderVoidAt = t.startedAt + startValidity
+			continue
+		}
 		s.release(now, t)
 	}
-	clear(h.strayRuns)
-	h.strayCPUMilli = 0
+	s.clearStrayRuns(h)
 	s.placementDue = true
 	s.giveUpTasks(now, tasks)
 }
--- a/internal/kept/shard/incarnation.go
+++ b/internal/kept/shard/incarnation.go
@@ -87,6 +87,7 @@
 // incarnation numbers its ended runs from the start. Its unresolved starts are kept for that incarnation.
 func (s *Shard) forgetHost(now time.Duration, h *host) {
 	id := h.info.ID
+	s.clearStrayRuns(h)
 	delete(s.workers, id)
 	s.workerIDs = slices.Sorted(maps.Keys(s.workers))
 	delete(s.earlyListings, id)
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -40,6 +40,7 @@
 	acceptClock  time.Duration   // the worker's clock when it accepted the run; 0: not known
 	stopAckClock time.Duration   // the worker's clock when it acknowledged the stop; 0: it has not
 	stopAckAt    time.Duration   // when that acknowledgement arrived
+	orderVoidAt  time.Duration   // when its start order is void, if its worker's lease expired before; 0: it has not
 	failedRuns   []uint64        // numbers of the failed runs, as far as they are known
 	startedRuns  []startedRun    // that this holder ordered
 	failures     int             // failed runs, including those stored by earlier holders
@@ -108,6 +109,7 @@
 	tasksBefore   int           // tasks of the part that had ended here before those of this job joined it
 	reassigning   bool          // its record is being stored under another shard
 	reassignAt    time.Duration // earliest time of the next attempt at that
+	strayCounts   strayCounts   // those of the shard
 }
 
 // stepState is the state of one step of a job.
@@ -221,11 +223,14 @@
 	return j.rec.Transient && (!j.resumed || t.joinedLater) && !slices.Contains(t.startedRuns, startedRun{run, h})
 }
 
-// isStartable reports whether a task waits and the steps that its step depends on are done.
+// isStartable reports whether a task waits, no worker lists a run of it, and the steps that its step depends on are done.
 func (j *job) isStartable(t *task) bool {
-	return t.state == taskWaiting && !j.reassigning && j.isDue(t)
+	return t.state == taskWaiting && !j.reassigning && !j.hasStrayRun(t) && j.isDue(t)
 }
 
+// hasStrayRun reports whether a worker lists a run of a task that must not go on there and has not ended yet.
+func (j *job) hasStrayRun(t *task) bool { return j.strayCounts[t.ref] > 0 }
+
 // isDue reports whether the steps that a task's step depends on are done.
 func (j *job) isDue(t *task) bool {
 	for _, before := range t.step.DependsOn {
--- a/internal/kept/shard/join.go
+++ b/internal/kept/shard/join.go
@@ -28,6 +28,7 @@
 		s.endSubmission(now, j, submission.Cancelled, "tasks of another form were to join it")
 	case open:
 		j.addTasks(rec)
+		s.stopStrayRuns(now, j)
 		s.hasLosses = s.hasLosses || len(rec.Progress.Losses) > 0
 		s.placementDue = true
 		s.reportState(j)
@@ -65,6 +66,7 @@
 	j.returned = withoutTasksOf(past.returned, rec)
 	j.pastSerials = past.allSerials()
 	s.add(j)
+	s.stopStrayRuns(now, j)
 	s.placementDue = true
 	s.reportState(j)
 }
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -51,7 +51,9 @@
 // the worker's clock.
 func (s *Shard) handleEnd(now time.Duration, h *host, e worker.Ended, from, to time.Duration) {
 	h.fullUntil = 0
-	h.removeStrayRun(e.Task)
+	if h.strayRuns[e.Task].run == e.Run {
+		s.removeStrayRun(h, e.Task)
+	}
 	h.clearStart(e.Task, e.Run)
 	j, open := s.jobs[e.Task.ID]
 	if !open {
@@ -169,7 +171,7 @@
 	}
 	for ref := range h.strayRuns {
 		if !listed[ref] {
-			h.removeStrayRun(ref)
+			s.removeStrayRun(h, ref)
 		}
 	}
 	for _, t := range s.tasksOn(h) {
@@ -203,11 +205,39 @@
 	switch t.state {
 	case taskStarting, taskUnconfirmed, taskUnlocated:
 		s.setRunning(now, h, t)
-	case taskEnded, taskWaiting:
-		s.handleStrayRun(now, h, r) // a start order that was carried out after its task was released
+	case taskWaiting: // the task was released though its run goes on, or began later
+		if !h.isCurrentRun(t, r.Run) {
+			s.handleStrayRun(now, h, r)
+			return
+		}
+		s.takeBackRun(now, h, t)
+	case taskEnded:
+		s.handleStrayRun(now, h, r)
+		return
+	}
+	if h.strayRuns[r.Task].run == r.Run {
+		s.removeStrayRun(h, r.Task)
 	}
 }
 
+// isCurrentRun reports whether the newest run of a waiting task, which a worker lists, may go on: this holder has started
+// it there, and nothing stops it.
+func (h *host) isCurrentRun(t *task, run uint64) bool {
+	return !t.job.reassigning && !h.strayRuns[t.ref].stopSent && h.revokedRuns[t.ref].run < run &&
+		slices.Contains(t.startedRuns, startedRun{run, h})
+}
+
+// takeBackRun records that the newest run of a waiting task goes on.
+func (s *Shard) takeBackRun(now time.Duration, h *host, t *task) {
+	t.attempt = noAttempt // of the next run
+	if s.needsAttempt(t) {
+		t.attempt = attemptWanted
+		t.attemptAt = h
+		s.saveAtOnce(now, t.job)
+	}
+	s.setRunning(now, h, t)
+}
+
 // setRunning records that the newest run of a task has begun on a worker.
 func (s *Shard) setRunning(now time.Duration, h *host, t *task) {
 	if t.state == taskUnlocated {
@@ -227,19 +257,49 @@
 	}
 }
 
-// handleStrayRun stops a run that belongs to no task here, or to one that must not run there. Within
-// handoverTimeout of the worker's first answer it only remembers the run, which may belong to a
-// transient submission that its home VM has not handed over yet.
+// handleStrayRun stops a run that belongs to no task here, or to one that must not run there. The task does not start
+// while the run is listed. Within handoverTimeout of the worker's first answer a run of an unknown task is only
+// remembered, as it may belong to a transient submission that its home VM has not handed over yet.
 func (s *Shard) handleStrayRun(now time.Duration, h *host, r worker.Running) {
-	st, known := h.strayRuns[r.Task]
-	if !known || st.run != r.Run {
+	st := h.strayRuns[r.Task]
+	if st.run != r.Run {
 		st = strayRun{run: r.Run}
 	}
-	if !st.stopSent && now-h.firstAnswerAt >= handoverTimeout {
+	stopDue := s.hasTask(r.Task) || now-h.firstAnswerAt >= handoverTimeout
+	if stopDue && (!st.stopSent || now-st.stopAt >= strayStopInterval) {
 		st.stopSent = true
+		st.stopAt = now
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
-	h.strayRuns[r.Task] = st
+	s.setStrayRun(h, r.Task, st)
+}
+
+// strayStopInterval is the time after which the stop of a stray run is repeated that its worker still lists.
+const strayStopInterval = time.Second
+
+// hasTask reports whether a task is known here.
+func (s *Shard) hasTask(ref submission.TaskRef) bool {
+	j, open := s.jobs[ref.ID]
+	return open && j.task(ref.Task) != nil
+}
+
+// stopStrayRuns stops the listed runs of a submission's waiting tasks, which are from before it was assigned here.
+func (s *Shard) stopStrayRuns(now time.Duration, j *job) {
+	if len(s.strayCounts) == 0 {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state != taskWaiting || !j.hasStrayRun(t) {
+			continue
+		}
+		for _, id := range s.workerIDs {
+			h := s.workers[id]
+			if st, listed := h.strayRuns[t.ref]; listed {
+				t.newestRun = max(t.newestRun, st.run)
+				s.handleStrayRun(now, h, worker.Running{Task: t.ref, Run: st.run})
+			}
+		}
+	}
 }
 
 // adoptStrayRuns assigns the worker's stray runs of a submission to its tasks. A run that is being stopped
@@ -250,7 +310,7 @@
 		if ref.ID != j.rec.ID || t == nil || t.occupies() || t.state == taskCompleted {
 			continue
 		}
-		h.removeStrayRun(ref)
+		s.removeStrayRun(h, ref)
 		t.newestRun = st.run
 		if st.stopSent {
 			t.host = h
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -93,6 +93,7 @@
 	t.startedAt = now
 	t.acceptClock = 0
 	t.stopAckClock = 0
+	t.orderVoidAt = 0
 	t.resumed = t.checkpoint != ""
 	t.wasOverdue = false
 	t.projected = 0
--- a/internal/kept/shard/property_test.go
+++ b/internal/kept/shard/property_test.go
@@ -292,6 +292,9 @@
 	if wrong := append(p.records.violations, p.ledger.Violations...); len(wrong) > 0 {
 		return fmt.Errorf("%v", wrong)
 	}
+	if counted := p.shard.countStrayRuns(); !maps.Equal(counted, p.shard.strayCounts) {
+		return fmt.Errorf("stray runs %v are counted as %v", counted, p.shard.strayCounts)
+	}
 	for id, work := range p.submitted {
 		state, ended := p.records.final[id]
 		switch {
--- a/internal/kept/shard/replies.go
+++ b/internal/kept/shard/replies.go
@@ -22,6 +22,9 @@
 		}
 		return
 	}
+	if t.orderVoidAt > 0 {
+		t.orderVoidAt = now + startValidity // it may have been sent just before
+	}
 	switch r.Verdict {
 	case worker.Accepted:
 		t.acceptClock = r.Clock
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -30,7 +30,8 @@
 	leftoverStarts        map[string]unresolvedStarts  // of workers that have been removed, by worker ID
 	earlyListings         map[string]earlyListing      // listings that arrived before the records, by worker ID
 	earlyEnds             map[submission.ID][]earlyEnd // ended runs of submissions that are not known yet
-	transientBarrierUntil time.Duration                // when unlisted runs of transient submissions have ended
+	strayCounts           strayCounts
+	transientBarrierUntil time.Duration // when unlisted runs of transient submissions have ended
 	paceByQueue           map[string]*policy.Pace
 	arrivals              policy.Arrivals
 	freeMilli             int64                            // CPU that was free for tasks when the last placement began
@@ -94,6 +95,7 @@
 		recentlyEnded:         make(map[submission.ID]endedJob),
 		replacedWorkers:       make(map[string]replacedWorker),
 		leftoverStarts:        make(map[string]unresolvedStarts),
+		strayCounts:           make(strayCounts),
 		paceByQueue:           make(map[string]*policy.Pace),
 	}
 }
@@ -186,6 +188,7 @@
 	past := s.recentlyEnded[r.Record.ID]
 	j.pastSerials = past.allSerials()
 	s.add(j)
+	s.stopStrayRuns(now, j)
 	s.recordArrival(now, j)
 	s.placementDue = true
 	return true
@@ -193,6 +196,7 @@
 
 func (s *Shard) add(j *job) {
 	j.token = s.token
+	j.strayCounts = s.strayCounts
 	s.jobs[j.rec.ID] = j
 	s.hasLosses = s.hasLosses || len(j.rec.Progress.Losses) > 0
 }
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -112,6 +112,10 @@
 // repeatOrders repeats the stop orders and probes of a submission that had no answer.
 func (s *Shard) repeatOrders(now time.Duration, j *job) {
 	for _, t := range j.tasks {
+		if t.hasLapsed(now) {
+			s.release(now, t)
+			continue
+		}
 		switch t.state {
 		case taskStoppingToRestart, taskStoppingForGood:
 			if now-t.stateSince >= stopRetryInterval && t.stopAckClock == 0 {
