shard: a listing with a full page of ended runs does not release the tasks that it lacks

What callers saw: work that had completed was done again, up to hundreds of times, while the store was away.

Cause: a worker lists at most 500 ended runs at a time. Those of stored submissions are acknowledged only when their effect is stored, in the order of their numbers, so that ends of transient submissions pile up behind them. A run whose end is on a later page is in neither list; its task was released and started again, and so on until the store was back.

Change: a listing with 500 ended runs says nothing of a run that it lacks. Nothing starts on such a worker, as the ends of its runs could not be seen, and a new holder does not lift its barrier before it has seen the later pages, unless the worker's lease has expired.

Conclusion: this starts a task again after it has completed, one run after the other; two runs at once of the users' incident are not explained by it. That transient submissions wait for the store behind stored ones on the same worker remains.

--- a/internal/kept/shard/doc.go
+++ b/internal/kept/shard/doc.go
@@ -46,4 +46,7 @@
 // submission that no worker lists is started again only once every worker has answered under the
 // new token or the leases that earlier holders granted have certainly expired (the barrier). For
 // transient submissions the barrier ends earlier.
+//
+// A worker lists a limited number of ended runs at a time. While its newest listing has so many, a run
+// that it lacks may have ended, possibly completed: its task is not released, and nothing starts there.
 package shard
--- a/internal/kept/shard/endpages_test.go
+++ b/internal/kept/shard/endpages_test.go
@@ -20,7 +20,13 @@
 	p.shard.Assign(p.now, stored)
 	p.advance(50 * ms)
 	p.assign(p.submission("a", 600, runhost.Work{Time: 20 * ms, CPUMilli: 200}))
-	p.advance(7 * time.Second)
+	p.advance(time.Second)
+	p.assign(p.submission("b", 1, runhost.Work{Time: 20 * ms, CPUMilli: 200}))
+	p.advance(time.Second)
+	if n := p.startCount("b"); n != 0 {
+		t.Errorf("%d starts on a worker whose ends cannot be seen", n)
+	}
+	p.advance(5 * time.Second)
 	for ref, n := range p.ledger.Starts {
 		if n > 1 {
 			t.Errorf("%v started %d times", ref, n)
@@ -31,3 +37,34 @@
 		t.Errorf("the stored submission is %s; violations: %v", p.records.final["stored"], p.ledger.Violations)
 	}
 }
+
+// Guards against the same after a change of the holder, which takes the tasks that no worker lists for startable.
+func TestNewHolderWaitsForEndsOnLaterPages(t *testing.T) {
+	p := newPlay(t)
+	p.unreachable["w1"], p.unreachable["w2"] = true, true
+	p.advance(100 * ms)
+	p.records.delay = time.Minute
+	stored := StoredRecord{Record: p.storedSubmission("stored", 600, runhost.Work{Time: 20 * ms, CPUMilli: 200}), Revision: 1}
+	stored.Record.Steps[0].Estimate = 20 * ms
+	p.records.open["stored"] = stored
+	p.shard.Assign(p.now, stored)
+	p.advance(250 * ms)
+	for p.ledger.CountRunning("stored") > 0 {
+		p.step()
+	}
+	before := p.startCount("stored")
+	if before <= endsPerListing {
+		t.Fatalf("%d runs, want more than a page of ends", before)
+	}
+	p.records.delay = 0
+	p.takeOver(true) // its writes take no time, but each page of ends is stored first
+	p.advance(5 * time.Second)
+	for ref, n := range p.ledger.Starts {
+		if n > 1 {
+			t.Errorf("%v started %d times", ref, n)
+		}
+	}
+	if p.records.final["stored"] != submission.Done || len(p.ledger.Violations) > 0 {
+		t.Errorf("the submission is %s; violations: %v", p.records.final["stored"], p.ledger.Violations)
+	}
+}
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// endsPerListing is how many ended runs a worker lists at most in one answer, those with the lowest numbers.
+const endsPerListing = 500
+
 // reconcile compares the runs that a worker lists with the tasks that should run there.
 func (s *Shard) reconcile(now time.Duration, h *host, sentAt time.Duration, l worker.Listing) {
 	listed := make(map[submission.TaskRef]bool, len(l.Running))
@@ -169,6 +172,9 @@
 		s.handleListedRun(now, h, r)
 		s.checkProgress(now, h, sentAt, l.Clock, r)
 	}
+	if h.endsCut = len(l.Ended) >= endsPerListing; h.endsCut {
+		return // a run that is not listed may have ended
+	}
 	for ref := range h.strayRuns {
 		if !listed[ref] {
 			s.removeStrayRun(h, ref)
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -63,13 +63,14 @@
 
 // liftBarrier releases the tasks that an earlier holder may have started, once each run that it left has
 // ended or is listed by a worker: when all workers have answered, or the leases of the earlier holders have
-// expired. For transient submissions that is the case earlier, at transientBarrierUntil.
+// expired. For transient submissions that is the case earlier, at transientBarrierUntil. It waits for workers that have
+// more ended runs than they list at a time.
 func (s *Shard) liftBarrier(now time.Duration) {
 	if !s.barrierUp || !s.recordsLoaded {
 		return
 	}
 	all := now >= s.barrierUntil || s.allAnswered()
-	if !all && now < s.transientBarrierUntil {
+	if !all && now < s.transientBarrierUntil || s.hasEndsCut() {
 		return
 	}
 	s.barrierUp = !all
@@ -100,6 +101,16 @@
 	return len(s.workers) > 0
 }
 
+// hasEndsCut reports whether a worker may have ended runs that it has not listed yet.
+func (s *Shard) hasEndsCut() bool {
+	for _, h := range s.workers {
+		if h.endsCut && !h.leaseExpired {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Shard) anyAnswered() bool {
 	for _, h := range s.workers {
 		if h.hasAnswered {
