--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -76,6 +76,7 @@
 	run      uint64
 	stopSent bool
 	stopAt   time.Duration // when the stop was last sent
+	told     bool          // it was reported as an unexpected run
 }
 
 // strayCounts are the numbers of workers that list a stray run, by task.
@@ -321,17 +322,17 @@
 	if h, known := s.workers[id]; known {
 		s.confirmLoss(now, h.incarnation)
 	}
-	s.remove(now, id, true)
+	s.remove(now, id, true, IncarnationEnded)
 }
 
 // remove releases the tasks of a worker whose runs have ended, and removes it. ended says that its
 // incarnation has certainly ended.
-func (s *Shard) remove(now time.Duration, id string, ended bool) {
+func (s *Shard) remove(now time.Duration, id string, ended bool, why ReleaseReason) {
 	h, known := s.workers[id]
 	if !known {
 		return
 	}
-	s.releaseAll(now, h, ended)
+	s.releaseAll(now, h, ended, why)
 	s.forgetHost(now, h)
 }
 
@@ -342,10 +343,10 @@
 	switch {
 	case !known:
 	case h.missingSince > 0:
-		s.remove(now, id, false)
+		s.remove(now, id, false, LeaseExpired)
 	case !h.leaseExpired:
 		h.leaseExpired = true
-		s.releaseAll(now, h, false)
+		s.releaseAll(now, h, false, LeaseExpired)
 	}
 }
 
@@ -367,7 +368,7 @@
 
 // releaseAll releases the tasks of a worker whose runs have ended, and records its loss. A task whose start order may
 // still be carried out is kept until the order is void, unless the worker is being removed.
-func (s *Shard) releaseAll(now time.Duration, h *host, ended bool) {
+func (s *Shard) releaseAll(now time.Duration, h *host, ended bool, why ReleaseReason) {
 	tasks := s.tasksOn(h)
 	s.recordLoss(now, h, tasks, ended)
 	for _, t := range tasks {
@@ -375,7 +376,7 @@
 			t.orderVoidAt = t.startedAt + startValidity
 			continue
 		}
-		s.release(now, t)
+		s.release(now, t, why)
 	}
 	s.clearStrayRuns(h)
 	s.placementDue = true
@@ -396,12 +397,13 @@
 }
 
 // release makes a task that certainly does not run startable again, unless it is not to run any more.
-func (s *Shard) release(now time.Duration, t *task) {
+func (s *Shard) release(now time.Duration, t *task, why ReleaseReason) {
 	if t.state == taskStoppingForGood || t.job.state.Final() {
 		t.state = taskEnded
 	} else {
 		t.state = taskWaiting
 	}
+	s.tellRelease(now, t, why, t.state == taskWaiting)
 	t.host = nil
 	t.stateSince = now
 	s.placementDue = true
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -100,7 +100,7 @@
 		s.countFailure(now, h, t, e.Run)
 	}
 	if current {
-		s.release(now, t)
+		s.release(now, t, RunEnded)
 	}
 	s.reportOutcome(t)
 }
@@ -204,6 +204,9 @@
 		s.handleStrayRun(now, h, r)
 		return
 	}
+	if t.occupies() && r.Run > t.newestRun {
+		s.tellUnexpected(now, h, r, false)
+	}
 	t.newestRun = r.Run
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
@@ -216,6 +219,7 @@
 			s.handleStrayRun(now, h, r)
 			return
 		}
+		s.tellUnexpected(now, h, r, false)
 		s.takeBackRun(now, h, t)
 	case taskEnded:
 		s.handleStrayRun(now, h, r)
@@ -271,24 +275,21 @@
 	if st.run != r.Run {
 		st = strayRun{run: r.Run}
 	}
-	stopDue := s.hasTask(r.Task) || now-h.firstAnswerAt >= handoverTimeout
+	stopDue := s.knownTask(r.Task) != nil || now-h.firstAnswerAt >= handoverTimeout
 	if stopDue && (!st.stopSent || now-st.stopAt >= strayStopInterval) {
 		st.stopSent = true
 		st.stopAt = now
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
+	if !st.told {
+		st.told = s.tellStray(now, h, r, st.stopSent)
+	}
 	s.setStrayRun(h, r.Task, st)
 }
 
 // strayStopInterval is the time after which the stop of a stray run is repeated that its worker still lists.
 const strayStopInterval = time.Second
 
-// hasTask reports whether a task is known here.
-func (s *Shard) hasTask(ref submission.TaskRef) bool {
-	j, open := s.jobs[ref.ID]
-	return open && j.task(ref.Task) != nil
-}
-
 // stopStrayRuns stops the listed runs of a submission's waiting tasks, which are from before it was assigned here.
 func (s *Shard) stopStrayRuns(now time.Duration, j *job) {
 	if len(s.strayCounts) == 0 {
@@ -345,7 +346,7 @@
 		// The listing counts only if the hold was sent after the run was known to have begun: the answer
 		// to a hold that was waiting when the run began may lack it.
 		if sentAt > t.stateSince && clock >= t.acceptClock {
-			s.release(now, t)
+			s.release(now, t, NotListed)
 		}
 	case taskUnconfirmed:
 		if sentAt >= t.stateSince {
@@ -353,7 +354,7 @@
 		}
 	case taskStoppingToRestart, taskStoppingForGood:
 		if t.stopAckClock > 0 && sentAt >= t.stopAckAt && clock >= t.stopAckClock {
-			s.release(now, t)
+			s.release(now, t, StopConfirmed)
 		}
 	}
 }
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -85,7 +85,7 @@
 				s.countVanished(now, t)
 				s.confirmStoredLosses(now, t)
 				vanished = append(vanished, t)
-				s.release(now, t)
+				s.release(now, t, BarrierLifted)
 			}
 		}
 	}
@@ -124,7 +124,7 @@
 func (s *Shard) repeatOrders(now time.Duration, j *job) {
 	for _, t := range j.tasks {
 		if t.hasLapsed(now) {
-			s.release(now, t)
+			s.release(now, t, LeaseExpired)
 			continue
 		}
 		switch t.state {
@@ -174,7 +174,7 @@
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
 		if h.missingSince > 0 && now-h.missingSince > missingTimeout && now-h.newestListingSentAt > missingTimeout {
-			s.remove(now, id, false)
+			s.remove(now, id, false, WorkerForgotten)
 		}
 	}
 }
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -60,6 +60,13 @@
 	lapsedReservations tally.Counter            // for grants without a reply
 	poolDemands        tally.Gauge              // submissions with tasks that wait for grants of this VM
 	lostTasks          map[string]tally.Counter // tasks whose worker was lost: suspects or unrelated
+	startDelay         tally.Histogram          // from the decision of a start to its sending
+	roundDuration      tally.Histogram
+	roundLateness      tally.Histogram          // from when a round was due to its begin
+	roundsLate         tally.Counter            // that began much later than due
+	roundsLong         tally.Counter            // that took long
+	unexpectedRuns     tally.Counter            // listed though their tasks were released or have other runs
+	releases           map[string]tally.Counter // of tasks of which a start was ordered, by reason
 }
 
 // queueMetrics are the metrics of one queue.
@@ -120,6 +127,13 @@
 		lapsedReservations: scope.Counter("reservations_lapsed_total"),
 		poolDemands:        scope.Gauge("pool_demands"),
 		lostTasks:          make(map[string]tally.Counter),
+		startDelay:         scope.Histogram("start_delay_seconds", timeBuckets),
+		roundDuration:      scope.Histogram("round_seconds", timeBuckets),
+		roundLateness:      scope.Histogram("round_late_seconds", timeBuckets),
+		roundsLate:         scope.Tagged(map[string]string{"how": "late"}).Counter("slow_rounds_total"),
+		roundsLong:         scope.Tagged(map[string]string{"how": "long"}).Counter("slow_rounds_total"),
+		unexpectedRuns:     scope.Counter("unexpected_runs_total"),
+		releases:           make(map[string]tally.Counter),
 	}
 	m.storeCalls = map[bool]tally.Counter{
 		true:  scope.Tagged(map[string]string{"answered": "true"}).Counter("store_calls_total"),
@@ -243,6 +257,11 @@
 	}
 }
 
+// countRelease counts the release of a task of which a start was ordered.
+func (m *metrics) countRelease(why string) {
+	count(m.releases, m.scope, "tasks_released_total", "why", why)
+}
+
 // count adds one to the counter of a tag's value, and makes the counter when the value first occurs.
 func count(known map[string]tally.Counter, scope tally.Scope, name, tag, value string) {
 	c := known[value]
