--- a/internal/kept/shard/release_test.go
+++ b/internal/kept/shard/release_test.go
@@ -40,9 +40,10 @@
 			w.shard.WorkerRestarted(w.now, info, worker.Incarnation{ID: "w0", Born: info.Born + 1})
 		}, IncarnationEnded},
 		"lease": {func(w *world, s StartAction) { accept(w, s); w.shard.WorkerLeaseExpired(w.now, "w0") }, LeaseExpired},
-		"lease, start without answer": {func(w *world, _ StartAction) {
+		"lease, and the start is void": {func(w *world, s StartAction) {
+			refuse(worker.NoAnswer)(w, s)
 			w.shard.WorkerLeaseExpired(w.now, "w0")
-			w.now += time.Second
+			w.now += startValidity
 			w.shard.Tick(w.now)
 		}, LeaseExpired},
 		"forgotten": {func(w *world, s StartAction) {
