worker: a listing says whether the worker has more ended runs

Cause: the core counted the ended runs of a listing against 500, a limit of one platform's workers; another kind of worker may list fewer at a time, and its tasks would be released though their ends were still to come.

Change: worker.Listing has MoreEnded.

An old worker does not send the field: its listings count as complete, as before.

--- a/internal/connection/runhost/runhost.go
+++ b/internal/connection/runhost/runhost.go
@@ -110,7 +110,7 @@
 	}
 	reply := workerReply(r.Reply)
 	reply.Born = r.BornUnixMillis
-	l := worker.Listing{Clock: reply.Clock, Born: reply.Born}
+	l := worker.Listing{Clock: reply.Clock, Born: reply.Born, MoreEnded: r.MoreEnded}
 	for _, run := range r.Running {
 		l.Running = append(l.Running, worker.Running{Task: taskRef(run.Task), Run: run.Run, Checkpoint: run.Checkpoint, Percent: int(run.Percent)})
 	}
@@ -192,7 +192,7 @@
 	if r.Verdict == worker.NoAnswer {
 		return nil, errNoAnswer
 	}
-	out := &pb.HoldRunsResponse{Reply: &pb.RunReply{Verdict: uint32(r.Verdict), ClockNs: int64(r.Clock)}, BornUnixMillis: r.Born}
+	out := &pb.HoldRunsResponse{Reply: &pb.RunReply{Verdict: uint32(r.Verdict), ClockNs: int64(r.Clock)}, BornUnixMillis: r.Born, MoreEnded: l.MoreEnded}
 	for _, run := range l.Running {
 		out.Running = append(out.Running, &pb.ListedRun{Task: taskMessage(run.Task), Run: run.Run, Checkpoint: run.Checkpoint, Percent: uint32(run.Percent)})
 	}
--- a/internal/kept/shard/candidates.go
+++ b/internal/kept/shard/candidates.go
@@ -102,7 +102,7 @@
 	switch {
 	case s.isClosed(), !h.hasAnswered, h.info.Leaving, now < h.fullUntil, now < h.unavailableUntil:
 		return false
-	case h.leaseExpired, h.endsCut, now-h.newestListingSentAt > maxSilence:
+	case h.leaseExpired, h.hasMoreEnded, now-h.newestListingSentAt > maxSilence:
 		return false
 	case h.missingSince > 0 && now-h.missingSince > missingTimeout:
 		return false
--- a/internal/kept/shard/endpages_test.go
+++ b/internal/kept/shard/endpages_test.go
@@ -53,7 +53,7 @@
 		p.step()
 	}
 	before := p.startCount("stored")
-	if before <= endsPerListing {
+	if before <= 500 {
 		t.Fatalf("%d runs, want more than a page of ends", before)
 	}
 	p.records.delay = 0
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -23,7 +23,7 @@
 	clock               workerClock
 	ackedEndSeq         uint64        // number of the last ended run that is acknowledged
 	newestEndSeq        uint64        // number of the last ended run that is processed
-	endsCut             bool          // its newest listing may lack ended runs
+	hasMoreEnded        bool          // its newest listing may lack ended runs
 	unackedEnds         []unackedEnd  // processed and not acknowledged, by number
 	fullUntil           time.Duration // end of the backoff after it refused a run for lack of room
 	unavailableUntil    time.Duration // end of the backoff after it refused a run as unavailable
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -161,9 +161,6 @@
 	}
 }
 
-// endsPerListing is how many ended runs a worker lists at most in one answer, those with the lowest numbers.
-const endsPerListing = 500
-
 // reconcile compares the runs that a worker lists with the tasks that should run there.
 func (s *Shard) reconcile(now time.Duration, h *host, sentAt time.Duration, l worker.Listing) {
 	listed := make(map[submission.TaskRef]bool, len(l.Running))
@@ -172,7 +169,7 @@
 		s.handleListedRun(now, h, r)
 		s.checkProgress(now, h, sentAt, l.Clock, r)
 	}
-	if h.endsCut = len(l.Ended) >= endsPerListing; h.endsCut {
+	if h.hasMoreEnded = l.MoreEnded; h.hasMoreEnded {
 		return // a run that is not listed may have ended
 	}
 	for ref := range h.strayRuns {
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -70,7 +70,7 @@
 		return
 	}
 	all := now >= s.barrierUntil || s.allAnswered()
-	if !all && now < s.transientBarrierUntil || s.hasEndsCut() {
+	if !all && now < s.transientBarrierUntil || s.moreEndsToCome() {
 		return
 	}
 	s.barrierUp = !all
@@ -101,10 +101,10 @@
 	return len(s.workers) > 0
 }
 
-// hasEndsCut reports whether a worker may have ended runs that it has not listed yet.
-func (s *Shard) hasEndsCut() bool {
+// moreEndsToCome reports whether a worker may have ended runs that it has not listed yet.
+func (s *Shard) moreEndsToCome() bool {
 	for _, h := range s.workers {
-		if h.endsCut && !h.leaseExpired {
+		if h.hasMoreEnded && !h.leaseExpired {
 			return true
 		}
 	}
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -185,7 +185,9 @@
 	Clock   time.Duration // time on the worker's clock when it answered
 	Born    int64         // start of the incarnation that answers, as in Info; 0: not given
 	Running []Running
-	Ended   []Ended
+	Ended   []Ended // those with the lowest numbers
+	// MoreEnded says that the worker may have more ended runs than it lists: a run that it lacks may have ended.
+	MoreEnded bool
 }
 
 // Reply is the answer to an order.
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -330,6 +330,7 @@
 	h.extendLease(now, h.toCallerTime(o.Deadline))
 	h.ended = slices.DeleteFunc(h.ended, func(e worker.Ended) bool { return e.Seq <= o.AckedEnd })
 	l := worker.Listing{Clock: reply.Clock, Born: reply.Born, Ended: slices.Clone(h.ended[:min(len(h.ended), maxListedEnds)])}
+	l.MoreEnded = len(h.ended) > maxListedEnds
 	for _, r := range h.running {
 		percent := 0
 		if !r.work.Hangs && r.work.Time > 0 {
