vm: a round that stood still before it read the clock takes its events once more

**Cause.** One reading cannot serve both: an event must not be applied at a time before it happened, and nothing may be taken for overdue by a time whose events are not applied.

**Change.** The clock is read before and after the events are taken. Events are applied at the second time. If the two are more than 5 ms apart, the events that have come meanwhile are applied too, before anything is found overdue.

**Ruled out.** The earlier of the two times for what is overdue and the later for events: the round would then send ages of lists below zero, which are unsigned.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -81,7 +81,7 @@
 type engine struct {
 	vm                *VM
 	ctx               context.Context
-	now               time.Duration // when this round had taken its events
+	now               time.Duration // when this round had taken its events from the queue
 	site              *site.Site
 	shards            map[string]*heldShard
 	tracked           map[submission.ID]*trackedSubmission // stored submissions
@@ -167,13 +167,7 @@
 // runRound applies all queued events, runs what is due, and sends at most one frame to each
 // peer.
 func (e *engine) runRound(time.Time) {
-	events := e.vm.events.Drain()
-	// The clock is read after the events are taken: an event applied at a time before it happened could make a listing that
-	// was asked for before a start was answered count as newer than the answer.
-	e.now = e.vm.now()
-	for _, ev := range events {
-		ev.apply(e)
-	}
+	e.applyEvents()
 	e.maintainLinks()
 	e.planLayouts()
 	e.claimShards()
@@ -202,6 +196,27 @@
 	e.vm.metrics.openSubmissions.Update(float64(len(e.transients) + len(e.tracked)))
 }
 
+// maxEventLag is how long before the time of a round an event may have been queued that the round has not applied.
+const maxEventLag = 5 * time.Millisecond
+
+// applyEvents applies the queued events and sets the time of the round.
+func (e *engine) applyEvents() {
+	for {
+		asOf := e.vm.now()
+		events := e.vm.events.Drain()
+		// The clock is read after the events are taken: an event applied at a time before it happened could make a listing
+		// that was asked for before a start was answered count as newer than the answer.
+		e.now = e.vm.now()
+		for _, ev := range events {
+			ev.apply(e)
+		}
+		// If the thread stood still in between, the answer to what is overdue by now may be queued.
+		if e.now-asOf <= maxEventLag {
+			return
+		}
+	}
+}
+
 // roundInterval returns the longest time until the next round.
 func (e *engine) roundInterval() time.Duration {
 	if len(e.shards)+len(e.transients)+len(e.tracked)+len(e.deferred) == 0 && e.drained == nil {
--- a/internal/kept/vm/stalled_round_test.go
+++ b/internal/kept/vm/stalled_round_test.go
@@ -117,3 +117,85 @@
 		w.end()
 	})
 }
+
+// stalledTakeover makes the engine of a new holder stand still once, after it has taken its events and before it reads the
+// clock for them. No worker answers the holder before.
+type stalledTakeover struct {
+	worker.Client
+	isNext      atomic.Bool // this VM is the next holder
+	asked       sync.Once
+	taken       chan struct{}      // closed when the VM has the shard, and asks a worker for its runs
+	armed       atomic.Pointer[VM] // is to stand still
+	hadEvents   bool               // when the engine last read the clock
+	standsStill chan struct{}
+}
+
+// takeoverStall is longer than a new holder waits for the workers to list the runs of a predecessor that has handed over.
+const takeoverStall = 1500 * ms
+
+func (c *stalledTakeover) now(clock func() time.Duration) time.Duration {
+	if vm := c.armed.Load(); vm != nil && isCalledInRound() {
+		hasEvents := vm.events.Len() > 0
+		if c.hadEvents && !hasEvents {
+			c.armed.Store(nil)
+			close(c.standsStill)
+			time.Sleep(takeoverStall)
+		}
+		c.hadEvents = hasEvents
+	}
+	return clock()
+}
+
+func (c *stalledTakeover) Hold(ctx context.Context, to worker.Info, o worker.Hold) (worker.Listing, worker.Reply) {
+	if c.isNext.Load() {
+		c.asked.Do(func() { close(c.taken) })
+		select {
+		case <-c.standsStill:
+		case <-ctx.Done():
+			return worker.Listing{}, worker.Reply{Verdict: worker.NoAnswer}
+		}
+	}
+	return c.Client.Hold(ctx, to, o)
+}
+
+// Guards against a task that runs twice at once: the thread of a new holder's engine stands still after it has taken its
+// events, and the holder takes the runs of its predecessor for ended by the time it reads then, as a listing of them waits.
+func TestRoundThatStandsStillTakesNoListedRunForEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		stalls := make(map[string]*stalledTakeover)
+		clock := w.clock
+		w.addDeskWorker("a0", "a")
+		for _, name := range []string{"a1", "a2"} {
+			c := &stalledTakeover{taken: make(chan struct{}), standsStill: make(chan struct{})}
+			stalls[name] = c
+			w.clock = func() time.Duration { return c.now(clock) }
+			w.workers = func(inner worker.Client) worker.Client {
+				c.Client = inner
+				return c
+			}
+			w.boot(name)
+		}
+		time.Sleep(5 * time.Second)
+		holder := w.holderOf("a")
+		next := otherVM(holder)
+		c := stalls[next]
+		w.wantAccepted(w.submit(next, "s", 1, runhost.Work{Time: 4 * time.Second}, false))
+		time.Sleep(500 * ms)
+		c.isNext.Store(true)
+		w.vms[holder].Drain(t.Context())
+		<-c.taken
+		time.Sleep(50 * ms) // until the records are read
+		c.armed.Store(w.vms[next])
+		for range 20 {
+			w.vms[next].post(holdsEvent{shard: "a/0", reply: make(chan bool, 1)})
+			time.Sleep(ms)
+		}
+		<-c.standsStill
+		time.Sleep(6 * time.Second)
+		if s := w.state(next, "s"); s != submission.Done {
+			t.Errorf("the submission is %s", s)
+		}
+		w.end()
+	})
+}
