vm: no line at level 0 for the release of a cancelled task whose run has ended

Cause: of each cancelled task that ran a release was logged, after the stop and the end of its run.

Change: these lines come with --v 1; tasks_released_total counts them as before.

Conclusion: TestReleaseIsLoggedWithItsReason holds it.

--- a/internal/kept/vm/releases.go
+++ b/internal/kept/vm/releases.go
@@ -18,6 +18,9 @@
 func (e *engine) logReleases(name string, token uint64, releases []shard.ReleaseAction) {
 	for _, r := range releases {
 		e.vm.metrics.countRelease(r.Reason.String())
+		if !r.StartsAgain && (r.Reason == shard.StopConfirmed || r.Reason == shard.RunEnded) && !klog.V(1).Enabled() {
+			continue // work that was cancelled has ended
+		}
 		omitted, allowed := e.releaseLines.allow(e.now, maxReleaseLines)
 		if !allowed {
 			continue
--- a/internal/kept/vm/releases_test.go
+++ b/internal/kept/vm/releases_test.go
@@ -71,12 +71,22 @@
 				w.fleet.SetUnreachable(fmt.Sprint("w-a", i), false)
 			}
 			<-out
+			given := w.submit(holder, "cancelled", 1, runhost.Work{Time: 3 * time.Second}, false)
+			w.wantAccepted(given)
+			time.Sleep(100 * ms)
+			if _, err := w.vms[holder].Cancel(context.Background(), "cancelled"); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(500 * ms)
 			figures = scrape(w.vms[holder])
 		})
 	})
 	if got := withAll(lines, `"kept: task released"`, `id="calm"`); len(got) > 0 {
 		t.Errorf("lines about tasks that have completed: %q", got)
 	}
+	if got := withAll(lines, `"kept: task released"`, `id="cancelled"`); len(got) > 0 || len(withAll(lines, `"kept: stop"`, `id="cancelled"`)) == 0 {
+		t.Errorf("lines about a cancelled task that has ended: %q", got)
+	}
 	got := withAll(lines, `"kept: task released"`, `id="cut"`, "step=0 index=0 run=1 ", `worker="w-a`, `shard="a/`, "token=", `why="lease expired"`,
 		"starts_again=true", "since_start=", "since_listing=", "omitted=0")
 	if len(got) != 1 || strings.Contains(got[0], "unknown") {
