shard: two stray runs of a task on one worker are each told once

Cause: a worker's stray runs are kept by task, so two of one task replaced each other and were told at each listing.

Change: the runs that were told are remembered by number while the worker lists them.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -29,7 +29,8 @@
 	leaseExpired        bool          // its lease expired without an answer, and it has not answered since
 	health              policy.WorkerHealth
 	strayRuns           map[submission.TaskRef]strayRun
-	strayCPUMilli       int64 // processor that the stray runs use at least, as refused starts show
+	toldRuns            map[runRef]bool // listed runs that were reported as unexpected; nil: none
+	strayCPUMilli       int64           // processor that the stray runs use at least, as refused starts show
 	unresolvedStarts    unresolvedStarts
 	revokedRuns         map[submission.TaskRef]revokedRun
 }
@@ -82,7 +83,6 @@
 type strayRun struct {
 	run      uint64
 	stopSent bool
-	told     bool // it was reported as an unexpected run
 }
 
 // Conditions under which a worker gets no new tasks.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -167,6 +167,7 @@
 		s.handleListedRun(now, h, r)
 		s.checkProgress(now, h, sentAt, l.Clock, r)
 	}
+	h.pruneToldRuns(l)
 	for ref := range h.strayRuns {
 		if !listed[ref] {
 			h.removeStrayRun(ref)
@@ -242,9 +243,7 @@
 		st.stopSent = true
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
-	if !st.told {
-		st.told = s.tellStray(now, h, r, st.stopSent)
-	}
+	s.tellStray(now, h, r, st.stopSent)
 	h.strayRuns[r.Task] = st
 }
 
--- a/internal/kept/shard/unexpected.go
+++ b/internal/kept/shard/unexpected.go
@@ -32,15 +32,25 @@
 func (s taskState) String() string { return taskStateNames[s] }
 
 // tellStray reports a stray run, once its task is known here, its submission has left, or it is being stopped: before that
-// it may belong to a transient submission whose home VM has not handed it over yet. It returns false if it is to be tried
-// again.
-func (s *Shard) tellStray(now time.Duration, h *host, r worker.Running, stopSent bool) bool {
-	_, hasLeft := s.recentlyEnded[r.Task.ID]
-	if s.knownTask(r.Task) == nil && !hasLeft && !stopSent {
-		return false
+// it may belong to a transient submission whose home VM has not handed it over yet.
+func (s *Shard) tellStray(now time.Duration, h *host, r worker.Running, stopSent bool) {
+	if _, hasLeft := s.recentlyEnded[r.Task.ID]; hasLeft || stopSent || s.knownTask(r.Task) != nil {
+		s.tellUnexpected(now, h, r, stopSent)
 	}
-	s.tellUnexpected(now, h, r, stopSent)
-	return true
+}
+
+// pruneToldRuns forgets the runs that a worker does not list any more.
+func (h *host) pruneToldRuns(l worker.Listing) {
+	if len(h.toldRuns) == 0 {
+		return
+	}
+	told := make(map[runRef]bool)
+	for _, r := range l.Running {
+		if ref := (runRef{r.Task, r.Run}); h.toldRuns[ref] {
+			told[ref] = true
+		}
+	}
+	h.toldRuns = told
 }
 
 // knownTask returns a task of a submission that is open here, nil if there is none.
@@ -51,8 +61,16 @@
 	return nil
 }
 
-// tellUnexpected reports a run that a worker lists and that is not what its task should run.
+// tellUnexpected reports a run that a worker lists and that is not what its task should run, once.
 func (s *Shard) tellUnexpected(now time.Duration, h *host, r worker.Running, stopSent bool) {
+	ref := runRef{r.Task, r.Run}
+	if h.toldRuns[ref] {
+		return
+	}
+	if h.toldRuns == nil {
+		h.toldRuns = make(map[runRef]bool)
+	}
+	h.toldRuns[ref] = true
 	a := UnexpectedRunAction{Worker: h.info.ID, Task: r.Task, Run: r.Run, StopSent: stopSent, State: "not known", ReleasedAgo: -1}
 	if _, hasLeft := s.recentlyEnded[r.Task.ID]; hasLeft {
 		a.State = "submission has left"
--- a/internal/kept/shard/unexpected_test.go
+++ b/internal/kept/shard/unexpected_test.go
@@ -44,8 +44,12 @@
 	if len(got) != 1 || got[0] != want {
 		t.Fatalf("%+v, want %+v", got, want)
 	}
+	second := worker.Running{Task: start.Task, Run: start.Run + 1}
+	if both := w.list(first, second); len(both) != 1 || both[0].Run != second.Run {
+		t.Errorf("%+v, want run 2 beside run 1", both)
+	}
 	for range 3 {
-		if again := w.list(first); len(again) > 0 {
+		if again := w.list(first, second); len(again) > 0 {
 			t.Errorf("told again: %+v", again)
 		}
 	}
