--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -30,7 +30,8 @@
 	leaseExpired        bool          // its lease expired without an answer, and it has not answered since
 	health              policy.WorkerHealth
 	strayRuns           map[submission.TaskRef]strayRun
-	strayCPUMilli       int64 // processor that the stray runs use at least, as refused starts show
+	toldRuns            map[runRef]bool // listed runs that were reported as unexpected; nil: none
+	strayCPUMilli       int64           // processor that the stray runs use at least, as refused starts show
 	unresolvedStarts    unresolvedStarts
 	revokedRuns         map[submission.TaskRef]revokedRun
 }
@@ -76,7 +77,6 @@
 	run      uint64
 	stopSent bool
 	stopAt   time.Duration // when the stop was last sent
-	told     bool          // it was reported as an unexpected run
 }
 
 // strayCounts are the numbers of workers that list a stray run, by task.
