vm: a start and the expiry of its worker's lease exclude each other

What callers saw: a task that ran twice at once, on one worker or on two; the first run was not stopped.

Cause: sessions conclude expiries on goroutines of their own, and the engine applied them as they came. A start was known to its session only when its own goroutine computed the deadline, which counted from then. So the engine could start a task by the time at which its round began, apply an expiry that was concluded before the worker accepted the start, and start the task once more.

Change: the engine computes the deadline of a start in the round that decides it, counts it from the time of the round, and records it before the order is sent. When it applies an expiry it checks the lease again, on the same goroutine. The conclusion is dropped if a start or an answer has extended the lease, and the session concludes it again later: a start, an answer and a dropped conclusion reset what keeps it from telling the engine twice. Without a deadline a start is not sent: the platform leaves out a deadline of 0 ms, and the worker would carry it out at any time. Two silent cases end as well: an expiry that a full queue refused, and a start after an expiry to a worker that stays silent, were never concluded.

Why it works: each deadline that the worker has been or will be sent in a start decided before the expiry is applied is recorded by then. The lease has expired only when the slowest clock of the worker is past all of them, so no such order can be accepted any more, and no run that was extended by one goes on. An order that waits, for whatever reason, is refused as late.

Ruled out: starts without a known clock do not occur while workers give their clock and start time in each listing, as a worker is used only after its session's first listing. Orders through a session that was dropped carry a deadline of the round that decided them; forgetMissingWorkers drops a worker only after 3 s without an answer.

Not shown: that this is what the users saw. Not covered: an old holder that cannot reach a worker takes its lease for expired though the next holder extends it.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -233,8 +233,9 @@
 		if s.IsFirst {
 			e.vm.metrics.queue(s.Queue).firstStart.RecordDuration(s.Waited)
 		}
+		deadline := e.startDeadline(h, s.Worker.ID)
 		e.sendOrder(h, s.Worker.ID, func(ws *workerSession) {
-			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint})
+			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Deadline: deadline})
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
 			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited,
@@ -274,6 +275,15 @@
 	}
 }
 
+// startDeadline returns the deadline of a start that was decided in this round; 0: it must not be sent.
+func (e *engine) startDeadline(h *heldShard, id string) time.Duration {
+	ws := h.sessions[id]
+	if ws == nil {
+		return 0
+	}
+	return ws.startDeadline(e.now)
+}
+
 // sendOrder calls a worker on a separate goroutine, as the worker may hang.
 func (e *engine) sendOrder(h *heldShard, id string, give func(*workerSession)) {
 	ws := h.sessions[id]
--- a/internal/kept/vm/lease_test.go
+++ b/internal/kept/vm/lease_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
+	"github.com/pumiceyard/pumiceyard/internal/process/ring"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -42,6 +44,12 @@
 		submitEvent{record: rec, reply: out}.apply(e)
 		then(e)
 	}))
+	time.AfterFunc(20*time.Second, func() { // the time-out of a caller
+		select {
+		case out <- Outcome{Kind: Indeterminate, Reason: "no answer in time"}:
+		default:
+		}
+	})
 	return out
 }
 
@@ -62,6 +70,12 @@
 		t.Run(stall.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newSmallWorld(t)
+				var firstRun uint64
+				w.fleet.OnStart(func(_ worker.Info, s worker.Start) {
+					if firstRun == 0 {
+						firstRun = s.Run
+					}
+				})
 				out := w.submitInRound("job", func(e *engine) {
 					w.setSilent(true)
 					time.Sleep(stall)
@@ -72,6 +86,9 @@
 				})
 				w.wantEnd(out, submission.Done)
 				w.end()
+				if stall >= startValidFor+renewWait+50*ms && firstRun == 1 {
+					t.Error("a start was carried out that was decided before the stall")
+				}
 			})
 		})
 	}
@@ -91,3 +108,93 @@
 		w.end()
 	})
 }
+
+// Guards against a task that never ends: an expiry was dropped because a start came after it, and when the worker stays
+// silent the session doesn't conclude the next one.
+func TestLeaseExpiresAfterADroppedExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSmallWorld(t)
+		w.fleet.OnStart(func(at worker.Info, _ worker.Start) {
+			w.vms["a1"].post(engineStep(func(e *engine) {
+				ws := e.shards["a/0"].sessions[at.ID]
+				ws.expiryPosted.Store(true)
+				e.vm.post(leaseExpiredEvent{session: ws})
+				w.fleet.OnStart(nil)
+				w.fleet.SetUnreachable(at.ID, true)
+			}))
+		})
+		began := time.Now()
+		w.wantEnd(w.submitInRound("job", func(*engine) {}), submission.Done)
+		if took := time.Since(began); took > 2500*ms {
+			t.Errorf("it took %v, want at most 2.5 s: a lease, a run and a margin", took)
+		}
+		w.end()
+	})
+}
+
+// newLeasedSession returns a session whose worker has just answered that its clock shows a second.
+func newLeasedSession(now *time.Duration) *workerSession {
+	ws, _ := newScriptedSession(0, worker.Reply{Clock: time.Second})
+	ws.vm.now = func() time.Duration { return *now }
+	ws.vm.events = ring.New[event](1)
+	ws.recordClock(*now, worker.Reply{Clock: time.Second})
+	return ws
+}
+
+// wantExpiries checks how many expiries a session tells the engine when it finds no answer twice.
+func wantExpiries(t *testing.T, ws *workerSession, why string, want int) {
+	t.Helper()
+	got := 0
+	for range 2 {
+		ws.postExpiry()
+		got += len(ws.vm.events.Drain())
+	}
+	if got != want {
+		t.Errorf("%s: %d expiries, want %d", why, got, want)
+	}
+}
+
+// Guards against a task that never ends: the worker starts it after the expiry of its lease, or answers once more, and
+// then stays silent, but the session has told the engine of an expiry before.
+func TestExpiryIsToldOnceForEachLease(t *testing.T) {
+	now := time.Hour
+	ws := newLeasedSession(&now)
+	wantExpiries(t, ws, "at once", 0)
+	now += 1100 * ms
+	wantExpiries(t, ws, "after a lease", 1)
+	ws.startDeadline(now)
+	wantExpiries(t, ws, "after a start", 0)
+	now += 800 * ms
+	wantExpiries(t, ws, "when the start is void", 1)
+	ws.hold(t.Context(), now, worker.Hold{})
+	wantExpiries(t, ws, "after an answer that extends no lease", 1)
+}
+
+// Guards against an expiry that is lost because the engine's queue is full.
+func TestExpiryIsToldWhenTheQueueHasRoom(t *testing.T) {
+	now := time.Hour
+	ws := newLeasedSession(&now)
+	ws.vm.metrics = newMetrics("a1")
+	t.Cleanup(ws.vm.metrics.close)
+	now += 1100 * ms
+	ws.vm.post(linkNeedEvent{})
+	ws.postExpiry()
+	ws.vm.events.Drain()
+	wantExpiries(t, ws, "after the queue was full", 1)
+}
+
+// Guards against a start that a worker may carry out at any time, as it has no deadline: the worker's clock isn't known,
+// or showed less than the time by which the start is late.
+func TestStartWithoutADeadlineIsNotSent(t *testing.T) {
+	now := time.Hour
+	unknown, _ := newScriptedSession(0)
+	young := newLeasedSession(&now)
+	for name, ws := range map[string]*workerSession{"the clock is not known": unknown, "the clock showed less": young} {
+		ws.vm.events = ring.New[event](1)
+		ws.start(t.Context(), worker.Start{Run: 1, Deadline: ws.startDeadline(now - 1700*ms)}) // whose client would panic
+		events := ws.vm.events.Drain()
+		if len(events) != 1 || events[0].(startReplyEvent).reply.Verdict != worker.Unavailable {
+			t.Errorf("%s: the engine is told %v", name, events)
+		}
+	}
+}
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -39,7 +39,9 @@
 	rttWeight       = 8                      // of the moving average of round-trip times: a new one counts 1/rttWeight
 	sharedRTTWeight = 64                     // the same for the average over all workers
 	startValidFor   = 700 * time.Millisecond // on the worker's clock; the worker refuses a start that arrives later
-	maxClockDrift   = 0.02                   // by which a worker's clock may be slow
+	// minStartDeadline is the earliest deadline that is sent: the platform has it in milliseconds, and none for 0.
+	minStartDeadline = time.Millisecond
+	maxClockDrift    = 0.02 // by which a worker's clock may be slow
 )
 
 // workerSession makes the calls to one worker while this VM holds its shard.
@@ -53,6 +55,7 @@
 	acked        chan struct{} // receives a value when ackedEnd changes
 	extendLeases *atomic.Bool  // whether leases may be extended
 	unanswered   atomic.Bool   // the last renewal was not answered
+	expiryPosted atomic.Bool   // the engine was told that the lease has expired; no answer or start has come since
 	orderRTT     atomic.Int64  // moving average of the round-trip time of orders, in nanoseconds
 	silentOrders atomic.Int32  // orders without an answer since the last one with an answer
 	cancel       context.CancelFunc
@@ -62,7 +65,7 @@
 	lastClock       time.Duration // the worker's clock as it last reported it; 0: it never answered
 	clockSentAt     time.Duration // when the call that brought lastClock left
 	clockReceivedAt time.Duration // when its answer arrived
-	maxDeadline     time.Duration // latest deadline sent, on the worker's clock
+	maxDeadline     time.Duration // latest deadline of an order, on the worker's clock
 }
 
 // startSession starts a session, which runs until ctx ends or another incarnation answers.
@@ -78,7 +81,6 @@
 // run renews the worker's lease and posts its listings, until ctx ends or another
 // incarnation answers.
 func (ws *workerSession) run(ctx context.Context) {
-	expired := false
 	for ctx.Err() == nil {
 		requestedAt := ws.vm.now()
 		listing, reply := ws.renew(ctx, renewWait)
@@ -87,7 +89,6 @@
 		}
 		switch reply.Verdict {
 		case worker.Accepted:
-			expired = false
 			ws.vm.post(listingEvent{session: ws, requestedAt: requestedAt, listing: listing})
 			ws.awaitAcks(ctx, listing)
 			continue
@@ -99,14 +100,21 @@
 			ws.vm.post(workerReplacedEvent{session: ws, successor: reply.Successor})
 			return
 		}
-		if over, certain := ws.leaseExpired(ws.vm.now()); certain && over && !expired {
-			expired = true
-			ws.vm.post(leaseExpiredEvent{session: ws})
-		}
+		ws.postExpiry()
 		pause.For(ctx, renewRetryDelay)
 	}
 }
 
+// postExpiry tells the engine once that the lease has expired. The engine checks it again, as it may have decided
+// a start since.
+func (ws *workerSession) postExpiry() {
+	if over, _ := ws.leaseExpired(ws.vm.now()); over && ws.expiryPosted.CompareAndSwap(false, true) {
+		if !ws.vm.post(leaseExpiredEvent{session: ws}) {
+			ws.expiryPosted.Store(false)
+		}
+	}
+}
+
 // awaitAcks waits for a limited time until the ends of a listing are acknowledged: a
 // renewal that does not acknowledge them would return at once with the same ends.
 func (ws *workerSession) awaitAcks(ctx context.Context, l worker.Listing) {
@@ -185,6 +193,9 @@
 	listing, reply := ws.vm.config.Workers.Hold(ctx, *ws.info.Load(), order)
 	reply = ws.checkIncarnation(reply)
 	ws.recordClock(requestedAt, reply)
+	if reply.Verdict == worker.Accepted {
+		ws.expiryPosted.Store(false)
+	}
 	return listing, reply
 }
 
@@ -220,7 +231,7 @@
 	return ws.lastClock + now - ws.clockSentAt, true
 }
 
-// recordDeadline keeps the latest deadline sent to the worker.
+// recordDeadline keeps the latest deadline of an order, before it is sent.
 func (ws *workerSession) recordDeadline(d time.Duration) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -257,15 +268,17 @@
 	return earliest > ws.maxDeadline, true
 }
 
-// startDeadline returns the time on the worker's clock until which it may carry out a start that leaves
-// now; 0 if its clock is not known.
-func (ws *workerSession) startDeadline() time.Duration {
-	now, known := ws.latestClock(ws.vm.now())
+// startDeadline returns the time on the worker's clock until which it may carry out a start that was decided at
+// decidedAt; 0 if its clock is not known. The engine calls it before the order is sent, so that no expiry that it applies
+// later passes over the order.
+func (ws *workerSession) startDeadline(decidedAt time.Duration) time.Duration {
+	now, known := ws.latestClock(decidedAt)
 	if !known {
 		return 0
 	}
 	d := now + startValidFor
 	ws.recordDeadline(d)
+	ws.expiryPosted.Store(false)
 	return d
 }
 
@@ -308,10 +321,14 @@
 	average.Store(before + (int64(sample)-before)/weight)
 }
 
-// start sends an order to start a run and posts the worker's reply.
+// start sends an order to start a run and posts the worker's reply. Without a deadline it is not sent, as the worker
+// could carry it out at any time.
 func (ws *workerSession) start(ctx context.Context, s worker.Start) {
+	if s.Deadline < minStartDeadline {
+		ws.vm.post(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: worker.Reply{Verdict: worker.Unavailable}})
+		return
+	}
 	s.Token = ws.token
-	s.Deadline = ws.startDeadline()
 	ctx, cancel := context.WithTimeout(ctx, ws.orderTimeout())
 	defer cancel()
 	requestedAt := ws.vm.now()
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -284,13 +284,19 @@
 	e.syncSessions(h)
 }
 
-// apply gives up a worker that does not answer and whose lease has certainly expired.
+// apply gives up a worker that does not answer and whose lease has certainly expired. The session tells it again if a
+// start or an answer has come since, and the lease expires later.
 func (ev leaseExpiredEvent) apply(e *engine) {
 	h := e.sessionShard(ev.session)
 	if h == nil {
 		return
 	}
 	id := ev.session.info.Load().ID
+	if over, _ := ev.session.leaseExpired(e.vm.now()); !over {
+		ev.session.expiryPosted.Store(false)
+		klog.InfoS("kept: worker not lost", "worker", id, "shard", ev.session.shard, "why", "its lease was extended since its expiry was noticed")
+		return
+	}
 	e.vm.metrics.workersLost.Inc(1)
 	klog.InfoS("kept: worker lost", "worker", id, "shard", ev.session.shard, "why", "no answer, and its lease has expired")
 	h.core.WorkerLeaseExpired(e.now, id)
