shard: the tasks of a worker are kept while a start order to it may be carried out

What callers saw: nothing yet; a random world of transient submissions showed it.

Cause: a start order extends the lease of all runs of its worker, and takes up to 0.7 s to become void. A lease that was taken for expired before kept only the task of that order; runs that had begun earlier went on while their tasks started elsewhere.

Change: the holder remembers until when the last start order to a worker is valid, by its decision, or by its answer if that comes after the expiry. Until then an expired lease releases none of the tasks there. This takes the place of the same check for single tasks.

The world no longer hands a new holder the listings that answered the last one. TestReleaseHasItsReason and TestRunOfAReleasedTaskIsToldOnce let the start become void before the lease expires; what they want is as it was.

--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -151,6 +151,7 @@
 		return
 	}
 	h.leaseExpired = false
+	h.releaseAt = 0
 	s.discountLoss(now, h.incarnation)
 	for _, j := range s.jobs {
 		for _, t := range j.tasks {
--- a/internal/kept/shard/doc.go
+++ b/internal/kept/shard/doc.go
@@ -30,8 +30,8 @@
 //   - Run numbers. A start order without an answer may still be carried out seconds
 //     later. Once the worker has acknowledged a stop of the same run, it never is.
 //   - Leases. A worker that cannot be reached ends all its runs when its lease expires.
-//     Only then are their tasks started elsewhere, and once start orders that have no answer yet
-//     are void.
+//     Only then are their tasks started elsewhere. Start orders extend the lease as well, so it
+//     has not expired while one of them may still be carried out.
 //   - Listings. While a worker lists a run of a task, no other run of it starts, until the run has
 //     ended or the worker's lease or incarnation has. If this holder started the run, and no later
 //     one, it goes on as the task's run. Any other is stopped: that of an earlier attempt to have
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -28,6 +28,8 @@
 	fullUntil           time.Duration // end of the backoff after it refused a run for lack of room
 	unavailableUntil    time.Duration // end of the backoff after it refused a run as unavailable
 	leaseExpired        bool          // its lease expired without an answer, and it has not answered since
+	startsVoidAt        time.Duration // when the last start order to it is void
+	releaseAt           time.Duration // when its tasks are released, as its lease has expired; 0: there is no need
 	health              policy.WorkerHealth
 	strayRuns           map[submission.TaskRef]strayRun
 	strayCPUMilli       int64 // processor that the stray runs use at least, as refused starts show
@@ -338,44 +340,41 @@
 
 // WorkerLeaseExpired handles the certain expiry of a worker's lease: all runs that were started there
 // before have ended. Nothing starts there until it answers. A worker that has left the list is removed.
+//
+// A start order extends the lease of all runs there. While one may still be carried out, the tasks are kept.
 func (s *Shard) WorkerLeaseExpired(now time.Duration, id string) {
 	h, known := s.workers[id]
-	switch {
-	case !known:
-	case h.missingSince > 0:
-		s.remove(now, id, false, LeaseExpired)
-	case !h.leaseExpired:
+	if !known {
+		return
+	}
+	if !h.leaseExpired {
 		h.leaseExpired = true
-		s.releaseAll(now, h, false, LeaseExpired)
+		h.releaseAt = max(now, h.startsVoidAt)
 	}
+	s.releaseExpired(now, h)
 }
 
 // startValidity is how long after it was sent a start order may still be carried out: 700 ms on a worker's clock, which
 // may be 2% slow.
 const startValidity = 715 * time.Millisecond
 
-// mayStillBegin reports whether the newest run of a task may begin though its worker's lease has expired: the start order
-// has no answer and is still valid.
-func (t *task) mayStillBegin(now time.Duration) bool {
-	return t.occupies() && !t.hasBegun && t.stopAckClock == 0 && t.startedAt > 0 && now-t.startedAt < startValidity
-}
-
-// hasLapsed reports whether a task has to be released that was kept when its worker's lease expired: its start order is
-// void, and the worker has not answered.
-func (t *task) hasLapsed(now time.Duration) bool {
-	return t.orderVoidAt > 0 && now >= t.orderVoidAt && t.occupies() && t.host.leaseExpired
+// releaseExpired releases the tasks of a worker whose lease has expired, once all start orders to it are void.
+func (s *Shard) releaseExpired(now time.Duration, h *host) {
+	switch {
+	case now < h.releaseAt:
+	case h.missingSince > 0:
+		s.remove(now, h.info.ID, false, LeaseExpired)
+	default:
+		h.releaseAt = 0
+		s.releaseAll(now, h, false, LeaseExpired)
+	}
 }
 
-// releaseAll releases the tasks of a worker whose runs have ended, and records its loss. A task whose start order may
-// still be carried out is kept until the order is void, unless the worker is being removed.
+// releaseAll releases all tasks of a worker whose runs have ended, and records its loss.
 func (s *Shard) releaseAll(now time.Duration, h *host, ended bool, why ReleaseReason) {
 	tasks := s.tasksOn(h)
 	s.recordLoss(now, h, tasks, ended)
 	for _, t := range tasks {
-		if h.leaseExpired && h.missingSince == 0 && !ended && t.mayStillBegin(now) {
-			t.orderVoidAt = t.startedAt + startValidity
-			continue
-		}
 		s.release(now, t, why)
 	}
 	s.clearStrayRuns(h)
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -40,7 +40,6 @@
 	acceptClock  time.Duration   // the worker's clock when it accepted the run; 0: not known
 	stopAckClock time.Duration   // the worker's clock when it acknowledged the stop; 0: it has not
 	stopAckAt    time.Duration   // when that acknowledgement arrived
-	orderVoidAt  time.Duration   // when its start order is void, if its worker's lease expired before; 0: it has not
 	failedRuns   []uint64        // numbers of the failed runs, as far as they are known
 	startedRuns  []startedRun    // that this holder ordered
 	failures     int             // failed runs, including those stored by earlier holders
--- a/internal/kept/shard/listed_test.go
+++ b/internal/kept/shard/listed_test.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// Guards against a task that runs twice at once, as its worker's lease is taken for expired though a later start order,
+// without an answer yet, has extended it.
+func TestLaterStartExtendsTheLeaseOfEarlierRuns(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.assign(w.submission("a", 1, runhost.Work{Time: 2 * time.Second}))
+	w.run(100 * ms)
+	w.unreachable["w0"] = true
+	w.run(600 * ms)
+	w.startDelay = func(StartAction) time.Duration { return 300 * ms }
+	w.assign(w.submission("b", 1, runhost.Work{Time: 100 * ms}))
+	w.run(100 * ms)
+	w.startDelay = nil
+	w.addHost("w1", "10.0.0.1:80")
+	w.updateList()
+	w.run(5 * time.Second)
+	w.expectState("a", submission.Done)
+	w.expectState("b", submission.Done)
+}
+
 // Guards against a task that runs twice at once, as its worker lists an older run of it, which is stopped and takes some
 // time to end, while the task waits.
 func TestOlderListedRunKeepsItsTask(t *testing.T) {
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -89,11 +89,11 @@
 	t.host = c.host
 	t.startedRuns = append(t.startedRuns, startedRun{t.newestRun, c.host})
 	c.host.recordStart(now, t.ref, t.newestRun)
+	c.host.startsVoidAt = now + startValidity
 	t.stateSince = now
 	t.startedAt = now
 	t.acceptClock = 0
 	t.stopAckClock = 0
-	t.orderVoidAt = 0
 	t.resumed = t.checkpoint != ""
 	t.wasOverdue = false
 	t.projected = 0
--- a/internal/kept/shard/replies.go
+++ b/internal/kept/shard/replies.go
@@ -22,8 +22,8 @@
 		}
 		return
 	}
-	if t.orderVoidAt > 0 {
-		t.orderVoidAt = now + startValidity // it may have been sent just before
+	if h.releaseAt > 0 {
+		h.releaseAt = now + startValidity // the order may have been sent just before
 	}
 	switch r.Verdict {
 	case worker.Accepted:
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -39,8 +39,12 @@
 		s.rejectIfWaitTooLong(now, j)
 		s.drainIfEvacuated(now, j)
 	}
-	for _, h := range s.workers {
+	for _, id := range s.workerIDs {
+		h := s.workers[id]
 		s.repeatRevocations(now, h)
+		if h.releaseAt > 0 {
+			s.releaseExpired(now, h)
+		}
 	}
 	s.forgetMissingWorkers(now)
 	s.centreSpeeds(now)
@@ -123,10 +127,6 @@
 // repeatOrders repeats the stop orders and probes of a submission that had no answer.
 func (s *Shard) repeatOrders(now time.Duration, j *job) {
 	for _, t := range j.tasks {
-		if t.hasLapsed(now) {
-			s.release(now, t, LeaseExpired)
-			continue
-		}
 		switch t.state {
 		case taskStoppingToRestart, taskStoppingForGood:
 			if now-t.stateSince >= stopRetryInterval && t.stopAckClock == 0 {
--- a/internal/kept/shard/unexpected_test.go
+++ b/internal/kept/shard/unexpected_test.go
@@ -36,6 +36,7 @@
 	w, start := unexpectedWorld(t)
 	first := worker.Running{Task: start.Task, Run: start.Run}
 	w.shard.HandleStartReply(w.now, "w0", start.Task, start.Run, worker.Reply{Verdict: worker.Accepted, Clock: w.now})
+	w.now += startValidity
 	w.shard.WorkerLeaseExpired(w.now, "w0")
 	got := w.list(first)
 	want := UnexpectedRunAction{
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -153,6 +153,7 @@
 	settings.EnforcesCapacity = func(string) bool { return !w.unguarded }
 	w.shard = New(w.now, settings, token, barrier)
 	clear(w.ackedEnds)
+	w.lagged = nil // which answer the previous holder
 	w.updateList()
 	w.shard.AddRecords(w.now, nil)
 }
@@ -448,7 +449,11 @@
 	if w.startLag != nil {
 		if d := w.startLag(s); d > 0 {
 			order.Deadline += d
+			by := w.shard
 			w.delay(id, d, func(h *runhost.Host) {
+				if w.shard != by {
+					return // a holder that was replaced sends nothing any more
+				}
 				r := w.startAt(h, order)
 				if w.unreachable[id] {
 					r = silence
