--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -32,7 +32,8 @@
 	releaseAt           time.Duration // when its tasks are released, as its lease has expired; 0: there is no need
 	health              policy.WorkerHealth
 	strayRuns           map[submission.TaskRef]strayRun
-	strayCPUMilli       int64 // processor that the stray runs use at least, as refused starts show
+	toldRuns            map[runRef]bool // listed runs that were reported as unexpected; nil: none
+	strayCPUMilli       int64           // processor that the stray runs use at least, as refused starts show
 	unresolvedStarts    unresolvedStarts
 	revokedRuns         map[submission.TaskRef]revokedRun
 }
@@ -78,7 +79,6 @@
 	run      uint64
 	stopSent bool
 	stopAt   time.Duration // when the stop was last sent
-	told     bool          // it was reported as an unexpected run
 }
 
 // strayCounts are the numbers of workers that list a stray run, by task.
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -169,6 +169,7 @@
 		s.handleListedRun(now, h, r)
 		s.checkProgress(now, h, sentAt, l.Clock, r)
 	}
+	h.pruneToldRuns(l)
 	if h.hasMoreEnded = l.MoreEnded; h.hasMoreEnded {
 		return // a run that is not listed may have ended
 	}
@@ -278,9 +279,7 @@
 		st.stopAt = now
 		s.actions.Stops = append(s.actions.Stops, StopAction{Worker: h.info, Task: r.Task, Run: r.Run, Reason: "the run belongs to no task that may run there"})
 	}
-	if !st.told {
-		st.told = s.tellStray(now, h, r, st.stopSent)
-	}
+	s.tellStray(now, h, r, st.stopSent)
 	s.setStrayRun(h, r.Task, st)
 }
 
