--- a/internal/kept/shard/incarnation.go
+++ b/internal/kept/shard/incarnation.go
@@ -87,6 +87,7 @@
 // incarnation numbers its ended runs from the start. Its unresolved starts are kept for that incarnation.
 func (s *Shard) forgetHost(now time.Duration, h *host) {
 	id := h.info.ID
+	s.clearStrayRuns(h)
 	delete(s.workers, id)
 	s.workerIDs = slices.Sorted(maps.Keys(s.workers))
 	delete(s.earlyListings, id)
@@ -111,7 +112,7 @@
 			delete(old.unresolvedStarts, run)
 			continue
 		}
-		s.release(now, t)
+		s.release(now, t, IncarnationEnded)
 	}
 	s.confirmLoss(now, old.incarnation)
 	s.forgetHost(now, old)
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -40,6 +40,8 @@
 	taskFactor     func(submission.TaskRef) float64 // by which factor a task takes longer than others of its submission; nil: 1
 	speeds         []SpeedAction                    // that the shard has told
 	badReports     []BadReport
+	releases       []ReleaseAction
+	unexpected     []UnexpectedRunAction
 	handleLag      map[string]time.Duration // how long after a worker answered a hold the shard handles the answer
 	lagged         []laggedListing
 	clockJump      map[string]time.Duration // by how much the clock in a worker's listings is ahead of that in its other answers
@@ -50,7 +52,8 @@
 	losesStartReply func(StartAction) bool
 	// startDelay returns by how much a start order is delayed, which then has no answer; 0: it is not.
 	startDelay    func(StartAction) time.Duration
-	stopDelay     func(StopAction) time.Duration // the same for stop orders
+	stopDelay     func(StopAction) time.Duration  // the same for stop orders
+	startLag      func(StartAction) time.Duration // how long after its decision a start order is sent, with a deadline from then; nil: 0
 	pendingOrders []pendingOrder
 	// ordersOutliveWorkers makes delayed orders reach the next incarnation of their worker under the same ID. By
 	// default they are lost with the incarnation that received them.
@@ -405,6 +408,8 @@
 	a := w.shard.TakeActions()
 	w.speeds = append(w.speeds, a.Speeds...)
 	w.badReports = append(w.badReports, a.BadReports...)
+	w.releases = append(w.releases, a.Releases...)
+	w.unexpected = append(w.unexpected, a.Unexpected...)
 	for _, s := range a.Acks {
 		w.ackedEnds[s.Worker] = s.UpTo
 	}
@@ -440,6 +445,19 @@
 		order.Deadline += h.ClockOffset
 	}
 	silence := worker.Reply{Verdict: worker.NoAnswer}
+	if w.startLag != nil {
+		if d := w.startLag(s); d > 0 {
+			order.Deadline += d
+			w.delay(id, d, func(h *runhost.Host) {
+				r := w.startAt(h, order)
+				if w.unreachable[id] {
+					r = silence
+				}
+				w.shard.HandleStartReply(w.now, id, s.Task, s.Run, r)
+			})
+			return
+		}
+	}
 	if w.startDelay != nil {
 		if d := w.startDelay(s); d > 0 {
 			w.delay(id, d, func(h *runhost.Host) { w.startAt(h, order) })
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -81,7 +81,7 @@
 type engine struct {
 	vm                *VM
 	ctx               context.Context
-	now               time.Duration // at the start of this round
+	now               time.Duration // when this round had taken its events from the queue
 	site              *site.Site
 	shards            map[string]*heldShard
 	tracked           map[submission.ID]*trackedSubmission // stored submissions
@@ -128,6 +128,9 @@
 	unplacedSent    bool                     // the last count of unplaced submissions sent to peers was not 0
 	frames          map[string]*pb.KeptFrame // by peer: to be sent at the end of this round
 	prunedAt        time.Duration
+	rounds          roundTimes
+	releaseLines    lineLimit
+	unexpectedLines lineLimit
 	drained         chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
 
@@ -167,10 +170,7 @@
 // runRound applies all queued events, runs what is due, and sends at most one frame to each
 // peer.
 func (e *engine) runRound(time.Time) {
-	e.now = e.vm.now()
-	for _, ev := range e.vm.events.Drain() {
-		ev.apply(e)
-	}
+	e.applyEvents()
 	e.maintainLinks()
 	e.planLayouts()
 	e.claimShards()
@@ -199,6 +199,27 @@
 	e.vm.metrics.openSubmissions.Update(float64(len(e.transients) + len(e.tracked)))
 }
 
+// maxEventLag is how long before the time of a round an event may have been queued that the round has not applied.
+const maxEventLag = 5 * time.Millisecond
+
+// applyEvents applies the queued events and sets the time of the round.
+func (e *engine) applyEvents() {
+	for {
+		asOf := e.vm.now()
+		events := e.vm.events.Drain()
+		// The clock is read after the events are taken: an event applied at a time before it happened could make a listing
+		// that was asked for before a start was answered count as newer than the answer.
+		e.now = e.vm.now()
+		for _, ev := range events {
+			ev.apply(e)
+		}
+		// If the thread stood still in between, the answer to what is overdue by now may be queued.
+		if e.now-asOf <= maxEventLag {
+			return
+		}
+	}
+}
+
 // roundInterval returns the longest time until the next round.
 func (e *engine) roundInterval() time.Duration {
 	if len(e.shards)+len(e.transients)+len(e.tracked)+len(e.deferred) == 0 && e.drained == nil {
@@ -230,12 +251,13 @@
 		}
 	}
 	for _, s := range a.Starts {
+		decidedAt := e.now
 		if s.IsFirst {
 			e.vm.metrics.queue(s.Queue).firstStart.RecordDuration(s.Waited)
 		}
 		deadline := e.startDeadline(h, s.Worker.ID)
 		e.sendOrder(h, s.Worker.ID, func(ws *workerSession) {
-			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Deadline: deadline})
+			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Deadline: deadline}, decidedAt)
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
 			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited,
@@ -261,6 +283,8 @@
 		e.storeReassign(name, h, m)
 	}
 	e.logLosses(name, a)
+	e.logReleases(name, h.holding.Token, a.Releases)
+	e.logUnexpected(name, h.holding.Token, a.Unexpected)
 	e.logSpeeds(name, a)
 	for _, l := range a.TaskLosses {
 		e.reportTaskLosses(l)
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -321,9 +321,9 @@
 	average.Store(before + (int64(sample)-before)/weight)
 }
 
-// start sends an order to start a run and posts the worker's reply. Without a deadline it is not sent, as the worker
-// could carry it out at any time.
-func (ws *workerSession) start(ctx context.Context, s worker.Start) {
+// start sends an order to start a run, decided at a time of the engine, and posts the worker's reply. Without a deadline
+// it is not sent, as the worker could carry it out at any time.
+func (ws *workerSession) start(ctx context.Context, s worker.Start, decidedAt time.Duration) {
 	if s.Deadline < minStartDeadline {
 		ws.vm.post(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: worker.Reply{Verdict: worker.Unavailable}})
 		return
@@ -332,6 +332,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ws.orderTimeout())
 	defer cancel()
 	requestedAt := ws.vm.now()
+	ws.recordStartDelay(s, requestedAt-decidedAt)
 	r := ws.checkIncarnation(ws.vm.config.Workers.Start(ctx, *ws.info.Load(), s))
 	ws.recordClock(requestedAt, r)
 	ws.recordOrder(ws.vm.now()-requestedAt, r)
