--- a/internal/kept/vm/lease_test.go
+++ b/internal/kept/vm/lease_test.go
@@ -94,17 +94,24 @@
 	}
 }
 
-// Guards against two runs of a task at once: a session concludes that the lease has expired, and the engine starts a
-// task there before it learns of the conclusion.
+// Guards against two runs of a task at once, and against workers that get no tasks though they answer: a session concludes
+// that the lease has expired, and the engine starts a task there before it learns of the conclusion.
 func TestStartOvertakesTheExpiryOfALease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newSmallWorld(t)
+		began := time.Now()
+		var next chan Outcome
 		out := w.submitInRound("job", func(e *engine) {
 			for _, ws := range e.shards["a/0"].sessions {
 				e.vm.post(leaseExpiredEvent{session: ws})
 			}
+			next = w.submitInRound("next", func(*engine) {})
 		})
 		w.wantEnd(out, submission.Done)
+		w.wantEnd(next, submission.Done)
+		if took := time.Since(began); took > 410*ms {
+			t.Errorf("two tasks of 400 ms took %v on idle workers", took)
+		}
 		w.end()
 	})
 }
@@ -191,7 +198,8 @@
 	young := newLeasedSession(&now)
 	for name, ws := range map[string]*workerSession{"the clock is not known": unknown, "the clock showed less": young} {
 		ws.vm.events = ring.New[event](1)
-		ws.start(t.Context(), worker.Start{Run: 1, Deadline: ws.startDeadline(now - 1700*ms)}, now) // whose client would panic
+		decidedAt := now - 1700*ms
+		ws.start(t.Context(), worker.Start{Run: 1, Deadline: ws.startDeadline(decidedAt)}, decidedAt) // whose client would panic
 		events := ws.vm.events.Drain()
 		if len(events) != 1 || events[0].(startReplyEvent).reply.Verdict != worker.Unavailable {
 			t.Errorf("%s: the engine is told %v", name, events)
