soak: it reports the runs that started after another run of their task had completed

Cause: a VM that was suspended gives up workers at once when it goes on, and starts their tasks elsewhere some milliseconds before it hears that they have completed. The platform's rule allows that once the lease has lapsed, so the soak passed over it, and work done twice was not seen in its verdict.

Change: the stand-in's ledger counts the starts of a task after a run of it had completed, and each soak's line says how many there were. It is a figure, not a violation: no check of the soak is changed.

A run that the lapse of its lease has ended is not counted.

Conclusion: the count is there for a change of the decision to be measured by.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -137,6 +137,17 @@
 	return highest
 }
 
+// StartsAfterCompletion returns how many runs were started after another run of their task had completed.
+func (f *Fleet) StartsAfterCompletion() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, n := range f.Ledger.StartsAfterCompletion {
+		sum += n
+	}
+	return sum
+}
+
 // Add starts a worker.
 func (f *Fleet) Add(info worker.Info) {
 	f.mu.Lock()
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -55,6 +55,8 @@
 	// task after CrashLimit of them had.
 	Crashes               map[submission.TaskRef]int
 	StartsAfterCrashLimit map[submission.TaskRef]int
+	// StartsAfterCompletion counts the starts of a task after a run of it had completed.
+	StartsAfterCompletion map[submission.TaskRef]int
 	Violations            []string // tasks that ran twice at once, workers loaded beyond their capacity
 }
 
@@ -75,6 +77,7 @@
 
 		Crashes:               make(map[submission.TaskRef]int),
 		StartsAfterCrashLimit: make(map[submission.TaskRef]int),
+		StartsAfterCompletion: make(map[submission.TaskRef]int),
 	}
 }
 
@@ -113,6 +116,9 @@
 	if l.Crashes[ref] >= CrashLimit {
 		l.StartsAfterCrashLimit[ref]++
 	}
+	if l.completions[ref] > 0 {
+		l.StartsAfterCompletion[ref]++
+	}
 	if l.running[ref] > 1 {
 		l.Violations = append(l.Violations, fmt.Sprintf("%s.%d.%d runs twice at once: run %d at %s", ref.ID, ref.Step, ref.Index, run, where))
 	}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -110,10 +110,19 @@
 		s.printLines(broken)
 	}
 	err = errors.Join(err, s.faults.close())
-	fmt.Fprintf(opt.Out, "seed %d: late binding %v, %d faults, %v, %.1f s: %v\n", opt.Seed, policyOf(opt.Seed).LateBinding, s.faultCount, s.outcomes, time.Since(s.startedAt).Seconds(), resultText(err))
+	fmt.Fprintln(opt.Out, s.report(err))
 	return err
 }
 
+// report returns the line that says what the soak has seen. A run that starts after another one of its task has
+// completed is work done twice. The platform's rule allows it once the lease of the first run's worker has lapsed, so
+// it is counted, and no violation.
+func (s *soak) report(err error) string {
+	return fmt.Sprintf("seed %d: late binding %v, %d faults, %v, %d runs started after another run of their task had completed, %.1f s: %v",
+		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.faultCount, s.outcomes,
+		s.site.Fleet.StartsAfterCompletion(), time.Since(s.startedAt).Seconds(), resultText(err))
+}
+
 func resultText(err error) string {
 	if err != nil {
 		return err.Error()
