soak: half of the seeds stall the VMs in quick succession, on 1, 2 or 4 processors

Cause: on the users' machines a task ran twice at once, with real processes on a busy machine. The soak paused a VM now and then at any moment, mostly an idle one; what a process does with decisions that it has made and not yet carried out when it goes on was hardly played.

Change: for half of the seeds, each VM is suspended for 0.3 to 2.5 s, two to four times in quick succession. A stall begins when the VM logs that it orders a start, or after 0.5 s. GOMAXPROCS is 1, 2 or 4 for each VM, and there are jobs of up to 30 short tasks beside the other work.

Seeds: all that is new is drawn from random numbers of its own. The draws of the other faults and of the other work are as before (TestSeedsKeepTheirFaults pins the faults of seeds 1, 22, 25, 47, 136, 145 and 4307).

Evidence: TestStallBeginsWhenAStartIsOrdered, TestOneStallForOneStart, TestSeedsDetermineTheStalls; go test -race of the package.

Conclusion: stalls reach orders that wait.

--- a/cmd/pumiceyard/soak.go
+++ b/cmd/pumiceyard/soak.go
@@ -21,7 +21,9 @@
 		Long: `Run entry VMs as separate processes on loopback; delay, cut and silence their
 connections; pause, kill and restart the processes; and check from what callers and
 workers observe that no guarantee is violated. The seed determines the faults, but not
-the timing of the machine.`,
+the timing of the machine. For half of the seeds, each VM is also suspended for
+moments in quick succession and runs on 1, 2 or 4 processors, and there is more
+short work.`,
 		GroupID: tryout,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -46,6 +48,7 @@
 	c.Flags().IntVar(&seeds, "seeds", 1, "number of seeds, run one after the other")
 	c.Flags().DurationVar(&opt.Duration, "duration", 10*time.Second, "how long faults are injected, for each seed")
 	c.Flags().IntVar(&opt.VMs, "vms", 4, "number of entry VMs, in two failure domains")
+	c.Flags().BoolVar(&opt.Stalls, "stalls", true, "suspend the VMs in quick succession, for the seeds that say so; the other faults stay the same")
 	c.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the logs of the VMs and of the faults, created if missing (default a new temporary one)")
 	_ = c.MarkFlagRequired("daemon")
 	return c
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -15,6 +17,8 @@
 	peerProxy    *proxy
 	storeProxy   *proxy
 	logPath      string
+	procs        int                    // GOMAXPROCS of the process; 0: the default, and its output is not watched
+	onStart      atomic.Pointer[func()] // called once when the VM orders a start; nil: nobody waits for that
 
 	startMu sync.Mutex // held while a new process is started
 	mu      sync.Mutex
@@ -30,6 +34,11 @@
 	}
 	cmd := exec.Command(binary, "kept", "--settings", p.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
+	if p.procs > 0 {
+		watcher := &startWatcher{log: log, onStart: &p.onStart}
+		cmd.Stdout, cmd.Stderr = watcher, watcher
+		cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.procs))
+	}
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
 		return err
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -2,8 +2,8 @@
 // the guarantees from what callers and workers observe.
 //
 // Loopback proxies delay, reset or silence the connections between the VMs, to the store and
-// to the workers, in one or both directions. Signals pause, kill and stop the processes, which
-// are then restarted. Faults follow each other at random intervals and may overlap. The store
+// to the workers, in one or both directions. Signals pause, stall, kill and stop the processes;
+// those that end are restarted. Faults follow each other at random intervals and may overlap. The store
 // and the workers are stand-ins in the soak's own process, which records every run of a task.
 package soak
 
@@ -36,6 +36,7 @@
 	Seed     uint64
 	Duration time.Duration // how long faults are injected; the recovery takes some seconds more
 	VMs      int
+	Stalls   bool   // whether the VMs are stalled for the seeds that say so
 	LogDir   string // directory for the logs of the VMs and of the faults; created if it does not exist
 	Out      io.Writer
 }
@@ -51,11 +52,15 @@
 	lateStartWait     = time.Second // wait after the end of all submissions, so that a late second start is seen
 )
 
+// submitters is how many callers submit random work.
+const submitters = 3
+
 var domains = []string{"hall-a", "hall-b"}
 
 type soak struct {
 	opt           Options
 	rand          *rand.Rand
+	stalls        stalls
 	site          *keptsite.Site
 	vms           []*process
 	workerProxies []*proxy
@@ -67,6 +72,9 @@
 	refused    []string             // keys of the submissions whose only attempt was refused as not run
 	outcomes   map[string]int
 	faultCount int
+
+	stallCount     int
+	stallsAtStarts int // stalls that began when the VM ordered a start
 }
 
 // Violation is a guarantee that did not hold in a soak.
@@ -88,6 +96,9 @@
 		acceptedAt: make(map[string]time.Time),
 		outcomes:   make(map[string]int),
 	}
+	if opt.Stalls {
+		s.stalls = stallsOf(opt.Seed, opt.VMs)
+	}
 	var err error
 	if s.faults, err = newFaultLog(opt.LogDir, opt.Seed); err != nil {
 		return err
@@ -98,12 +109,16 @@
 	}
 	working, stop := context.WithTimeout(ctx, opt.Duration)
 	defer stop()
-	var submitters sync.WaitGroup
-	for i := range 3 {
-		submitters.Go(func() { s.submitAll(working, i) })
+	var busy sync.WaitGroup
+	for i := range submitters {
+		busy.Go(func() { s.submitAll(working, i) })
+	}
+	if s.stalls.on {
+		busy.Go(func() { s.submitShortWork(working) })
+		busy.Go(func() { s.injectStalls(working) })
 	}
 	s.injectFaults(working)
-	submitters.Wait()
+	busy.Wait()
 	s.clearFaults()
 	err = s.checkGuarantees(ctx)
 	if broken := new(Violation); errors.As(err, &broken) {
@@ -118,8 +133,8 @@
 // completed is work done twice. The platform's rule allows it once the lease of the first run's worker has lapsed, so
 // it is counted, and no violation.
 func (s *soak) report(err error) string {
-	return fmt.Sprintf("seed %d: late binding %v, %d faults, %v, %d runs started after another run of their task had completed, %.1f s: %v",
-		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.faultCount, s.outcomes,
+	return fmt.Sprintf("seed %d: late binding %v, %d faults, %d stalls (%d at a start), %v, %d runs started after another run of their task had completed, %.1f s: %v",
+		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.faultCount, s.stallCount, s.stallsAtStarts, s.outcomes,
 		s.site.Fleet.StartsAfterCompletion(), time.Since(s.startedAt).Seconds(), resultText(err))
 }
 
@@ -195,6 +210,9 @@
 		peerProxy:    peer,
 		storeProxy:   store,
 	}
+	if s.stalls.on {
+		p.procs = s.stalls.procs[i]
+	}
 	s.vms = append(s.vms, p)
 	if err := os.WriteFile(p.settingsPath, b, 0o600); err != nil {
 		return err
@@ -247,6 +265,13 @@
 	return newWorkWithSpec(key, tasks, millis, transient, fmt.Sprintf(`{"run_millis":%d,"cpu_milli":2000}`, millis))
 }
 
+// newSmallWork returns work whose tasks need little CPU.
+func newSmallWork(key string, tasks uint32, millis int, transient bool) client.Work {
+	w := newWorkWithSpec(key, tasks, millis, transient, fmt.Sprintf(`{"run_millis":%d,"cpu_milli":100}`, millis))
+	w.Steps[0].CPUMilli = 100
+	return w
+}
+
 // newCrashingWork returns work whose task crashes its workers.
 func newCrashingWork(key string, millis int) client.Work {
 	return newWorkWithSpec(key, 1, millis, false, fmt.Sprintf(`{"run_millis":%d,"cpu_milli":2000,"crash":true}`, millis))
