soak: of the runs that started after another one had completed, it tells those whose lease had not lapsed

Cause: the platform's rule allows a second run after a completed one only once the lease of the first one's worker has lapsed. The count took both kinds as one. In a trial, a VM released tasks whose runs had completed while the lease went on: a hold is answered with at most 500 ends, and a run whose end waits for a later page is in neither list.

Change: a worker of the stand-in counts the lapses of its lease, the ledger keeps with each completion how many there had been, and the report says how many of the second runs started before a lapse. Still a figure, not a violation.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -137,15 +137,18 @@
 	return highest
 }
 
-// StartsAfterCompletion returns how many runs were started after another run of their task had completed.
-func (f *Fleet) StartsAfterCompletion() int {
+// StartsAfterCompletion returns how many runs were started after another run of their task had completed, and how many
+// of them although the lease of that run's worker had not lapsed.
+func (f *Fleet) StartsAfterCompletion() (all, withinLease int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sum := 0
 	for _, n := range f.Ledger.StartsAfterCompletion {
-		sum += n
+		all += n
 	}
-	return sum
+	for _, n := range f.Ledger.StartsWithinLease {
+		withinLease += n
+	}
+	return all, withinLease
 }
 
 // Add starts a worker.
--- a/internal/standin/runhost/runhost.go
+++ b/internal/standin/runhost/runhost.go
@@ -55,9 +55,12 @@
 	// task after CrashLimit of them had.
 	Crashes               map[submission.TaskRef]int
 	StartsAfterCrashLimit map[submission.TaskRef]int
-	// StartsAfterCompletion counts the starts of a task after a run of it had completed.
+	// StartsAfterCompletion counts the starts of a task after a run of it had completed, StartsWithinLease those of
+	// them for which the lease of that run's worker had not lapsed.
 	StartsAfterCompletion map[submission.TaskRef]int
-	Violations            []string // tasks that ran twice at once, workers loaded beyond their capacity
+	StartsWithinLease     map[submission.TaskRef]int
+	completed             map[submission.TaskRef]completion // the last one of each task
+	Violations            []string                          // tasks that ran twice at once, workers loaded beyond their capacity
 }
 
 // CrashLimit is how many workers a task that crashes its workers may crash, and MaxStartsAfterCrashLimit how
@@ -78,6 +81,8 @@
 		Crashes:               make(map[submission.TaskRef]int),
 		StartsAfterCrashLimit: make(map[submission.TaskRef]int),
 		StartsAfterCompletion: make(map[submission.TaskRef]int),
+		StartsWithinLease:     make(map[submission.TaskRef]int),
+		completed:             make(map[submission.TaskRef]completion),
 	}
 }
 
@@ -110,7 +115,7 @@
 }
 
 // begin records that a run has started on the worker where.
-func (l *Ledger) begin(ref submission.TaskRef, run uint64, where string) {
+func (l *Ledger) begin(now time.Duration, ref submission.TaskRef, run uint64, where string) {
 	l.Starts[ref]++
 	l.running[ref]++
 	if l.Crashes[ref] >= CrashLimit {
@@ -118,6 +123,9 @@
 	}
 	if l.completions[ref] > 0 {
 		l.StartsAfterCompletion[ref]++
+		if !l.completed[ref].hasLapsed(now) {
+			l.StartsWithinLease[ref]++
+		}
 	}
 	if l.running[ref] > 1 {
 		l.Violations = append(l.Violations, fmt.Sprintf("%s.%d.%d runs twice at once: run %d at %s", ref.ID, ref.Step, ref.Index, run, where))
@@ -135,6 +143,17 @@
 	}
 }
 
+// completion says on which worker a run completed, and how often the worker's lease had lapsed until then.
+type completion struct {
+	host   *Host
+	lapses int
+}
+
+// hasLapsed reports whether the worker's lease has lapsed since, or the worker has ended.
+func (c completion) hasLapsed(now time.Duration) bool {
+	return c.host.crashed || c.host.lapses > c.lapses || c.host.deadline < now
+}
+
 type run struct {
 	task      submission.TaskRef
 	number    uint64
@@ -156,6 +175,7 @@
 
 	token          uint64
 	deadline       time.Duration // end of the lease, in the caller's time
+	lapses         int           // how often the lease was extended after it had lapsed
 	running        []*run
 	ended          []worker.Ended
 	lastEnd        uint64 // Seq of the newest entry of ended
@@ -225,6 +245,9 @@
 	h.ended = append(h.ended, worker.Ended{Seq: h.lastEnd, Task: r.task, Run: r.number, Reason: reason})
 	h.supersededUpTo[r.task] = max(h.supersededUpTo[r.task], r.number)
 	h.Ledger.end(r.task, reason)
+	if reason == worker.Completed {
+		h.Ledger.completed[r.task] = completion{h, h.lapses}
+	}
 }
 
 // Crash ends the worker with all its runs.
@@ -276,7 +299,7 @@
 			h.Ledger.Violations = append(h.Ledger.Violations, fmt.Sprintf("%s of %d has %d in use after a start", h.Info.ID, h.Info.CPUMilli, usedCPUMilli))
 		}
 		h.running = append(h.running, &run{task: s.Task, number: s.Run, work: work, startedAt: now})
-		h.Ledger.begin(s.Task, s.Run, h.Info.ID)
+		h.Ledger.begin(now, s.Task, s.Run, h.Info.ID)
 	}
 	if reply.Verdict != worker.DeadlinePassed {
 		h.extendLease(now, s.Deadline)
@@ -302,6 +325,9 @@
 
 // extendLease moves the end of the lease to deadline, but at most MaxLease from now and never back.
 func (h *Host) extendLease(now, deadline time.Duration) {
+	if h.deadline < now {
+		h.lapses++
+	}
 	h.deadline = max(h.deadline, min(deadline, now+MaxLease))
 }
 
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -131,11 +131,12 @@
 
 // report returns the line that says what the soak has seen. A run that starts after another one of its task has
 // completed is work done twice. The platform's rule allows it once the lease of the first run's worker has lapsed, so
-// it is counted, and no violation.
+// all of them are counted, and those whose lease had not lapsed beside them.
 func (s *soak) report(err error) string {
-	return fmt.Sprintf("seed %d: late binding %v, %d faults, %d stalls (%d at a start), %v, %d runs started after another run of their task had completed, %.1f s: %v",
+	again, withinLease := s.site.Fleet.StartsAfterCompletion()
+	return fmt.Sprintf("seed %d: late binding %v, %d faults, %d stalls (%d at a start), %v, %d runs started after another run of their task had completed (%d of them before its lease had lapsed), %.1f s: %v",
 		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.faultCount, s.stallCount, s.stallsAtStarts, s.outcomes,
-		s.site.Fleet.StartsAfterCompletion(), time.Since(s.startedAt).Seconds(), resultText(err))
+		again, withinLease, time.Since(s.startedAt).Seconds(), resultText(err))
 }
 
 func resultText(err error) string {
