--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -63,13 +63,14 @@
 
 // liftBarrier releases the tasks that an earlier holder may have started, once each run that it left has
 // ended or is listed by a worker: when all workers have answered, or the leases of the earlier holders have
-// expired. For transient submissions that is the case earlier, at transientBarrierUntil.
+// expired. For transient submissions that is the case earlier, at transientBarrierUntil. It waits for workers that have
+// more ended runs than they list at a time.
 func (s *Shard) liftBarrier(now time.Duration) {
 	if !s.barrierUp || !s.recordsLoaded {
 		return
 	}
 	all := now >= s.barrierUntil || s.allAnswered()
-	if !all && now < s.transientBarrierUntil {
+	if !all && now < s.transientBarrierUntil || s.moreEndsToCome() {
 		return
 	}
 	s.barrierUp = !all
@@ -84,7 +85,7 @@
 				s.countVanished(now, t)
 				s.confirmStoredLosses(now, t)
 				vanished = append(vanished, t)
-				s.release(now, t)
+				s.release(now, t, BarrierLifted)
 			}
 		}
 	}
@@ -100,6 +101,16 @@
 	return len(s.workers) > 0
 }
 
+// moreEndsToCome reports whether a worker may have ended runs that it has not listed yet.
+func (s *Shard) moreEndsToCome() bool {
+	for _, h := range s.workers {
+		if h.hasMoreEnded && !h.leaseExpired {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Shard) anyAnswered() bool {
 	for _, h := range s.workers {
 		if h.hasAnswered {
@@ -112,6 +123,10 @@
 // repeatOrders repeats the stop orders and probes of a submission that had no answer.
 func (s *Shard) repeatOrders(now time.Duration, j *job) {
 	for _, t := range j.tasks {
+		if t.hasLapsed(now) {
+			s.release(now, t, LeaseExpired)
+			continue
+		}
 		switch t.state {
 		case taskStoppingToRestart, taskStoppingForGood:
 			if now-t.stateSince >= stopRetryInterval && t.stopAckClock == 0 {
@@ -159,7 +174,7 @@
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
 		if h.missingSince > 0 && now-h.missingSince > missingTimeout && now-h.newestListingSentAt > missingTimeout {
-			s.remove(now, id, false)
+			s.remove(now, id, false, WorkerForgotten)
 		}
 	}
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -136,6 +136,8 @@
 	WorkerLosses []WorkerLossAction
 	TaskLosses   []TaskLossesAction
 	GivenUp      []GivenUpAction
+	Releases     []ReleaseAction
+	Unexpected   []UnexpectedRunAction
 
 	Speeds     []SpeedAction
 	BadReports []BadReport
