vm: a VM that stood still asks its workers once more before it takes them for lost

What callers saw: work done twice.

Change: a renewal without an answer that took 0.2 s longer than its time-out is repeated once before the lease may be taken for expired. A worker that is really silent is found as before: renewals to it take just their time-out.

--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -19,8 +19,10 @@
 	renewWait       = 250 * time.Millisecond
 	renewTimeout    = 150 * time.Millisecond // for the answer to a renewal, added to its wait
 	renewRetryDelay = 30 * time.Millisecond  // after a renewal without an answer
-	ackPollInterval = 5 * time.Millisecond   // between checks whether ends are acknowledged
-	maxAckPolls     = 4                      // then the next renewal leaves without: it extends the lease
+	// heldUpRenewal is how long a renewal without an answer takes at least that this VM itself has held up.
+	heldUpRenewal   = renewWait + renewTimeout + 200*time.Millisecond
+	ackPollInterval = 5 * time.Millisecond // between checks whether ends are acknowledged
+	maxAckPolls     = 4                    // then the next renewal leaves without: it extends the lease
 
 	// The time-out of an order is a multiple of the usual round-trip time, within bounds. A
 	// healthy worker answers within a millisecond, one in another region within 40; a VM whose
@@ -83,6 +85,7 @@
 // run renews the worker's lease and posts its listings, until ctx ends or another
 // incarnation answers.
 func (ws *workerSession) run(ctx context.Context) {
+	askedAgain := false // since the last answer, after a renewal that was held up
 	for ctx.Err() == nil {
 		requestedAt := ws.vm.now()
 		listing, reply := ws.renew(ctx, renewWait)
@@ -91,6 +94,7 @@
 		}
 		switch reply.Verdict {
 		case worker.Accepted:
+			askedAgain = false
 			ws.vm.post(listingEvent{session: ws, requestedAt: requestedAt, listing: listing})
 			ws.awaitAcks(ctx, listing)
 			continue
@@ -102,6 +106,11 @@
 			ws.vm.post(workerReplacedEvent{session: ws, successor: reply.Successor})
 			return
 		}
+		// A VM that stood still finds its calls timed out, whatever its workers did: it asks once more.
+		if !askedAgain && ws.vm.now()-requestedAt >= heldUpRenewal {
+			askedAgain = true
+			continue
+		}
 		ws.postExpiry()
 		pause.For(ctx, renewRetryDelay)
 	}
