--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -354,9 +355,9 @@
 	s.releaseExpired(now, h)
 }
 
-// startValidity is how long after it was sent a start order may still be carried out: 700 ms on a worker's clock, which
-// may be 2% slow.
-const startValidity = 715 * time.Millisecond
+// startValidity is how long a start order may be carried out at least, on the slowest clock. The caller, which knows the
+// worker's clock and the deadlines of the orders, concludes an expiry only when all of them have passed.
+var startValidity = time.Duration(math.Ceil(float64(worker.StartValidity) / (1 - worker.MaxClockDrift)))
 
 // releaseExpired releases the tasks of a worker whose lease has expired, once all start orders to it are void.
 func (s *Shard) releaseExpired(now time.Duration, h *host) {
--- a/internal/kept/vm/lease_test.go
+++ b/internal/kept/vm/lease_test.go
@@ -86,7 +86,7 @@
 				})
 				w.wantEnd(out, submission.Done)
 				w.end()
-				if stall >= startValidFor+renewWait+50*ms && firstRun == 1 {
+				if stall >= worker.StartValidity+renewWait+50*ms && firstRun == 1 {
 					t.Error("a start was carried out that was decided before the stall")
 				}
 			})
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -40,12 +40,10 @@
 	// maxTimeoutDoublings limits how often orders without an answer, one after the other, double the time-out.
 	maxTimeoutDoublings = 2
 
-	rttWeight       = 8                      // of the moving average of round-trip times: a new one counts 1/rttWeight
-	sharedRTTWeight = 64                     // the same for the average over all workers
-	startValidFor   = 700 * time.Millisecond // on the worker's clock; the worker refuses a start that arrives later
+	rttWeight       = 8  // of the moving average of round-trip times: a new one counts 1/rttWeight
+	sharedRTTWeight = 64 // the same for the average over all workers
 	// minStartDeadline is the earliest deadline that is sent: the platform has it in milliseconds, and none for 0.
 	minStartDeadline = time.Millisecond
-	maxClockDrift    = 0.02 // by which a worker's clock may be slow
 )
 
 // workerSession makes the calls to one worker while this VM holds its shard.
@@ -275,7 +273,7 @@
 	if ws.lastClock == 0 {
 		return false, false
 	}
-	earliest := ws.lastClock + time.Duration(float64(now-ws.clockReceivedAt)*(1-maxClockDrift))
+	earliest := ws.lastClock + time.Duration(float64(now-ws.clockReceivedAt)*(1-worker.MaxClockDrift))
 	return earliest > ws.maxDeadline, true
 }
 
@@ -287,7 +285,7 @@
 	if !known {
 		return 0
 	}
-	d := now + startValidFor
+	d := now + worker.StartValidity
 	ws.recordDeadline(d)
 	ws.expiryPosted.Store(false)
 	return d
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -138,6 +138,12 @@
 
 func (r EndReason) String() string { return endReasonNames[r] }
 
+// StartValidity is how long after it was decided a start order may be carried out, on the worker's clock.
+const StartValidity = 700 * time.Millisecond
+
+// MaxClockDrift is the share by which a worker's clock may be slow.
+const MaxClockDrift = 0.02
+
 // Start is the order to run a task.
 type Start struct {
 	Task       submission.TaskRef
