--- a/internal/kept/vm/stalls_property_test.go
+++ b/internal/kept/vm/stalls_property_test.go
@@ -47,7 +47,8 @@
 // stallableReaders are the functions that read the clock without holding a lock. A goroutine that stands still while
 // others wait for its lock would stop the virtual time.
 var stallableReaders = []string{
-	"(*engine).applyEvents", "(*workerSession).run", "(*workerSession).renew", "(*workerSession).listNow", "(*workerSession).listOnce",
+	"(*engine).applyEvents", "leaseExpiredEvent.apply",
+	"(*workerSession).run", "(*workerSession).postExpiry", "(*workerSession).renew", "(*workerSession).listNow", "(*workerSession).listOnce",
 	"(*workerSession).start", "(*workerSession).startDeadline", "(*workerSession).stop", "(*workerSession).timedCall",
 }
 
