site: a holder that hands its shard over does not count as stopped

What callers would have seen: a task of a stored submission that runs twice at once.

Cause: a claim by the holder itself said that it certainly starts no more runs. But until its engine learns that the claim is stored it goes on starting tasks, and its sessions go on extending leases. The class of the incident: one part's conclusion is trusted while another goes on. Found by the reviewer.

Change: only a holder whose process has ended counts as stopped.

--- a/internal/kept/site/decide.go
+++ b/internal/kept/site/decide.go
@@ -221,7 +221,7 @@
 			Holder:             to.Name,
 			Incarnation:        to.Incarnation,
 			Token:              from.Token + 1,
-			PredecessorStopped: from.Holder == "" || s.HolderRestarted(from) || s.HeldBySelf(from),
+			PredecessorStopped: from.Holder == "" || s.HolderRestarted(from),
 		},
 		Why: why,
 	}
--- a/internal/kept/site/keys.go
+++ b/internal/kept/site/keys.go
@@ -99,8 +99,9 @@
 	Holder      string `json:"h"`
 	Incarnation uint64 `json:"i"`
 	Token       uint64 `json:"t"` // fencing token
-	// PredecessorStopped says that the previous holder certainly starts no more runs in this shard: there was
-	// none, its process had ended, or it handed the shard over itself.
+	// PredecessorStopped says that the previous holder certainly starts no more runs in this shard and extends no
+	// lease there: there was none, or its process had ended. One that hands the shard over goes on until it learns
+	// that its claim is stored.
 	PredecessorStopped bool `json:"c,omitempty"`
 }
 
