vm: a session that its worker has fenced concludes no expiry; stricter tests

Cause: a worker that answers "fenced" obeys a later holder, which extends its lease. The old holder, when it lost the worker as well, took the lease for expired by its own reckoning and released tasks whose runs go on.

Change: such a session concludes no expiry any more.

Tests: TestFencedSessionConcludesNoExpiry.

--- a/internal/kept/shard/endpages_test.go
+++ b/internal/kept/shard/endpages_test.go
@@ -68,3 +68,24 @@
 		t.Errorf("the submission is %s; violations: %v", p.records.final["stored"], p.ledger.Violations)
 	}
 }
+
+// Guards against a task that starts on another worker though its end is on a later page.
+func TestTaskWhoseEndIsOnALaterPageStartsNowhereElse(t *testing.T) {
+	p := newPlay(t)
+	p.unreachable["w1"], p.unreachable["w2"] = true, true
+	p.advance(100 * ms)
+	p.records.delay = 5 * time.Second
+	stored := StoredRecord{Record: p.storedSubmission("stored", 3, runhost.Work{Time: 10 * ms}), Revision: 1}
+	p.records.open["stored"] = stored
+	p.shard.Assign(p.now, stored)
+	p.advance(50 * ms)
+	p.assign(p.submission("a", 600, runhost.Work{Time: 20 * ms, CPUMilli: 200}))
+	p.advance(100 * ms)
+	p.unreachable["w1"] = false
+	p.advance(7 * time.Second)
+	for ref, n := range p.ledger.Starts {
+		if n > 1 {
+			t.Errorf("%v started %d times", ref, n)
+		}
+	}
+}
--- a/internal/kept/vm/lease_test.go
+++ b/internal/kept/vm/lease_test.go
@@ -206,3 +206,31 @@
 		}
 	}
 }
+
+// Guards against a worker that is taken for lost though it has answered since its session concluded so.
+func TestExpiryIsCheckedWhenItIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSmallWorld(t)
+		told := make(chan bool, 1)
+		w.vms["a1"].post(engineStep(func(e *engine) {
+			h := e.shards["a/0"]
+			for _, ws := range h.sessions {
+				leaseExpiredEvent{session: ws}.apply(e) // its lease has just been extended
+			}
+			told <- h.core.Load(e.now).CapacityMilli == 32000
+		}))
+		if !<-told {
+			t.Error("a worker that has just answered is taken for lost")
+		}
+		w.end()
+	})
+}
+
+// Guards against tasks that are released though their runs go on: the worker obeys a later holder, which extends its lease.
+func TestFencedSessionConcludesNoExpiry(t *testing.T) {
+	now := time.Hour
+	ws := newLeasedSession(&now)
+	ws.fenced.Store(true)
+	now += 1100 * ms
+	wantExpiries(t, ws, "after a lease, fenced", 0)
+}
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -58,6 +58,7 @@
 	extendLeases *atomic.Bool  // whether leases may be extended
 	unanswered   atomic.Bool   // the last renewal was not answered
 	expiryPosted atomic.Bool   // the engine was told that the lease has expired; no answer or start has come since
+	fenced       atomic.Bool   // the worker obeys a later holder, which may extend its lease
 	orderRTT     atomic.Int64  // moving average of the round-trip time of orders, in nanoseconds
 	silentOrders atomic.Int32  // orders without an answer since the last one with an answer
 	cancel       context.CancelFunc
@@ -97,6 +98,7 @@
 			ws.awaitAcks(ctx, listing)
 			continue
 		case worker.Fenced:
+			ws.fenced.Store(true)
 			ws.vm.post(workerFencedEvent{session: ws})
 			pause.For(ctx, 4*renewRetryDelay)
 			continue
@@ -117,7 +119,7 @@
 // postExpiry tells the engine once that the lease has expired. The engine checks it again, as it may have decided
 // a start since.
 func (ws *workerSession) postExpiry() {
-	if over, _ := ws.leaseExpired(ws.vm.now()); over && ws.expiryPosted.CompareAndSwap(false, true) {
+	if over, _ := ws.leaseExpired(ws.vm.now()); over && !ws.fenced.Load() && ws.expiryPosted.CompareAndSwap(false, true) {
 		if !ws.vm.post(leaseExpiredEvent{session: ws}) {
 			ws.expiryPosted.Store(false)
 		}
--- a/internal/kept/vm/stalled_round_test.go
+++ b/internal/kept/vm/stalled_round_test.go
@@ -196,6 +196,9 @@
 		if s := w.state(next, "s"); s != submission.Done {
 			t.Errorf("the submission is %s", s)
 		}
+		if n := w.fleet.Starts("s"); n != 1 {
+			t.Errorf("%d starts, want 1", n)
+		}
 		w.end()
 	})
 }
