soak: two runs at once are told also where a submission has not ended

Cause: the check of ends came first and ended the verdict.

Change: the workers' violations are told first, with their number, and the other one beside them. go test ./internal/tool/soak passes.

--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -346,24 +346,17 @@
 	if err != nil {
 		return err
 	}
-	failed := make(map[string]bool)
-	for _, end := range awaitEnds(ctx, k, s.acceptedKeys()) {
-		want := client.StateDone
-		if strings.HasPrefix(end.key, crashingPrefix) || s.mayHaveFailed(end.key, end.state) {
-			want = client.StateFailed
-			failed[end.key] = true
-		}
-		if end.err != nil || end.state != want {
-			return s.violation("accepted submission %s must end as %s: its state is %s after %v (%v)", end.key, want, end.state, end.after, end.err)
-		}
+	failed, ends := s.checkEnds(awaitEnds(ctx, k, s.acceptedKeys()))
+	time.Sleep(lateStartWait)
+	if faults := s.site.Fleet.Violations(); len(faults) > 0 {
+		return errors.Join(s.violation("no task may run twice at the same time: %s (%d such cases)", faults[0], len(faults)), ends)
+	}
+	if ends != nil {
+		return ends
 	}
 	if n := s.site.Fleet.MaxStartsAfterCrashLimit(); n > runhost.MaxStartsAfterCrashLimit {
 		return s.violation("a task that crashes its workers must be given up: one was started %d times after %d crashes", n, runhost.CrashLimit)
 	}
-	time.Sleep(lateStartWait)
-	if faults := s.site.Fleet.Violations(); len(faults) > 0 {
-		return s.violation("no task may run twice at the same time: %s", faults[0])
-	}
 	for _, key := range s.refused {
 		if n := s.site.Fleet.StartsOf(key); n > 0 {
 			return s.violation("a submission refused as not run must never start: tasks of %s were started %d times", key, n)
@@ -377,6 +370,23 @@
 	return nil
 }
 
+// checkEnds returns the keys of the submissions that have failed as they must, and the first one that has not ended as it
+// must; nil: all have.
+func (s *soak) checkEnds(ends []shownEnd) (failed map[string]bool, err error) {
+	failed = make(map[string]bool)
+	for _, end := range ends {
+		want := client.StateDone
+		if strings.HasPrefix(end.key, crashingPrefix) || s.mayHaveFailed(end.key, end.state) {
+			want = client.StateFailed
+			failed[end.key] = true
+		}
+		if end.err != nil || end.state != want {
+			return failed, s.violation("accepted submission %s must end as %s: its state is %s after %v (%v)", end.key, want, end.state, end.after, end.err)
+		}
+	}
+	return failed, nil
+}
+
 // shownEnd is the state in which a submission was shown last, and after which time.
 type shownEnd struct {
 	key   string
