--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -94,6 +94,7 @@
 		switch reply.Verdict {
 		case worker.Accepted:
 			askedAgain = false
+			ws.fenced.Store(false)
 			ws.vm.post(listingEvent{session: ws, requestedAt: requestedAt, listing: listing})
 			ws.awaitAcks(ctx, listing)
 			continue
