--- a/internal/kept/vm/handover_test.go
+++ b/internal/kept/vm/handover_test.go
@@ -76,20 +76,17 @@
 		time.Sleep(5 * time.Second)
 		old := w.holderOf("a")
 		next := otherVM(old)
-		runsAt := ""
+		var runsAt atomic.Pointer[string] // the worker of the first run
 		w.fleet.OnStart(func(i worker.Info, s worker.Start) {
 			t.Logf("%v: start %v run %d token %d at %s", time.Since(w.startedAt), s.Task, s.Run, s.Token, i.ID)
-			if runsAt == "" {
-				runsAt = i.ID
-			}
+			runsAt.CompareAndSwap(nil, &i.ID)
 		})
 		out := w.submit(next, "s", 1, runhost.Work{Time: 6 * time.Second}, transient)
 		if !transient {
 			w.wantAccepted(out)
 		}
 		time.Sleep(500 * ms)
-		id := runsAt
-		clients[next].lost.Store(&id)
+		clients[next].lost.Store(runsAt.Load())
 		w.vms[old].post(engineStep(func(e *engine) { // as Drain does; then the engine, and no more than that, stands still
 			drainEvent{done: make(chan struct{})}.apply(e)
 			time.Sleep(stall)
