Review: a stored job that lost one worker waits for ever

Cause: a task that lost its worker needs a worker of its own. The shard sets aside the least used worker, also if the task cannot run there, and sets the same one aside each time.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	play  func(*world) error
 }{
 	"twice":     {2 * time.Second, playTwice},
+	"waiting":   {0, playWaiting},
 	"stuck":     {0, playStuck},
 	"cancelled": {0, playCancelled},
 	"order":     {0, playOrder},
--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -35,13 +35,17 @@
 		return fmt.Errorf("the base job was not accepted")
 	}
 	time.Sleep(time.Second)
-	zone := wd.zoneOf(id)
+	w := wd.workerOf(id + ".0.0.0")
+	if w == nil {
+		return fmt.Errorf("the base job has not started")
+	}
+	zone := w.zone
 	wd.record("the base job runs in %s", zone)
 	began := time.Now()
 	go func() {
 		time.Sleep(orderCrashAt)
 		crashed := 0
-		for _, w := range wd.workers {
+		for _, w := range wd.allWorkers() {
 			if !wd.trouble || crashed == orderCrashes || time.Since(began) > orderLength-2*time.Second {
 				return
 			}
