--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -20,21 +20,25 @@
 	orderTaskMs     = 400
 	orderTasks      = 4
 	orderCPU        = 2500
+	baseTaskMs      = 1500
+	baseEvery       = time.Second
+	orderPatience   = 5 * time.Second // how long its clients wait
 )
 
-// playOrder hands in jobs of two steps that need not be kept, while each worker of their zone has a task of its own, and
-// crashes some workers, one at a time. No task of a second step may start before all tasks of the first have ended done.
+// playOrder hands in jobs of two steps that need not be kept, while small kept jobs give each worker of their zone
+// something to do, and crashes some workers, one at a time. No task of a second step may start before all tasks of the first have ended done.
 func playOrder(wd *world) error {
 	if err := wd.awaitReady(20 * time.Second); err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
-	base := &wireJob{Spec: "base", Steps: []wireStep{{Count: workersInZone, CPU: 2000, MemMB: 64, EstimateMs: 60000, AntiAffinity: 1}}}
+	wd.patience = orderPatience
+	base := &wireJob{Spec: "base", Steps: []wireStep{{Count: workersInZone, CPU: 2000, MemMB: 64, EstimateMs: baseTaskMs, AntiAffinity: 1}}}
 	id, accepted := wd.submit(zones[0], base)
 	if !accepted {
 		return fmt.Errorf("the base job was not accepted")
 	}
-	time.Sleep(time.Second)
+	time.Sleep(baseEvery)
 	w := wd.workerOf(id + ".0.0.0")
 	if w == nil {
 		return fmt.Errorf("the base job has not started")
@@ -57,6 +61,12 @@
 		}
 	}()
 	var sent sync.WaitGroup
+	sent.Go(func() {
+		for time.Since(began) < orderLength {
+			wd.submit(zone, base)
+			time.Sleep(baseEvery)
+		}
+	})
 	job := &wireJob{Spec: "two steps", BestEffort: true, Steps: []wireStep{
 		{Count: orderTasks, CPU: orderCPU, MemMB: 64, EstimateMs: orderTaskMs},
 		{Count: orderTasks, CPU: orderCPU, MemMB: 64, EstimateMs: 200, After: []int{0}},
@@ -79,6 +89,9 @@
 	wd.mu.Unlock()
 	status, answer, vm := wd.call(http.MethodPost, zone, id, mustEncode(j))
 	wd.record("client POST %s at %s: %d %s", id, vm, status, strings.TrimSpace(string(answer)))
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.answers[id] = fmt.Sprintf("%d %s", status, strings.TrimSpace(string(answer)))
 }
 
 // checkOrder reports starts before all tasks of an earlier step have ended done.
@@ -100,8 +113,8 @@
 					if log != nil && slices.ContainsFunc(log.ends, func(e finished) bool { return e.how == "done" && e.at.Before(s.at) }) {
 						continue
 					}
-					found = append(found, fmt.Sprintf("task %s, run %d, started on %s at %.3f, before %s had ended done (%s)", name, s.run, s.worker,
-						s.at.Sub(wd.began).Seconds(), earlier, log.history(wd.began)))
+					found = append(found, fmt.Sprintf("task %s, run %d, started on %s at %.3f, before %s had ended done (%s); its job was answered %s", name, s.run,
+						s.worker, s.at.Sub(wd.began).Seconds(), earlier, log.history(wd.began), wd.answers[parts[0]]))
 				}
 			}
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -74,21 +76,23 @@
 
 // world is a deployment with its stand-ins.
 type world struct {
-	repo    string
-	tmp     string
-	began   time.Time
-	trouble bool
-	store   *store
-	net     string // first three numbers of the loopback addresses
-	workers []*worker
-	vms     []*machine
-	closers []func()
-
-	mu     sync.Mutex
-	lines  []string
-	jobs   map[string]*wireJob
-	tasks  map[string]*taskLog
-	broken []string
+	repo     string
+	tmp      string
+	began    time.Time
+	trouble  bool
+	patience time.Duration // of clients
+	store    *store
+	net      string // first three numbers of the loopback addresses
+	workers  []*worker
+	vms      []*machine
+	closers  []func()
+
+	mu      sync.Mutex
+	lines   []string
+	jobs    map[string]*wireJob
+	tasks   map[string]*taskLog
+	broken  []string
+	answers map[string]string // to jobs that needn't be kept
 }
 
 func newWorld(repo string, trouble bool, stale time.Duration) (*world, error) {
@@ -97,10 +101,11 @@
 		return nil, err
 	}
 	wd := &world{
-		repo: repo, tmp: tmp, began: time.Now(), trouble: trouble, store: newStore(stale),
-		net:   fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250)),
-		jobs:  make(map[string]*wireJob),
-		tasks: make(map[string]*taskLog),
+		repo: repo, tmp: tmp, began: time.Now(), trouble: trouble, patience: usualPatience, store: newStore(stale),
+		net:     fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250)),
+		jobs:    make(map[string]*wireJob),
+		tasks:   make(map[string]*taskLog),
+		answers: make(map[string]string),
 	}
 	wd.closers = append(wd.closers, func() { _ = os.RemoveAll(tmp) })
 	l, err := net.Listen("tcp", wd.net+".7:0")
@@ -415,16 +420,21 @@
 	return status, answer, m.name
 }
 
-var clients = &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+// usualPatience is how long clients wait for an answer.
+const usualPatience = 1500 * time.Millisecond
+
+var clients = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (wd *world) callAt(m *machine, method, id string, body []byte) (int, []byte) {
-	req, err := http.NewRequest(method, "http://"+net.JoinHostPort(m.ip, frontendPort)+queuePath+id, bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), wd.patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+net.JoinHostPort(m.ip, frontendPort)+queuePath+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("X-Pumiceyard-Deadline-Ms", "1500")
+	req.Header.Set("X-Pumiceyard-Deadline-Ms", strconv.FormatInt(wd.patience.Milliseconds(), 10))
 	resp, err := clients.Do(req)
 	if err != nil {
 		return 0, nil
