vm: the line of an adopted submission tells which read it comes from

The line named neither the kind of the read nor its revision, so that three causes looked alike: a record from a stale read, a record of the first read whose final state was still on its way, and one that its home VM assigned.

--- a/internal/kept/vm/shards.go
+++ b/internal/kept/vm/shards.go
@@ -257,8 +257,8 @@
 	stale := h.scannedAt > 0
 	e.vm.spawn(func() {
 		for h.ctx.Err() == nil {
-			items, _, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
-			ev := scannedEvent{shard: name, token: token, records: decodeRecords(name, items)}
+			items, revision, err := e.vm.readAll(h.ctx, submission.OpenPrefix, stale)
+			ev := scannedEvent{shard: name, token: token, revision: revision, stale: stale, records: decodeRecords(name, items)}
 			if err == nil && !stale {
 				ev.previousWorkers, err = e.vm.readStoredWorkers(h.ctx, name)
 			}
@@ -314,12 +314,14 @@
 		if !h.core.IsKnown(r) {
 			e.vm.metrics.adoptedSubmissions.Inc(1)
 			klog.InfoS("kept: stored submission adopted", "id", r.Record.ID, "shard", ev.shard, "token", ev.token,
-				"revision", r.Revision, "stored_under", r.Record.Token, "home", r.Record.Home)
+				"revision", r.Revision, "stored_under", r.Record.Token, "home", r.Record.Home,
+				"read_revision", ev.revision, "stale_read", ev.stale, "recovered_revision", h.recoveredRevision)
 		}
 	}
 	h.core.AddRecords(e.now, ev.records)
 	if first {
-		klog.InfoS("kept: shard recovered", "shard", ev.shard, "token", ev.token, "unfinished", len(ev.records))
+		h.recoveredRevision = ev.revision
+		klog.InfoS("kept: shard recovered", "shard", ev.shard, "token", ev.token, "unfinished", len(ev.records), "read_revision", ev.revision)
 	}
 }
 
