vm: a new holder adopts no submission that has ended before

Cause: a holder searches the store each second with reads that may be out of date, and relied on its memory of the submissions that had ended. Those that ended under the holder before it are not in that memory.

Change: a record that is not newer than the first, linearizable read and was not in it is ignored, as no record of the shard can be written under an earlier holder after it.

--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -16,11 +16,12 @@
 	settings Settings
 	token    uint64
 
-	recordsLoaded bool          // the records in the store have been read
-	barrierUntil  time.Duration // when the leases that earlier holders granted have certainly expired
-	barrierUp     bool          // tasks that an earlier holder may have started must not start
-	evacuated     bool          // nothing may start in the failure domain
-	listOutdated  bool          // a newer list of workers exists than is known here
+	recordsLoaded     bool          // the records in the store have been read
+	recoveredRevision uint64        // the store's revision at that read; 0: not read yet
+	barrierUntil      time.Duration // when the leases that earlier holders granted have certainly expired
+	barrierUp         bool          // tasks that an earlier holder may have started must not start
+	evacuated         bool          // nothing may start in the failure domain
+	listOutdated      bool          // a newer list of workers exists than is known here
 
 	jobs                  map[submission.ID]*job
 	workers               map[string]*host
@@ -110,7 +111,14 @@
 	return out
 }
 
-// AddRecords adopts the unfinished submissions of the shard that were read from the store.
+// Recover adopts the unfinished submissions of the shard that earlier holders have left, by a linearizable read of the
+// store at a revision. They are all that there were by then: an older record that turns up later has ended.
+func (s *Shard) Recover(now time.Duration, records []StoredRecord, revision uint64) {
+	s.AddRecords(now, records)
+	s.recoveredRevision = revision
+}
+
+// AddRecords adopts unfinished submissions of the shard that were read from the store.
 // Submissions that are already known are left as they are.
 func (s *Shard) AddRecords(now time.Duration, records []StoredRecord) {
 	first := !s.recordsLoaded
@@ -147,12 +155,15 @@
 	s.reportState(j)
 }
 
-// IsKnown reports whether a stored submission is known here or has left this shard for good. A record
-// that was read before it left must not bring it back.
+// IsKnown reports whether a stored submission is known here or has left this shard for good, also under an earlier
+// holder. A record that was read before it left must not bring it back.
 func (s *Shard) IsKnown(r StoredRecord) bool {
 	if _, open := s.jobs[r.Record.ID]; open {
 		return true
 	}
+	if s.recoveredRevision > 0 && r.Revision <= s.recoveredRevision {
+		return true
+	}
 	past, known := s.recentlyEnded[r.Record.ID]
 	return known && (past.reassignedRevision == 0 || r.Revision <= past.reassignedRevision)
 }
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -328,3 +328,22 @@
 		t.Errorf("%d thousandths of a core and %v ahead while nothing waits for room", milli, takes)
 	}
 }
+
+// Guards against a submission that runs again after it has ended, been cancelled or left the shard under an earlier holder,
+// as its record turns up in a read that is older than that of the takeover.
+func TestRecordOlderThanTheRecoveryIsIgnored(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	ended := w.storedSubmission("ended", 1, runhost.Work{Time: 50 * ms})
+	missed := w.storedSubmission("missed", 1, runhost.Work{Time: 50 * ms})
+	w.newHolder(2, true)
+	w.shard.Recover(w.now, nil, 7)
+	w.shard.AddRecords(w.now, []StoredRecord{{Record: ended, Revision: 7}, {Record: missed, Revision: 8}})
+	w.run(2 * time.Second)
+	if n := w.startCount("ended"); n != 0 {
+		t.Errorf("%d starts of a submission that had ended before the takeover", n)
+	}
+	if n := w.startCount("missed"); n != 1 {
+		t.Errorf("%d starts of a submission that was stored after the takeover, want 1", n)
+	}
+}
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -44,29 +44,28 @@
 
 // heldShard is a shard that this VM holds.
 type heldShard struct {
-	core              *shard.Shard // decides what runs where, without I/O
-	holding           site.Holding
-	sessions          map[string]*workerSession
-	askers            map[submission.ID][]string // VMs that asked about an unfinished submission
-	cancel            context.CancelFunc
-	ctx               context.Context // ends when the shard is lost
-	extendLeases      atomic.Bool     // whether the workers' leases may be extended
-	acquiredAt        time.Duration
-	confirmedAt       time.Duration // when the last store call left that confirmed the holding
-	scanning          bool          // a search for records is in flight
-	scannedAt         time.Duration // 0: the records have not been read yet
-	recoveredRevision uint64        // of the store when the records were read first
-	offloadAt         time.Duration
-	storedWorkers     string        // the workers, as stored for the next holder, without speeds
-	storedSpeeds      string        // the same with their speeds
-	storedWorkersAt   time.Duration // when the last write of them was made
-	storingWorkers    bool          // a write of them is in flight
-	loadSentAt        time.Duration
-	loadCheckedAt     time.Duration // when it was last compared with the load that was sent
-	loadVersion       uint64        // RoomVersion at that time
-	loadSentFarAt     time.Duration // when the load was last sent to VMs of other domains
-	sentLoad          shard.Load
-	roomVersion       uint64 // of the room that the pool was told
+	core            *shard.Shard // decides what runs where, without I/O
+	holding         site.Holding
+	sessions        map[string]*workerSession
+	askers          map[submission.ID][]string // VMs that asked about an unfinished submission
+	cancel          context.CancelFunc
+	ctx             context.Context // ends when the shard is lost
+	extendLeases    atomic.Bool     // whether the workers' leases may be extended
+	acquiredAt      time.Duration
+	confirmedAt     time.Duration // when the last store call left that confirmed the holding
+	scanning        bool          // a search for records is in flight
+	scannedAt       time.Duration // 0: the records have not been read yet
+	offloadAt       time.Duration
+	storedWorkers   string        // the workers, as stored for the next holder, without speeds
+	storedSpeeds    string        // the same with their speeds
+	storedWorkersAt time.Duration // when the last write of them was made
+	storingWorkers  bool          // a write of them is in flight
+	loadSentAt      time.Duration
+	loadCheckedAt   time.Duration // when it was last compared with the load that was sent
+	loadVersion     uint64        // RoomVersion at that time
+	loadSentFarAt   time.Duration // when the load was last sent to VMs of other domains
+	sentLoad        shard.Load
+	roomVersion     uint64 // of the room that the pool was told
 }
 
 // knownLoad is the load of a shard as its holder last reported it.
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -94,6 +94,12 @@
 		previousWorkers []storedWorker    // the workers that previous holders used
 		evacuations     *evacuationsEvent // nil: they were not read
 	}
+	// confirmedEvent brings records that were read again after a stale scan had found them.
+	confirmedEvent struct {
+		shard   string
+		token   uint64
+		records []shard.StoredRecord
+	}
 	// evacuationsEvent brings evacuations that were read from the store.
 	evacuationsEvent struct {
 		requestedAt time.Duration // when the store was asked: all changes made before are known
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -51,9 +51,17 @@
 
 // testWorld runs a scenario on a site of two failure domains.
 func testWorld(t *testing.T, scenario func(w *world)) {
+	t.Helper()
+	testWorldWith(t, func(*world) {}, scenario)
+}
+
+// testWorldWith does the same on a site that is prepared before its VMs start.
+func testWorldWith(t *testing.T, prepare, scenario func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newTwoDomainWorld(t)
+		w := newWorld(t, "a", "b")
+		prepare(w)
+		w.populate()
 		scenario(w)
 		w.end()
 	})
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -32,10 +32,18 @@
 	items     map[string]store.Item
 	leaseOf   map[string]uint64
 	leases    map[uint64]*lease
-	history   []store.Event
-	compacted uint64        // history up to this revision was dropped
-	changed   chan struct{} // closed at the next change
-	Calls     int           // calls made through any Transport, including failed ones
+	history   []change
+	base      map[string]store.Item // the items when history was dropped; nil: it never was
+	compacted uint64                // history up to this revision was dropped
+	staleness time.Duration         // age of what stale reads return
+	changed   chan struct{}         // closed at the next change
+	Calls     int                   // calls made through any Transport, including failed ones
+}
+
+// change is an event with the time at which it happened.
+type change struct {
+	store.Event
+	at time.Time
 }
 
 // New returns an empty store.
@@ -81,7 +89,7 @@
 
 // record adds an event to the history and wakes the watches.
 func (s *Store) record(e store.Event) {
-	s.history = append(s.history, e)
+	s.history = append(s.history, change{e, time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -99,12 +107,16 @@
 }
 
 // Range implements store.Store.
-func (s *Store) Range(_ context.Context, prefix, after string, _ bool) (store.Page, error) {
+func (s *Store) Range(_ context.Context, prefix, after string, stale bool) (store.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	p := store.Page{Revision: s.revision}
-	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+	items, revision := s.items, s.revision
+	if stale && s.staleness > 0 {
+		items, revision = s.asOf(time.Now().Add(-s.staleness))
+	}
+	p := store.Page{Revision: revision}
+	for _, key := range slices.Sorted(maps.Keys(items)) {
 		if !strings.HasPrefix(key, prefix) || key <= after {
 			continue
 		}
@@ -112,11 +124,36 @@
 			p.More = true
 			break
 		}
-		p.Items = append(p.Items, s.items[key])
+		p.Items = append(p.Items, items[key])
 	}
 	return p, nil
 }
 
+// SetStaleness makes stale reads return the state of d ago, but none from before the last Compact.
+func (s *Store) SetStaleness(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleness = d
+}
+
+// asOf returns the items and the revision at a time.
+func (s *Store) asOf(at time.Time) (map[string]store.Item, uint64) {
+	items, revision := make(map[string]store.Item), s.compacted
+	maps.Copy(items, s.base)
+	for _, c := range s.history {
+		if c.at.After(at) {
+			break
+		}
+		revision = c.Revision
+		if c.Deleted {
+			delete(items, c.Key)
+		} else {
+			items[c.Key] = c.Item
+		}
+	}
+	return items, revision
+}
+
 // Watch implements store.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Changes, error) {
 	timer := time.NewTimer(wait)
@@ -152,7 +189,7 @@
 			c.Revision, c.More = c.Events[n-1].Revision, true
 			break
 		}
-		c.Events = append(c.Events, e)
+		c.Events = append(c.Events, e.Event)
 	}
 	return c, s.changed, nil
 }
@@ -263,6 +300,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history = nil
+	s.base = maps.Clone(s.items)
 	s.compacted = s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
