shard: dependent steps leave a shard only all together

Cause: tasks of steps that depend on each other are returned to their home VM together, as the next holder counts each task that it does not get as completed. Suspects, whose worker was lost, stay. A holder returned the second step and kept the suspects of the first.

Ruled out: a home VM that splits a whole return wrongly (the first step's tasks never start at the other shard), the end of an earlier run that counts (run 1 of both was accepted by no worker).

Change: returnTasks returns tasks of dependent steps only if they are all that are left. A home VM gives such tasks to another shard only once the holder has ended the part, so that a holder of an earlier build cannot break the order during a rolling upgrade.

Tests, failed before: TestStepIsNotReturnedWithoutSuspectsOfTheStepBefore ("2 tasks were returned while the first step is not done"), TestDependentTasksAreAssignedOnceTheirPartHasEnded ("2 parts ...").

--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -43,29 +43,38 @@
 }
 
 // returnTasks returns up to limit waiting tasks to their home VM, and reports how many. Tasks of steps that
-// depend on each other stay together, as only their holder knows which have completed: they are returned
-// all at once, when none runs.
+// depend on each other stay together, as only their holder knows which have completed: all that are left are returned
+// at once, or none, when none runs.
 func (s *Shard) returnTasks(now time.Duration, j *job, limit int) int {
-	if len(j.steps) > 1 && (!j.isIdle() || j.tasksLeft > limit) {
-		return 0
-	}
-	before := len(j.returned)
+	var leaving []*task
 	for _, t := range j.tasks {
-		// Suspects stay, so that they crash no workers of another domain, unless this one is evacuated.
-		if t.state == taskWaiting && !j.hasStrayRun(t) && len(j.returned)-before < limit && (s.evacuated || !s.isSuspect(t)) {
-			j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, Failures: t.failures, FailedRuns: t.failedRuns, Losses: t.losses})
-			j.closeTask(t, taskElsewhere)
-			s.recordReturn(now, t)
+		if s.mayReturn(t) {
+			leaving = append(leaving, t)
 		}
 	}
+	if len(j.steps) > 1 && (!j.isIdle() || len(leaving) < j.tasksLeft || j.tasksLeft > limit) {
+		return 0
+	}
+	leaving = leaving[:min(len(leaving), limit)]
+	for _, t := range leaving {
+		j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, Failures: t.failures, FailedRuns: t.failedRuns, Losses: t.losses})
+		j.closeTask(t, taskElsewhere)
+		s.recordReturn(now, t)
+	}
 	switch {
-	case len(j.returned) == before:
+	case len(leaving) == 0:
 	case j.tasksLeft == 0:
 		s.finish(now, j)
 	default:
 		s.reportState(j)
 	}
-	return len(j.returned) - before
+	return len(leaving)
+}
+
+// mayReturn reports whether a task may go to another shard: it waits, and no run of it may be left here. Suspects stay,
+// so that they crash no workers of another domain, unless this one is evacuated.
+func (s *Shard) mayReturn(t *task) bool {
+	return t.state == taskWaiting && !t.job.hasStrayRun(t) && (s.evacuated || !s.isSuspect(t))
 }
 
 // isIdle reports whether none of its tasks runs or may be running.
--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -194,3 +194,30 @@
 	}
 	w.expectState("a", submission.Done)
 }
+
+// Guards against a step that starts before the one that it depends on is done. The worker of the first step crashes; its
+// tasks, which wait for a worker of their own, stay at the shard and those of the second step were returned to their home.
+func TestStepIsNotReturnedWithoutSuspectsOfTheStepBefore(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(100 * ms)
+	rec := w.submission("a", 2, runhost.Work{Time: 200 * ms, CPUMilli: 4000})
+	next := rec.Steps[0]
+	next.DependsOn = []int{0}
+	rec.Steps = append(rec.Steps, next)
+	w.assign(rec)
+	w.assign(w.submission("beside", 6, runhost.Work{Time: 3 * time.Second, CPUMilli: 4000})) // no worker is idle
+	w.run(50 * ms)
+	lost := w.shard.jobs["a"].tasks[0].host.info.ID
+	w.crash(lost)
+	delete(w.hosts, lost)
+	w.run(2 * time.Second)
+	if waiting, _ := w.shard.countSuspects(); waiting == 0 {
+		t.Fatal("no task waits as a suspect")
+	}
+	if n := w.shard.Offload(w.now, 0, func(int64) int { return 64 }); n != 0 {
+		report, _ := w.shard.Report("a")
+		t.Errorf("%d tasks were returned while the first step is not done: %+v", n, report.Returned)
+	}
+	w.run(6 * time.Second)
+	w.expectState("a", submission.Done)
+}
--- a/internal/kept/vm/partreport.go
+++ b/internal/kept/vm/partreport.go
@@ -40,7 +40,9 @@
 	if t.bindsLate && !e.applyJoinReport(t, p, &report) {
 		return
 	}
-	if sameAttempt {
+	// Steps that depend on each other go to another shard only once the holder has ended the part: tasks that it did not
+	// return would count as completed there.
+	if sameAttempt && (len(p.record.Steps) == 1 || state == submission.Returned) {
 		e.reassignReturned(t, p, report.returned)
 	}
 	if e.transients[t.record.ID] != t {
--- a/internal/kept/vm/parts_test.go
+++ b/internal/kept/vm/parts_test.go
@@ -69,3 +69,34 @@
 		}
 	})
 }
+
+// Guards against a step that starts before the one that it depends on is done: a holder of an earlier build returns the
+// tasks of the second step and goes on with those of the first.
+func TestDependentTasksAreAssignedOnceTheirPartHasEnded(t *testing.T) {
+	testWorld(t, func(w *world) {
+		done := make(chan struct{})
+		w.vms["a1"].post(engineFunc(func(e *engine) {
+			defer close(done)
+			rec := newOneStepRecord("job", 1, runhost.Work{Time: 50 * ms})
+			rec.Steps = append(rec.Steps, rec.Steps[0])
+			rec.Steps[1].DependsOn = []int{0}
+			rec.Transient, rec.Serial = true, 9
+			p := &part{record: rec, shard: "a/0", holderToken: e.loads["a/0"].token}
+			sub := &transientSubmission{record: rec, parts: []*part{p}, state: submission.Queued}
+			e.transients["job"] = sub
+			defer delete(e.transients, "job")
+			report := stateReport{shard: "a/0", token: p.holderToken, state: submission.Running, serial: 9,
+				returned: []shard.ReturnedTask{{Task: submission.Task{Step: 1}}}, tasks: 1}
+			e.applyPartReport(sub, p, report)
+			if len(sub.parts) != 1 || len(sub.unassigned) != 0 {
+				t.Errorf("%d parts and %d groups of unassigned tasks while the first step goes on", len(sub.parts), len(sub.unassigned))
+			}
+			report.state = submission.Returned
+			e.applyPartReport(sub, p, report)
+			if len(sub.parts) != 2 {
+				t.Errorf("%d parts after the first one has ended, want 2", len(sub.parts))
+			}
+		}))
+		<-done
+	})
+}
