shard: the worker reserved for a suspect can run it

Cause: as many workers are set aside as suspects wait, the least used ones, whether or not a suspect can run there. On an idle shard that is the first worker by ID in each placement.

Ruled out: an uncertain loss (it delays a start by 5 s at most), labels that the shard has lost (the same happens with memory and GPUs).

Change: for each suspect the least used worker that could run it alone is reserved. What a worker can ever run stands in worker.Info.Suits, which placement, suspects and pools use.

--- a/internal/kept/pool/room.go
+++ b/internal/kept/pool/room.go
@@ -74,9 +74,7 @@
 
 // suits reports whether tasks of a size may run on the worker at all.
 func (s *slot) suits(z *Size) bool {
-	i := &s.worker.Info
-	return i.Service == z.Service && i.HasLabel(z.RequiredLabel) &&
-		Resources{CPUMilli: i.CPUMilli, MemMB: i.MemMB, GPU: i.GPU}.Covers(z.resources())
+	return s.worker.Info.Suits(z.Service, z.RequiredLabel, z.CPUMilli, z.MemMB, z.GPU)
 }
 
 // fits reports whether a task of a size can start on the worker now.
--- a/internal/kept/shard/candidates.go
+++ b/internal/kept/shard/candidates.go
@@ -7,6 +7,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/pool"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
 
 // candidate is a usable worker with its free capacity.
@@ -140,21 +141,35 @@
 
 // fits reports whether a task may be started on a candidate.
 func (s *Shard) fits(now time.Duration, t *task, c *candidate) bool {
-	info := &c.host.info
 	step := t.step
 	switch {
-	case info.Service != t.job.rec.Terms.Service, !info.HasLabel(step.RequiredLabel):
+	case !t.suits(&c.host.info):
 		return false
 	case step.CPUMilli > c.freeCPUMilli, step.MemMB > c.freeMemMB, step.GPU > c.freeGPU:
 		return false
 	case step.MaxPerWorker > 0 && c.limited[stepKey{t.ref.ID, t.ref.Step}] >= step.MaxPerWorker:
 		return false
 	default:
-		n := c.tasks
-		return c.host.health.CanAccept(now, n) || n == 0 && !t.job.rec.Transient && c.lastResort
+		return mayGet(now, t, c, c.tasks)
 	}
 }
 
+// fitsAlone reports whether a task could be started on a candidate that had no other tasks.
+func fitsAlone(now time.Duration, t *task, c *candidate) bool {
+	return t.suits(&c.host.info) && mayGet(now, t, c, 0)
+}
+
+// mayGet reports whether the health of a candidate allows it one more task while it has a number of tasks.
+func mayGet(now time.Duration, t *task, c *candidate, tasks int) bool {
+	return c.host.health.CanAccept(now, tasks) || tasks == 0 && !t.job.rec.Transient && c.lastResort
+}
+
+// suits reports whether a worker without other tasks has what the task needs.
+func (t *task) suits(w *worker.Info) bool {
+	step := t.step
+	return w.Suits(t.job.rec.Terms.Service, step.RequiredLabel, step.CPUMilli, step.MemMB, step.GPU)
+}
+
 // areAllEjected reports whether all workers that could be used are ejected. Then the tasks are more likely to be at
 // fault than the workers, and a stored submission cannot go to another shard: it would wait though the workers are idle.
 // So each ejected worker gets one task of a stored submission at a time.
--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -192,39 +192,53 @@
 
 // divideCandidates divides the candidates into shared ones, for all other tasks, and exclusive ones for
 // suspects. A suspect runs on a worker without other tasks. Under load no worker becomes idle by itself, so
-// while suspects wait, the least used workers are reserved for them: they get no new tasks, and become
-// exclusive once they are idle. Beside a suspect only suspects of the same submission start: whichever of
-// them crashes the worker, the submission has failed.
-func (s *Shard) divideCandidates(candidates []*candidate) (shared, exclusive []*candidate) {
+// while suspects wait, workers are reserved for them: they get no new tasks, and become exclusive once they
+// are idle. Beside a suspect only suspects of the same submission start: whichever of them crashes the worker,
+// the submission has failed.
+func (s *Shard) divideCandidates(now time.Duration, candidates []*candidate) (shared, exclusive []*candidate) {
 	if !s.hasLosses {
 		return candidates, nil
 	}
-	waiting, inUse := s.countSuspects()
-	reserved := min(waiting, s.settings.Policy.MaxSuspectWorkers(len(s.workers))-inUse)
+	waiting, inUse := s.waitingSuspects()
 	byUse := slices.SortedStableFunc(slices.Values(candidates), func(a, b *candidate) int { return cmp.Compare(a.usedCPUMilli(), b.usedCPUMilli()) })
+	reserved := reserveForSuspects(now, waiting, byUse, s.settings.Policy.MaxSuspectWorkers(len(s.workers))-inUse)
 	for _, c := range byUse {
 		switch {
 		case c.suspect != nil:
 			exclusive = append(exclusive, c)
-		case reserved <= 0:
+		case !reserved[c]:
 			shared = append(shared, c)
-		default:
-			reserved--
-			if c.tasks == 0 {
-				exclusive = append(exclusive, c)
-			}
+		case c.tasks == 0:
+			exclusive = append(exclusive, c)
 		}
 	}
 	return shared, exclusive
 }
 
+// reserveForSuspects chooses the least used worker that can run it for each suspect, up to limit workers in all. The
+// candidates are sorted by their use.
+func reserveForSuspects(now time.Duration, waiting []*task, byUse []*candidate, limit int) map[*candidate]bool {
+	reserved := make(map[*candidate]bool)
+	for _, t := range waiting {
+		if len(reserved) >= limit {
+			break
+		}
+		i := slices.IndexFunc(byUse, func(c *candidate) bool { return c.suspect == nil && !reserved[c] && fitsAlone(now, t, c) })
+		if i >= 0 {
+			reserved[byUse[i]] = true
+		}
+	}
+	return reserved
+}
+
 // exclusiveCandidatesFor returns the exclusive candidates that suspects of a submission may use.
 func exclusiveCandidatesFor(j *job, exclusive []*candidate) []*candidate {
 	return slices.DeleteFunc(slices.Clone(exclusive), func(c *candidate) bool { return c.suspect != nil && c.suspect != j })
 }
 
-// countSuspects counts the suspects that wait for a worker, and the workers that suspects use.
-func (s *Shard) countSuspects() (waiting, inUse int) {
+// waitingSuspects returns the suspects that wait for a worker, the oldest submission's first, and how many workers
+// suspects use.
+func (s *Shard) waitingSuspects() (waiting []*task, inUse int) {
 	s.hasLosses = false
 	hosts := make(map[*host]bool)
 	for _, j := range s.jobs {
@@ -237,10 +251,14 @@
 			case t.occupies():
 				hosts[t.host] = true
 			case !j.state.Final() && j.isStartable(t):
-				waiting++
+				waiting = append(waiting, t)
 			}
 		}
 	}
+	slices.SortFunc(waiting, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.job.submittedAt, b.job.submittedAt), cmp.Compare(a.ref.ID, b.ref.ID),
+			cmp.Compare(a.ref.Step, b.ref.Step), cmp.Compare(a.ref.Index, b.ref.Index))
+	})
 	return waiting, len(hosts)
 }
 
--- a/internal/kept/shard/crash_test.go
+++ b/internal/kept/shard/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -261,3 +262,34 @@
 		t.Errorf("it is %q with %d reassignments once the loss of its worker is certain, want failed with none", w.finals["s"], len(w.reassigns))
 	}
 }
+
+// Guards against a suspect that never starts again on an idle shard, as the worker reserved for it cannot run it.
+func TestSuspectGetsAWorkerThatCanRunIt(t *testing.T) {
+	for name, unsuitable := range map[string]func(w *world, i *worker.Info){
+		"label":   func(_ *world, i *worker.Info) { i.Labels = nil },
+		"memory":  func(_ *world, i *worker.Info) { i.MemMB = 1000 },
+		"GPU":     func(_ *world, i *worker.Info) { i.GPU = 0 },
+		"size":    func(_ *world, i *worker.Info) { i.CPUMilli = 4000 },
+		"service": func(_ *world, i *worker.Info) { i.Service = "lab" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 4)
+			for _, id := range []string{"w0", "w1", "w2", "w3"} {
+				info := &w.hosts[id].Info
+				info.Labels, info.GPU = []string{"b"}, 1
+			}
+			unsuitable(w, &w.hosts["w0"].Info)
+			w.updateList()
+			w.run(100 * ms)
+			r := w.storedSubmission("s", 1, runhost.Work{Time: 300 * ms})
+			r.Steps[0].RequiredLabel, r.Steps[0].MemMB, r.Steps[0].GPU = "b", 2000, 1
+			w.assign(r)
+			w.run(50 * ms)
+			lost := w.shard.jobs["s"].tasks[0].host.info.ID
+			w.crash(lost)
+			delete(w.hosts, lost)
+			w.run(4 * time.Second)
+			w.expectState("s", submission.Done)
+		})
+	}
+}
--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -211,7 +211,7 @@
 	w.crash(lost)
 	delete(w.hosts, lost)
 	w.run(2 * time.Second)
-	if waiting, _ := w.shard.countSuspects(); waiting == 0 {
+	if waiting, _ := w.shard.waitingSuspects(); len(waiting) == 0 {
 		t.Fatal("no task waits as a suspect")
 	}
 	if n := w.shard.Offload(w.now, 0, func(int64) int { return 64 }); n != 0 {
--- a/internal/kept/shard/load.go
+++ b/internal/kept/shard/load.go
@@ -16,7 +16,7 @@
 			l.CapacityMilli += int64(float64(h.info.CPUMilli) * s.settings.Policy.UsableShare(now, &h.health))
 		}
 	}
-	shared, _ := s.divideCandidates(s.candidates(now))
+	shared, _ := s.divideCandidates(now, s.candidates(now))
 	for _, c := range shared {
 		if c.host.health.CanAccept(now, c.tasks) {
 			l.FreeMilli = append(l.FreeMilli, c.freeCPUMilli)
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -16,7 +16,7 @@
 	s.confirmAllStoredLosses(now)
 	s.startAttempted(now)
 	usable := s.usableWorkers(now)
-	shared, exclusive := s.divideCandidates(withFreeCPU(usable))
+	shared, exclusive := s.divideCandidates(now, withFreeCPU(usable))
 	defer s.keepRoom(usable, shared)
 	if len(shared)+len(exclusive) == 0 {
 		s.setStandings(now) // which the load reports tell
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -64,6 +64,12 @@
 	return false
 }
 
+// Suits reports whether the worker, without other tasks, has what a task needs: the service, a label, CPU in thousandths of a
+// core, memory and GPUs.
+func (w *Info) Suits(service, label string, cpuMilli, memMB, gpu int64) bool {
+	return w.Service == service && w.HasLabel(label) && w.CPUMilli >= cpuMilli && w.MemMB >= memMB && w.GPU >= gpu
+}
+
 // EntryError reports an entry of the list of workers that describes no usable worker.
 type EntryError struct {
 	Key    string
