vm, shard: a cancellation is remembered where its submission is not known yet

Causes: a holder ignores a cancellation of a submission that it does not know, and then adopts the record that it had read before, or takes the assignment that was sent before. And a VM told cancellations only to the VMs that it has links to, which on a site of more than 13 VMs need not include the holder.

Evidence: the tests below.

Change: a shard remembers for a minute that a submission was cancelled that it does not know; the VM that cancels tells the holder of its shard as well.

Tests, failed before: TestCancellationOfAnUnknownSubmissionIsRemembered (needs the new call), TestCancelReachesAHolderWithoutALink ("it runs 3.05 s after its cancellation at b2", 40 VMs).

--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -347,3 +347,26 @@
 		t.Errorf("%d starts of a submission that was stored after the takeover, want 1", n)
 	}
 }
+
+// Guards against a cancelled submission that runs: the cancellation arrives while a new holder reads the records, or before
+// its assignment.
+func TestCancellationOfAnUnknownSubmissionIsRemembered(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	read := w.storedSubmission("read", 1, runhost.Work{Time: 50 * ms})
+	assigned := w.storedSubmission("assigned", 1, runhost.Work{Time: 50 * ms})
+	w.newHolder(2, true)
+	w.shard.CancelStored(w.now, "read")
+	w.shard.CancelStored(w.now, "assigned")
+	w.shard.Recover(w.now, []StoredRecord{{Record: read, Revision: 5}}, 6)
+	w.shard.Assign(w.now, StoredRecord{Record: assigned, Revision: 7})
+	w.run(2 * time.Second)
+	for _, id := range []submission.ID{"read", "assigned"} {
+		if n := w.startCount(id); n != 0 {
+			t.Errorf("%s: %d starts after its cancellation", id, n)
+		}
+		if state, _ := w.shard.State(id); state != submission.Cancelled {
+			t.Errorf("%s is %s, want cancelled", id, state)
+		}
+	}
+}
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,29 +17,33 @@
 
 func (ev cancelEvent) apply(e *engine) {
 	e.vm.spawn(func() {
-		state, err := e.vm.storeCancel(e.ctx, ev.id)
-		e.vm.post(cancelledEvent{id: ev.id, state: state, err: err, reply: ev.reply})
+		found, err := e.vm.storeCancel(e.ctx, ev.id)
+		e.vm.post(cancelledEvent{id: ev.id, found: found, err: err, reply: ev.reply})
 	})
 }
 
 // storeCancel replaces the record of an unfinished submission by the final state Cancelled, retrying for up to
-// cancelTimeout. It returns the final state, or Unknown if there is no such submission.
-func (v *VM) storeCancel(ctx context.Context, id submission.ID) (submission.State, error) {
+// cancelTimeout. It returns the final state, or Unknown if there is no such submission, and the record that it replaced.
+func (v *VM) storeCancel(ctx context.Context, id submission.ID) (storeLookup, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
+	var replaced *submission.Record // by a write that may have had no answer
 	for {
 		found, err := v.readSubmission(ctx, id)
 		if err == nil && found.record == nil {
-			return found.state, nil
+			found.record = replaced
+			return found, nil
 		}
 		if err == nil {
+			replaced = found.record
 			_, err = v.store.Commit(ctx, finalTxn(id, found.revision, submission.Cancelled))
 			if err == nil {
-				return submission.Cancelled, nil
+				found.state = submission.Cancelled
+				return found, nil
 			}
 		}
 		if ctx.Err() != nil {
-			return submission.Unknown, err
+			return storeLookup{}, err
 		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
@@ -51,7 +57,7 @@
 
 type cancelledEvent struct {
 	id    submission.ID
-	state submission.State
+	found storeLookup // with the final state
 	err   error
 	reply chan StateAnswer
 }
@@ -62,24 +68,41 @@
 		ev.reply <- StateAnswer{Err: ErrUnavailable}
 		return
 	}
-	klog.InfoS("kept: cancelled", "id", ev.id, "state", ev.state.String())
-	ev.reply <- StateAnswer{State: ev.state}
-	if ev.state != submission.Cancelled {
+	klog.InfoS("kept: cancelled", "id", ev.id, "state", ev.found.state.String())
+	ev.reply <- StateAnswer{State: ev.found.state}
+	if ev.found.state != submission.Cancelled {
 		return
 	}
 	e.applyStateReport(ev.id, stateReport{state: submission.Cancelled})
 	ref := &pb.KeptRef{Id: string(ev.id)}
 	e.cancelInOwnShards(ref)
-	for name := range e.links {
+	for _, name := range e.cancelRecipients(ev.found.record) {
 		f := e.frame(name)
 		f.Cancelled = append(f.Cancelled, ref)
 	}
 }
 
-// cancelInOwnShards cancels a submission in the shards that this VM holds, or in the one that ref names.
+// cancelRecipients returns the VMs to tell of a cancellation: those that this VM has links to, and the holder of the
+// submission's shard. The record is nil if the submission had been cancelled before.
+func (e *engine) cancelRecipients(r *submission.Record) []string {
+	names := slices.Collect(maps.Keys(e.links))
+	if r == nil {
+		return names
+	}
+	if holder := e.site.Holding(r.Shard).Holder; holder != "" && holder != e.vm.config.Name && e.links[holder] == nil {
+		names = append(names, holder)
+	}
+	return names
+}
+
+// cancelInOwnShards cancels a stored submission in the shards that this VM holds, or the part of one in the shard that ref
+// names.
 func (e *engine) cancelInOwnShards(ref *pb.KeptRef) {
 	for name, h := range e.shards {
-		if ref.Shard == "" || ref.Shard == name {
+		switch ref.Shard {
+		case "":
+			h.core.CancelStored(e.now, submission.ID(ref.Id))
+		case name:
 			h.core.Cancel(e.now, submission.ID(ref.Id))
 		}
 	}
--- a/internal/kept/vm/large_site_test.go
+++ b/internal/kept/vm/large_site_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -290,3 +292,52 @@
 		t.Errorf("the list is %v old after a message that it has not changed, want 0", age)
 	}
 }
+
+// Guards against a cancelled submission that runs on: the VM that is asked to cancel it has no link to the holder.
+func TestCancelReachesAHolderWithoutALink(t *testing.T) {
+	testLargeWorld(t, 40, 0.05, func(w *world) {
+		holder := w.holderOf("a")
+		w.wantAccepted(w.submit(holder, "s", 1, runhost.Work{Time: time.Minute}, false))
+		time.Sleep(2 * time.Second)
+		if w.fleet.Running("s") != 1 {
+			t.Fatal("it does not run")
+		}
+		asked := w.withoutLinkTo(w.holderOfShard(w.storedRecord("s").Shard))
+		if asked == "" {
+			t.Fatal("each VM has a link to the holder")
+		}
+		if state, err := w.vms[asked].Cancel(context.Background(), "s"); err != nil || state != submission.Cancelled {
+			t.Fatalf("it cannot be cancelled: %v, %v", state, err)
+		}
+		time.Sleep(3*time.Second + 50*ms)
+		if w.fleet.Running("s") != 0 {
+			t.Errorf("it runs 3.05 s after its cancellation at %s", asked)
+		}
+	})
+}
+
+// storedRecord returns the record of an unfinished submission in the store.
+func (w *world) storedRecord(id submission.ID) *submission.Record {
+	w.t.Helper()
+	it, err := w.store.Get(context.Background(), submission.OpenKey(id))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r, err := submission.DecodeRecord(id, it.Value)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return r
+}
+
+// withoutLinkTo returns a VM that has no link to another one; "" if all have.
+func (w *world) withoutLinkTo(peer string) string {
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
+		linked := make(chan bool, 1)
+		w.vms[name].post(engineFunc(func(e *engine) { linked <- e.links[peer] != nil }))
+		if !<-linked && name != peer {
+			return name
+		}
+	}
+	return ""
+}
