shard, vm: a stored submission moves to a shard that can run it

What callers saw: stored jobs whose shard had lost all workers with their label were shown as running and never went on, while workers of other zones had it (review/bin/standin stuck).

Cause: the shard is chosen by load alone when a submission is stored, and a stored submission leaves it only if the domain is evacuated.

Evidence: TestStoredSubmissionMovesToAShardThatCanRunIt, in which no worker is lost, failed before ("s0 is running at a1, want done"), so that neither a loss nor a suspect is needed.

Change: a holder without a worker for a second that could run any task whose turn has come reads the list of all workers, once for all such submissions, and has the submission stored under a shard that can, by the write that evacuations use. The wait doubles with each move; without such a shard it stays, the list is read every 2 s and a line names the steps. Ruled out: telling the workers' kinds in load reports, which each pair of VMs would pay for all the time.

Records get a field that earlier builds ignore. The random world of the shard answers such moves: every second one is made, and comes back after 0.5 s.

--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -38,7 +38,7 @@
 	case j.rec.Transient:
 		s.returnTasks(now, j, len(j.tasks))
 	default:
-		s.reassignStored(now, j)
+		s.reassignStored(now, j, nil)
 	}
 }
 
@@ -87,9 +87,10 @@
 	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskWaiting && !s.lossOutcomeKnown(now, t) })
 }
 
-// reassignStored has a stored submission stored under another shard once none of its tasks runs here. Only this shard
-// can learn whether the workers that it has lost here have ended.
-func (s *Shard) reassignStored(now time.Duration, j *job) {
+// reassignStored has a stored submission stored under another shard once none of its tasks runs here: any other one, or
+// one that can run one of the stranded steps. Only this shard can learn whether the workers that it has lost here have
+// ended.
+func (s *Shard) reassignStored(now time.Duration, j *job, stranded []int) {
 	if j.reassigning || j.saving || now < j.reassignAt || !j.isIdle() || !s.areLossOutcomesKnown(now, j) {
 		return
 	}
@@ -100,7 +101,7 @@
 	for _, t := range j.tasks {
 		rec.MaxRunElsewhere = max(rec.MaxRunElsewhere, t.newestRun)
 	}
-	s.actions.Reassigns = append(s.actions.Reassigns, ReassignAction{Record: &rec, Revision: j.revision})
+	s.actions.Reassigns = append(s.actions.Reassigns, ReassignAction{Record: &rec, Revision: j.revision, Stranded: stranded})
 }
 
 // Reassigned records that a submission is stored under another shard at the given revision.
@@ -120,6 +121,9 @@
 	if j, open := s.jobs[id]; open {
 		j.reassigning = false
 		j.reassignAt = now + reassignRetryInterval
+		if j.strandedSince > 0 {
+			j.reassignAt = now + strandedRetryInterval
+		}
 		s.placementDue = true
 	}
 }
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -110,6 +110,7 @@
 	tasksBefore   int           // tasks of the part that had ended here before those of this job joined it
 	reassigning   bool          // its record is being stored under another shard
 	reassignAt    time.Duration // earliest time of the next attempt at that
+	strandedSince time.Duration // since when no worker here can run what is left of it; 0: one can
 	strayCounts   strayCounts   // those of the shard
 }
 
--- a/internal/kept/shard/property_test.go
+++ b/internal/kept/shard/property_test.go
@@ -29,9 +29,20 @@
 	ackedCompletions map[submission.TaskRef]bool // tasks of which a completed run was acknowledged
 	ackedFailures    map[submission.TaskRef]int  // number of acknowledged failed runs
 	listed           map[string][]worker.Ended   // ended runs in the newest listing of each worker
+	moves            int                         // submissions that were to be stored under another shard
+	elsewhere        []movedRecord
 	violations       []string
 }
 
+// movedRecord is a submission that another shard has until it gives it back.
+type movedRecord struct {
+	until  time.Duration
+	record *submission.Record
+}
+
+// timeElsewhere is how long another shard keeps a submission that it cannot run either.
+const timeElsewhere = 500 * ms
+
 type recordWrite struct {
 	at       time.Duration
 	by       *Shard
@@ -60,6 +71,10 @@
 	for _, s := range a.Saves {
 		r.writes = append(r.writes, recordWrite{at: w.now + r.delay, by: w.shard, revision: s.Revision, record: s.Record})
 	}
+	for _, m := range a.Reassigns {
+		r.move(w, m)
+	}
+	r.returnMoved(w)
 	pending := r.writes
 	r.writes = nil
 	for _, o := range pending {
@@ -121,6 +136,45 @@
 	w.shard.ProgressSaved(w.now, id, r.revision)
 }
 
+// move stores every second submission under another shard; for the others there is none.
+func (r *recordStore) move(w *world, m ReassignAction) {
+	id := m.Record.ID
+	r.moves++
+	switch {
+	case r.open[id].Revision != m.Revision:
+		w.shard.RecordConflict(w.now, id)
+	case r.moves%2 == 0:
+		w.shard.ReassignFailed(w.now, id)
+	default:
+		r.revision++
+		m.Record.Moves++
+		r.open[id] = StoredRecord{Record: m.Record, Revision: r.revision}
+		r.elsewhere = append(r.elsewhere, movedRecord{until: w.now + timeElsewhere, record: m.Record})
+		w.shard.Reassigned(w.now, id, r.revision)
+	}
+}
+
+// returnMoved stores submissions under this shard again whose time elsewhere is over, and that were not cancelled there.
+func (r *recordStore) returnMoved(w *world) {
+	r.elsewhere = slices.DeleteFunc(r.elsewhere, func(m movedRecord) bool {
+		if m.until > w.now {
+			return false
+		}
+		if id := m.record.ID; r.open[id].Record == m.record {
+			r.revision++
+			m.record.Token = w.shard.Token()
+			r.open[id] = StoredRecord{Record: m.record, Revision: r.revision}
+			w.shard.Assign(w.now, r.open[id])
+		}
+		return true
+	})
+}
+
+// isElsewhere reports whether another shard has a submission.
+func (r *recordStore) isElsewhere(id submission.ID) bool {
+	return slices.ContainsFunc(r.elsewhere, func(m movedRecord) bool { return m.record.ID == id })
+}
+
 func (r *recordStore) end(id submission.ID, state submission.State) {
 	delete(r.open, id)
 	r.final[id] = state
@@ -237,6 +291,9 @@
 	p.newHolder(p.shard.Token()+1, clean)
 	var all []StoredRecord
 	for _, id := range slices.Sorted(maps.Keys(p.records.open)) {
+		if p.records.isElsewhere(id) {
+			continue
+		}
 		s := p.records.open[id]
 		rec, err := submission.DecodeRecord(id, s.Record.Encode())
 		if err != nil {
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -46,6 +46,7 @@
 			s.releaseExpired(now, h)
 		}
 	}
+	s.moveStranded(now)
 	s.forgetMissingWorkers(now)
 	s.centreSpeeds(now)
 	s.pruneExpired(now)
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -89,6 +89,7 @@
 type ReassignAction struct {
 	Record   *submission.Record
 	Revision uint64
+	Stranded []int // steps whose tasks no worker here can run; empty: the domain is evacuated
 }
 
 // OutcomeAction reports the outcome of a task's runs to the home VM of a transient submission, from
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -128,6 +128,8 @@
 	TasksElsewhere []Task `json:"o,omitempty"`
 	// MaxRunElsewhere is the highest run number that was used at other shards.
 	MaxRunElsewhere uint64 `json:"n,omitempty"`
+	// Moves is how often a stored submission was moved to another shard, as no worker of its own could run it.
+	Moves uint32 `json:"x,omitempty"`
 }
 
 // TaskCount is the number of the record's tasks in all steps.
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -96,6 +96,7 @@
 	startedAt         time.Duration
 	retrySchedule     policy.RetrySchedule // for callers that this VM refuses
 	turns             policy.Turns         // the same, in its place with the setting retry_turns
+	stranded          []strandedMove       // that wait for the list of all workers
 	links             map[string]*link.Link
 	linkUp            map[string]bool          // by peer: the link is established
 	linkUpAt          map[string]time.Duration // by peer: when it was last established
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -298,12 +298,20 @@
 	e.completeIfDone(t)
 }
 
-// storeReassign writes the record of a stored submission, of which nothing runs, under a shard that may start
-// it. The write requires that the record is unchanged and that both shards still have the same holders: a
-// new holder of the old shard could have started the submission.
+// storeReassign has a stored submission, of which nothing runs, stored under a shard that may start it.
 func (e *engine) storeReassign(name string, h *heldShard, m shard.ReassignAction) {
+	if len(m.Stranded) > 0 {
+		e.moveStranded(strandedMove{shard: name, token: h.holding.Token, action: m})
+		return
+	}
+	e.storeUnder(name, h, m, e.eligibleShards(m.Record))
+}
+
+// storeUnder writes the record of a stored submission, of which nothing runs, under one of some shards. The write
+// requires that the record is unchanged and that both shards still have the same holders: a new holder of the
+// old shard could have started the submission.
+func (e *engine) storeUnder(name string, h *heldShard, m shard.ReassignAction, shards []policy.Candidate) {
 	rec := m.Record
-	shards := e.eligibleShards(rec)
 	if len(shards) == 0 {
 		h.core.ReassignFailed(e.now, rec.ID)
 		return
@@ -339,7 +347,7 @@
 	case ev.result.Outcome == journal.Stored:
 		h.core.Reassigned(e.now, rec.ID, ev.result.Revision)
 		e.vm.metrics.reassigned.Inc(1)
-		klog.InfoS("kept: submission reassigned from an evacuated domain", "id", rec.ID, "from", ev.shard, "shard", rec.Shard,
+		klog.InfoS("kept: submission reassigned", "id", rec.ID, "from", ev.shard, "shard", rec.Shard, "moves", rec.Moves,
 			"token", rec.Token, "revision", ev.result.Revision, "tasks", rec.TaskCount())
 		if own := e.tracked[rec.ID]; own != nil {
 			own.shard = rec.Shard
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -224,6 +224,11 @@
 	w.fleet.SetWork(id, work)
 	rec := newOneStepRecord(id, tasks, work)
 	rec.Transient = transient
+	return w.submitRecord(at, rec)
+}
+
+// submitRecord sends a submission to a VM and returns a channel for its outcome.
+func (w *world) submitRecord(at string, rec *submission.Record) chan Outcome {
 	out := make(chan Outcome, 1)
 	v := w.vms[at]
 	go func() {
