shard: a cancellation is remembered also by a shard that the submission has left

A submission that was moved to another shard and comes back, and whose cancellation arrives before the assignment, would have run: its entry counts as known.

TestCancellationOfAnUnknownSubmissionIsRemembered, extended; failed before ("moved: 1 starts after its cancellation").

--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -236,10 +236,10 @@
 	return StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial, Returned: j.returned, Tasks: j.partSize()}
 }
 
-// CancelStored cancels a submission whose cancellation is in the store. One that is not known here is remembered, as its
-// record may have been read, or its assignment sent, before it was cancelled.
+// CancelStored cancels a submission whose cancellation is in the store. One that is not here is remembered, as its record
+// may have been read, or its assignment sent, before it was cancelled.
 func (s *Shard) CancelStored(now time.Duration, id submission.ID) {
-	if _, known := s.State(id); !known {
+	if state, _ := s.State(id); state == submission.Unknown {
 		s.recentlyEnded[id] = endedJob{state: submission.Cancelled, at: now}
 	}
 	s.Cancel(now, id)
--- a/internal/kept/shard/shard_test.go
+++ b/internal/kept/shard/shard_test.go
@@ -349,19 +349,23 @@
 }
 
 // Guards against a cancelled submission that runs: the cancellation arrives while a new holder reads the records, or before
-// its assignment.
+// its assignment, also by a shard that it was moved to.
 func TestCancellationOfAnUnknownSubmissionIsRemembered(t *testing.T) {
 	w := newWorld(t, 1)
 	w.run(100 * ms)
 	read := w.storedSubmission("read", 1, runhost.Work{Time: 50 * ms})
 	assigned := w.storedSubmission("assigned", 1, runhost.Work{Time: 50 * ms})
 	w.newHolder(2, true)
+	moved := w.storedSubmission("moved", 1, runhost.Work{Time: 50 * ms})
+	w.shard.recentlyEnded["moved"] = endedJob{reassignedRevision: 4, at: w.now}
+	w.shard.CancelStored(w.now, "moved")
 	w.shard.CancelStored(w.now, "read")
 	w.shard.CancelStored(w.now, "assigned")
 	w.shard.Recover(w.now, []StoredRecord{{Record: read, Revision: 5}}, 6)
 	w.shard.Assign(w.now, StoredRecord{Record: assigned, Revision: 7})
+	w.shard.Assign(w.now, StoredRecord{Record: moved, Revision: 8})
 	w.run(2 * time.Second)
-	for _, id := range []submission.ID{"read", "assigned"} {
+	for _, id := range []submission.ID{"read", "assigned", "moved"} {
 		if n := w.startCount(id); n != 0 {
 			t.Errorf("%s: %d starts after its cancellation", id, n)
 		}
