--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -219,14 +219,20 @@
 // candidates are sorted by their use.
 func reserveForSuspects(now time.Duration, waiting []*task, byUse []*candidate, limit int) map[*candidate]bool {
 	reserved := make(map[*candidate]bool)
+	var unserved *submission.Step // the last step without a worker; its other tasks have none either
 	for _, t := range waiting {
 		if len(reserved) >= limit {
 			break
 		}
+		if t.step == unserved {
+			continue
+		}
 		i := slices.IndexFunc(byUse, func(c *candidate) bool { return c.suspect == nil && !reserved[c] && fitsAlone(now, t, c) })
-		if i >= 0 {
-			reserved[byUse[i]] = true
+		if i < 0 {
+			unserved = t.step
+			continue
 		}
+		reserved[byUse[i]] = true
 	}
 	return reserved
 }
--- a/internal/kept/shard/evacuate.go
+++ b/internal/kept/shard/evacuate.go
@@ -44,18 +44,21 @@
 
 // returnTasks returns up to limit waiting tasks to their home VM, and reports how many. Tasks of steps that
 // depend on each other stay together, as only their holder knows which have completed: all that are left are returned
-// at once, or none, when none runs.
+// at once, when none runs, or none.
 func (s *Shard) returnTasks(now time.Duration, j *job, limit int) int {
+	dependent := len(j.steps) > 1
+	if dependent && (!j.isIdle() || j.tasksLeft > limit) {
+		return 0
+	}
 	var leaving []*task
 	for _, t := range j.tasks {
-		if s.mayReturn(t) {
+		if len(leaving) < limit && s.mayReturn(t) {
 			leaving = append(leaving, t)
 		}
 	}
-	if len(j.steps) > 1 && (!j.isIdle() || len(leaving) < j.tasksLeft || j.tasksLeft > limit) {
+	if dependent && len(leaving) < j.tasksLeft {
 		return 0
 	}
-	leaving = leaving[:min(len(leaving), limit)]
 	for _, t := range leaving {
 		j.returned = append(j.returned, ReturnedTask{Task: t.ref.Task, Run: t.newestRun, Failures: t.failures, FailedRuns: t.failedRuns, Losses: t.losses})
 		j.closeTask(t, taskElsewhere)
--- a/internal/kept/vm/records.go
+++ b/internal/kept/vm/records.go
@@ -34,6 +34,7 @@
 				e.vm.post(ev)
 				return
 			}
+			klog.V(1).InfoS("kept: records of a shard cannot be read", "shard", name, "token", token, "stale", stale, "why", err)
 			pause.For(h.ctx, scanRetryDelay)
 		}
 	})
@@ -54,6 +55,7 @@
 				e.vm.post(confirmedEvent{shard: name, token: token, records: records})
 				return
 			}
+			klog.V(1).InfoS("kept: records of a stale read cannot be read again", "shard", name, "token", token, "found", len(found), "why", err)
 			pause.For(h.ctx, scanRetryDelay)
 		}
 	})
