--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -15,6 +15,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store/kvcall"
+	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
 
 // maxPageItems is how many items a Range, or events a Watch, returns at most.
@@ -325,6 +326,7 @@
 	fault      Fault
 	isSilenced func(relay.Call) bool          // whether a call gets no answer; nil: none does
 	extraDelay func(relay.Call) time.Duration // nil: none
+	replyDelay func(relay.Call) time.Duration // nil: none
 }
 
 // NewTransport returns a connection to the store whose calls take delay.
@@ -355,6 +357,23 @@
 	t.extraDelay = extra
 }
 
+// DelayReplies makes the replies of calls arrive later by what extra returns, after they were carried out.
+func (t *Transport) DelayReplies(extra func(relay.Call) time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replyDelay = extra
+}
+
+// delayOfReply returns how much later the reply of a call arrives.
+func (t *Transport) delayOfReply(c relay.Call) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.replyDelay == nil {
+		return 0
+	}
+	return t.replyDelay(c)
+}
+
 // callDelay returns how much longer a call takes than the delay of the transport.
 func (t *Transport) callDelay(c relay.Call) time.Duration {
 	t.mu.Lock()
@@ -398,7 +417,7 @@
 		<-ctx.Done()
 		return relay.Reply{}, ctx.Err()
 	}
-	if ctx.Err() != nil {
+	if d := t.delayOfReply(c); d > 0 && !pause.For(ctx, d) || ctx.Err() != nil {
 		return relay.Reply{}, ctx.Err()
 	}
 	return r, nil
