--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -90,7 +90,6 @@
 		token           uint64
 		records         []shard.StoredRecord
 		revision        uint64            // of the store, as the read reported it
-		stale           bool              // the read may have been out of date
 		previousWorkers []storedWorker    // the workers that previous holders used
 		evacuations     *evacuationsEvent // nil: they were not read
 	}
