--- a/internal/kept/shard/candidates.go
+++ b/internal/kept/shard/candidates.go
@@ -101,14 +101,10 @@
 // isUsable reports whether new tasks may be started on a worker.
 func (s *Shard) isUsable(now time.Duration, h *host) bool {
 	switch {
-	case s.isClosed(), !h.hasAnswered, h.info.Leaving, now < h.fullUntil, now < h.unavailableUntil:
-		return false
-	case h.leaseExpired, h.hasMoreEnded, now-h.newestListingSentAt > maxSilence:
-		return false
-	case h.missingSince > 0 && now-h.missingSince > missingTimeout:
+	case s.isClosed(), !h.isInService(now), now < h.fullUntil, now < h.unavailableUntil:
 		return false
 	default:
-		return true
+		return !h.hasMoreEnded && now-h.newestListingSentAt <= maxSilence
 	}
 }
 
@@ -166,8 +162,7 @@
 
 // suits reports whether a worker without other tasks has what the task needs.
 func (t *task) suits(w *worker.Info) bool {
-	step := t.step
-	return w.Suits(t.job.rec.Terms.Service, step.RequiredLabel, step.CPUMilli, step.MemMB, step.GPU)
+	return w.SuitsStep(t.job.rec.Terms.Service, t.step)
 }
 
 // areAllEjected reports whether all workers that could be used are ejected. Then the tasks are more likely to be at
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -84,6 +84,16 @@
 	missingTimeout = 3 * time.Second
 )
 
+// isMissing reports whether the worker left the list so long ago that its entry is not expected back.
+func (h *host) isMissing(now time.Duration) bool {
+	return h.missingSince > 0 && now-h.missingSince > missingTimeout
+}
+
+// isInService reports whether the worker has answered, its lease goes on, and it is to stay. It may be full or ejected.
+func (h *host) isInService(now time.Duration) bool {
+	return h.hasAnswered && !h.leaseExpired && !h.info.Leaving && !h.isMissing(now)
+}
+
 // UpdateWorkers applies the list of the shard's workers. A worker that is no longer in it stays in use
 // until it stops answering, as entries expire while the store is down.
 func (s *Shard) UpdateWorkers(now time.Duration, list []worker.Info) {
--- a/internal/kept/shard/stranded.go
+++ b/internal/kept/shard/stranded.go
@@ -10,9 +10,9 @@
 const (
 	strandedCheckInterval = 300 * time.Millisecond
 	// strandedAfter is how long no worker may be able to run a submission before it is moved the first time; most workers that
-	// restart answer within it. It doubles with each move, up to maxStrandedAfter.
+	// restart answer within it. It doubles with each of the first maxStrandedDoublings moves.
 	strandedAfter         = time.Second
-	maxStrandedAfter      = 8 * time.Second
+	maxStrandedDoublings  = 3
 	strandedRetryInterval = 2 * time.Second // between two searches for a shard that can run it
 )
 
@@ -34,7 +34,7 @@
 			j.strandedSince = 0
 		case j.strandedSince == 0:
 			j.strandedSince = now
-		case now-j.strandedSince >= min(strandedAfter<<min(j.rec.Moves, 8), maxStrandedAfter):
+		case now-j.strandedSince >= strandedAfter<<min(j.rec.Moves, maxStrandedDoublings):
 			s.reassignStored(now, j, steps)
 		}
 	}
@@ -59,11 +59,10 @@
 	return steps
 }
 
-// anyWorkerSuits reports whether a worker that answers and stays could run a task if it had no others.
+// anyWorkerSuits reports whether a worker in service could run a task if it had no others.
 func (s *Shard) anyWorkerSuits(now time.Duration, t *task) bool {
 	for _, h := range s.workers {
-		missing := h.missingSince > 0 && now-h.missingSince > missingTimeout
-		if h.hasAnswered && !h.leaseExpired && !h.info.Leaving && !missing && t.suits(&h.info) {
+		if h.isInService(now) && t.suits(&h.info) {
 			return true
 		}
 	}
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -174,7 +174,7 @@
 func (s *Shard) forgetMissingWorkers(now time.Duration) {
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
-		if h.missingSince > 0 && now-h.missingSince > missingTimeout && now-h.newestListingSentAt > missingTimeout {
+		if h.isMissing(now) && now-h.newestListingSentAt > missingTimeout {
 			s.remove(now, id, false, WorkerForgotten)
 		}
 	}
--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -338,8 +338,8 @@
 }
 
 func (ev reassignStoredEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return // the new holder finds the record in the store, under the old shard or the new one
 	}
 	rec := ev.record
--- a/internal/kept/vm/persist.go
+++ b/internal/kept/vm/persist.go
@@ -45,8 +45,8 @@
 }
 
 func (ev finalStoredEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return
 	}
 	id := submission.ID(ev.id)
@@ -95,8 +95,8 @@
 }
 
 func (ev progressStoredEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return
 	}
 	id := submission.ID(ev.id)
--- a/internal/kept/vm/records.go
+++ b/internal/kept/vm/records.go
@@ -102,8 +102,8 @@
 // apply hands the records of the first scan to the shard, with the workers that the previous holder stored. Those of a
 // later scan are read again if the shard does not know them.
 func (ev scannedEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return
 	}
 	first := h.scannedAt == 0
@@ -139,8 +139,8 @@
 
 // apply hands the records that were read again to the shard.
 func (ev confirmedEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return
 	}
 	h.scanning = false
--- a/internal/kept/vm/shards.go
+++ b/internal/kept/vm/shards.go
@@ -126,6 +126,14 @@
 	return s
 }
 
+// heldUnder returns a shard that this VM holds under a token; nil if it does not, or not any more.
+func (e *engine) heldUnder(name string, token uint64) *heldShard {
+	if h := e.shards[name]; h != nil && h.holding.Token == token {
+		return h
+	}
+	return nil
+}
+
 // dropShard ends the work on a shard that this VM no longer holds.
 func (e *engine) dropShard(h *heldShard, now site.Holding) {
 	h.cancel()
--- a/internal/kept/vm/storedworkers.go
+++ b/internal/kept/vm/storedworkers.go
@@ -83,8 +83,8 @@
 }
 
 func (ev workersStoredEvent) apply(e *engine) {
-	h := e.shards[ev.shard]
-	if h == nil || h.holding.Token != ev.token {
+	h := e.heldUnder(ev.shard, ev.token)
+	if h == nil {
 		return
 	}
 	h.storingWorkers = false
--- a/internal/kept/vm/stranded.go
+++ b/internal/kept/vm/stranded.go
@@ -33,14 +33,8 @@
 	e.vm.spawn(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, fleetReadTimeout)
 		defer cancel()
-		items, _, err := e.vm.readAll(ctx, e.vm.config.StoreLayout.WorkerPrefix, true)
-		ev := fleetReadEvent{err: err}
-		for _, it := range items {
-			if info, ok := e.vm.decodeEntry(it); ok {
-				ev.workers = append(ev.workers, info)
-			}
-		}
-		e.vm.post(ev)
+		workers, err := e.vm.readWorkers(ctx, true)
+		e.vm.post(fleetReadEvent{workers: workers, err: err})
 	})
 }
 
@@ -53,13 +47,14 @@
 func (ev fleetReadEvent) apply(e *engine) {
 	moves := e.stranded
 	e.stranded = nil
+	byShard := e.groupByShard(ev.workers)
 	for _, m := range moves {
-		h := e.shards[m.shard]
-		if h == nil || h.holding.Token != m.token {
+		h := e.heldUnder(m.shard, m.token)
+		if h == nil {
 			continue
 		}
 		rec := m.action.Record
-		shards := e.shardsThatCanRun(rec, m.action.Stranded, ev.workers)
+		shards := e.shardsThatCanRun(rec, m.action.Stranded, byShard)
 		if len(shards) == 0 {
 			klog.InfoS("kept: no shard known to run a stored submission", "id", rec.ID, "shard", m.shard, "token", m.token, "steps", m.action.Stranded,
 				"workers", len(ev.workers), "read_failed", ev.err, "moves", rec.Moves)
@@ -71,18 +66,24 @@
 	}
 }
 
-// shardsThatCanRun returns the other shards with a worker that can run a task of one of the steps.
-func (e *engine) shardsThatCanRun(r *submission.Record, steps []int, workers []worker.Info) []policy.Candidate {
-	capable := make(map[string]bool)
-	for i := range workers {
-		w := &workers[i]
-		suits := func(step int) bool {
-			st := &r.Steps[step]
-			return w.Suits(r.Terms.Service, st.RequiredLabel, st.CPUMilli, st.MemMB, st.GPU)
-		}
-		if layout, known := e.site.ShardLayout(w.Domain); known && !w.Leaving && slices.ContainsFunc(steps, suits) {
-			capable[layout.ShardOf(w.Address)] = true
+// groupByShard returns the workers of each shard, without those that are about to stop.
+func (e *engine) groupByShard(workers []worker.Info) map[string][]worker.Info {
+	out := make(map[string][]worker.Info)
+	for _, w := range workers {
+		if layout, known := e.site.ShardLayout(w.Domain); known && !w.Leaving {
+			name := layout.ShardOf(w.Address)
+			out[name] = append(out[name], w)
 		}
 	}
-	return slices.DeleteFunc(e.eligibleShards(r), func(c policy.Candidate) bool { return c.Shard == r.Shard || !capable[c.Shard] })
+	return out
+}
+
+// shardsThatCanRun returns the other shards with a worker that can run a task of one of the steps.
+func (e *engine) shardsThatCanRun(r *submission.Record, steps []int, byShard map[string][]worker.Info) []policy.Candidate {
+	canRun := func(w worker.Info) bool {
+		return slices.ContainsFunc(steps, func(step int) bool { return w.SuitsStep(r.Terms.Service, &r.Steps[step]) })
+	}
+	return slices.DeleteFunc(e.eligibleShards(r), func(c policy.Candidate) bool {
+		return c.Shard == r.Shard || !slices.ContainsFunc(byShard[c.Shard], canRun)
+	})
 }
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,21 +87,27 @@
 	}
 }
 
-// readDomainWorkers reads the workers of a failure domain from the list in the store.
-func (v *VM) readDomainWorkers(ctx context.Context, domain string, stale bool) ([]worker.Info, error) {
+// readWorkers reads the workers of all failure domains from the list in the store.
+func (v *VM) readWorkers(ctx context.Context, stale bool) ([]worker.Info, error) {
 	items, _, err := v.readAll(ctx, v.config.StoreLayout.WorkerPrefix, stale)
 	if err != nil {
 		return nil, err
 	}
 	var out []worker.Info
 	for _, it := range items {
-		if info, ok := v.decodeEntry(it); ok && info.Domain == domain {
+		if info, ok := v.decodeEntry(it); ok {
 			out = append(out, info)
 		}
 	}
 	return out, nil
 }
 
+// readDomainWorkers reads the workers of a failure domain.
+func (v *VM) readDomainWorkers(ctx context.Context, domain string, stale bool) ([]worker.Info, error) {
+	all, err := v.readWorkers(ctx, stale)
+	return slices.DeleteFunc(all, func(i worker.Info) bool { return i.Domain != domain }), err
+}
+
 // decodeEntry decodes an entry of the list of workers. One that describes no usable worker is logged
 // the first time; ok is false.
 func (v *VM) decodeEntry(it store.Item) (info worker.Info, ok bool) {
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -70,6 +70,11 @@
 	return w.Service == service && w.HasLabel(label) && w.CPUMilli >= cpuMilli && w.MemMB >= memMB && w.GPU >= gpu
 }
 
+// SuitsStep reports the same for a task of a step of a submission to a service.
+func (w *Info) SuitsStep(service string, s *submission.Step) bool {
+	return w.Suits(service, s.RequiredLabel, s.CPUMilli, s.MemMB, s.GPU)
+}
+
 // EntryError reports an entry of the list of workers that describes no usable worker.
 type EntryError struct {
 	Key    string
