--- a/internal/kept/shard/crash_test.go
+++ b/internal/kept/shard/crash_test.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// loseWorkerOf crashes the worker of a submission's first task for good.
+func (w *world) loseWorkerOf(id submission.ID) {
+	lost := w.shard.jobs[id].tasks[0].host.info.ID
+	w.crash(lost)
+	delete(w.hosts, lost)
+}
+
 // Guards against a task that crashes one worker after the other.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	for _, stored := range []bool{false, true} {
@@ -265,12 +272,12 @@
 
 // Guards against a suspect that never starts again on an idle shard, as the worker reserved for it cannot run it.
 func TestSuspectGetsAWorkerThatCanRunIt(t *testing.T) {
-	for name, unsuitable := range map[string]func(w *world, i *worker.Info){
-		"label":   func(_ *world, i *worker.Info) { i.Labels = nil },
-		"memory":  func(_ *world, i *worker.Info) { i.MemMB = 1000 },
-		"GPU":     func(_ *world, i *worker.Info) { i.GPU = 0 },
-		"size":    func(_ *world, i *worker.Info) { i.CPUMilli = 4000 },
-		"service": func(_ *world, i *worker.Info) { i.Service = "lab" },
+	for name, unsuitable := range map[string]func(*worker.Info){
+		"label":   func(i *worker.Info) { i.Labels = nil },
+		"memory":  func(i *worker.Info) { i.MemMB = 1000 },
+		"GPU":     func(i *worker.Info) { i.GPU = 0 },
+		"size":    func(i *worker.Info) { i.CPUMilli = 4000 },
+		"service": func(i *worker.Info) { i.Service = "lab" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, 4)
@@ -278,16 +285,14 @@
 				info := &w.hosts[id].Info
 				info.Labels, info.GPU = []string{"b"}, 1
 			}
-			unsuitable(w, &w.hosts["w0"].Info)
+			unsuitable(&w.hosts["w0"].Info)
 			w.updateList()
 			w.run(100 * ms)
 			r := w.storedSubmission("s", 1, runhost.Work{Time: 300 * ms})
 			r.Steps[0].RequiredLabel, r.Steps[0].MemMB, r.Steps[0].GPU = "b", 2000, 1
 			w.assign(r)
 			w.run(50 * ms)
-			lost := w.shard.jobs["s"].tasks[0].host.info.ID
-			w.crash(lost)
-			delete(w.hosts, lost)
+			w.loseWorkerOf("s")
 			w.run(4 * time.Second)
 			w.expectState("s", submission.Done)
 		})
--- a/internal/kept/shard/evacuate_test.go
+++ b/internal/kept/shard/evacuate_test.go
@@ -78,16 +78,21 @@
 	}
 }
 
+// twoStepSubmission returns a transient submission of two steps of two tasks, the second of which depends on the first.
+func (w *world) twoStepSubmission(id submission.ID, work runhost.Work) *submission.Record {
+	rec := w.submission(id, 2, work)
+	next := rec.Steps[0]
+	next.DependsOn = []int{0}
+	rec.Steps = append(rec.Steps, next)
+	return rec
+}
+
 // Guards against steps of a submission that start before those that they depend on. The submission is half
 // done when its domain is evacuated: the rest has to be returned as a whole, once none of its tasks runs.
 func TestDependentStepsAreReturnedTogether(t *testing.T) {
 	w := newWorld(t, 1)
 	w.run(100 * ms)
-	rec := w.submission("a", 2, runhost.Work{Time: 200 * ms})
-	next := rec.Steps[0]
-	next.DependsOn = []int{0}
-	rec.Steps = append(rec.Steps, next)
-	w.assign(rec)
+	w.assign(w.twoStepSubmission("a", runhost.Work{Time: 200 * ms}))
 	w.run(50 * ms)
 	w.shard.SetEvacuated(w.now, true)
 	w.run(100 * ms)
@@ -200,16 +205,10 @@
 func TestStepIsNotReturnedWithoutSuspectsOfTheStepBefore(t *testing.T) {
 	w := newWorld(t, 2)
 	w.run(100 * ms)
-	rec := w.submission("a", 2, runhost.Work{Time: 200 * ms, CPUMilli: 4000})
-	next := rec.Steps[0]
-	next.DependsOn = []int{0}
-	rec.Steps = append(rec.Steps, next)
-	w.assign(rec)
+	w.assign(w.twoStepSubmission("a", runhost.Work{Time: 200 * ms, CPUMilli: 4000}))
 	w.assign(w.submission("beside", 6, runhost.Work{Time: 3 * time.Second, CPUMilli: 4000})) // no worker is idle
 	w.run(50 * ms)
-	lost := w.shard.jobs["a"].tasks[0].host.info.ID
-	w.crash(lost)
-	delete(w.hosts, lost)
+	w.loseWorkerOf("a")
 	w.run(2 * time.Second)
 	if waiting, _ := w.shard.waitingSuspects(); len(waiting) == 0 {
 		t.Fatal("no task waits as a suspect")
--- a/internal/kept/vm/leaving_worker_test.go
+++ b/internal/kept/vm/leaving_worker_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,7 +11,6 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/relay"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
-	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/kvstore"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
@@ -28,16 +26,12 @@
 	if err != nil || it.Revision == 0 {
 		w.t.Fatalf("the store has no entry of worker %s (%v)", id, err)
 	}
-	var info worker.Info
-	if err := json.Unmarshal(it.Value, &info); err != nil {
-		w.t.Fatal(err)
-	}
-	info.Leaving = true
-	value, err := json.Marshal(info)
+	info, err := decodeWorkerEntry(it)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.store.Put("workers/"+id, value)
+	info.Leaving = true
+	w.putWorkerEntry(info)
 }
 
 // wantNoStartsOn checks that no task was started on the given workers since a time.
--- a/internal/kept/vm/mixedwork_property_test.go
+++ b/internal/kept/vm/mixedwork_property_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -24,7 +23,6 @@
 	mixedSteps      = 60
 	mixedSettleTime = time.Minute
 	cancelBound     = 3 * time.Second // from the acknowledgement of a cancellation to the last start
-	mixedStopBound  = 50 * ms         // to the end of the runs, after cancelBound
 	mixedContact    = 3 * time.Second // from the last restart of a VM until all are in touch again
 	longTaskTime    = 15 * time.Second
 	maxIdleTime     = 3 * time.Second // that nothing of a submission may run while there is room for it
@@ -50,7 +48,6 @@
 
 type mixedJob struct {
 	record      *submission.Record
-	home        string
 	out         chan Outcome // of a transient submission
 	cancelledAt time.Time    // when its cancellation was acknowledged; zero: it was not
 	runsOn      bool         // it was reported as running after that
@@ -82,11 +79,15 @@
 	}
 }
 
+// canRun reports whether a worker has what tasks of a step need, without the code under test.
+func canRun(w worker.Info, s *submission.Step) bool {
+	return w.HasLabel(s.RequiredLabel) && w.CPUMilli >= s.CPUMilli && w.MemMB >= s.MemMB && w.GPU >= s.GPU
+}
+
 // isFeasible reports whether a worker of a domain can run tasks of a step.
 func isFeasible(s *submission.Step) bool {
 	for i := range mixedWorkers {
-		w := mixedWorker("b", i)
-		if w.HasLabel(s.RequiredLabel) && w.CPUMilli >= s.CPUMilli && w.MemMB >= s.MemMB && w.GPU >= s.GPU {
+		if canRun(mixedWorker("b", i), s) {
 			return true
 		}
 	}
@@ -128,7 +129,7 @@
 	cancelledAt := j.cancelledAt
 	r.mu.Unlock()
 	step := &j.record.Steps[s.Task.Step]
-	if !w.HasLabel(step.RequiredLabel) || step.MemMB > w.MemMB || step.GPU > w.GPU || step.CPUMilli > w.CPUMilli {
+	if !canRun(w, step) {
 		r.fail("ROUTE", "%v starts on %s, which cannot run it", s.Task, w.ID)
 	}
 	for _, before := range step.DependsOn {
@@ -233,7 +234,8 @@
 	for range 1 + r.rand.IntN(4) {
 		transient := r.rand.IntN(2) == 0
 		work := r.randomWork(transient)
-		j := &mixedJob{record: r.randomRecord(submission.ID(fmt.Sprint("s", len(r.jobs))), work), home: vms[r.rand.IntN(len(vms))]}
+		j := &mixedJob{record: r.randomRecord(submission.ID(fmt.Sprint("s", len(r.jobs))), work)}
+		home := vms[r.rand.IntN(len(vms))]
 		j.record.Transient = transient
 		if transient {
 			j.record.Terms.Target = 20 * time.Second
@@ -244,7 +246,7 @@
 		r.mu.Unlock()
 		sent := *j.record
 		sent.Steps = slices.Clone(j.record.Steps)
-		j.out = r.submitRecord(j.home, &sent)
+		j.out = r.submitRecord(home, &sent)
 		r.jobs = append(r.jobs, j)
 	}
 }
@@ -289,8 +291,8 @@
 		r.t.Fatal(err)
 	}
 	for _, it := range items.Items {
-		var info worker.Info
-		if err := json.Unmarshal(it.Value, &info); err != nil {
+		info, err := decodeWorkerEntry(it)
+		if err != nil {
 			r.t.Fatal(err)
 		}
 		if info.Domain == "a" && info.HasLabel("b") {
@@ -329,7 +331,7 @@
 		r.mu.Lock()
 		at := j.cancelledAt
 		r.mu.Unlock()
-		if at.IsZero() || j.runsOn || time.Since(at) <= cancelBound+mixedStopBound || time.Since(calm) <= cancelBound+mixedStopBound {
+		if at.IsZero() || j.runsOn || time.Since(at) <= cancelBound+maxStopDelay || time.Since(calm) <= cancelBound+maxStopDelay {
 			continue
 		}
 		if n := r.fleet.Running(j.record.ID); n > 0 {
--- a/internal/kept/vm/records_test.go
+++ b/internal/kept/vm/records_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,26 +10,9 @@
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
 	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
-	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// countStarts counts the starts of each submission from now on.
-func (w *world) countStarts() func(submission.ID) int {
-	var mu sync.Mutex
-	counts := make(map[submission.ID]int)
-	w.fleet.OnStart(func(_ worker.Info, s worker.Start) {
-		mu.Lock()
-		defer mu.Unlock()
-		counts[s.Task.ID]++
-	})
-	return func(id submission.ID) int {
-		mu.Lock()
-		defer mu.Unlock()
-		return counts[id]
-	}
-}
-
 // Guards against stored submissions that run again after they have ended: a new holder finds their records in reads that
 // are older than its takeover.
 func TestNewHolderRunsNoEndedSubmissionAgain(t *testing.T) {
@@ -38,7 +20,6 @@
 		t.Run(staleness.String(), func(t *testing.T) {
 			testWorld(t, func(w *world) {
 				w.store.SetStaleness(staleness)
-				starts := w.countStarts()
 				old := w.holderOf("a")
 				var ids []submission.ID
 				for i := range 30 {
@@ -52,7 +33,7 @@
 				w.kill(old)
 				time.Sleep(10 * time.Second)
 				for _, id := range ids {
-					if n := starts(id); n != 1 {
+					if n := w.fleet.Starts(id); n != 1 {
 						t.Errorf("%s: %d starts, want 1", id, n)
 					}
 					if state := w.state(otherVM(old), id); state != submission.Done {
@@ -85,7 +66,6 @@
 		w.events = func(_ string, e link.Events) link.Events { return deafEvents{e, &deaf} }
 	}, func(w *world) {
 		w.store.SetStaleness(2 * time.Second)
-		starts := w.countStarts()
 		home := otherVM(w.holderOf("a"))
 		deaf.Store(true)
 		w.wantAccepted(w.submit(home, "cancelled", 1, runhost.Work{Time: 200 * ms}, false))
@@ -95,10 +75,10 @@
 			t.Fatalf("it cannot be cancelled: %v, %v", state, err)
 		}
 		time.Sleep(10 * time.Second)
-		if n := starts("cancelled"); n != 0 {
+		if n := w.fleet.Starts("cancelled"); n != 0 {
 			t.Errorf("%d starts of a cancelled submission", n)
 		}
-		if n := starts("unfinished"); n != 1 {
+		if n := w.fleet.Starts("unfinished"); n != 1 {
 			t.Errorf("%d starts of a submission that its holder was not told of, want 1", n)
 		}
 	})
--- a/internal/kept/vm/stranded_test.go
+++ b/internal/kept/vm/stranded_test.go
@@ -6,17 +6,9 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
-	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// addLabelled adds a worker of the service "desk" with a label.
-func (w *world) addLabelled(name, domain, label string) {
-	w.addWorker(worker.Info{
-		ID: "w-" + name, Service: "desk", Address: "worker-" + name, Domain: domain, CPUMilli: 16000, MemMB: 65536, Labels: []string{label},
-	})
-}
-
 // submitLabelled submits a stored submission of two steps, the second of which needs a label, to a VM.
 func (w *world) submitLabelled(at string, id submission.ID, label string) {
 	w.t.Helper()
@@ -31,7 +23,7 @@
 // Guards against stored submissions that wait for ever at a shard without a worker that can run them, while workers of
 // another domain could.
 func TestStoredSubmissionMovesToAShardThatCanRunIt(t *testing.T) {
-	testWorldWith(t, func(w *world) { w.addLabelled("b-labelled", "b", "x") }, func(w *world) {
+	testWorldWith(t, func(w *world) { w.addDeskWorker("b-labelled", "b", "x") }, func(w *world) {
 		for i := range 3 {
 			w.submitLabelled("a1", submission.ID(fmt.Sprint("s", i)), "x")
 		}
@@ -64,7 +56,7 @@
 				if r := w.storedRecord("s"); r.Moves != 0 {
 					t.Errorf("it was moved %d times, though no shard can run it", r.Moves)
 				}
-				w.addLabelled("new", domain, "x")
+				w.addDeskWorker("new", domain, "x")
 				time.Sleep(6 * time.Second)
 				if state := w.state("a1", "s"); state != submission.Done {
 					t.Errorf("it is %s after a worker has come, want done", state)
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -133,10 +133,18 @@
 	w.store.Put("workers/"+info.ID, value)
 }
 
+// decodeWorkerEntry decodes an entry of the list of workers.
+func decodeWorkerEntry(it store.Item) (worker.Info, error) {
+	var info worker.Info
+	err := json.Unmarshal(it.Value, &info)
+	info.Revision = it.Revision
+	return info, err
+}
+
 // addDeskWorker adds a worker of the service "desk" with 16 cores.
-func (w *world) addDeskWorker(name, domain string) {
+func (w *world) addDeskWorker(name, domain string, labels ...string) {
 	w.addWorker(worker.Info{
-		ID: "w-" + name, Service: "desk", Address: "worker-" + name, Domain: domain, CPUMilli: 16000, MemMB: 65536,
+		ID: "w-" + name, Service: "desk", Address: "worker-" + name, Domain: domain, CPUMilli: 16000, MemMB: 65536, Labels: labels,
 	})
 }
 
@@ -168,13 +176,8 @@
 		NewStore:       func(t relay.Transport) store.Store { return &kvcall.Client{Calls: t} },
 		Workers:        w.workers(w.fleet.ClientFrom(domain)),
 		StoreLayout: StoreLayout{
-			WorkerPrefix: "workers/",
-			DecodeWorker: func(it store.Item) (worker.Info, error) {
-				var info worker.Info
-				err := json.Unmarshal(it.Value, &info)
-				info.Revision = it.Revision
-				return info, err
-			},
+			WorkerPrefix:  "workers/",
+			DecodeWorker:  decodeWorkerEntry,
 			CatalogPrefix: "config/",
 			CatalogKey:    "config/catalog",
 
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -364,24 +364,18 @@
 	t.replyDelay = extra
 }
 
-// delayOfReply returns how much later the reply of a call arrives.
-func (t *Transport) delayOfReply(c relay.Call) time.Duration {
+// delaysOf returns how much later than after the delay of the transport a call is carried out, and how much later its
+// reply arrives.
+func (t *Transport) delaysOf(c relay.Call) (call, reply time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.replyDelay == nil {
-		return 0
+	if t.extraDelay != nil {
+		call = t.extraDelay(c)
 	}
-	return t.replyDelay(c)
-}
-
-// callDelay returns how much longer a call takes than the delay of the transport.
-func (t *Transport) callDelay(c relay.Call) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.extraDelay == nil {
-		return 0
+	if t.replyDelay != nil {
+		reply = t.replyDelay(c)
 	}
-	return t.extraDelay(c)
+	return call, reply
 }
 
 // faultFor returns how a call fails.
@@ -399,10 +393,11 @@
 	t.store.mu.Lock()
 	t.store.Calls++
 	t.store.mu.Unlock()
+	callDelay, replyDelay := t.delaysOf(c)
 	select {
 	case <-ctx.Done():
 		return relay.Reply{}, ctx.Err()
-	case <-time.After(t.delay + t.callDelay(c)):
+	case <-time.After(t.delay + callDelay):
 	}
 	f := t.faultFor(c)
 	switch f {
@@ -417,7 +412,7 @@
 		<-ctx.Done()
 		return relay.Reply{}, ctx.Err()
 	}
-	if d := t.delayOfReply(c); d > 0 && !pause.For(ctx, d) || ctx.Err() != nil {
+	if !pause.For(ctx, replyDelay) {
 		return relay.Reply{}, ctx.Err()
 	}
 	return r, nil
