vm, link: lines that tell why a cancelled part of a submission goes on

Cause: of a task that ran at two holders of two domains, no line said which attempt of the caller each start belonged to, whether the home had cancelled the first, whether that had arrived, or that a stream between two VMs had been away: a stream that is open again at once logs nothing. Change: start lines have the serial of the attempt and the home. New lines: a part is cancelled, a cancellation is received and what it meets, a stream ends and is opened again, a holder reports a part that its home does not know (at most 100 a second). No logic is changed.

--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -88,6 +88,7 @@
 	needed   atomic.Bool
 	cancel   context.CancelFunc
 	done     chan struct{}
+	endedAt  time.Duration // when the last stream ended; 0: there was none
 }
 
 // Open starts a link, which redials until it is closed or ctx ends.
@@ -137,6 +138,8 @@
 		}
 		if opened {
 			everOpened = true
+			l.endedAt = l.settings.Now()
+			klog.InfoS("kept: stream to a peer ended", "peer", l.name, "why", why)
 			continue
 		}
 		if !everOpened && l.settings.Now()-startedAt < l.settings.FirstContactTimeout {
@@ -177,6 +180,9 @@
 	if !timeout.Stop() {
 		return false, "no answer to the first frame"
 	}
+	if l.endedAt > 0 {
+		klog.InfoS("kept: stream to a peer opened again", "peer", l.name, "away", l.settings.Now()-l.endedAt)
+	}
 	l.events.PeerUp(l.name, heartbeat.Incarnation)
 	return true, l.serve(ctx, client, conn)
 }
--- a/internal/kept/shard/place.go
+++ b/internal/kept/shard/place.go
@@ -111,6 +111,8 @@
 		Waited:     now - t.job.submittedAt,
 		Queue:      t.job.rec.Queue,
 		IsFirst:    first,
+		Serial:     t.job.rec.Serial,
+		Home:       t.job.rec.Home,
 		Origin:     c.host.origin,
 	})
 }
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -18,6 +18,8 @@
 	Waited     time.Duration // since its home VM received the submission, or this holder if it is stored
 	Queue      string
 	IsFirst    bool   // the first start of the submission by this holder
+	Serial     uint64 // of the submission attempt; 0: the submission is stored
+	Home       string
 	Origin     Origin // where the worker's entry comes from
 }
 
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -95,6 +95,22 @@
 	return names
 }
 
+// logCancellation logs what a peer's cancellation of a part of a transient submission meets here.
+func (e *engine) logCancellation(from string, ref *pb.KeptRef) {
+	if ref.Shard == "" {
+		return
+	}
+	id := submission.ID(ref.Id)
+	h := e.shards[ref.Shard]
+	if h == nil {
+		klog.InfoS("kept: cancellation of a part received", "id", id, "shard", ref.Shard, "from", from, "held", false)
+		return
+	}
+	report, _ := h.core.Report(id)
+	klog.InfoS("kept: cancellation of a part received", "id", id, "shard", ref.Shard, "from", from, "held", true,
+		"state", report.State.String(), "serial", report.Serial)
+}
+
 // cancelInOwnShards cancels a stored submission in the shards that this VM holds, or the part of one in the shard that ref
 // names.
 func (e *engine) cancelInOwnShards(ref *pb.KeptRef) {
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -132,7 +132,9 @@
 	rounds          roundTimes
 	releaseLines    lineLimit
 	unexpectedLines lineLimit
-	drained         chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
+
+	unwantedReportLines lineLimit
+	drained             chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
 
 func newEngine(ctx context.Context, v *VM) *engine {
@@ -261,7 +263,7 @@
 			ws.start(h.ctx, worker.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Deadline: deadline}, decidedAt)
 		})
 		klog.InfoS("kept: start", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run,
-			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "waited", s.Waited,
+			"worker", s.Worker.ID, "shard", name, "token", h.holding.Token, "serial", s.Serial, "home", s.Home, "waited", s.Waited,
 			"known_from", s.Origin.String(), "list_age", e.listAge(name))
 	}
 	for _, s := range a.Stops {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -266,6 +266,7 @@
 		if ref.Shard == "" {
 			e.applyStateReport(submission.ID(ref.Id), stateReport{state: submission.Cancelled})
 		}
+		e.logCancellation(ev.from, ref)
 		e.cancelInOwnShards(ref)
 	}
 	for _, ref := range f.TakenBack {
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -134,6 +134,7 @@
 		}
 		return
 	}
+	e.logUnwantedReport(id, report)
 	state := report.state
 	h := e.tracked[id]
 	if h == nil {
@@ -171,6 +172,19 @@
 	}
 }
 
+const maxUnwantedReportLines = 100 // a second
+
+// logUnwantedReport logs that a holder goes on with a part of a transient submission that this VM does not know.
+func (e *engine) logUnwantedReport(id submission.ID, report stateReport) {
+	if report.serial == 0 || report.state.Final() || report.state == submission.Unknown {
+		return
+	}
+	if omitted, allowed := e.unwantedReportLines.allow(e.now, maxUnwantedReportLines); allowed {
+		klog.InfoS("kept: report of a part that this VM does not know", "id", id, "shard", report.shard, "token", report.token,
+			"serial", report.serial, "state", report.state.String(), "omitted", omitted)
+	}
+}
+
 // storeLookup is what the store has of a submission.
 type storeLookup struct {
 	state    submission.State // Unknown: there is no such submission
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -348,6 +348,12 @@
 
 // cancelParts tells the holders of unfinished parts to cancel them.
 func (e *engine) cancelParts(t *transientSubmission) {
+	for _, p := range t.parts {
+		if !p.state.Final() {
+			klog.InfoS("kept: part cancelled", "id", t.record.ID, "shard", p.shard, "holder", p.holder, "token", p.holderToken, "serial", p.record.Serial,
+				"link_up", p.holder == e.vm.config.Name || e.linkUp[p.holder], "state", p.state.String(), "reported", ageString(e.now-p.updatedAt))
+		}
+	}
 	e.notifyPartHolders(t,
 		func(own *shard.Shard) { own.Cancel(e.now, t.record.ID) },
 		func(f *pb.KeptFrame, part *pb.KeptRef) { f.Cancelled = append(f.Cancelled, part) })
