vm, shard: a holder goes on with a part only while its home VM confirms it

Cause: a home that gives a submission up, or whose caller has left, tells each holder once and forgets the submission. The message is lost with a stream that breaks, and is not sent at all while the link is down. The holder ends the part only if its own link to the home is lost, which is another stream, and takes up to 2.0 s to notice; the caller comes back after 1.3 s, and any VM may give its next attempt to another shard, where no token compares the two. Class: an order that ends something is sent once, and what it ends goes on by itself until it hears of it. Change: a holder asks the home of each transient part every 0.4 s, by id, shard and serial, whether it still waits for it. The home answers from what it has: yes, or a cancellation of that serial. Without a yes to a question of the last 0.9 s no task starts, and 0.15 s later the part ends; a holder that stood still asks first. The record says that its home answers, so parts of homes of an earlier build go on as before. Cancellations name the serial: a late one does not end the next attempt. The tests of confirm_test.go: a part that nobody confirms has ended within 1.3 s of its arrival. Ruled out by the test's lines: one attempt at two shards (the serials differ), a second order to one worker, a holder that is replaced (both tokens are 1). The processor and bytes of the questions: not measured here.

--- a/internal/kept/link/link.go
+++ b/internal/kept/link/link.go
@@ -271,6 +271,8 @@
 		f.Grants = append(f.Grants, w.Grants...)
 		f.GrantReplies = append(f.GrantReplies, w.GrantReplies...)
 		f.Pools = append(f.Pools, w.Pools...)
+		f.Confirms = append(f.Confirms, w.Confirms...)
+		f.Confirmed = append(f.Confirmed, w.Confirmed...)
 	}
 	return f
 }
@@ -279,7 +281,7 @@
 func CarriesMessages(f *pb.KeptFrame) bool {
 	parts := len(f.Assign) + len(f.States) + len(f.Queries) + len(f.Cancelled) + len(f.Loads) + len(f.Calls) +
 		len(f.Replies) + len(f.Notes) + len(f.TakenBack) + len(f.Elsewhere) + len(f.Workers) + len(f.Evacuations) + len(f.Losses) +
-		len(f.Demands) + len(f.Grants) + len(f.GrantReplies) + len(f.Pools)
+		len(f.Demands) + len(f.Grants) + len(f.GrantReplies) + len(f.Pools) + len(f.Confirms) + len(f.Confirmed)
 	return parts > 0 || f.Unplaced != nil
 }
 
--- a/internal/kept/shard/job.go
+++ b/internal/kept/shard/job.go
@@ -112,6 +112,7 @@
 	reassignAt    time.Duration // earliest time of the next attempt at that
 	strandedSince time.Duration // since when no worker here can run what is left of it; 0: one can
 	strayCounts   strayCounts   // those of the shard
+	confirmation  confirmation  // by the home VM, of a transient submission
 }
 
 // stepState is the state of one step of a job.
@@ -130,6 +131,7 @@
 		runBase:      max(runBase, r.Record.MaxRunElsewhere),
 		criticalPath: r.Record.CriticalPath(),
 	}
+	j.recordHomeSent(now)
 	for si := range r.Record.Steps {
 		step := &r.Record.Steps[si]
 		j.steps = append(j.steps, stepState{firstTask: len(j.tasks), tasksLeft: step.Count})
@@ -225,9 +227,10 @@
 	return j.rec.Transient && (!j.resumed || t.joinedLater) && !slices.Contains(t.startedRuns, startedRun{run, h})
 }
 
-// isStartable reports whether a task waits, no worker lists a run of it, and the steps that its step depends on are done.
+// isStartable reports whether a task waits, no worker lists a run of it, its home VM waits for it if it is transient, and
+// the steps that its step depends on are done.
 func (j *job) isStartable(t *task) bool {
-	return t.state == taskWaiting && !j.reassigning && !j.hasStrayRun(t) && j.isDue(t)
+	return t.state == taskWaiting && !j.reassigning && j.confirmation.overdueAt == 0 && !j.hasStrayRun(t) && j.isDue(t)
 }
 
 // isDue reports whether the steps that a task's step depends on are done.
--- a/internal/kept/shard/join.go
+++ b/internal/kept/shard/join.go
@@ -28,6 +28,7 @@
 		s.endSubmission(now, j, submission.Cancelled, "tasks of another form were to join it")
 	case open:
 		j.addTasks(rec)
+		j.recordHomeSent(now)
 		s.stopStrayRuns(now, j)
 		s.hasLosses = s.hasLosses || len(rec.Progress.Losses) > 0
 		s.placementDue = true
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -36,7 +36,7 @@
 	j, open := s.jobs[r.ID]
 	switch {
 	case open && j.rec.Serial == r.Serial && r.Serial != 0:
-		s.setHome(r, state) // the home VM hands over the same attempt again
+		s.setHome(now, r, state) // the home VM hands over the same attempt again
 		return true
 	case s.isOvertaken(r):
 		report, _ := s.Report(r.ID)
@@ -51,20 +51,20 @@
 		s.actions.States = append(s.actions.States, StateAction{ID: r.ID, Home: r.Home, State: submission.Cancelled, Serial: r.Serial})
 		return true
 	case open:
-		s.setHome(r, state)
+		s.setHome(now, r, state)
 		return true
 	case !open && s.recentlyEnded[r.ID].reassignedRevision > 0:
 		return false // a stored submission of that ID was reassigned to another shard
 	case s.recentlyEnded[r.ID].serial == r.Serial:
 		// The home VM hands over the same attempt again, as it has not learned of the end. The submission
 		// must not run after its caller was told that it has not run.
-		s.setHome(r, state)
+		s.setHome(now, r, state)
 		return true
 	case s.recentlyEnded[r.ID].part == extentOf(r) && (state == submission.Done || state == submission.Failed):
 		past := s.recentlyEnded[r.ID]
 		past.tasks = r.TaskCount() // the tasks that this part had before it joined are not in the record
 		s.recentlyEnded[r.ID] = past
-		s.setHome(r, state)
+		s.setHome(now, r, state)
 		return true
 	default:
 		return false
@@ -111,7 +111,7 @@
 }
 
 // setHome makes the VM from which a submission arrived again its home VM, and reports the state there.
-func (s *Shard) setHome(r *submission.Record, state submission.State) {
+func (s *Shard) setHome(now time.Duration, r *submission.Record, state submission.State) {
 	if j := s.jobs[r.ID]; j != nil {
 		if j.rec.Serial != r.Serial {
 			j.tasksBefore = 0 // they are not in the record
@@ -119,6 +119,8 @@
 		}
 		j.rec.Home = r.Home
 		j.rec.Serial = r.Serial
+		j.rec.HomeAnswers = r.HomeAnswers
+		j.recordHomeSent(now)
 	} else {
 		past := s.recentlyEnded[r.ID]
 		past.pastSerials = past.allSerials()
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -118,6 +118,21 @@
 	Unrelated bool // workers with other submissions were lost at the same time: no evidence against the tasks
 }
 
+// ConfirmAction asks the home VM of a transient submission whether it still waits for it.
+type ConfirmAction struct {
+	Home   string
+	ID     submission.ID
+	Serial uint64
+}
+
+// UnconfirmedAction reports a transient submission that ends as its home VM has not confirmed it.
+type UnconfirmedAction struct {
+	Home   string
+	ID     submission.ID
+	Serial uint64
+	Age    time.Duration // since the newest question was sent that was answered with yes
+}
+
 // GivenUpAction reports a task that is not started again because workers are lost while they run it.
 type GivenUpAction struct {
 	Task   submission.TaskRef
@@ -135,7 +150,9 @@
 	Reassigns []ReassignAction
 	States    []StateAction
 	Outcomes  []OutcomeAction
+	Confirms  []ConfirmAction
 
+	Unconfirmed  []UnconfirmedAction
 	WorkerLosses []WorkerLossAction
 	TaskLosses   []TaskLossesAction
 	GivenUp      []GivenUpAction
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -33,6 +33,8 @@
 	finals         map[submission.ID]submission.State
 	starts         []StartAction
 	reassigns      []ReassignAction
+	questions      []ConfirmAction          // to home VMs
+	homeWaits      func(ConfirmAction) bool // whether a home VM answers that it waits; nil: none answers
 	stops          []StopAction
 	workOf         map[submission.ID]runhost.Work
 	hung           map[string]bool                  // workers on which tasks make no progress
@@ -418,6 +420,12 @@
 		w.states[s.ID] = s.State
 	}
 	w.reassigns = append(w.reassigns, a.Reassigns...)
+	w.questions = append(w.questions, a.Confirms...)
+	for _, c := range a.Confirms {
+		if w.homeWaits != nil && w.homeWaits(c) {
+			w.shard.Confirmed(c.ID, c.Serial, w.now)
+		}
+	}
 	if w.records != nil {
 		w.records.apply(w, a)
 		a.Finals, a.Saves = nil, nil
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -121,8 +121,12 @@
 	CallerTimeout time.Duration `json:"w,omitempty"`
 	// Age is how long ago the home VM received a transient submission when it sent it to the
 	// shard's holder. Its objective counts from when it was received.
-	Age      time.Duration `json:"y,omitempty"`
-	Progress Progress      `json:"p,omitzero"`
+	Age time.Duration `json:"y,omitempty"`
+	// HomeAnswers says that the home VM of a transient submission answers holders that ask whether it still waits for
+	// their parts. Records of earlier releases lack it.
+	HomeAnswers bool `json:"j,omitempty"`
+
+	Progress Progress `json:"p,omitzero"`
 	// TasksElsewhere are tasks within the steps that do not belong to this part: they have completed, or
 	// another shard has them.
 	TasksElsewhere []Task `json:"o,omitempty"`
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -108,7 +108,7 @@
 	}
 	report, _ := h.core.Report(id)
 	klog.InfoS("kept: cancellation of a part received", "id", id, "shard", ref.Shard, "from", from, "held", true,
-		"state", report.State.String(), "serial", report.Serial)
+		"state", report.State.String(), "serial", report.Serial, "cancelled_serial", ref.Serial)
 }
 
 // cancelInOwnShards cancels a stored submission in the shards that this VM holds, or the part of one in the shard that ref
@@ -119,7 +119,7 @@
 		case "":
 			h.core.CancelStored(e.now, submission.ID(ref.Id))
 		case name:
-			h.core.Cancel(e.now, submission.ID(ref.Id))
+			h.core.CancelAttempt(e.now, submission.ID(ref.Id), ref.Serial)
 		}
 	}
 }
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -295,6 +295,10 @@
 	for _, n := range a.Outcomes {
 		e.reportTaskOutcome(n) // before the state, in which a task listed as returned counts as not completed
 	}
+	e.logUnconfirmed(h, a.Unconfirmed)
+	for _, c := range a.Confirms {
+		e.askHome(h, c)
+	}
 	for _, s := range a.States {
 		w := h.report(s)
 		e.reportState(s.ID, s.Home, w)
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -65,6 +65,8 @@
 	roundLateness      tally.Histogram          // from when a round was due to its begin
 	roundsLate         tally.Counter            // that began much later than due
 	roundsLong         tally.Counter            // that took long
+	unconfirmedParts   tally.Counter            // ended here, as their home VMs have not confirmed them
+	unwantedParts      tally.Counter            // of which holders had not heard that this VM does not wait for them
 	unexpectedRuns     tally.Counter            // listed though their tasks were released or have other runs
 	releases           map[string]tally.Counter // of tasks of which a start was ordered, by reason
 }
@@ -132,6 +134,8 @@
 		roundLateness:      scope.Histogram("round_late_seconds", timeBuckets),
 		roundsLate:         scope.Tagged(map[string]string{"how": "late"}).Counter("slow_rounds_total"),
 		roundsLong:         scope.Tagged(map[string]string{"how": "long"}).Counter("slow_rounds_total"),
+		unconfirmedParts:   scope.Counter("unconfirmed_parts_total"),
+		unwantedParts:      scope.Counter("unwanted_parts_total"),
 		unexpectedRuns:     scope.Counter("unexpected_runs_total"),
 		releases:           make(map[string]tally.Counter),
 	}
--- a/internal/kept/vm/operations_test.go
+++ b/internal/kept/vm/operations_test.go
@@ -10,13 +10,23 @@
 
 // Guards against a page that has operators search the logs for lines that no VM writes.
 func TestPageOnTwoRunsSearchesForLinesThatExist(t *testing.T) {
+	t.Run("one shard", func(t *testing.T) { checkSearches(t, "It ran twice at once", 3, "*.go") })
+	t.Run("two shards", func(t *testing.T) { checkSearches(t, "It ran twice at two shards", 2, "*.go", "../link/*.go") })
+}
+
+// checkSearches compares what a section of the page searches for with the lines in some files.
+func checkSearches(t *testing.T, title string, searches int, patterns ...string) {
 	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	files, err := filepath.Glob("*.go")
-	if err != nil {
-		t.Fatal(err)
+	var files []string
+	for _, p := range patterns {
+		found, err := filepath.Glob(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, found...)
 	}
 	var source strings.Builder
 	for _, f := range files {
@@ -24,11 +34,11 @@
 			source.Write(text)
 		}
 	}
-	_, section, found := strings.Cut(string(page), "### It ran twice at once\n")
+	_, section, found := strings.Cut(string(page), "### "+title+"\n")
 	section, _, _ = strings.Cut(section, "\n##")
 	greps := regexp.MustCompile(`(?m)^    grep -E '"kept: \(([^)]*)\)`).FindAllStringSubmatch(section, -1)
-	if !found || len(greps) != 3 {
-		t.Fatalf("%d searches in the section, want 3", len(greps))
+	if !found || len(greps) != searches {
+		t.Fatalf("%d searches in the section, want %d", len(greps), searches)
 	}
 	for _, g := range greps {
 		for _, message := range strings.Split(g[1], "|") {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -272,6 +272,12 @@
 	for _, ref := range f.TakenBack {
 		e.receiveRecall(ref)
 	}
+	for _, c := range f.Confirms {
+		e.receiveConfirm(ev.from, c)
+	}
+	for _, c := range f.Confirmed {
+		e.receiveConfirmed(c)
+	}
 	e.receivePoolMessages(ev.from, f)
 	for _, l := range f.Loads {
 		e.updateLoad(ev.from, l.Shard, l.Token, decodeLoad(l))
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -89,8 +89,10 @@
 		return
 	}
 	ev.record.Serial = e.nextSerial()
+	ev.record.HomeAnswers = true
 	for _, p := range parts {
 		p.record.Serial = ev.record.Serial
+		p.record.HomeAnswers = true
 	}
 	t := &transientSubmission{
 		record:         ev.record,
@@ -356,12 +358,17 @@
 	}
 	e.notifyPartHolders(t,
 		func(own *shard.Shard) { own.Cancel(e.now, t.record.ID) },
-		func(f *pb.KeptFrame, part *pb.KeptRef) { f.Cancelled = append(f.Cancelled, part) })
+		func(f *pb.KeptFrame, p *part) {
+			f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.record.Serial})
+			if p.joins != 0 { // the holder may not have heard of the tasks that join the part
+				f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.joins})
+			}
+		})
 }
 
 // notifyPartHolders calls ownShard for each unfinished part whose shard this VM holds, and peer with the frame
 // to the holder of each other unfinished part.
-func (e *engine) notifyPartHolders(t *transientSubmission, ownShard func(*shard.Shard), peer func(*pb.KeptFrame, *pb.KeptRef)) {
+func (e *engine) notifyPartHolders(t *transientSubmission, ownShard func(*shard.Shard), peer func(*pb.KeptFrame, *part)) {
 	for _, p := range t.parts {
 		if p.state.Final() {
 			continue
@@ -371,7 +378,7 @@
 			continue
 		}
 		if p.holder != "" && p.holder != e.vm.config.Name {
-			peer(e.frame(p.holder), &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
+			peer(e.frame(p.holder), p)
 		}
 	}
 }
