vm: a VM that stood still waits for news of its callers before it goes on

What callers see: a request that waits in the socket of a VM that stands still (a freeze of some seconds) is given up by its caller, who sends it again to another VM. When the VM goes on it reads the request, starts its tasks, and hears some milliseconds later that the caller has left: a task runs beside the next attempt. The same holds for what it had accepted before: it hands parts to new holders, or starts tasks whose leases have run out, before it hears that the callers are gone. Cause: the engine goes on in the order in which its events come in; departures of callers come in last, as the connections' goroutines have to run first. Change: an engine whose rounds lie more than a second apart lets 50 ms pass before it takes its events, and submissions that come in within 50 ms after that wait until then. What was abandoned meanwhile is dropped in the same round, before any shard starts a task and before any frame leaves. Evidence: TestRequestOfACallerWhoLeftDuringAStandstillDoesNotStart; with the guard taken out 2 tasks start in each case but those that leave at once. Ruled out: to give up all submissions after a standstill, which a first trial did.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -134,6 +134,7 @@
 	unexpectedLines lineLimit
 
 	unwantedReportLines lineLimit
+	settledAt           time.Duration // when submissions are admitted again after it stood still
 	drained             chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
 
@@ -207,6 +208,7 @@
 
 // applyEvents applies the queued events and sets the time of the round.
 func (e *engine) applyEvents() {
+	e.settleAfterStandstill()
 	for {
 		asOf := e.vm.now()
 		events := e.vm.events.Drain()
