vm: a late report of a transient part is not taken for one of a stored submission

Cause: a report of a submission that a home does not know any more made an entry among the stored ones: the holder was asked for it every 0.7 s, the store looked up, and GET of the id showed the state of an attempt that had been given up. Change: reports with a serial are about transient parts, and are ignored if the submission is not known. Evidence: TestReportOfAnUnknownPartMakesNoStoredSubmission fails without the change.

--- a/internal/kept/vm/parts_test.go
+++ b/internal/kept/vm/parts_test.go
@@ -32,6 +32,21 @@
 	})
 }
 
+// Guards against a transient submission that its home has given up and that a late report makes a stored one, whose holder
+// is then asked for it again and again.
+func TestReportOfAnUnknownPartMakesNoStoredSubmission(t *testing.T) {
+	testWorld(t, func(w *world) {
+		tracked := make(chan bool, 1)
+		w.vms["a1"].post(engineFunc(func(e *engine) {
+			e.applyStateReport("job", stateReport{shard: "b/0", token: 1, state: submission.Running, serial: 5})
+			tracked <- e.tracked["job"] != nil
+		}))
+		if <-tracked {
+			t.Error("the submission counts as a stored one")
+		}
+	})
+}
+
 // engineFunc looks into an engine, on its goroutine.
 type engineFunc func(*engine)
 
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -138,8 +138,8 @@
 	state := report.state
 	h := e.tracked[id]
 	if h == nil {
-		if state == submission.Unknown || state == submission.Rejected {
-			return
+		if state == submission.Unknown || state == submission.Rejected || report.serial != 0 {
+			return // a report with a serial is about a part of a transient submission
 		}
 		h = &trackedSubmission{id: id, shard: report.shard, stored: true, receivedAt: e.now}
 		e.tracked[id] = h
