vm: a caller that leaves is not forgotten while the event queue is full

Cause: Submit told the engine once, by an event that a full queue dropped, that its caller had left. The home went on waiting for its parts, and the holders ran them to their end, for nobody, while the caller's next attempt ran elsewhere. It is the same fault as a lost cancellation: an order that ends something is sent once, and what it ends goes on by itself.

Evidence: TestCallerThatLeavesWhileTheQueueIsFullEndsItsWork, before the change: "3 tasks run 500 ms after their caller left"; the log has "event dropped, the engine's queue is full" and no "abandoned".

Change: deliver queues an event that nothing replaces and waits for room if there is none, on a goroutine of its own so that the caller's answer does not wait. It ends when the VM is stopped. A metric and a line say that an event waited.

Figures: go test ./internal/kept/vm -run TestCallerThatLeavesWhileTheQueueIsFull: fails before, passes after; -race -count=5, three times: passes.

--- a/internal/kept/vm/callers.go
+++ b/internal/kept/vm/callers.go
@@ -55,7 +55,7 @@
 	case o := <-reply:
 		return o
 	case <-ctx.Done():
-		v.post(abandonEvent{id: r.ID, reply: reply})
+		go v.deliver(abandonEvent{id: r.ID, reply: reply}) // the caller does not wait for room in the queue
 		return Outcome{Kind: Indeterminate, Reason: "no answer in time"}
 	}
 }
--- a/internal/kept/vm/metrics.go
+++ b/internal/kept/vm/metrics.go
@@ -45,6 +45,7 @@
 	heldWorkers        tally.Gauge
 	openSubmissions    tally.Gauge
 	droppedEvents      tally.Counter
+	delayedEvents      tally.Counter
 	ordersRepeated     tally.Counter          // stops and listings that were sent again before they were answered
 	evacuated          map[string]tally.Gauge // by failure domain: 1 while nothing may start there
 	reassigned         tally.Counter          // tasks and stored submissions, away from evacuated domains
@@ -114,6 +115,7 @@
 		heldWorkers:        scope.Gauge("workers_held"),
 		openSubmissions:    scope.Gauge("submissions_open"),
 		droppedEvents:      scope.Counter("events_dropped_total"),
+		delayedEvents:      scope.Counter("events_delayed_total"),
 		ordersRepeated:     scope.Counter("orders_repeated_total"),
 		evacuated:          make(map[string]tally.Gauge),
 		reassigned:         scope.Counter("sent_away_total"),
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -213,6 +214,18 @@
 	return false
 }
 
+// deliver queues an event that nothing replaces, and waits for room if the queue is full. It is not called by the engine,
+// which makes the room. The event is dropped if the VM is stopped.
+func (v *VM) deliver(e event) {
+	v.oldestEvent.note(v.now)
+	if v.events.TryPush(e) || v.events.Closed() {
+		return
+	}
+	v.metrics.delayedEvents.Inc(1)
+	klog.InfoS("kept: event waits for room in the engine's queue", "event", fmt.Sprintf("%T", e))
+	v.events.Push(e)
+}
+
 // HoldsShard reports whether this VM holds a shard.
 func (v *VM) HoldsShard(shard string) bool {
 	reply := make(chan bool, 1)
