soak: callers that leave early and send transient work again

Cause: the soak did not find tasks that run twice at once in two failure domains. Its callers sent each submission once and never left early; transient work lasted 420 ms at most; no fault reset all connections of a VM, its callers' among them. Change: for half of the seeds (--retries), callers of transient work of up to 3 s leave early, and each attempt without a result is followed by another one 1.3 s later at a VM of another domain, four at most. With them come resets of all connections of a VM and a peer listener that is silenced in one direction. They draw from random numbers of their own: the faults and the work of a seed stay. A proxy tells whose stream it forwards from the name in the stream's first frame.

--- a/cmd/pumiceyard/soak.go
+++ b/cmd/pumiceyard/soak.go
@@ -23,7 +23,8 @@
 workers observe that no guarantee is violated. The seed determines the faults, but not
 the timing of the machine. For half of the seeds, each VM is also suspended for
 moments in quick succession and runs on 1, 2 or 4 processors, and there is more
-short work.`,
+short work. For half of the seeds, callers of transient work of some seconds leave
+early or lose their connections, and send it again to another failure domain.`,
 		GroupID: tryout,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -49,6 +50,7 @@
 	c.Flags().DurationVar(&opt.Duration, "duration", 10*time.Second, "how long faults are injected, for each seed")
 	c.Flags().IntVar(&opt.VMs, "vms", 4, "number of entry VMs, in two failure domains")
 	c.Flags().BoolVar(&opt.Stalls, "stalls", true, "suspend the VMs in quick succession, for the seeds that say so; the other faults stay the same")
+	c.Flags().BoolVar(&opt.Retries, "retries", true, "let callers leave early and send work again, for the seeds that say so, and fail the connections of VMs beside them; the other faults stay the same")
 	c.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the logs of the VMs and of the faults, created if missing (default a new temporary one)")
 	_ = c.MarkFlagRequired("daemon")
 	return c
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -17,13 +18,15 @@
 	inject func() // returns when the fault has ended
 }
 
-// injectFaults starts a random fault at random intervals until ctx ends. Faults may overlap.
-func (s *soak) injectFaults(ctx context.Context) {
+// injectFaults starts the next fault at random intervals until ctx ends. Faults may overlap.
+func (s *soak) injectFaults(ctx context.Context, r *rand.Rand, next func() fault) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for ctx.Err() == nil {
+		s.mu.Lock()
 		s.faultCount++
-		f := s.randomFault()
+		s.mu.Unlock()
+		f := next()
 		running.Go(func() {
 			s.faults.write("begins", f)
 			f.inject()
@@ -31,7 +34,7 @@
 		})
 		select {
 		case <-ctx.Done():
-		case <-time.After(minFaultInterval + time.Duration(s.rand.IntN(600))*time.Millisecond):
+		case <-time.After(minFaultInterval + time.Duration(r.IntN(600))*time.Millisecond):
 		}
 	}
 }
--- a/internal/tool/soak/logs.go
+++ b/internal/tool/soak/logs.go
@@ -14,42 +14,50 @@
 	"github.com/pumiceyard/pumiceyard/internal/tool/logstory"
 )
 
-// Logs of a soak: SEED-VM.log of each VM and SEED-faults.log, all with klog's line headers, so that the lines of
-// all of them can be merged by time.
+// Logs of a soak: SEED-VM.log of each VM, SEED-faults.log, and SEED-callers.log of the attempts that callers may
+// repeat, all with klog's line headers, so that the lines of all of them can be merged by time.
 
 // logTimeAt is where the time begins in klog's line headers.
 const logTimeAt = 1
 
-// faultLog writes when faults begin and end. It is safe for concurrent use.
-type faultLog struct {
+// eventLog is a log of what the soak does itself. It is safe for concurrent use.
+type eventLog struct {
 	mu  sync.Mutex
 	out io.WriteCloser
 	err error // the first failed write
 }
 
-// newFaultLog creates the log, and its directory if that does not exist.
-func newFaultLog(dir string, seed uint64) (*faultLog, error) {
+// newFaultLog creates the log of when faults begin and end.
+func newFaultLog(dir string, seed uint64) (*eventLog, error) { return newEventLog(dir, seed, "faults") }
+
+// newEventLog creates a log, and its directory if that does not exist.
+func newEventLog(dir string, seed uint64, name string) (*eventLog, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(dir, fmt.Sprintf("%d-faults.log", seed)))
+	out, err := os.Create(filepath.Join(dir, fmt.Sprintf("%d-%s.log", seed, name)))
 	if err != nil {
 		return nil, err
 	}
-	return &faultLog{out: out}, nil
+	return &eventLog{out: out}, nil
+}
+
+// write writes that a fault begins or ends.
+func (l *eventLog) write(what string, f fault) {
+	l.writeLine(fmt.Sprintf("\"fault %s\" kind=%q target=%q", what, f.kind, f.target))
 }
 
-func (l *faultLog) write(what string, f fault) {
+func (l *eventLog) writeLine(text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, err := fmt.Fprintf(l.out, "I%s soak] \"fault %s\" kind=%q target=%q\n", time.Now().Format(logstory.TimeLayout), what, f.kind, f.target)
+	_, err := fmt.Fprintf(l.out, "I%s soak] %s\n", time.Now().Format(logstory.TimeLayout), text)
 	if l.err == nil {
 		l.err = err
 	}
 }
 
 // close closes the log. The error is that of the first failed write, if any.
-func (l *faultLog) close() error {
+func (l *eventLog) close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.out.Close(); l.err == nil {
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -12,8 +12,10 @@
 // process is an entry VM that runs as a separate process.
 type process struct {
 	name         string
+	domain       string
 	settingsPath string
 	callerURL    string
+	callerProxy  *proxy // before callerURL, for the callers that may lose their connections
 	peerProxy    *proxy
 	storeProxy   *proxy
 	logPath      string
--- a/internal/tool/soak/proxy.go
+++ b/internal/tool/soak/proxy.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // proxy forwards TCP connections to a target, with faults that can be set at any time.
@@ -18,7 +21,13 @@
 	conns                      map[*connPair]struct{}
 }
 
-type connPair struct{ caller, target net.Conn }
+type connPair struct {
+	caller, target net.Conn
+	opening        []byte // the first bytes from the caller, up to maxOpening
+}
+
+// maxOpening is enough for the first frame of a stream between two VMs, which names the sender.
+const maxOpening = 512
 
 func newProxy(target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,8 +84,8 @@
 	p.conns[pr] = struct{}{}
 	p.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.forward(t, c, true) })
-	directions.Go(func() { p.forward(c, t, false) })
+	directions.Go(func() { p.forward(pr, true) })
+	directions.Go(func() { p.forward(pr, false) })
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, pr)
@@ -84,13 +93,20 @@
 }
 
 // forward copies bytes in one direction and ends both connections when one ends.
-func (p *proxy) forward(to, from net.Conn, toTarget bool) {
+func (p *proxy) forward(pr *connPair, toTarget bool) {
+	to, from := pr.caller, pr.target
+	if toTarget {
+		to, from = pr.target, pr.caller
+	}
 	defer abort(to)
 	defer abort(from)
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			if toTarget {
+				p.noteOpening(pr, buffer[:n])
+			}
 			delay, drop := p.activeFaults(toTarget)
 			if delay > 0 {
 				time.Sleep(delay)
@@ -117,12 +133,33 @@
 	return p.delay, p.dropToCaller
 }
 
+func (p *proxy) noteOpening(pr *connPair, b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pr.opening = append(pr.opening, b[:min(len(b), maxOpening-len(pr.opening))]...)
+}
+
 // resetConnections ends all connections.
 func (p *proxy) resetConnections() {
+	p.resetWhere(func(*connPair) bool { return true })
+}
+
+// resetConnectionsFrom ends the connections that a VM has opened to another one.
+func (p *proxy) resetConnectionsFrom(vm string) {
+	sender := protowire.AppendString(protowire.AppendTag(nil, senderField, protowire.BytesType), vm)
+	p.resetWhere(func(pr *connPair) bool { return bytes.Contains(pr.opening, sender) })
+}
+
+// senderField is the number of the field of a KeptFrame that names the VM that sends it.
+const senderField = 1
+
+func (p *proxy) resetWhere(chosen func(*connPair) bool) {
 	p.mu.Lock()
 	var all []*connPair
 	for pr := range p.conns {
-		all = append(all, pr)
+		if chosen(pr) {
+			all = append(all, pr)
+		}
 	}
 	p.mu.Unlock()
 	for _, pr := range all {
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -37,6 +37,7 @@
 	Duration time.Duration // how long faults are injected; the recovery takes some seconds more
 	VMs      int
 	Stalls   bool   // whether the VMs are stalled for the seeds that say so
+	Retries  bool   // whether callers leave early and send work again for the seeds that say so
 	LogDir   string // directory for the logs of the VMs and of the faults; created if it does not exist
 	Out      io.Writer
 }
@@ -61,11 +62,13 @@
 	opt           Options
 	rand          *rand.Rand
 	stalls        stalls
+	retries       bool
 	site          *keptsite.Site
 	vms           []*process
 	workerProxies []*proxy
 	startedAt     time.Time
-	faults        *faultLog
+	faults        *eventLog
+	callers       *eventLog // of the attempts that may be followed by others
 
 	mu         sync.Mutex
 	acceptedAt map[string]time.Time // by key of the accepted stored submissions
@@ -99,13 +102,17 @@
 	if opt.Stalls {
 		s.stalls = stallsOf(opt.Seed, opt.VMs)
 	}
+	s.retries = opt.Retries && retriesOf(opt.Seed)
 	var err error
 	if s.faults, err = newFaultLog(opt.LogDir, opt.Seed); err != nil {
 		return err
 	}
+	if s.callers, err = newEventLog(opt.LogDir, opt.Seed, "callers"); err != nil {
+		return errors.Join(err, s.faults.close())
+	}
 	defer s.stop()
 	if err := s.start(ctx); err != nil {
-		return errors.Join(err, s.faults.close())
+		return errors.Join(err, s.closeLogs())
 	}
 	working, stop := context.WithTimeout(ctx, opt.Duration)
 	defer stop()
@@ -117,25 +124,32 @@
 		busy.Go(func() { s.submitShortWork(working) })
 		busy.Go(func() { s.injectStalls(working) })
 	}
-	s.injectFaults(working)
+	if s.retries {
+		r := rand.New(rand.NewPCG(s.opt.Seed, 401))
+		busy.Go(func() { s.submitLongWork(working) })
+		busy.Go(func() { s.injectFaults(working, r, func() fault { return s.randomConnectionFault(r) }) })
+	}
+	s.injectFaults(working, s.rand, s.randomFault)
 	busy.Wait()
 	s.clearFaults()
 	err = s.checkGuarantees(ctx)
 	if broken := new(Violation); errors.As(err, &broken) {
 		s.printLines(broken)
 	}
-	err = errors.Join(err, s.faults.close())
+	err = errors.Join(err, s.closeLogs())
 	fmt.Fprintln(opt.Out, s.report(err))
 	return err
 }
 
+func (s *soak) closeLogs() error { return errors.Join(s.faults.close(), s.callers.close()) }
+
 // report returns the line that says what the soak has seen. A run that starts after another one of its task has
 // completed is work done twice. The platform's rule allows it once the lease of the first run's worker has lapsed, so
 // all of them are counted, and those whose lease had not lapsed beside them.
 func (s *soak) report(err error) string {
 	again, withinLease := s.site.Fleet.StartsAfterCompletion()
-	return fmt.Sprintf("seed %d: late binding %v, %d faults, %d stalls (%d at a start), %v, %d runs started after another run of their task had completed (%d of them before its lease had lapsed), %.1f s: %v",
-		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.faultCount, s.stallCount, s.stallsAtStarts, s.outcomes,
+	return fmt.Sprintf("seed %d: late binding %v, retries %v, %d faults, %d stalls (%d at a start), %v, %d runs started after another run of their task had completed (%d of them before its lease had lapsed), %.1f s: %v",
+		s.opt.Seed, policyOf(s.opt.Seed).LateBinding, s.retries, s.faultCount, s.stallCount, s.stallsAtStarts, s.outcomes,
 		again, withinLease, time.Since(s.startedAt).Seconds(), resultText(err))
 }
 
@@ -184,6 +198,10 @@
 	if err != nil {
 		return err
 	}
+	callerProxy, err := newProxy(callers)
+	if err != nil {
+		return err
+	}
 	name := fmt.Sprintf("vm%d", i+1)
 	settings := daemon.Settings{
 		Name:         name,
@@ -205,9 +223,11 @@
 	}
 	p := &process{
 		name:         name,
+		domain:       settings.Domain,
 		settingsPath: filepath.Join(s.opt.LogDir, fmt.Sprintf("%d-%s.json", s.opt.Seed, name)),
 		logPath:      filepath.Join(s.opt.LogDir, fmt.Sprintf("%d-%s.log", s.opt.Seed, name)),
 		callerURL:    "http://" + callers,
+		callerProxy:  callerProxy,
 		peerProxy:    peer,
 		storeProxy:   store,
 	}
@@ -449,6 +469,7 @@
 		}
 		p.storeProxy.close()
 		p.peerProxy.close()
+		p.callerProxy.close()
 	}
 	for _, w := range s.workerProxies {
 		w.close()
