Tests: two attempts of one caller that run at once in two failure domains

Cause: what is to end the first attempt is lost with a stream, or cannot be sent, or the home or the holder stands still while the caller comes back elsewhere. Change: deterministic plays of each way on three failure domains, with and without late binding. The mesh resets connections, loses one direction, or only what one VM has dialed, and holds what a VM that stands still sends and is sent. A VM of a world can stand still as a whole; the stalls of TestRandomStallsRunNoTaskTwice use the same code.

--- a/internal/kept/vm/stalls_property_test.go
+++ b/internal/kept/vm/stalls_property_test.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -44,28 +43,6 @@
 	stalls map[string]int // by reader of the clock
 }
 
-// stallableReaders are the functions that read the clock without holding a lock. A goroutine that stands still while
-// others wait for its lock would stop the virtual time.
-var stallableReaders = []string{
-	"(*engine).applyEvents", "leaseExpiredEvent.apply",
-	"(*workerSession).run", "(*workerSession).postExpiry", "(*workerSession).renew", "(*workerSession).listNow", "(*workerSession).listOnce",
-	"(*workerSession).start", "(*workerSession).startDeadline", "(*workerSession).stop", "(*workerSession).timedCall",
-}
-
-// clockReader returns the function of this package that reads the clock through the caller's caller; "": it must not
-// stand still.
-func clockReader() string {
-	callers := make([]uintptr, 3)
-	frames := runtime.CallersFrames(callers[:runtime.Callers(4, callers)])
-	f, _ := frames.Next()
-	_, name, _ := strings.Cut(f.Function, "/vm.")
-	name, _, _ = strings.Cut(name, ".func")
-	if slices.Contains(stallableReaders, name) {
-		return name
-	}
-	return ""
-}
-
 // hasFaults reports whether faults may happen now.
 func (r *stallRun) hasFaults() bool { return !time.Now().Before(r.from) && time.Now().Before(r.until) }
 
@@ -79,16 +56,14 @@
 // stallingVM is a VM that stands still now and then, and its client of the workers.
 type stallingVM struct {
 	worker.Client
+	suspension
 	run  *stallRun
 	name string
-
-	mu          sync.Mutex
-	standsStill time.Time // until when
 }
 
 // now reads the VM's clock. The goroutine that reads it may stand still before or after.
 func (v *stallingVM) now(clock func() time.Duration) time.Duration {
-	reader := clockReader()
+	reader := clockReader(stallableReaders)
 	if reader == "" || !v.run.hasFaults() {
 		return clock()
 	}
@@ -98,7 +73,7 @@
 		oneIn = 20
 	}
 	if rng.IntN(oneIn) > 0 {
-		v.waitWhileStill(rng)
+		v.wait(rng)
 		return clock()
 	}
 	v.run.mu.Lock()
@@ -107,7 +82,7 @@
 	stall := time.Duration(rng.Int64N(int64([]time.Duration{maxShortStall, maxStall}[rng.IntN(2)])))
 	if rng.IntN(3) == 0 {
 		stall = min(minSuspension+stall, maxStall)
-		v.standStill(stall)
+		v.begin(stall)
 	}
 	if rng.IntN(2) == 0 {
 		time.Sleep(stall)
@@ -118,25 +93,6 @@
 	return now
 }
 
-// standStill makes the whole VM stand still for a while.
-func (v *stallingVM) standStill(d time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.standsStill = time.Now().Add(d)
-}
-
-// waitWhileStill waits while the whole VM stands still, and reports whether it did. Its goroutines go on in a random order.
-func (v *stallingVM) waitWhileStill(rng *rand.Rand) bool {
-	v.mu.Lock()
-	left := time.Until(v.standsStill)
-	v.mu.Unlock()
-	if left <= 0 {
-		return false
-	}
-	time.Sleep(left + time.Duration(rng.Int64N(int64(ms))))
-	return true
-}
-
 // call makes a call that may be lost, or its answer lost or late, and returns whether the answer has arrived. The worker's
 // clock counts whole milliseconds.
 func (v *stallingVM) call(ctx context.Context, to worker.Info, what any, call func() worker.Reply) (worker.Reply, bool) {
@@ -159,7 +115,7 @@
 	case fault < 8 && fault > 3:
 		pause.For(ctx, time.Duration(1+rng.Int64N(int64(maxLateness))))
 	}
-	if ctx.Err() != nil || v.waitWhileStill(rng) && rng.IntN(2) == 0 {
+	if ctx.Err() != nil || v.wait(rng) && rng.IntN(2) == 0 {
 		return silent, false
 	}
 	return r, true
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -43,6 +43,9 @@
 	events  func(string, link.Events) link.Events // wraps what receives the frames that reach a VM that boots; nil: nothing
 	clock   func() time.Duration                  // the clock of VMs that boot
 
+	canStandStill bool                   // VMs that boot can stand still
+	suspensions   map[string]*suspension // of VMs that can, by name
+
 	bindsLate func(name string) bool // whether a VM that boots has late binding; nil: as in policy
 	submitted int                    // by serveAllHomes
 
@@ -75,16 +78,16 @@
 	return w
 }
 
-// populate adds three workers to each of two domains, starts two entry VMs in each, and waits until the shards have
-// holders.
+// populate adds three workers to each domain, starts two entry VMs in each, and waits until the shards have holders.
 func (w *world) populate() {
 	for _, d := range w.domains {
 		for i := range 3 {
 			w.addDeskWorker(fmt.Sprintf("%s%d", d, i), d)
 		}
 	}
-	for _, name := range []string{"a1", "a2", "b1", "b2"} {
-		w.boot(name)
+	for _, d := range w.domains {
+		w.boot(d + "1")
+		w.boot(d + "2")
 	}
 	time.Sleep(3 * time.Second)
 }
@@ -110,6 +113,7 @@
 		mesh:            mesh.New(),
 		vms:             make(map[string]*VM),
 		storeTransports: make(map[string]*kvstore.Transport),
+		suspensions:     make(map[string]*suspension),
 		domains:         domains,
 		policy:          policy.Defaults(),
 		workers:         func(c worker.Client) worker.Client { return c },
@@ -163,7 +167,7 @@
 	if w.bindsLate != nil {
 		settings.LateBinding = w.bindsLate(name)
 	}
-	w.vms[name] = Start(Config{
+	config := Config{
 		Name:           name,
 		Policy:         settings,
 		Incarnation:    w.lastIncarnation,
@@ -193,7 +197,11 @@
 		StoreReadsPerSecond: w.storeReadsPerSecond,
 		wrapEvents:          wrapEvents,
 		Now:                 w.clock,
-	})
+	}
+	if w.canStandStill {
+		w.suspensions[name] = suspendable(&config)
+	}
+	w.vms[name] = Start(config)
 }
 
 func addressOf(name string) string { return name + ":7000" }
--- a/internal/standin/pipe/pipe.go
+++ b/internal/standin/pipe/pipe.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Network connects one server with its clients. It is safe for concurrent use.
@@ -81,6 +82,7 @@
 	net.Conn
 	once   sync.Once
 	silent chan struct{}
+	isMute atomic.Bool
 	close  sync.Once
 	ended  chan struct{}
 }
@@ -94,6 +96,9 @@
 // without an error.
 func (c *Conn) Silence() { c.once.Do(func() { close(c.silent) }) }
 
+// SilenceWrites makes the connection drop what this end writes, permanently and without an error.
+func (c *Conn) SilenceWrites() { c.isMute.Store(true) }
+
 func (c *Conn) isSilent() bool {
 	select {
 	case <-c.silent:
@@ -105,7 +110,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.isSilent() {
+	if c.isSilent() || c.isMute.Load() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
