vm, shard: a home cancels its part also at the next holders of the shard

What callers see: a task runs beside the next attempt for 0.2 s and more, if the shard of the first attempt changes hands within the second after its cancellation, and that had not arrived. The loss of the link alone suffices: the home that does not reach the holder takes the shard. Cause: the old holder, which would have ended the part for lack of a confirmation, has lost the shard. The new one finds the runs at the workers, extends their leases, and waits 0.6 s for home VMs to hand over what they belong to. A home that had cancelled the part told the VM that it had sent it to, and nobody if that was itself. A holder that does not know the submission stops the runs of it that workers list, without waiting. What is left: a home that is cut off from the new holder as well.

--- a/internal/kept/shard/confirm.go
+++ b/internal/kept/shard/confirm.go
@@ -70,9 +70,15 @@
 	}
 }
 
-// CancelAttempt cancels an attempt at a transient submission. A later attempt, which may be here by now, goes on.
+// CancelAttempt cancels an attempt at a transient submission. A later attempt, which may be here by now, goes on. If the
+// submission is not known here, runs of it are stopped that workers list, now or for a while: its home VM hands over none.
 func (s *Shard) CancelAttempt(now time.Duration, id submission.ID, serial uint64) {
-	if j := s.jobs[id]; j != nil && (serial == 0 || j.rec.Serial == serial) {
+	j := s.jobs[id]
+	switch {
+	case j == nil:
+		s.revoked[id] = now
+		s.stopRevokedRuns(now, id)
+	case serial == 0 || j.rec.Serial == serial:
 		s.Cancel(now, id)
 	}
 }
--- a/internal/kept/shard/confirm_test.go
+++ b/internal/kept/shard/confirm_test.go
@@ -96,3 +96,22 @@
 		t.Errorf("the submission is %s after its cancellation", state)
 	}
 }
+
+// Guards against a run that goes on at a new holder for as long as that waits for home VMs to hand over their submissions,
+// though the run's home VM has cancelled it.
+func TestCancelledRunsAreStoppedAtANewHolder(t *testing.T) {
+	for _, listed := range []bool{false, true} { // before the cancellation arrives
+		w := newWorld(t, 1)
+		w.run(100 * ms)
+		w.assignConfirmed("s", 1)
+		w.newHolder(2, true)
+		if listed {
+			w.run(50 * ms)
+		}
+		w.shard.CancelAttempt(w.now, "s", 1)
+		w.run(200 * ms)
+		if n := len(w.shard.workers["w0"].strayRuns); n > 0 {
+			t.Errorf("listed before: %v; %d runs go on 200 ms after their cancellation", listed, n)
+		}
+	}
+}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -25,12 +25,13 @@
 
 	jobs                  map[submission.ID]*job
 	workers               map[string]*host
-	workerIDs             []string                     // the keys of workers, sorted; replaced when they change, as a caller may be in a loop over them
-	recentlyEnded         map[submission.ID]endedJob   // submissions that ended or left within endedRetention
-	replacedWorkers       map[string]replacedWorker    // incarnations that another one has replaced, by worker ID
-	leftoverStarts        map[string]unresolvedStarts  // of workers that have been removed, by worker ID
-	earlyListings         map[string]earlyListing      // listings that arrived before the records, by worker ID
-	earlyEnds             map[submission.ID][]earlyEnd // ended runs of submissions that are not known yet
+	workerIDs             []string                        // the keys of workers, sorted; replaced when they change, as a caller may be in a loop over them
+	recentlyEnded         map[submission.ID]endedJob      // submissions that ended or left within endedRetention
+	replacedWorkers       map[string]replacedWorker       // incarnations that another one has replaced, by worker ID
+	leftoverStarts        map[string]unresolvedStarts     // of workers that have been removed, by worker ID
+	earlyListings         map[string]earlyListing         // listings that arrived before the records, by worker ID
+	revoked               map[submission.ID]time.Duration // cancelled transient submissions that are not known here, and when
+	earlyEnds             map[submission.ID][]earlyEnd    // ended runs of submissions that are not known yet
 	strayCounts           strayCounts
 	transientBarrierUntil time.Duration // when unlisted runs of transient submissions have ended
 	paceByQueue           map[string]*policy.Pace
@@ -88,6 +89,7 @@
 	return &Shard{
 		transientBarrierUntil: min(now+transientBarrier, barrierAt),
 		earlyEnds:             make(map[submission.ID][]earlyEnd),
+		revoked:               make(map[submission.ID]time.Duration),
 		settings:              s,
 		token:                 token,
 		barrierUntil:          barrierAt,
@@ -211,6 +213,7 @@
 	j.token = s.token
 	j.strayCounts = s.strayCounts
 	s.jobs[j.rec.ID] = j
+	delete(s.revoked, j.rec.ID)
 	s.hasLosses = s.hasLosses || len(j.rec.Progress.Losses) > 0
 }
 
--- a/internal/kept/shard/stray.go
+++ b/internal/kept/shard/stray.go
@@ -57,7 +57,8 @@
 	if st.run != r.Run {
 		st = strayRun{run: r.Run}
 	}
-	stopDue := s.knownTask(r.Task) != nil || now-h.firstAnswerAt >= handoverTimeout
+	_, revoked := s.revoked[r.Task.ID]
+	stopDue := s.knownTask(r.Task) != nil || revoked || now-h.firstAnswerAt >= handoverTimeout
 	if stopDue && (!st.stopSent || now-st.stopAt >= strayStopInterval) {
 		st.stopSent = true
 		st.stopAt = now
@@ -89,6 +90,21 @@
 	}
 }
 
+// stopRevokedRuns stops the listed runs of a submission that is not known here and was cancelled.
+func (s *Shard) stopRevokedRuns(now time.Duration, id submission.ID) {
+	if len(s.strayCounts) == 0 {
+		return
+	}
+	for _, workerID := range s.workerIDs {
+		h := s.workers[workerID]
+		for ref, st := range h.strayRuns {
+			if ref.ID == id {
+				s.handleStrayRun(now, h, worker.Running{Task: ref, Run: st.run})
+			}
+		}
+	}
+}
+
 // adoptStrayRuns assigns the worker's stray runs of a submission to its tasks. A run that is being stopped
 // still runs for some time, and its task must not start before it has ended.
 func (h *host) adoptStrayRuns(now time.Duration, s *Shard, j *job) {
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -64,6 +64,7 @@
 	s.nextPruneAt = now + endedRetention/10
 	s.recentLosses = slices.DeleteFunc(s.recentLosses, func(l lostWorker) bool { return now-l.at > endedRetention })
 	maps.DeleteFunc(s.earlyEnds, func(_ submission.ID, o []earlyEnd) bool { return now-o[0].at > endedRetention })
+	maps.DeleteFunc(s.revoked, func(_ submission.ID, at time.Duration) bool { return now-at > endedRetention })
 	s.pruneStarts(now)
 	maps.DeleteFunc(s.replacedWorkers, func(_ string, d replacedWorker) bool { return now-d.at > endedRetention })
 	maps.DeleteFunc(s.recentlyEnded, func(_ submission.ID, p endedJob) bool { return now-p.at > endedRetention })
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -134,6 +134,7 @@
 	unexpectedLines lineLimit
 
 	unwantedReportLines lineLimit
+	revoked             []revokedPart // in the order in which they were cancelled
 	settledAt           time.Duration // when submissions are admitted again after it stood still
 	drained             chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -259,6 +259,7 @@
 		}
 	}
 	e.dropResults()
+	e.tellNewHolders()
 	e.driveUnbound(checkAll)
 }
 
@@ -352,18 +353,23 @@
 func (e *engine) cancelParts(t *transientSubmission) {
 	for _, p := range t.parts {
 		if !p.state.Final() {
+			e.revoke(t, p)
 			klog.InfoS("kept: part cancelled", "id", t.record.ID, "shard", p.shard, "holder", p.holder, "token", p.holderToken, "serial", p.record.Serial,
 				"link_up", p.holder == e.vm.config.Name || e.linkUp[p.holder], "state", p.state.String(), "reported", ageString(e.now-p.updatedAt))
 		}
 	}
 	e.notifyPartHolders(t,
 		func(own *shard.Shard) { own.Cancel(e.now, t.record.ID) },
-		func(f *pb.KeptFrame, p *part) {
-			f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.record.Serial})
-			if p.joins != 0 { // the holder may not have heard of the tasks that join the part
-				f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.joins})
-			}
-		})
+		func(f *pb.KeptFrame, p *part) { f.Cancelled = append(f.Cancelled, p.cancellations(t.record.ID)...) })
+}
+
+// cancellations returns the cancellations of the part, one for each attempt that its holder may have.
+func (p *part) cancellations(id submission.ID) []*pb.KeptRef {
+	refs := []*pb.KeptRef{{Id: string(id), Shard: p.shard, Serial: p.record.Serial}}
+	if p.joins != 0 { // the holder may not have heard of the tasks that join the part
+		refs = append(refs, &pb.KeptRef{Id: string(id), Shard: p.shard, Serial: p.joins})
+	}
+	return refs
 }
 
 // notifyPartHolders calls ownShard for each unfinished part whose shard this VM holds, and peer with the frame
