shard: a stop that has failed is ordered again after 20 ms

What callers see: a task of an attempt that was cancelled ran on beside the next one for 0.3 s (soak, real processes). Cause, as far as the lines go: the holder goes on after a standstill of 1 s, applies the cancellation and orders the stops, which fail within 2 ms, as a connection does that was reset meanwhile. It orders them again only 150 ms later. What happened then is not in the lines; another standstill is suspected, not shown. TestFailedStopIsRepeatedSoon fails with the delay of before. Change: 20 ms after the failure. One that times out has taken 45 to 150 ms by then, so no more than one order at a time is on its way.

--- a/internal/kept/shard/release_test.go
+++ b/internal/kept/shard/release_test.go
@@ -110,3 +110,22 @@
 		t.Errorf("%+v, want one at the barrier", releases)
 	}
 }
+
+// Guards against a run that goes on beside its caller's next attempt, as the connection of its stop was reset and the holder
+// stands still before it orders the stop again.
+func TestFailedStopIsRepeatedSoon(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.assign(w.submission("s", 1, runhost.Work{Time: time.Second}))
+	w.run(50 * ms)
+	w.shard.Cancel(w.now, "s")
+	for range 3 {
+		stops := w.shard.TakeActions().Stops
+		if len(stops) != 1 {
+			t.Fatalf("%d stops, want one", len(stops))
+		}
+		w.shard.HandleStopReply(w.now, "w0", stops[0].Task, stops[0].Run, worker.Reply{Verdict: worker.NoAnswer})
+		w.now += 25 * ms
+		w.shard.Tick(w.now)
+	}
+}
--- a/internal/kept/shard/replies.go
+++ b/internal/kept/shard/replies.go
@@ -91,7 +91,7 @@
 		s.actions.Probes = append(s.actions.Probes, id)
 		return
 	}
-	t.stateSince = now // Tick repeats the stop
+	t.stateSince = now - stopRetryInterval + failedStopDelay // Tick repeats the stop
 }
 
 // orderedTask returns the worker that an order was sent to, nil if it is not known, and the task that it
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -11,6 +11,7 @@
 // Intervals at which orders without an answer are repeated.
 const (
 	stopRetryInterval  = 150 * time.Millisecond
+	failedStopDelay    = 20 * time.Millisecond // after a stop has failed, as when its connection was reset
 	probeRetryInterval = 300 * time.Millisecond
 )
 
