shard: a part that nobody confirms ends also at a holder whose rounds are slow

Cause: a holder that found more than 150 ms between two rounds asked the home again and waited anew. One whose rounds all take that long never ended a part, while its sessions went on extending the leases. Change: it asks once when the confirmation has become invalid, and ends the part if the answer has not come with the events of a round 150 ms later. Events are applied before, so after a standstill an answer that has come counts. Evidence: found in review; TestPartThatItsHomeDoesNotConfirmEndsAtASlowHolder: running after 2.6 s and 13 questions before, passes now.

--- a/internal/kept/shard/confirm.go
+++ b/internal/kept/shard/confirm.go
@@ -32,8 +32,8 @@
 func (j *job) recordHomeSent(now time.Duration) { j.confirmation = confirmation{at: now, askedAt: now} }
 
 // confirm asks the home VM of a transient submission whether it still waits for it, and ends the submission if that is not
-// answered in time. If this holder stood still, it asks first: the answers of the home VM may wait to be read.
-func (s *Shard) confirm(now time.Duration, j *job, stoodStill bool) {
+// answered in time. After a standstill of this holder it asks first, too. An answer that came since is applied before.
+func (s *Shard) confirm(now time.Duration, j *job) {
 	c := &j.confirmation
 	if !j.rec.Transient || !j.rec.HomeAnswers || j.state.Final() {
 		return
@@ -48,7 +48,7 @@
 		if now-max(c.at, c.askedAt) >= confirmInterval {
 			s.askHome(now, j)
 		}
-	case c.overdueAt == 0 || stoodStill:
+	case c.overdueAt == 0:
 		c.overdueAt = now
 		s.askHome(now, j)
 	case now-c.overdueAt >= confirmTimeout:
--- a/internal/kept/shard/confirm_test.go
+++ b/internal/kept/shard/confirm_test.go
@@ -115,3 +115,19 @@
 		}
 	}
 }
+
+// Guards against a part that nobody confirms and that goes on for as long as its holder is slow.
+func TestPartThatItsHomeDoesNotConfirmEndsAtASlowHolder(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	w.assignConfirmed("s", 1)
+	sent := w.now
+	for w.now-sent < 2500*ms {
+		w.now += confirmTimeout
+		w.step()
+	}
+	if state, _ := w.shard.State("s"); state != submission.Cancelled {
+		t.Errorf("the submission is %s %v after its home VM sent it, at a holder whose rounds are %v apart, and was asked %d times", state, w.now-sent,
+			confirmTimeout+testTick, len(w.questions))
+	}
+}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -47,7 +47,6 @@
 	nextCentreAt          time.Duration
 	nextPruneAt           time.Duration
 	nextSweepAt           time.Duration
-	sweptAt               time.Duration
 	nextStrandedAt        time.Duration             // when submissions that no worker can run are searched for again
 	reserved              map[string]pool.Resources // by worker ID, for tasks that are not here yet
 	room                  []*candidate              // the workers after the last placement
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -32,8 +32,6 @@
 
 // sweep carries out the retries and time-outs that are due.
 func (s *Shard) sweep(now time.Duration) {
-	stoodStill := now-s.sweptAt > confirmTimeout
-	s.sweptAt = now
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		s.repeatOrders(now, j)
@@ -41,7 +39,7 @@
 		s.saveProgress(now, j)
 		s.rejectIfWaitTooLong(now, j)
 		s.drainIfEvacuated(now, j)
-		s.confirm(now, j, stoodStill)
+		s.confirm(now, j)
 	}
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
