shard: a new holder waits 0.2 s for homes that hand over their submissions

What callers see: a task runs beside the next attempt for up to 0.4 s, if the holder of the first attempt falls silent, or hands the shard over, just after the caller has left, and the home cannot tell the next holder. Cause: the next holder extends the leases of the runs that it finds at the workers, and stopped those of unknown submissions at the first listing after 0.6 s. The time that had passed at the previous holder does not count, so the runs outlived the 1.3 s after which the caller comes back. Change: 0.2 s, and the stops are ordered when it is over, not with the next listing, which may come 0.25 s later. Price: runs of homes that hand over later are stopped and repeated.

--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -32,6 +32,7 @@
 	startsVoidAt        time.Duration // when the last start order to it is void
 	releaseAt           time.Duration // when its tasks are released, as its lease has expired; 0: there is no need
 	health              policy.WorkerHealth
+	handoverEnded       bool // its runs of submissions that are not known here are being stopped
 	strayRuns           map[submission.TaskRef]strayRun
 	toldRuns            map[runRef]bool // listed runs that were reported as unexpected; nil: none
 	strayCPUMilli       int64           // processor that the stray runs use at least, as refused starts show
--- a/internal/kept/shard/stray.go
+++ b/internal/kept/shard/stray.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// endHandover stops the runs of a worker that no home VM has handed over within handoverTimeout.
+func (s *Shard) endHandover(now time.Duration, h *host) {
+	if h.handoverEnded || !h.hasAnswered || now-h.firstAnswerAt < handoverTimeout {
+		return
+	}
+	h.handoverEnded = true
+	for ref, st := range h.strayRuns {
+		s.handleStrayRun(now, h, worker.Running{Task: ref, Run: st.run})
+	}
+}
+
 // stopRevokedRuns stops the listed runs of a submission that is not known here and was cancelled.
 func (s *Shard) stopRevokedRuns(now time.Duration, id submission.ID) {
 	if len(s.strayCounts) == 0 {
--- a/internal/kept/shard/tick.go
+++ b/internal/kept/shard/tick.go
@@ -44,6 +44,7 @@
 	for _, id := range s.workerIDs {
 		h := s.workers[id]
 		s.repeatRevocations(now, h)
+		s.endHandover(now, h)
 		if h.releaseAt > 0 {
 			s.releaseExpired(now, h)
 		}
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -22,8 +22,9 @@
 const (
 	// handoverTimeout is how long, from a worker's first answer, a new holder waits for the home VMs of
 	// transient submissions to hand them over. They do so within some milliseconds, but a home VM that is
-	// cut off does not.
-	handoverTimeout = 600 * time.Millisecond
+	// cut off does not. It adds to the time after which the previous holder would have ended the runs (see
+	// confirmationValidity), and callers submit again after 1.3 s.
+	handoverTimeout = 200 * time.Millisecond
 	// transientBarrier is the time after which an earlier holder can have left no unlisted runs of transient
 	// submissions. If it is alive, it ends the runs of home VMs that it cannot reach within 800 ms; if not,
 	// their leases expire within a second.
--- a/internal/kept/vm/cancelledpart_test.go
+++ b/internal/kept/vm/cancelledpart_test.go
@@ -62,3 +62,32 @@
 		time.Sleep(work + 2*time.Second)
 	})
 }
+
+// Guards against a task that runs twice at once, in two failure domains: its home is cut off as the caller leaves, and the
+// shard that has it is handed over, before its holder has ended it, to a VM that waits for the home.
+func TestShardIsHandedOverAfterItsHomeWasCutOff(t *testing.T) {
+	for _, after := range []time.Duration{200 * ms, 600 * ms, 800 * ms, 900 * ms, time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			testWorldWith(t, func(w *world) { w.domains = []string{"a", "b", "c"} }, func(w *world) {
+				home := otherVM(w.holderOf("a"))
+				w.evacuate("a")
+				time.Sleep(200 * ms)
+				log := watchStarts(w)
+				leave := w.leavingCaller(home, "job", 2, runhost.Work{Time: 4 * time.Second})
+				time.Sleep(500 * ms)
+				starts := log.ofSubmission("job")
+				if len(starts) != 2 || starts[0].domain == "a" {
+					t.Fatalf("the tasks have not started in another domain: %v", starts)
+				}
+				next := map[string]string{"b": "c", "c": "b"}[starts[0].domain]
+				w.cut("a", true)
+				leave()
+				time.Sleep(after)
+				go w.vms[w.holderOf(starts[0].domain)].Drain(context.Background())
+				time.Sleep(callerRetryDelay - after)
+				w.leavingCaller(otherVM(w.holderOf(next)), "job", 2, runhost.Work{Time: 4 * time.Second})
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
