--- a/internal/kept/vm/linkfaults_property_test.go
+++ b/internal/kept/vm/linkfaults_property_test.go
@@ -18,8 +18,8 @@
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// faultyEvents loses, repeats, delays and reorders messages of demands, grants, assignments, replies and reports that
-// reach a VM. Its other messages arrive.
+// faultyEvents loses, repeats, delays and reorders messages of demands, grants, assignments, cancellations, questions of
+// holders, replies and reports that reach a VM. Its other messages arrive.
 type faultyEvents struct {
 	link.Events
 	mu     sync.Mutex
@@ -38,6 +38,9 @@
 		f.States = spoil(l, from, f, f.States, func(one *pb.KeptFrame, m *pb.KeptState) { one.States = []*pb.KeptState{m} })
 		f.TakenBack = spoil(l, from, f, f.TakenBack, func(one *pb.KeptFrame, m *pb.KeptRef) { one.TakenBack = []*pb.KeptRef{m} })
 		f.Queries = spoil(l, from, f, f.Queries, func(one *pb.KeptFrame, m *pb.KeptRef) { one.Queries = []*pb.KeptRef{m} })
+		f.Cancelled = spoil(l, from, f, f.Cancelled, func(one *pb.KeptFrame, m *pb.KeptRef) { one.Cancelled = []*pb.KeptRef{m} })
+		f.Confirms = spoil(l, from, f, f.Confirms, func(one *pb.KeptFrame, m *pb.KeptConfirm) { one.Confirms = []*pb.KeptConfirm{m} })
+		f.Confirmed = spoil(l, from, f, f.Confirmed, func(one *pb.KeptFrame, m *pb.KeptConfirm) { one.Confirmed = []*pb.KeptConfirm{m} })
 		l.mu.Unlock()
 	}
 	l.Events.Frame(from, f)
