--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -24,7 +24,7 @@
 	// transient submissions to hand them over. They do so within some milliseconds, but a home VM that is
 	// cut off does not. It adds to the time after which the previous holder would have ended the runs (see
 	// confirmationValidity), and callers submit again after 1.3 s.
-	handoverTimeout = 200 * time.Millisecond
+	handoverTimeout = 300 * time.Millisecond
 	// transientBarrier is the time after which an earlier holder can have left no unlisted runs of transient
 	// submissions. If it is alive, it ends the runs of home VMs that it cannot reach within 800 ms; if not,
 	// their leases expire within a second.
