--- a/internal/kept/shard/confirm_test.go
+++ b/internal/kept/shard/confirm_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// Guards against a task that runs twice at once, as its caller's next attempt reaches a new holder before a silent worker has
+// answered it, though the holder has been told that an attempt was cancelled under the one before.
+func TestNextAttemptWaitsForRunsOfACancelledOne(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100 * ms)
+	first := w.assignConfirmed("s", 1)
+	w.addHost("w1", "10.0.0.1:80")
+	w.unreachable["w0"] = true
+	w.newHolder(2, true)
+	w.run(50 * ms)
+	w.shard.CancelAttempt(w.now, "s", 1)
+	next := w.nextAttempt(first)
+	w.assign(next)
+	w.homeWaits = func(c ConfirmAction) bool { return c.Serial == next.Serial }
+	w.run(150 * ms)
+	w.unreachable["w0"] = false
+	w.run(8 * time.Second)
+	w.expectState("s", submission.Done)
+}
+
 // Guards against a run that goes on at a new holder for as long as that waits for home VMs to hand over their submissions,
 // though the run's home VM has cancelled it.
 func TestCancelledRunsAreStoppedAtANewHolder(t *testing.T) {
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -140,13 +140,8 @@
 		return
 	}
 	j := newJob(now, StoredRecord{Record: r}, s.runBase(r))
-	j.resumed = true
+	s.awaitEarlierRuns(j)
 	s.add(j)
-	for _, t := range j.tasks {
-		if t.state == taskWaiting && s.barrierUp {
-			t.state = taskUnlocated
-		}
-	}
 	for _, early := range s.earlyEnds[r.ID] {
 		if t := j.task(early.end.Task.Task); t != nil {
 			s.handleTaskEnd(now, early.host, t, early.end)
@@ -162,6 +157,17 @@
 	s.placementDue = true
 }
 
+// awaitEarlierRuns has the tasks of a transient submission wait until all workers have listed their runs, or those that an
+// earlier holder left are over. What is listed of it is adopted.
+func (s *Shard) awaitEarlierRuns(j *job) {
+	j.resumed = true
+	for _, t := range j.tasks {
+		if t.state == taskWaiting && s.barrierUp {
+			t.state = taskUnlocated
+		}
+	}
+}
+
 // Recall handles the recall of a transient submission by its home VM. It rejects the submission if none of
 // its tasks may have begun, and otherwise reports its state.
 func (s *Shard) Recall(now time.Duration, id submission.ID) {
