vm, shard: a late recall of an attempt does not take back the next one

Cause: a recall named the submission and the shard only, and a frame's assignments are applied before its recalls, so one of attempt 1 rejected attempt 2. Change: it names the serial, as cancellations do. Evidence: found in review; TestRecallOfAnEarlierAttemptIsIgnored failed before.

--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -182,6 +182,14 @@
 	}
 }
 
+// RecallAttempt handles the recall of an attempt at a transient submission. A later attempt, which may be here by now, goes on.
+// serial 0 stands for any.
+func (s *Shard) RecallAttempt(now time.Duration, id submission.ID, serial uint64) {
+	if j := s.jobs[id]; j != nil && (serial == 0 || j.rec.Serial == serial) {
+		s.Recall(now, id)
+	}
+}
+
 // HomeLost ends the transient submissions of a home VM that cannot be reached, and returns how many. Nobody
 // waits for their results here any more. Their callers submit them again to another VM, which may give them
 // to another shard: a task could run twice at the same time if they went on here.
--- a/internal/kept/vm/recall.go
+++ b/internal/kept/vm/recall.go
@@ -70,7 +70,7 @@
 	e.notifyPartHolders(t,
 		func(own *shard.Shard) { own.Recall(e.now, t.record.ID) },
 		func(f *pb.KeptFrame, p *part) {
-			f.TakenBack = append(f.TakenBack, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard})
+			f.TakenBack = append(f.TakenBack, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.record.Serial})
 		})
 }
 
@@ -122,6 +122,6 @@
 // receiveRecall handles the recall of a part by its home VM.
 func (e *engine) receiveRecall(ref *pb.KeptRef) {
 	if h := e.shards[ref.Shard]; h != nil {
-		h.core.Recall(e.now, submission.ID(ref.Id))
+		h.core.RecallAttempt(e.now, submission.ID(ref.Id), ref.Serial)
 	}
 }
