shard: holders ask home VMs every 0.25 s whether they still wait

Cause: with 0.4 s a home whose engine stood still for more than 0.65 s (a long round on a busy VM) did not answer in time, and its parts at other VMs ended though their callers waited. A link alone, whose heartbeats need no engine, ended none. Change: 0.25 s, so 0.8 s. Longer standstills end the parts still: a home that cannot say whether it waits must not be waited for beyond 1.05 s, as callers come back after 1.3 s.

--- a/internal/kept/shard/confirm.go
+++ b/internal/kept/shard/confirm.go
@@ -12,8 +12,8 @@
 
 const (
 	// confirmInterval is the time between two questions to the home VM. A cancellation that is lost takes effect within
-	// this time and a round trip.
-	confirmInterval = 400 * time.Millisecond
+	// this time and a round trip. A home VM may stand still for the rest of the time that a confirmation is valid.
+	confirmInterval = 250 * time.Millisecond
 	// confirmationValidity runs from when the question was sent that the home VM has answered. After it no task starts.
 	confirmationValidity = 900 * time.Millisecond
 	// confirmTimeout is how long the home VM has then to answer before the submission ends. Callers submit again 1.3 s after
