vm: events that nothing replaces wait for room in the engine's queue

Cause: each event for the engine was dropped when its queue was full, also answers to calls that the engine waits for, changes in the store that a watch tells once, and frames of a stream that goes on, so that its sender does not send again. What a dropped event would have ended, or begun, stayed as it was for good.

Change: these events are queued by deliver, which waits for room. Requests of callers are still refused, and listings and expiries of leases, which come again, are still dropped. The line about a dropped event names it. Drain no longer gives up at a full queue. Kinds that are delivered now: answers of the store (claims, searches, lookups, writes of records, ends, progress, moves, lists), changes of the site, the configuration, evacuations and the list of workers, replies of workers to starts and stops, a replaced worker, the state of links, frames.

--- a/internal/kept/vm/evacuate.go
+++ b/internal/kept/vm/evacuate.go
@@ -329,7 +329,7 @@
 		Guards:      []store.Condition{h.guard(), {Key: site.ShardKey(rec.Shard), Revision: to.Revision}},
 		GiveUpAfter: endsWriteTimeout,
 		Done: func(r journal.Result) {
-			e.vm.post(reassignStoredEvent{shard: name, token: token, oldRevision: m.Revision, record: rec, result: r})
+			e.vm.deliver(reassignStoredEvent{shard: name, token: token, oldRevision: m.Revision, record: rec, result: r})
 		},
 	})
 	if !added {
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -17,11 +17,11 @@
 
 // PeerUp is called when a link is established.
 func (e *engine) PeerUp(name string, incarnation uint64) {
-	e.vm.post(peerUpEvent{name: name, incarnation: incarnation})
+	e.vm.deliver(peerUpEvent{name: name, incarnation: incarnation})
 }
 
 // PeerLost is called when a broken link could not be re-established.
-func (e *engine) PeerLost(name, why string) { e.vm.post(peerLostEvent{name: name, why: why}) }
+func (e *engine) PeerLost(name, why string) { e.vm.deliver(peerLostEvent{name: name, why: why}) }
 
 // Frame is called for each frame from a peer.
 func (e *engine) Frame(from string, f *pb.KeptFrame) {
@@ -32,7 +32,7 @@
 	e.setLinkNeeded(from, f.Wanted)
 	f.Replies = nil // they have been delivered
 	if link.CarriesMessages(f) {
-		e.vm.post(frameEvent{from: from, frame: f})
+		e.vm.deliver(frameEvent{from: from, frame: f})
 	}
 }
 
--- a/internal/kept/vm/persist.go
+++ b/internal/kept/vm/persist.go
@@ -26,7 +26,7 @@
 		Guards:      []store.Condition{h.guard()},
 		GiveUpAfter: endsWriteTimeout,
 		Done: func(r journal.Result) {
-			e.vm.post(finalStoredEvent{shard: name, id: string(f.ID), token: token, state: f.State, result: r})
+			e.vm.deliver(finalStoredEvent{shard: name, id: string(f.ID), token: token, state: f.State, result: r})
 		},
 	})
 	if !ok {
@@ -85,7 +85,7 @@
 		Guards:      []store.Condition{h.guard()},
 		GiveUpAfter: endsWriteTimeout,
 		Done: func(r journal.Result) {
-			e.vm.post(progressStoredEvent{shard: name, id: id, token: token, result: r})
+			e.vm.deliver(progressStoredEvent{shard: name, id: id, token: token, result: r})
 		},
 	})
 	if !ok {
--- a/internal/kept/vm/records.go
+++ b/internal/kept/vm/records.go
@@ -31,7 +31,7 @@
 				ev.evacuations, err = e.vm.readEvacuations(h.ctx)
 			}
 			if err == nil {
-				e.vm.post(ev)
+				e.vm.deliver(ev)
 				return
 			}
 			klog.V(1).InfoS("kept: records of a shard cannot be read", "shard", name, "token", token, "stale", stale, "why", err)
@@ -52,7 +52,7 @@
 			if err == nil {
 				records := decodeRecords(name, items)
 				klog.InfoS("kept: records of a stale read were read again", "shard", name, "token", token, "found", len(found), "unfinished", len(records))
-				e.vm.post(confirmedEvent{shard: name, token: token, records: records})
+				e.vm.deliver(confirmedEvent{shard: name, token: token, records: records})
 				return
 			}
 			klog.V(1).InfoS("kept: records of a stale read cannot be read again", "shard", name, "token", token, "found", len(found), "why", err)
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -104,7 +104,7 @@
 			pause.For(ctx, 4*renewRetryDelay)
 			continue
 		case worker.Replaced:
-			ws.vm.post(workerReplacedEvent{session: ws, successor: reply.Successor})
+			ws.vm.deliver(workerReplacedEvent{session: ws, successor: reply.Successor})
 			return
 		}
 		// A VM that stood still finds its calls timed out, whatever its workers did: it asks once more.
@@ -339,7 +339,7 @@
 	if s.Deadline < minStartDeadline {
 		klog.InfoS("kept: start not sent, it would have no deadline", "id", s.Task.ID, "step", s.Task.Step, "index", s.Task.Index,
 			"run", s.Run, "worker", ws.info.Load().ID, "shard", ws.shard)
-		ws.vm.post(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: worker.Reply{Verdict: worker.Unavailable}})
+		ws.vm.deliver(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: worker.Reply{Verdict: worker.Unavailable}})
 		return
 	}
 	s.Token = ws.token
@@ -350,7 +350,7 @@
 	r := ws.checkIncarnation(ws.vm.config.Workers.Start(ctx, *ws.info.Load(), s))
 	ws.recordClock(requestedAt, r)
 	ws.recordOrder(ws.vm.now()-requestedAt, r)
-	ws.vm.post(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: r})
+	ws.vm.deliver(startReplyEvent{session: ws, task: s.Task, run: s.Run, reply: r})
 }
 
 // stop sends an order to end a run and posts the worker's reply.
@@ -373,5 +373,5 @@
 		defer cancel()
 		r = send(ctx)
 	}
-	ws.vm.post(stopReplyEvent{session: ws, task: s.Task, run: s.Run, reply: r})
+	ws.vm.deliver(stopReplyEvent{session: ws, task: s.Task, run: s.Run, reply: r})
 }
--- a/internal/kept/vm/shards.go
+++ b/internal/kept/vm/shards.go
@@ -171,18 +171,18 @@
 		ctx, cancel := context.WithTimeout(e.ctx, claimTimeout)
 		defer cancel()
 		if otherDomain && !e.vm.canReachShard(ctx, name) {
-			e.vm.post(claimedEvent{claim: c, err: errWorkersUnreachable})
+			e.vm.deliver(claimedEvent{claim: c, err: errWorkersUnreachable})
 			return
 		}
 		if otherDomain && !reachedBefore {
-			e.vm.post(claimedEvent{claim: c, err: errFirstProbe})
+			e.vm.deliver(claimedEvent{claim: c, err: errFirstProbe})
 			return
 		}
 		rev, err := e.vm.store.Commit(ctx, store.Txn{
 			Expect: []store.Condition{{Key: site.ShardKey(name), Revision: c.From.Revision}},
 			Put:    []store.Put{{Key: site.ShardKey(name), Value: site.Encode(c.To)}},
 		})
-		e.vm.post(claimedEvent{claim: c, revision: rev, err: err})
+		e.vm.deliver(claimedEvent{claim: c, revision: rev, err: err})
 	})
 }
 
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -204,7 +204,7 @@
 	}
 	e.vm.spawn(func() {
 		found, err := e.vm.readSubmission(e.ctx, id)
-		e.vm.post(lookupDoneEvent{id: id, found: found, err: err})
+		e.vm.deliver(lookupDoneEvent{id: id, found: found, err: err})
 	})
 }
 
--- a/internal/kept/vm/stored.go
+++ b/internal/kept/vm/stored.go
@@ -109,7 +109,7 @@
 		},
 		Guards:      []store.Condition{{Key: site.ShardKey(name), Revision: holding.Revision}},
 		GiveUpAfter: intakeTimeout,
-		Done:        func(r journal.Result) { e.vm.post(recordStoredEvent{record: rec, result: r}) },
+		Done:        func(r journal.Result) { e.vm.deliver(recordStoredEvent{record: rec, result: r}) },
 	})
 	if !added {
 		e.refuse(h, Outcome{Kind: Refused, RetryAfter: defaultRetryAfter, Reason: "too many submissions wait for the store"})
--- a/internal/kept/vm/storedworkers.go
+++ b/internal/kept/vm/storedworkers.go
@@ -68,7 +68,7 @@
 			Expect: []store.Condition{guard},
 			Put:    []store.Put{{Key: storedWorkersPrefix + name, Value: value}},
 		})
-		e.vm.post(workersStoredEvent{shard: name, token: token, workers: string(compared), value: string(value), err: err})
+		e.vm.deliver(workersStoredEvent{shard: name, token: token, workers: string(compared), value: string(value), err: err})
 	})
 }
 
--- a/internal/kept/vm/stranded.go
+++ b/internal/kept/vm/stranded.go
@@ -34,7 +34,7 @@
 		ctx, cancel := context.WithTimeout(e.ctx, fleetReadTimeout)
 		defer cancel()
 		workers, err := e.vm.readWorkers(ctx, true)
-		e.vm.post(fleetReadEvent{workers: workers, err: err})
+		e.vm.deliver(fleetReadEvent{workers: workers, err: err})
 	})
 }
 
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -182,9 +182,11 @@
 	v.stopping.Store(true)
 	v.drainOnce.Do(func() { close(v.drainRequested) })
 	done := make(chan struct{})
-	if !v.post(drainEvent{done: done}) {
-		return
-	}
+	go func() {
+		if !v.deliver(drainEvent{done: done}) {
+			close(done) // the VM is stopped
+		}
+	}()
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -202,28 +204,32 @@
 	klog.InfoS("kept: stopped", "vm", v.config.Name)
 }
 
-// post queues an event for the engine; false: it was dropped. The queue is full only when the engine
-// cannot keep up at all.
+// post queues an event for the engine; false: it was dropped. It is for requests, which are refused then, and for what
+// comes again: listings, and the expiry of a lease. The queue is full only when the engine cannot keep up at all.
 func (v *VM) post(e event) bool {
 	v.oldestEvent.note(v.now)
 	if v.events.TryPush(e) {
 		return true
 	}
 	v.metrics.droppedEvents.Inc(1)
-	klog.InfoS("kept: event dropped, the engine's queue is full")
+	klog.InfoS("kept: event dropped, the engine's queue is full", "event", fmt.Sprintf("%T", e))
 	return false
 }
 
-// deliver queues an event that nothing replaces, and waits for room if the queue is full. It is not called by the engine,
-// which makes the room. The event is dropped if the VM is stopped.
-func (v *VM) deliver(e event) {
+// deliver queues an event that nothing replaces, such as the answer to a call of the engine's, a change in the store or a
+// frame, and waits for room if the queue is full. A peer whose frames wait for long opens another stream, and sends again
+// what has to arrive. The engine, which makes the room, does not call it. false: the VM is stopped, the event was dropped.
+func (v *VM) deliver(e event) bool {
 	v.oldestEvent.note(v.now)
-	if v.events.TryPush(e) || v.events.Closed() {
-		return
+	if v.events.TryPush(e) {
+		return true
+	}
+	if v.events.Closed() {
+		return false
 	}
 	v.metrics.delayedEvents.Inc(1)
 	klog.InfoS("kept: event waits for room in the engine's queue", "event", fmt.Sprintf("%T", e))
-	v.events.Push(e)
+	return v.events.Push(e)
 }
 
 // HoldsShard reports whether this VM holds a shard.
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -162,10 +162,10 @@
 func (v *VM) watchSite(ctx context.Context) {
 	f := &prefixWatcher{vm: v, prefix: site.Prefix, maxWait: siteWatchWait, pause: v.sitePause}
 	f.onSnapshot = func(knownAt time.Duration, _ uint64, items []store.Item) {
-		v.post(siteEvent{requestedAt: knownAt, complete: true, items: items})
+		v.deliver(siteEvent{requestedAt: knownAt, complete: true, items: items})
 	}
 	f.onChanges = func(knownAt time.Duration, events []store.Event) {
-		v.post(siteEvent{requestedAt: knownAt, events: events})
+		v.deliver(siteEvent{requestedAt: knownAt, events: events})
 	}
 	f.run(ctx)
 }
@@ -186,7 +186,7 @@
 			return
 		}
 		v.catalog.Store(c)
-		v.post(servicesEvent{services: c.Services})
+		v.deliver(servicesEvent{services: c.Services})
 		klog.InfoS("kept: configuration in force", "version", c.Version, "revision", it.Revision, "queues", len(c.Queues))
 	}
 	f := &prefixWatcher{vm: v, prefix: v.config.StoreLayout.CatalogPrefix, maxWait: time.Duration(catalogWaitShare * float64(cmp.Or(v.config.MaxCatalogDelay, defaultCatalogDelay)))}
@@ -194,7 +194,7 @@
 		for _, it := range items {
 			apply(it)
 		}
-		v.post(evacuationsEvent{requestedAt: knownAt, complete: true, revision: revision, notices: v.evacuationsIn(items)})
+		v.deliver(evacuationsEvent{requestedAt: knownAt, complete: true, revision: revision, notices: v.evacuationsIn(items)})
 	}
 	f.onChanges = func(knownAt time.Duration, events []store.Event) {
 		for _, e := range events {
@@ -202,7 +202,7 @@
 				apply(e.Item)
 			}
 		}
-		v.post(evacuationsEvent{requestedAt: knownAt, notices: v.evacuationChanges(events)})
+		v.deliver(evacuationsEvent{requestedAt: knownAt, notices: v.evacuationChanges(events)})
 	}
 	f.run(ctx)
 }
@@ -280,7 +280,7 @@
 		}
 	}
 	send := func(knownAt time.Duration) {
-		v.post(workersEvent{requestedAt: knownAt, workers: slices.AppendSeq([]worker.Info{}, maps.Values(workers))})
+		v.deliver(workersEvent{requestedAt: knownAt, workers: slices.AppendSeq([]worker.Info{}, maps.Values(workers))})
 	}
 	f := &prefixWatcher{vm: v, prefix: v.config.StoreLayout.WorkerPrefix, maxWait: v.config.leaveNoticeShare(listWatchShare), pause: v.workersPause}
 	f.onSnapshot = func(knownAt time.Duration, _ uint64, items []store.Item) {
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -25,7 +25,7 @@
 		minCores := e.site.MinCores(domain)
 		e.vm.spawn(func() {
 			err := e.vm.writeLayout(e.ctx, domain, minCores)
-			e.vm.post(layoutWrittenEvent{domain: domain, err: err})
+			e.vm.deliver(layoutWrittenEvent{domain: domain, err: err})
 		})
 	}
 }
