vm: a recall of the parts of a submission that is lost is repeated

Cause: a home recalled the parts of a split submission once. If no holder got the message, no part was rejected, and nothing made the home recall them again: the callers waited until their time-out, or until the work that was ahead had ended. (Late binding repeats its recalls.)

Change: while no part was rejected and none has started, the recall is repeated after recallTimeout, if the submission still need not wait.

--- a/internal/kept/vm/recall.go
+++ b/internal/kept/vm/recall.go
@@ -38,9 +38,9 @@
 	switch {
 	case t.recalledAt == 0 && t.anyRejected():
 		t.recalledAt = e.now // a holder has rejected its part without a recall
-	case t.recalledAt == 0 && !t.anyStarted():
+	case !t.anyRejected() && !t.anyStarted() && (t.recalledAt == 0 || e.now-t.recalledAt > recallTimeout):
 		if reason := e.keepWaiting(t); reason.Refused() {
-			e.recall(t, reason)
+			e.recall(t, reason) // again if no holder has reported, as the messages may be lost
 		}
 	case t.recalledAt > 0 && t.anyRejected() && (t.anyStarted() || e.now-t.recalledAt > recallTimeout):
 		e.reassignRejected(t)
