vm: a stored submission is assigned again if its holder does not know it

Cause: a home told the holder of a new stored submission once. If the message was lost, the holder found the record by its search, which may read data that is seconds old. The home heard after 0.7 s that the holder did not know it, read the record, and only asked again.

Change: what a present holder does not know, and a linearizable read shows unfinished at its shard under its token, is assigned again. No more calls of the store are made.

--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -59,6 +59,9 @@
 		return
 	}
 	if own.scannedAt > 0 {
+		if h := e.tracked[id]; h != nil {
+			h.unknownUnder = own.holding.Token
+		}
 		e.lookUpInStore(id)
 	}
 }
@@ -152,6 +155,7 @@
 		e.replyOutcome(h, Outcome{Kind: Accepted}) // the holder knows it, so it is stored
 	}
 	if state == submission.Unknown {
+		h.unknownUnder = report.token
 		e.lookUpInStore(id)
 		return
 	}
@@ -262,6 +266,7 @@
 		h.stored = true
 		h.state = max(h.state, submission.Queued)
 		h.updatedAt = e.now
+		e.assignAgain(h, ev.found)
 		e.queryHolder(h)
 		replyAll(waiters, StateAnswer{State: h.state})
 	default:
@@ -275,6 +280,17 @@
 	}
 }
 
+// assignAgain passes a submission to its holder once more if the holder does not know it: the first message may be lost, and
+// the holder's search may show it only seconds later.
+func (e *engine) assignAgain(h *trackedSubmission, found storeLookup) {
+	if h.unknownUnder == 0 || h.unknownUnder != e.site.Holding(found.record.Shard).Token {
+		return
+	}
+	h.unknownUnder = 0
+	klog.InfoS("kept: submission assigned again, its holder does not know it", "id", h.id, "shard", found.record.Shard, "revision", found.revision)
+	e.assignToHolder(&trackedSubmission{id: h.id, record: found.record, revision: found.revision, shard: found.record.Shard})
+}
+
 func replyAll(waiters []chan StateAnswer, a StateAnswer) {
 	for _, c := range waiters {
 		c <- a
--- a/internal/kept/vm/stored.go
+++ b/internal/kept/vm/stored.go
@@ -31,6 +31,7 @@
 	stateWaiters   []chan StateAnswer // callers that wait for a lookup in the store
 	endWaiters     []chan struct{}    // closed when the submission ends
 	lookupInFlight bool               // the state is being read from the store
+	unknownUnder   uint64             // fencing token of a holder that does not know it; 0: none has said so
 }
 
 // Limits for accepting and looking up submissions.
