vm, shard: read through: names, and bounds for lines and looks at holders

A line for each part that a holder goes on with is limited to 100 a second (found in review). The holders of cancelled parts are looked at every 20 ms, or when holders or links have changed, not in each round.

--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -201,7 +201,7 @@
 	j := newJob(now, r, 0)
 	past := s.recentlyEnded[r.Record.ID]
 	j.pastSerials = past.allSerials()
-	if _, revoked := s.revoked[r.Record.ID]; revoked {
+	if _, revoked := s.revoked[r.Record.ID]; revoked && s.barrierUp {
 		s.awaitEarlierRuns(j) // of an attempt that was cancelled under an earlier holder
 	}
 	s.add(j)
--- a/internal/kept/vm/confirm.go
+++ b/internal/kept/vm/confirm.go
@@ -33,6 +33,8 @@
 	}
 }
 
+const maxUnwantedPartLines = 100 // a second
+
 // receiveConfirm answers a holder that asks whether this VM still waits for a part.
 func (e *engine) receiveConfirm(from string, c *pb.KeptConfirm) {
 	f := e.frame(from)
@@ -41,7 +43,9 @@
 		return
 	}
 	e.vm.metrics.unwantedParts.Inc(1)
-	klog.InfoS("kept: part cancelled, its holder goes on with it", "id", c.Id, "shard", c.Shard, "holder", from, "serial", c.Serial)
+	if omitted, allowed := e.unwantedPartLines.allow(e.now, maxUnwantedPartLines); allowed {
+		klog.InfoS("kept: part cancelled, its holder goes on with it", "id", c.Id, "shard", c.Shard, "holder", from, "serial", c.Serial, "omitted", omitted)
+	}
 	f.Cancelled = append(f.Cancelled, &pb.KeptRef{Id: c.Id, Shard: c.Shard, Serial: c.Serial})
 }
 
--- a/internal/kept/vm/deferred.go
+++ b/internal/kept/vm/deferred.go
@@ -17,9 +17,9 @@
 // maxDeferred limits the submissions that are deferred at the start. Those beyond it are admitted or refused at once.
 const maxDeferred = 512
 
-// deferAtStartup defers a submission that arrives before the shards of this VM's domain are reachable, or soon after a
+// deferSubmission defers a submission that arrives before the shards of this VM's domain are reachable, or soon after a
 // standstill. It returns false if the submission is to be admitted or refused now.
-func (e *engine) deferAtStartup(ev submitEvent) bool {
+func (e *engine) deferSubmission(ev submitEvent) bool {
 	backlog := e.mayBeBacklog(ev)
 	if !backlog && (len(e.deferred) >= maxDeferred || !e.worthDeferring(ev) || e.ownDomainReachable()) {
 		return false
--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -137,7 +137,9 @@
 	unexpectedLines lineLimit
 
 	unwantedReportLines lineLimit
+	unwantedPartLines   lineLimit
 	revoked             []revokedPart // in the order in which they were cancelled
+	revokedCheckedAt    time.Duration // when their shards' holders were last looked at
 	backlogUntil        time.Duration // when no request is read any more that came in during a standstill
 	drained             chan struct{} // closed once all shards are handed over; nil: no caller of Drain waits
 }
--- a/internal/kept/vm/revoked.go
+++ b/internal/kept/vm/revoked.go
@@ -19,6 +19,8 @@
 	// revokedRetention is longer than runs go on without a home VM that hands them over, at two holders in a row.
 	revokedRetention = 5 * time.Second
 	maxRevoked       = 4096 // the oldest are forgotten
+	// revokedCheckInterval is between two looks at the holders, unless some have changed.
+	revokedCheckInterval = 20 * time.Millisecond
 )
 
 // revokedPart is a part that this VM has cancelled.
@@ -40,7 +42,11 @@
 }
 
 // tellNewHolders tells the holders that shards have got since of the parts that were cancelled there.
-func (e *engine) tellNewHolders() {
+func (e *engine) tellNewHolders(holdersChanged bool) {
+	if !holdersChanged && e.now-e.revokedCheckedAt < revokedCheckInterval {
+		return
+	}
+	e.revokedCheckedAt = e.now
 	e.revoked = slices.DeleteFunc(e.revoked, func(r revokedPart) bool { return e.now-r.at > revokedRetention })
 	for i := range e.revoked {
 		r := &e.revoked[i]
--- a/internal/kept/vm/stored.go
+++ b/internal/kept/vm/stored.go
@@ -45,7 +45,7 @@
 // apply accepts or refuses a submission, or defers it while this VM starts.
 func (ev submitEvent) apply(e *engine) {
 	ev.receivedAt = e.now
-	if !e.deferAtStartup(ev) {
+	if !e.deferSubmission(ev) {
 		e.admit(ev)
 	}
 }
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -259,7 +259,7 @@
 		}
 	}
 	e.dropResults()
-	e.tellNewHolders()
+	e.tellNewHolders(checkAll)
 	e.driveUnbound(checkAll)
 }
 
