Test: the test of stops across a change of the holder reads the list of VMs in one goroutine

Cause: its cancellation looked up the VM on a timer's goroutine, while the test deletes another from the same map.

Evidence: go test -race -run TestStopsOutlastAChangeOfTheHolder: "WARNING: DATA RACE" at world.kill, in one of 18 cases.

Change: the VM is looked up before. The checks are as they were.

--- a/internal/kept/vm/stopshand_test.go
+++ b/internal/kept/vm/stopshand_test.go
@@ -28,14 +28,13 @@
 		giveUp = w.leavingCaller(home, "job", 5, work)
 	} else {
 		w.wantAccepted(w.submit(home, "job", 5, work, false))
+		v := w.vms[home]
 		giveUp = func() {
-			go func() {
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				if _, err := w.vms[home].Cancel(ctx, "job"); err != nil {
-					w.t.Errorf("it cannot be cancelled: %v", err)
-				}
-			}()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if _, err := v.Cancel(ctx, "job"); err != nil {
+				w.t.Errorf("it cannot be cancelled: %v", err)
+			}
 		}
 	}
 	time.Sleep(500 * ms)
