Tests: one stand-in that loses messages between VMs

What is lost and when is as before, and so are all assertions: the recalls are lost for the same 1.1 s of virtual time, by a timer in place of a time. No product code.

--- a/internal/kept/vm/cancelledpart_test.go
+++ b/internal/kept/vm/cancelledpart_test.go
@@ -7,25 +7,10 @@
 	"testing"
 	"time"
 
-	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// cancelLoss drops the cancellations that reach a VM.
-type cancelLoss struct {
-	link.Events
-	on *atomic.Bool
-}
-
-func (l *cancelLoss) Frame(from string, f *pb.KeptFrame) {
-	if l.on.Load() {
-		f.Cancelled = nil
-	}
-	l.Events.Frame(from, f)
-}
-
 // leavingCaller sends a transient submission to a VM, and returns a function by which the caller leaves.
 func (w *world) leavingCaller(at string, id submission.ID, tasks int, work runhost.Work) (leave func()) {
 	work.CPUMilli = 6800
@@ -49,7 +34,7 @@
 	const work = 3 * time.Second
 	var lost atomic.Bool
 	testWorldWith(t, func(w *world) {
-		w.events = func(_ string, e link.Events) link.Events { return &cancelLoss{e, &lost} }
+		w.loseMessages(&lost, dropCancelled)
 	}, func(w *world) {
 		leave := w.leavingCaller(otherVM(w.holderOf("a")), "job", tasks, runhost.Work{Time: work})
 		time.Sleep(500 * ms)
--- a/internal/kept/vm/lostassign_test.go
+++ b/internal/kept/vm/lostassign_test.go
@@ -6,30 +6,16 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// assignLoss drops the submissions that reach a VM.
-type assignLoss struct {
-	link.Events
-	on *atomic.Bool
-}
-
-func (l *assignLoss) Frame(from string, f *pb.KeptFrame) {
-	if l.on.Load() {
-		f.Assign = nil
-	}
-	l.Events.Frame(from, f)
-}
-
 // Guards against an accepted submission that waits for seconds for nothing: the message that assigns it is lost, and the
 // holder's reads of the store are old.
 func TestLostAssignmentOfAStoredSubmissionIsRepeated(t *testing.T) {
 	var lost atomic.Bool
 	testWorldWith(t, func(w *world) {
-		w.events = func(_ string, e link.Events) link.Events { return &assignLoss{e, &lost} }
+		w.loseMessages(&lost, func(f *pb.KeptFrame) { f.Assign = nil })
 	}, func(w *world) {
 		w.store.SetStaleness(6 * time.Second)
 		time.Sleep(8 * time.Second)
--- a/internal/kept/vm/lostcancel_test.go
+++ b/internal/kept/vm/lostcancel_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
@@ -23,7 +22,7 @@
 	r := &lostCancellation{}
 	testWorldWith(t, func(w *world) {
 		r.world = w
-		w.events = func(_ string, e link.Events) link.Events { return &cancelLoss{e, &r.lost} }
+		w.loseMessages(&r.lost, dropCancelled)
 	}, func(w *world) {
 		r.starts = watchStarts(w)
 		scenario(r)
--- a/internal/kept/vm/recall_test.go
+++ b/internal/kept/vm/recall_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
@@ -52,30 +51,18 @@
 	})
 }
 
-// recallLoss drops the recalls that reach a VM until a time.
-type recallLoss struct {
-	link.Events
-	until *atomic.Int64 // nanoseconds since 1970
-}
-
-func (l *recallLoss) Frame(from string, f *pb.KeptFrame) {
-	if time.Now().UnixNano() < l.until.Load() {
-		f.TakenBack = nil
-	}
-	l.Events.Frame(from, f)
-}
-
 // Guards against a caller that waits until its time-out without an answer though nothing has run: the recalls of a split
 // submission are lost.
 func TestLostRecallIsRepeated(t *testing.T) {
-	var until atomic.Int64
+	var lost atomic.Bool
 	testWorldWith(t, func(w *world) {
-		w.events = func(_ string, e link.Events) link.Events { return &recallLoss{e, &until} }
+		w.loseMessages(&lost, func(f *pb.KeptFrame) { f.TakenBack = nil })
 	}, func(w *world) {
 		w.submit("a1", "busy", 12, runhost.Work{Time: 10 * time.Second}, true)
 		time.Sleep(300 * ms)
 		began := time.Now()
-		until.Store(began.Add(1100 * ms).UnixNano())
+		lost.Store(true)
+		time.AfterFunc(1100*ms, func() { lost.Store(false) })
 		home := otherVM(w.holderOf("b"))
 		o := <-w.submit(home, "wide", 8, runhost.Work{Time: 200 * ms}, true)
 		if took := time.Since(began); o.Kind != Refused || took > 1500*ms {
--- a/internal/kept/vm/records_test.go
+++ b/internal/kept/vm/records_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	pb "github.com/pumiceyard/pumiceyard/api/pumiceyard/v1"
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
@@ -45,25 +44,12 @@
 	}
 }
 
-// deafEvents loses what peers tell about submissions while deaf is set.
-type deafEvents struct {
-	link.Events
-	deaf *atomic.Bool
-}
-
-func (d deafEvents) Frame(from string, f *pb.KeptFrame) {
-	if d.deaf.Load() {
-		f.Assign, f.Cancelled = nil, nil
-	}
-	d.Events.Frame(from, f)
-}
-
 // Guards against a cancelled submission that runs: its holder, which was told neither of it nor of its cancellation, finds
 // its record in a stale read. One that is not cancelled still has to be found.
 func TestSearchedRecordsAreReadAgain(t *testing.T) {
 	var deaf atomic.Bool
 	testWorldWith(t, func(w *world) {
-		w.events = func(_ string, e link.Events) link.Events { return deafEvents{e, &deaf} }
+		w.loseMessages(&deaf, func(f *pb.KeptFrame) { f.Assign, f.Cancelled = nil, nil })
 	}, func(w *world) {
 		w.store.SetStaleness(2 * time.Second)
 		home := otherVM(w.holderOf("a"))
--- a/internal/kept/vm/twofailures_test.go
+++ b/internal/kept/vm/twofailures_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/pumiceyard/pumiceyard/internal/kept/link"
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
@@ -17,7 +16,7 @@
 	var lost atomic.Bool
 	testWorldWith(t, func(w *world) {
 		w.canStandStill = true
-		w.events = func(_ string, e link.Events) link.Events { return &cancelLoss{e, &lost} }
+		w.loseMessages(&lost, dropCancelled)
 	}, func(w *world) {
 		holder := w.holderOf("a")
 		leave := w.leavingCaller(otherVM(holder), "job", 1, runhost.Work{Time: work})
