--- a/internal/kept/vm/fullqueue_test.go
+++ b/internal/kept/vm/fullqueue_test.go
@@ -12,12 +12,12 @@
 func (w *world) fillQueue(name string) (release func()) {
 	v := w.vms[name]
 	stands, goOn := make(chan struct{}), make(chan struct{})
-	v.post(engineStep(func(*engine) {
+	v.post(engineFunc(func(*engine) {
 		close(stands)
 		<-goOn
 	}))
 	<-stands
-	for v.events.TryPush(engineStep(func(*engine) {})) {
+	for v.events.TryPush(engineFunc(func(*engine) {})) {
 	}
 	return func() { close(goOn) }
 }
--- a/internal/kept/vm/handover_test.go
+++ b/internal/kept/vm/handover_test.go
@@ -80,7 +80,7 @@
 		}
 		time.Sleep(500 * ms)
 		clients[next].lost.Store(runsAt.Load())
-		w.vms[old].post(engineStep(func(e *engine) { // as Drain does; then the engine, and no more than that, stands still
+		w.vms[old].post(engineFunc(func(e *engine) { // as Drain does; then the engine, and no more than that, stands still
 			drainEvent{done: make(chan struct{})}.apply(e)
 			time.Sleep(stall)
 		}))
--- a/internal/kept/vm/lease_test.go
+++ b/internal/kept/vm/lease_test.go
@@ -11,11 +11,6 @@
 	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
 )
 
-// engineStep is an event that runs a function on the engine's goroutine in the middle of a round.
-type engineStep func(e *engine)
-
-func (f engineStep) apply(e *engine) { f(e) }
-
 // newSmallWorld returns a site of one failure domain with one entry VM, a1, and two workers, w-a0 and w-a1.
 func newSmallWorld(t *testing.T) *world {
 	w := newWorld(t, "a")
@@ -40,7 +35,7 @@
 	rec := newOneStepRecord(id, 1, work)
 	rec.Transient = true
 	out := make(chan Outcome, 1)
-	w.vms["a1"].post(engineStep(func(e *engine) {
+	w.vms["a1"].post(engineFunc(func(e *engine) {
 		submitEvent{record: rec, reply: out}.apply(e)
 		then(e)
 	}))
@@ -122,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newSmallWorld(t)
 		w.fleet.OnStart(func(at worker.Info, _ worker.Start) {
-			w.vms["a1"].post(engineStep(func(e *engine) {
+			w.vms["a1"].post(engineFunc(func(e *engine) {
 				ws := e.shards["a/0"].sessions[at.ID]
 				ws.expiryPosted.Store(true)
 				e.vm.post(leaseExpiredEvent{session: ws})
@@ -212,7 +207,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newSmallWorld(t)
 		told := make(chan bool, 1)
-		w.vms["a1"].post(engineStep(func(e *engine) {
+		w.vms["a1"].post(engineFunc(func(e *engine) {
 			h := e.shards["a/0"]
 			for _, ws := range h.sessions {
 				leaseExpiredEvent{session: ws}.apply(e) // its lease has just been extended
--- a/internal/kept/vm/parts_test.go
+++ b/internal/kept/vm/parts_test.go
@@ -47,7 +47,7 @@
 	})
 }
 
-// engineFunc looks into an engine, on its goroutine.
+// engineFunc is an event that runs a function on the engine's goroutine, in the middle of a round.
 type engineFunc func(*engine)
 
 func (f engineFunc) apply(e *engine) { f(e) }
