vm, shard: the serial of an attempt is compared, and a part named, in one place

Cancellations and recalls by serial each had the rule that 0 stands for any attempt, and each built the reference of a part. HomeAnswers is set where Home is, before the record is split, in place of once more for each part. Behaviour is as before.

--- a/internal/kept/shard/confirm.go
+++ b/internal/kept/shard/confirm.go
@@ -78,7 +78,10 @@
 	case j == nil:
 		s.revoked[id] = now
 		s.stopRevokedRuns(now, id)
-	case serial == 0 || j.rec.Serial == serial:
+	case j.isAttempt(serial):
 		s.Cancel(now, id)
 	}
 }
+
+// isAttempt reports whether a message about an attempt with a serial is about this one; 0 stands for any attempt.
+func (j *job) isAttempt(serial uint64) bool { return serial == 0 || j.rec.Serial == serial }
--- a/internal/kept/shard/transient.go
+++ b/internal/kept/shard/transient.go
@@ -183,9 +183,8 @@
 }
 
 // RecallAttempt handles the recall of an attempt at a transient submission. A later attempt, which may be here by now, goes on.
-// serial 0 stands for any.
 func (s *Shard) RecallAttempt(now time.Duration, id submission.ID, serial uint64) {
-	if j := s.jobs[id]; j != nil && (serial == 0 || j.rec.Serial == serial) {
+	if j := s.jobs[id]; j != nil && j.isAttempt(serial) {
 		s.Recall(now, id)
 	}
 }
--- a/internal/kept/vm/recall.go
+++ b/internal/kept/vm/recall.go
@@ -69,9 +69,7 @@
 	klog.InfoS("kept: parts recalled", "id", t.record.ID, "queue", t.record.Queue, "parts", len(t.parts), "why", reason, "after", e.now-t.receivedAt)
 	e.notifyPartHolders(t,
 		func(own *shard.Shard) { own.Recall(e.now, t.record.ID) },
-		func(f *pb.KeptFrame, p *part) {
-			f.TakenBack = append(f.TakenBack, &pb.KeptRef{Id: string(t.record.ID), Shard: p.shard, Serial: p.record.Serial})
-		})
+		func(f *pb.KeptFrame, p *part) { f.TakenBack = append(f.TakenBack, p.ref(t.record.ID)) })
 }
 
 // reassignRejected sends rejected parts to the shards that would finish them first. A shard has at most one
--- a/internal/kept/vm/transient.go
+++ b/internal/kept/vm/transient.go
@@ -89,10 +89,8 @@
 		return
 	}
 	ev.record.Serial = e.nextSerial()
-	ev.record.HomeAnswers = true
 	for _, p := range parts {
 		p.record.Serial = ev.record.Serial
-		p.record.HomeAnswers = true
 	}
 	t := &transientSubmission{
 		record:         ev.record,
@@ -141,7 +139,7 @@
 // excludes get one shard: steps that depend on each other stay together. waiting are tasks that wait for grants of
 // pools.
 func (e *engine) splitIntoParts(r *submission.Record, receivedAt time.Duration) (parts []*part, waiting []shard.ReturnedTask, refusal *Outcome) {
-	r.Home = e.vm.config.Name
+	r.Home, r.HomeAnswers = e.vm.config.Name, true
 	shards, refusal := e.candidates(r, receivedAt)
 	if refusal != nil {
 		return nil, nil, refusal
@@ -363,9 +361,14 @@
 		func(f *pb.KeptFrame, p *part) { f.Cancelled = append(f.Cancelled, p.cancellations(t.record.ID)...) })
 }
 
+// ref names the part as its holder has it, or is to have it.
+func (p *part) ref(id submission.ID) *pb.KeptRef {
+	return &pb.KeptRef{Id: string(id), Shard: p.shard, Serial: p.record.Serial}
+}
+
 // cancellations returns the cancellations of the part, one for each attempt that its holder may have.
 func (p *part) cancellations(id submission.ID) []*pb.KeptRef {
-	refs := []*pb.KeptRef{{Id: string(id), Shard: p.shard, Serial: p.record.Serial}}
+	refs := []*pb.KeptRef{p.ref(id)}
 	if p.joins != 0 { // the holder may not have heard of the tasks that join the part
 		refs = append(refs, &pb.KeptRef{Id: string(id), Shard: p.shard, Serial: p.joins})
 	}
