review/5: accepted jobs of a lost zone are never started again

A VM takes over a shard of another zone only if a worker of it answers. If a zone is lost with its workers, its shard has no holder for ever, and nobody moves the records under it.

A script: one zone of three is lost for good after it has accepted twelve jobs.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts (cases 5 to 8) into target/review-2/.
+# Builds the stand-ins of the second review's scripts (cases 4 to 8) into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target/review-2
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"stop-while-waiting": stopWhileWaiting,
 	"cancel-unanswered":  cancelUnanswered,
 	"late-heartbeat":     lateBeat,
+	"zone-loss":          zoneLoss,
 }
 
 func main() {
