--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 	"cancel-unanswered":  cancelUnanswered,
 	"late-heartbeat":     lateBeat,
 	"zone-loss":          zoneLoss,
+	"frozen-home":        frozenHome,
 }
 
 func main() {
