Review: the scripts stay inside the limits that their claims quote

The stand-ins have eight machines, as a small site has, not six, and case 8 cancels one job of ten, not the only one. The claims quote the shares; case 5 says that a zone is more than srv_crash's own share.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -33,6 +33,9 @@
 	return held
 }
 
+// notCancelled is how many jobs cancelBestEffort hands in beside the one that it cancels: a share of 0.1 is cancelled.
+const notCancelled = 9
+
 // cancelBestEffort cancels a best-effort job at the node that runs it.
 func cancelBestEffort(s *site, trouble bool) (int, error) {
 	const id = "5c0e7a21d94b36f8"
@@ -42,6 +45,9 @@
 	go func() {
 		done <- s.send(home, "POST", prefix+id, job(1500, 4000, true, step(2, 4000, 1500), step(2, 4000, 1500, 0), step(2, 4000, 1500, 1), step(2, 4000, 1500, 2)), 12*time.Second)
 	}()
+	for i := range notCancelled {
+		go s.send(s.nodes[i%len(s.nodes)], "POST", fmt.Sprintf("%s%016x", prefix, 0xf0f0+i), job(1500, 4000, true, step(2, 4000, 1500)), 12*time.Second)
+	}
 	time.Sleep(500 * time.Millisecond)
 	if len(s.runsOf(id)) == 0 {
 		return notRun, errors.New("the job has not begun")
--- a/review/standin-2/latebeat.go
+++ b/review/standin-2/latebeat.go
@@ -14,8 +14,8 @@
 	downFor      = 1500 * time.Millisecond
 	entryExpiry  = 3 * heartbeat // of an entry that is not written again
 	firstStop    = 2 * time.Second
-	stopGap      = 1150 * time.Millisecond
-	watchedAfter = 3 * time.Second // after the late write
+	stopGap      = 1150 * time.Millisecond // as the site file has it
+	watchedAfter = 3 * time.Second         // after the late write
 )
 
 // crashed is how many workers crash, of 24.
@@ -102,7 +102,7 @@
 		case <-end:
 			return
 		case <-time.After(150 * time.Millisecond):
-			n := s.nodes[i%len(s.nodes)]
+			n := s.nodes[i%4] // half of them in the zone whose nodes stop
 			go s.send(n, "POST", fmt.Sprintf("%s%016x", prefix, 0xe0e0+i), job(2000, 4000, true, step(2, 4000, 2000)), 10*time.Second)
 		}
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,7 +34,7 @@
 		os.Exit(notRun)
 	}
 	runtime.LockOSThread() // the processes that it starts end with the thread that has started them
-	s, err := startSite(os.Args[2], 2, 8)
+	s, err := startSite(os.Args[2], []int{2, 3, 3}, 8)
 	code := notRun
 	time.AfterFunc(maxTime, func() {
 		fmt.Println("the case takes too long")
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -149,7 +149,7 @@
 }
 
 // startSite starts the store, the workers and the processes of the system, and waits until these are ready.
-func startSite(recordPath string, nodesPerZone, workersPerZone int) (*site, error) {
+func startSite(recordPath string, nodesPerZone []int, workersPerZone int) (*site, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
@@ -180,7 +180,7 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	for zi, zone := range zones {
-		for i := range nodesPerZone {
+		for i := range nodesPerZone[zi] {
 			n := &node{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.%d", s.net, 11+zi*10+i)}
 			s.nodes = append(s.nodes, n)
 			if err := s.startNode(n); err != nil {
