--- a/review/standin-3/chaos.go
+++ b/review/standin-3/chaos.go
@@ -91,7 +91,7 @@
 
 func (s *Site) trouble(r *rand.Rand, o options, wg *sync.WaitGroup) {
 	d := time.Duration(300+r.IntN(4000)) * time.Millisecond
-	switch r.IntN(13) {
+	switch r.IntN(16) {
 	case 0, 1:
 		m := s.machines[r.IntN(len(s.machines))]
 		m.Signal(syscall.SIGKILL)
@@ -150,6 +150,17 @@
 		for _, m := range s.machines {
 			_ = m.Start(o.root)
 		}
+	case 13, 14, 15:
+		m := s.machines[r.IntN(len(s.machines))]
+		still, moving := time.Duration(100+r.IntN(900))*time.Millisecond, time.Duration(10+r.IntN(150))*time.Millisecond
+		wg.Go(func() {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				m.Signal(syscall.SIGSTOP)
+				time.Sleep(still)
+				m.Signal(syscall.SIGCONT)
+				time.Sleep(moving)
+			}
+		})
 	case 10:
 		m := s.machines[r.IntN(len(s.machines))]
 		s.log("store silent for %s", m.name)
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -54,6 +54,7 @@
 	Takes       time.Duration
 	After       []int
 	Constraints string
+	GPU         int
 }
 
 // Job is a submission as its client knows it.
@@ -100,6 +101,9 @@
 	cmd         *exec.Cmd
 	starts      int
 	disturbedAt time.Time // when it was last started or sent a signal
+	signalled   *exec.Cmd // the process that was told to end
+	restarts    bool      // a process that ends by itself is started again
+	ownEnds     int       // processes that have ended by themselves
 }
 
 func (s *Site) log(format string, args ...any) {
@@ -403,6 +407,9 @@
 	return nil, fmt.Errorf("the deploy file has no run line")
 }
 
+// restartDelay is the short delay after which the platform starts a process again that has ended.
+const restartDelay = 500 * time.Millisecond
+
 // Start starts the machine's process.
 func (m *Machine) Start(root string) error {
 	words, err := deployCommand(root)
@@ -431,6 +438,18 @@
 	go func() {
 		err := cmd.Wait()
 		m.site.log("machine %s: process %d has ended: %v", m.name, cmd.Process.Pid, err)
+		m.mu.Lock()
+		bySignal, restart := m.signalled == cmd, m.restarts
+		if !bySignal {
+			m.ownEnds++
+		}
+		m.mu.Unlock()
+		if !bySignal && restart {
+			time.Sleep(restartDelay)
+			if err := m.Start(root); err != nil {
+				m.site.log("machine %s cannot start again: %v", m.name, err)
+			}
+		}
 	}()
 	return nil
 }
@@ -442,6 +461,9 @@
 	defer m.mu.Unlock()
 	if m.cmd != nil {
 		m.disturbedAt = time.Now()
+		if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+			m.signalled, m.restarts = m.cmd, false
+		}
 		_ = m.cmd.Process.Signal(sig)
 	}
 }
@@ -527,6 +549,12 @@
 		if st.Constraints != "" {
 			row["constraints"] = st.Constraints
 		}
+		if st.GPU > 0 {
+			row["gpu"] = st.GPU
+		}
+		if st.CPU == 0 {
+			delete(row, "cpu") // fields whose value is 0 are omitted
+		}
 		steps = append(steps, row)
 	}
 	out := map[string]any{"spec": j.Spec, "steps": steps}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -65,7 +65,14 @@
 	listener net.Listener
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1000 }
+// clock returns the worker's steady clock in ms. That of every third worker is 2% slow.
+func (w *Worker) clock() int64 {
+	ms := time.Since(w.born).Milliseconds()
+	if w.index%3 == 2 {
+		ms -= ms / 50
+	}
+	return ms + 1000
+}
 
 // begin starts a new life of the worker, unless it is up.
 func (w *Worker) begin() {
