--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pumiceyardd ] && [ -x target/standin-3 ] || { echo "run the build of the deploy file and review/build-3.sh first"; exit 2; }
-timeout -k 5 112 target/standin-3 -case zone -dir review/10
+timeout -k 5 112 target/standin-3 -case latecancel -dir review/10
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -46,12 +47,13 @@
 	changed     chan struct{}
 	faults      map[int]StoreFault // by machine; -1: all
 	nextID      uint64
+	late        map[string]time.Duration // writes whose body names this are done so much later, without an answer
 	disturbedAt time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	s := &Store{rev: 1, items: map[string]Item{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{}), faults: map[int]StoreFault{}}
+	s := &Store{rev: 1, items: map[string]Item{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{}), faults: map[int]StoreFault{}, late: map[string]time.Duration{}}
 	go s.expire()
 	return s
 }
@@ -76,6 +78,26 @@
 	return now.Sub(s.disturbedAt)
 }
 
+// SetLate has the writes of a job done so much later, without an answer; 0: no longer.
+func (s *Store) SetLate(id string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late[id] = d
+	s.disturbedAt = time.Now()
+}
+
+// lateness returns how much later a write is done; 0: at once.
+func (s *Store) lateness(body []byte) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, d := range s.late {
+		if d > 0 && bytes.Contains(body, []byte(id)) {
+			return d
+		}
+	}
+	return 0
+}
+
 func (s *Store) fault(machine int) StoreFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,6 +217,11 @@
 		}
 		isWrite := r.URL.Path == "/v1/kv-txn"
 		time.Sleep(storeDelay/2 + f.Slow/2)
+		if d := s.lateness(body); isWrite && d > 0 {
+			time.AfterFunc(d, func() { s.txn(body) })
+			hang(r)
+			return
+		}
 		if isWrite && f.Lost > 0 && rand.Float64() < f.Lost {
 			if f.LateS > 0 {
 				time.Sleep(time.Duration((0.2 + 0.8*rand.Float64()) * f.LateS * float64(time.Second)))
