--- a/review/standin-3/latecancel.go
+++ b/review/standin-3/latecancel.go
@@ -27,7 +27,7 @@
 	for i := range otherJobs {
 		wg.Go(func() {
 			j := s.NewJob("/q0/", Step{Count: 2, CPU: 1500, Takes: 200 * time.Millisecond})
-			if s.Submit(j, func() *Machine { return s.machines[(1+i)%len(s.machines)] }) {
+			if s.Submit(j, func() *Machine { return s.machines[1+i%(len(s.machines)-1)] }) {
 				s.follow(j, time.Now().Add(3*time.Second))
 			}
 		})
