Cancellations: revoke a submission that has no record yet

Cause: a cancellation that found neither a record nor a final state was answered "no such submission" and left nothing in the store. The write of the record, which had no answer, expects that there is neither, so it held when the store carried it out 5.8 s after it came, and the holder's search found the record. The read of the cancellation is linearizable and the home made one write only, so neither old data nor a second write is the cause.

A cancellation now stores the state "revoked" in the place of the final state, under the condition that there is neither, and reads again if that fails. Callers are not shown it (410). A caller that sends the submission has it accepted, as cancelled: one that is refused would come back.

A cancellation of what the store does not know costs one write more.

--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -29,9 +29,12 @@
 	Cancelled
 	Rejected // has not run and will not run
 	Returned // its unfinished tasks were returned to its home VM, for another shard
+	// Revoked is stored in place of a final state when a submission was cancelled before it was stored. Callers are shown
+	// none until it is submitted; then it is Cancelled.
+	Revoked
 )
 
-var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled", "rejected", "returned"}
+var stateNames = [...]string{"unknown", "queued", "running", "done", "failed", "cancelled", "rejected", "returned", "revoked"}
 
 func (s State) String() string { return stateNames[s] }
 
--- a/internal/kept/vm/cancel.go
+++ b/internal/kept/vm/cancel.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -21,23 +22,23 @@
 	})
 }
 
-// storeCancel replaces the record of an unfinished submission by the final state Cancelled, retrying for up to
-// cancelTimeout. It returns the final state, or Unknown if there is no such submission, and the record that it replaced.
+// storeCancel replaces the record of an unfinished submission by the final state Cancelled, or revokes a submission that
+// has neither a record nor a final state, retrying for up to cancelTimeout. It returns the final state, or Unknown if
+// there is no such submission, and the record that it replaced.
 func (v *VM) storeCancel(ctx context.Context, id submission.ID) (storeLookup, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	var replaced *submission.Record // by a write that may have had no answer
 	for {
 		found, err := v.readSubmission(ctx, id)
-		if err == nil && found.record == nil {
+		if err == nil && (found.state.Final() || found.revoked) {
 			found.record = replaced
 			return found, nil
 		}
 		if err == nil {
-			replaced = found.record
-			_, err = v.store.Commit(ctx, finalTxn(id, found.revision, submission.Cancelled))
+			replaced = cmp.Or(found.record, replaced)
+			found, err = v.commitCancel(ctx, id, found)
 			if err == nil {
-				found.state = submission.Cancelled
 				return found, nil
 			}
 		}
@@ -51,6 +52,26 @@
 	}
 }
 
+// commitCancel stores that a submission is cancelled, which has a record or nothing in the store. It returns what the
+// store has of it then.
+func (v *VM) commitCancel(ctx context.Context, id submission.ID, found storeLookup) (storeLookup, error) {
+	txn := revokeTxn(id)
+	if found.record != nil {
+		txn = finalTxn(id, found.revision, submission.Cancelled)
+	}
+	revision, err := v.store.Commit(ctx, txn)
+	if err != nil {
+		return storeLookup{}, err
+	}
+	found.revision = revision
+	if found.record != nil {
+		found.state = submission.Cancelled
+	} else {
+		found.revoked = true
+	}
+	return found, nil
+}
+
 // cancelTimeout limits the attempts to store a cancellation.
 const cancelTimeout = 1400 * time.Millisecond
 
@@ -68,7 +89,7 @@
 		ev.reply <- StateAnswer{Err: ErrUnavailable}
 		return
 	}
-	klog.InfoS("kept: cancelled", "id", ev.id, "state", ev.found.state.String())
+	klog.InfoS("kept: cancelled", "id", ev.id, "state", ev.found.state.String(), "revoked", ev.found.revoked, "revision", ev.found.revision)
 	if ev.found.state != submission.Cancelled {
 		ev.reply <- StateAnswer{State: ev.found.state}
 		return
--- a/internal/kept/vm/persist.go
+++ b/internal/kept/vm/persist.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// revokeTxn makes the transaction that keeps a submission without a record from being stored: each write of a new record
+// expects that there is no final state. A write that had no answer may be carried out seconds later.
+func revokeTxn(id submission.ID) store.Txn {
+	return store.Txn{
+		Expect: []store.Condition{{Key: submission.OpenKey(id)}, {Key: submission.FinalKey(id)}},
+		Put:    []store.Put{{Key: submission.FinalKey(id), Value: []byte(submission.Revoked.String())}},
+	}
+}
+
+// cancelRevokedTxn makes the transaction that shows a revoked submission as cancelled, once it has been submitted.
+func cancelRevokedTxn(id submission.ID, revision uint64) store.Txn {
+	return store.Txn{
+		Expect: []store.Condition{{Key: submission.FinalKey(id), Revision: revision}},
+		Put:    []store.Put{{Key: submission.FinalKey(id), Value: []byte(submission.Cancelled.String())}},
+	}
+}
+
 func (ev finalStoredEvent) apply(e *engine) {
 	h := e.heldUnder(ev.shard, ev.token)
 	if h == nil {
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -195,6 +195,7 @@
 	state    submission.State // Unknown: there is no such submission
 	record   *submission.Record
 	revision uint64
+	revoked  bool // it was cancelled before any record of it was stored, and no caller has submitted it since
 }
 
 // lookUpInStore starts to read a submission's state from the store.
@@ -233,10 +234,13 @@
 	if err != nil {
 		return storeLookup{}, err
 	}
-	if final.Revision > 0 {
-		return storeLookup{state: finalState(final)}, nil
+	if final.Revision == 0 {
+		return storeLookup{}, nil
 	}
-	return storeLookup{}, nil
+	if state := finalState(final); state != submission.Revoked {
+		return storeLookup{state: state}, nil
+	}
+	return storeLookup{revoked: true}, nil
 }
 
 func (ev lookupDoneEvent) apply(e *engine) {
--- a/internal/kept/vm/stored.go
+++ b/internal/kept/vm/stored.go
@@ -176,9 +176,7 @@
 		// The store refused each write, so the record is certainly not stored.
 		e.refuse(h, Outcome{Kind: Refused, RetryAfter: defaultRetryAfter, Reason: "the store takes nothing"})
 	case journal.Unknown:
-		klog.InfoS("kept: store did not answer, the submission may have been stored", "id", ev.record.ID, "took", e.now-h.receivedAt)
-		delete(e.tracked, ev.record.ID)
-		e.replyOutcome(h, Outcome{Kind: Indeterminate, Reason: "the store did not answer"})
+		e.answerIndeterminate(h, "the store did not answer")
 	}
 }
 
@@ -192,6 +190,9 @@
 		case it.Key == submission.OpenKey(h.record.ID):
 			e.adoptStored(h, it)
 			return
+		case it.Key == submission.FinalKey(h.record.ID) && finalState(it) == submission.Revoked:
+			e.storeRevoked(h, it.Revision)
+			return
 		case it.Key == submission.FinalKey(h.record.ID):
 			h.stored = true
 			h.state = finalState(it)
@@ -208,6 +209,49 @@
 	e.placeAndStore(h)
 }
 
+// storeRevoked has a submission that was cancelled before it was stored shown as cancelled, and accepts it then: callers
+// that are refused would come back.
+func (e *engine) storeRevoked(h *trackedSubmission, revision uint64) {
+	rec := h.record
+	klog.InfoS("kept: submitted after it was cancelled", "id", rec.ID, "queue", rec.Queue, "revision", revision)
+	added := e.vm.intake.Add(&journal.Row{
+		Txn:         cancelRevokedTxn(rec.ID, revision),
+		GiveUpAfter: max(h.receivedAt+intakeTimeout-e.now, 0),
+		Done:        func(r journal.Result) { e.vm.deliver(revokedStoredEvent{record: rec, result: r}) },
+	})
+	if !added {
+		e.answerIndeterminate(h, "too many submissions wait for the store")
+	}
+}
+
+// revokedStoredEvent brings the result of storing that a revoked submission is cancelled.
+type revokedStoredEvent struct {
+	record *submission.Record
+	result journal.Result
+}
+
+func (ev revokedStoredEvent) apply(e *engine) {
+	h := e.tracked[ev.record.ID]
+	if h == nil || h.stored || h.record != ev.record {
+		return
+	}
+	switch ev.result.Outcome {
+	case journal.Stored:
+		e.applyStateReport(ev.record.ID, stateReport{state: submission.Cancelled})
+	case journal.Conflict:
+		e.handleStoreConflict(h, ev.result)
+	default:
+		e.answerIndeterminate(h, "the store did not answer")
+	}
+}
+
+// answerIndeterminate answers the callers of a submission that may have been stored, and forgets it.
+func (e *engine) answerIndeterminate(h *trackedSubmission, reason string) {
+	klog.InfoS("kept: the submission may have been stored", "id", h.id, "why", reason, "waited", e.now-h.receivedAt)
+	delete(e.tracked, h.id)
+	e.replyOutcome(h, Outcome{Kind: Indeterminate, Reason: reason})
+}
+
 // adoptStored tracks a submission that another VM, or this VM before a restart, has stored.
 func (e *engine) adoptStored(h *trackedSubmission, it store.Item) {
 	h.stored = true
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -327,6 +327,7 @@
 	isSilenced func(relay.Call) bool          // whether a call gets no answer; nil: none does
 	extraDelay func(relay.Call) time.Duration // nil: none
 	replyDelay func(relay.Call) time.Duration // nil: none
+	lateness   func(relay.Call) time.Duration // nil: none
 }
 
 // NewTransport returns a connection to the store whose calls take delay.
@@ -364,6 +365,25 @@
 	t.replyDelay = extra
 }
 
+// CarryOutLate makes the calls for which lateness returns more than 0 get no answer and be carried out after that time,
+// whether their caller still waits or not.
+func (t *Transport) CarryOutLate(lateness func(relay.Call) time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lateness = lateness
+}
+
+// carryOutLate carries a call out later if it is to be, and reports whether it is.
+func (t *Transport) carryOutLate(c relay.Call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lateness == nil || t.lateness(c) <= 0 {
+		return false
+	}
+	time.AfterFunc(t.lateness(c), func() { kvcall.Answer(context.Background(), t.store, c) })
+	return true
+}
+
 // delaysOf returns how much later than after the delay of the transport a call is carried out, and how much later its
 // reply arrives.
 func (t *Transport) delaysOf(c relay.Call) (call, reply time.Duration) {
@@ -399,6 +419,10 @@
 		return relay.Reply{}, ctx.Err()
 	case <-time.After(t.delay + callDelay):
 	}
+	if t.carryOutLate(c) {
+		<-ctx.Done()
+		return relay.Reply{}, ctx.Err()
+	}
 	f := t.faultFor(c)
 	switch f {
 	case Unavailable:
