States: a holder's VM learns of the end of a submission sent again to it

A caller that had sent its stored submission again, to the VM that holds its shard, was shown it as running until the next question of that VM to itself, over 0.3 s after the end.

Cause: an end is reported to the home and to the VMs that have asked. A VM that adopts a submission of its own shard asks nobody, so it was not among them, though it keeps the state and answers callers from it.

TestHolderLearnsOfTheEndOfASubmissionThatWasSentAgain failed before: running 100 ms after the end.

--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -55,6 +55,9 @@
 func (e *engine) checkOwnShard(id submission.ID, own *heldShard) {
 	state, known := own.core.State(id)
 	if known {
+		if !state.Final() {
+			own.addAsker(id, e.vm.config.Name)
+		}
 		e.applyStateReport(id, stateReport{shard: own.holding.Shard, token: own.holding.Token, state: state})
 		return
 	}
--- a/internal/kept/vm/states_test.go
+++ b/internal/kept/vm/states_test.go
@@ -72,3 +72,18 @@
 		<-filler
 	})
 }
+
+// Guards against a caller that is shown a submission as running long after its end: it sent the submission again, to the
+// holder of its shard, which is not its home.
+func TestHolderLearnsOfTheEndOfASubmissionThatWasSentAgain(t *testing.T) {
+	testWorld(t, func(w *world) {
+		holder := w.holderOf("a")
+		w.wantAccepted(w.submit(otherVM(holder), "job", 2, runhost.Work{Time: 300 * ms}, false))
+		time.Sleep(100 * ms)
+		w.wantAccepted(w.submit(holder, "job", 2, runhost.Work{Time: 300 * ms}, false))
+		time.Sleep(300 * ms)
+		if s := w.state(holder, "job"); s != submission.Done {
+			t.Errorf("100 ms after the end of its tasks it is %s, want done", s)
+		}
+	})
+}
