Ends: tell callers of the end of a stored submission once it is stored

Cause: the holder reported the end when the last task had ended, and wrote the final state up to 40 ms and a round trip later. If it was killed before, with the workers that list the ends of the runs, the next holder started them again.

A stored submission is now shown as running until its final state is stored. An end whose write fails, as the submission was cancelled meanwhile, is dropped: callers were shown done beside an acknowledged cancellation.

--- a/internal/kept/journal/journal.go
+++ b/internal/kept/journal/journal.go
@@ -55,7 +55,7 @@
 // Settings are the limits of a journal.
 type Settings struct {
 	Name        string
-	BatchDelay  time.Duration // how long a row waits for others to share a transaction with
+	MinInterval time.Duration // from one batch of rows to the next; rows that are added meanwhile share transactions
 	Capacity    int           // rows that may be queued
 	MaxInFlight int           // concurrent transactions
 }
@@ -97,15 +97,17 @@
 
 // Run writes queued rows until ctx ends.
 func (j *Journal) Run(ctx context.Context) {
+	var drainedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-j.queue.Ready():
 		}
-		if j.settings.BatchDelay > 0 {
-			time.Sleep(j.settings.BatchDelay)
+		if !pause.For(ctx, j.settings.MinInterval-time.Since(drainedAt)) {
+			return
 		}
+		drainedAt = time.Now()
 		for _, batch := range splitIntoBatches(j.queue.Drain()) {
 			select {
 			case <-ctx.Done():
--- a/internal/kept/journal/journal_test.go
+++ b/internal/kept/journal/journal_test.go
@@ -29,7 +29,7 @@
 		s := kvstore.New()
 		w := &world{t: t, store: s, door: s.NewTransport(2 * time.Millisecond), results: map[string]Result{}, done: make(chan string, 1000)}
 		var calls relay.Transport = w.door
-		w.journal = New(Settings{Name: "test", BatchDelay: time.Millisecond, Capacity: 1000, MaxInFlight: 1}, &kvcall.Client{Calls: calls})
+		w.journal = New(Settings{Name: "test", MinInterval: time.Millisecond, Capacity: 1000, MaxInFlight: 1}, &kvcall.Client{Calls: calls})
 		ctx, cancel := context.WithCancel(context.Background())
 		go w.journal.Run(ctx)
 		test(w)
@@ -145,3 +145,30 @@
 		}
 	})
 }
+
+// Guards against callers that wait for nothing: a row of an idle journal is written at once. Those that follow share
+// transactions.
+func TestIdleJournalWritesAtOnceAndGathersWhatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := kvstore.New()
+		w := &world{t: t, store: s, results: map[string]Result{}, done: make(chan string, 1000)}
+		w.journal = New(Settings{Name: "test", MinInterval: 40 * time.Millisecond, Capacity: 1000, MaxInFlight: 1}, &kvcall.Client{Calls: s.NewTransport(2 * time.Millisecond)})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.journal.Run(ctx)
+		began := time.Now()
+		w.create("first", time.Second)
+		w.await(1)
+		if took := time.Since(began); took > 2*time.Millisecond {
+			t.Errorf("the first row took %v, as if it had waited for others", took)
+		}
+		for i := range 80 {
+			time.Sleep(5 * time.Millisecond)
+			w.create(fmt.Sprint("k", i), time.Second)
+		}
+		w.await(80)
+		if w.store.Calls > 12 {
+			t.Errorf("%d transactions within 0.4 s, at most one in 40 ms is allowed", w.store.Calls)
+		}
+	})
+}
--- a/internal/kept/shard/shard.go
+++ b/internal/kept/shard/shard.go
@@ -224,7 +224,7 @@
 // State returns the state of a submission here and whether it is known.
 func (s *Shard) State(id submission.ID) (submission.State, bool) {
 	if j, open := s.jobs[id]; open {
-		return j.state, true
+		return j.shownState(), true
 	}
 	past, known := s.recentlyEnded[id]
 	return past.state, known
@@ -240,8 +240,17 @@
 	return StateAction{ID: id, State: past.state, Serial: past.serial, Returned: past.returned, Tasks: past.tasks}, known
 }
 
+// shownState returns the state that callers may be told. The end of a stored submission is told once it is stored: if this
+// holder is lost before, with the workers that list the ends of its tasks, the next holder runs them again.
+func (j *job) shownState() submission.State {
+	if j.state.Final() && !j.endStored {
+		return submission.Running
+	}
+	return j.state
+}
+
 func (j *job) report() StateAction {
-	return StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.state, Serial: j.rec.Serial, Returned: j.returned, Tasks: j.partSize()}
+	return StateAction{ID: j.rec.ID, Home: j.rec.Home, State: j.shownState(), Serial: j.rec.Serial, Returned: j.returned, Tasks: j.partSize()}
 }
 
 // CancelStored cancels a submission whose cancellation is in the store. One that is not here is remembered, as its record
@@ -271,6 +280,7 @@
 func (s *Shard) FinalStored(now time.Duration, id submission.ID) {
 	if j, known := s.jobs[id]; known {
 		s.settle(now, j)
+		s.reportState(j)
 	}
 }
 
@@ -350,6 +360,9 @@
 		return
 	}
 	s.stopAllRuns(j, "its record has changed")
+	if !j.endStored && j.state.Final() {
+		j.state = submission.Running // the end that was decided here is not the stored one
+	}
 	s.settle(now, j)
 	if !j.state.Final() {
 		delete(s.recentlyEnded, id) // its state is not known here, only in the store
@@ -377,14 +390,17 @@
 
 // endSubmission gives a submission a final state, stops its runs and has the state stored.
 func (s *Shard) endSubmission(now time.Duration, j *job, state submission.State, reason string) {
-	if j.state != state {
+	changed := j.state != state
+	if changed {
 		j.state = state
 		j.endReason = reason
 		s.stopAllRuns(j, reason)
-		s.reportState(j)
 	}
 	if j.rec.Transient {
 		s.settle(now, j)
+		if changed {
+			s.reportState(j)
+		}
 		return
 	}
 	if j.saving {
--- a/internal/kept/vm/shards.go
+++ b/internal/kept/vm/shards.go
@@ -16,7 +16,7 @@
 
 // Delays and time-outs of holders and of claims.
 const (
-	endsBatchDelay   = 40 * time.Millisecond // final states, progress and reassignments written within this time share a transaction
+	endsInterval     = 40 * time.Millisecond // between writes of final states, progress and reassignments, which gather meanwhile
 	endsWriteTimeout = time.Hour             // a holder retries for as long as it holds the shard
 	claimTimeout     = 2 * time.Second
 	scanRetryDelay   = 50 * time.Millisecond
--- a/internal/kept/vm/vm.go
+++ b/internal/kept/vm/vm.go
@@ -129,7 +129,7 @@
 	v.intake = journal.New(journal.Settings{Name: "intake", Capacity: 4096, MaxInFlight: 4}, v.store)
 	v.ends = journal.New(journal.Settings{
 		Name:        "ends",
-		BatchDelay:  endsBatchDelay,
+		MinInterval: endsInterval,
 		Capacity:    65536,
 		MaxInFlight: 2,
 	}, v.store)
