Offload: a waiting task without processor ends no VM

Cause: a shard whose tasks wait counts the free slots of other shards in units of the task that is served next, and divided by its processor, which is 0 if it is omitted. The job is stored, so each next holder ended as well. A GPU is not needed: memory or a limit of tasks a worker do as well.

The size of a task, at least 1, is a method of the step now. The one place that had such a bound of its own uses it, too.

--- a/internal/kept/shard/offload.go
+++ b/internal/kept/shard/offload.go
@@ -7,8 +7,8 @@
 
 // Offload returns tasks of transient submissions that have waited here for minWait to their home VMs, which
 // give them to other shards, and reports how many. The most urgent submission comes first. roomElsewhere
-// reports how many tasks of the given CPU, in thousandths of a core, other shards have capacity for. It is
-// called once, with the CPU of the task that is served next here.
+// reports how many tasks of the given size, in thousandths of a core, other shards have capacity for. It is
+// called once, with the size of the task that is served next here, at least 1.
 //
 // A home VM knows the load of a shard with some ten milliseconds' delay, and a shard may lose its workers.
 // Otherwise tasks would wait at a full shard, or at one without workers, until their caller's timeout while
@@ -18,7 +18,7 @@
 	if len(ranked) == 0 {
 		return 0
 	}
-	returned, limit := 0, roomElsewhere(ranked[0].nextTaskCPUMilli())
+	returned, limit := 0, roomElsewhere(ranked[0].nextTaskSizeMilli())
 	for _, j := range ranked {
 		if returned >= limit {
 			break
@@ -42,7 +42,7 @@
 	return since
 }
 
-// nextTaskCPUMilli returns the CPU of its first startable task, in thousandths of a core.
-func (j *job) nextTaskCPUMilli() int64 {
-	return j.tasks[slices.IndexFunc(j.tasks, j.isStartable)].step.CPUMilli
+// nextTaskSizeMilli returns the size of its first startable task, in thousandths of a core.
+func (j *job) nextTaskSizeMilli() int64 {
+	return j.tasks[slices.IndexFunc(j.tasks, j.isStartable)].step.SizeMilli()
 }
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -69,6 +69,9 @@
 	MaxPerWorker  int           `json:"p,omitempty"` // maximum of the step's tasks on one worker; 0: no limit
 }
 
+// SizeMilli returns the processor of a task in thousandths of a core, at least 1: sizes are divided by.
+func (s *Step) SizeMilli() int64 { return max(s.CPUMilli, 1) }
+
 // Terms are the rules of the queue at the time of the submission. They are stored
 // with it, as the queue may be removed from the configuration before it ends.
 type Terms struct {
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -108,7 +108,7 @@
 func largestTaskMilli(r *submission.Record) int64 {
 	size := int64(1)
 	for i := range r.Steps {
-		size = max(size, r.Steps[i].CPUMilli)
+		size = max(size, r.Steps[i].SizeMilli())
 	}
 	return size
 }
--- a/internal/kept/vm/world_test.go
+++ b/internal/kept/vm/world_test.go
@@ -248,13 +248,15 @@
 	out := make(chan Outcome, 1)
 	v := w.vms[at]
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 		defer cancel()
 		out <- v.Submit(ctx, rec)
 	}()
 	return out
 }
 
+const submitTimeout = 20 * time.Second // of a caller of submitRecord
+
 // newOneStepRecord returns the record of a submission of one step.
 func newOneStepRecord(id submission.ID, tasks int, work runhost.Work) *submission.Record {
 	return &submission.Record{
