Durations: limit what is computed from the numbers of callers and workers

A job of 4096 tasks that each take a worker for 30 days made the sum of the work that waits at its shard negative, so all callers were placed, and forecast, as if nothing waited there.

Package timespan converts, multiplies and adds within 36 years.

--- a/internal/kept/policy/forecast.go
+++ b/internal/kept/policy/forecast.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
+)
 
 // Backlog is the load of all shards that can take a submission, as far as its forecast depends on
 // it. Times are those in which all their workers together do the work.
@@ -45,7 +49,7 @@
 		return w.forecastFrom(start)
 	}
 	late := w.ReceivedAt + w.Objective - w.RunTime
-	return w.forecastFrom(max(after(now, b.InTime+b.Late, b.Arriving), late))
+	return w.forecastFrom(max(after(now, timespan.Add(b.InTime, b.Late), b.Arriving), late))
 }
 
 func (w *Work) forecastFrom(start time.Duration) Forecast {
@@ -54,7 +58,7 @@
 
 // after returns when queued work is done if arriving work takes a share of the capacity.
 func after(now, queued time.Duration, share float64) time.Duration {
-	return now + time.Duration(float64(queued)/max(1-share, minShareLeft))
+	return now + timespan.Times(queued, 1/max(1-share, minShareLeft))
 }
 
 // AdmitForecast decides on arrival by a forecast: a submission that KeepWaiting would refuse
--- a/internal/kept/policy/shares.go
+++ b/internal/kept/policy/shares.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // Group is one of the groups of submissions that share the room of their priority.
@@ -43,7 +45,7 @@
 
 // CoreTime returns the time that one core would take for the work of tasks.
 func CoreTime(tasks int, cpuMilli int64, runTime time.Duration) time.Duration {
-	return time.Duration(float64(tasks) * float64(cpuMilli) / 1000 * float64(runTime))
+	return timespan.OfNanos(float64(tasks) * float64(cpuMilli) / 1000 * float64(runTime))
 }
 
 // Add records that a task of a group has started.
--- a/internal/kept/policy/split.go
+++ b/internal/kept/policy/split.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // Candidate is a shard that could take tasks of a submission.
@@ -117,7 +119,7 @@
 	best := -1
 	var bestWait, bestQueue time.Duration
 	for i, c := range order {
-		added := task * time.Duration(queued[i]) / time.Duration(max(c.Capacity, 1))
+		added := timespan.Times(task, float64(queued[i])/float64(max(c.Capacity, 1)))
 		wait, queue := c.Wait+added, c.QueueTime+added
 		if c.Capacity == 0 {
 			wait += time.Hour
--- a/internal/kept/pool/decide.go
+++ b/internal/kept/pool/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // Limits that keep a large task from starving beside small ones.
@@ -108,7 +109,7 @@
 	if endRate <= 0 || e.boundTo != "" {
 		return p.replyTime
 	}
-	gather := time.Duration(float64(e.left()) / endRate * float64(time.Second))
+	gather := timespan.Times(time.Second, float64(e.left())/endRate)
 	return p.replyTime + min(gather, e.Work.RunTime)
 }
 
@@ -116,7 +117,7 @@
 // stays the same.
 func pacedWork(w *policy.Work, factor float64) policy.Work {
 	paced := *w
-	paced.RunTime = time.Duration(factor * float64(w.RunTime))
+	paced.RunTime = timespan.Times(w.RunTime, factor)
 	paced.Objective += paced.RunTime - w.RunTime
 	return paced
 }
--- a/internal/kept/shard/backlog.go
+++ b/internal/kept/shard/backlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // WaitingWork is work that waits for workers outside the queues of their shards.
@@ -51,21 +52,21 @@
 	for _, l := range loads {
 		capacity += l.CapacityMilli
 	}
-	return time.Duration(float64(tasks-1) * float64(cpuMilli) * float64(runTime) / float64(max(capacity, 1)))
+	return timespan.Times(runTime, float64(tasks-1)*float64(cpuMilli)/float64(max(capacity, 1)))
 }
 
 // addQueued adds the work of a queue whose workers have a share of the capacity.
 func addQueued(b *policy.Backlog, queued []QueuedWork, share float64, priority int) {
 	for _, q := range queued {
-		work := time.Duration(share * float64(q.DrainTime))
+		work := timespan.Times(q.DrainTime, share)
 		switch {
 		case q.Band == policy.InTime && q.Priority <= priority:
-			b.Ahead += work
-			b.InTime += work
+			b.Ahead = timespan.Add(b.Ahead, work)
+			b.InTime = timespan.Add(b.InTime, work)
 		case q.Band == policy.InTime:
-			b.InTime += work
+			b.InTime = timespan.Add(b.InTime, work)
 		case q.Band == policy.Late && q.Priority <= priority:
-			b.Late += work
+			b.Late = timespan.Add(b.Late, work)
 		}
 	}
 }
@@ -98,5 +99,5 @@
 
 // expectedRunTime returns the estimate of a task, corrected by the pace of its queue.
 func (s *Shard) expectedRunTime(t *task) time.Duration {
-	return time.Duration(s.durationFactor(t.job.rec.Queue) * float64(t.step.Estimate))
+	return timespan.Times(t.step.Estimate, s.durationFactor(t.job.rec.Queue))
 }
--- a/internal/kept/shard/laststart.go
+++ b/internal/kept/shard/laststart.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
+)
 
 // untilLastStart estimates how long it takes until the last startable task of a submission starts that is served first:
 // as long as it takes until enough runs have ended, at a rate per second, but no longer than the submission runs. It is 0
@@ -18,5 +22,5 @@
 			waiting++
 		}
 	}
-	return min(time.Duration(float64(waiting)/endRate*float64(time.Second)), s.estimatedRunTime(j))
+	return min(timespan.Times(time.Second, float64(waiting)/endRate), s.estimatedRunTime(j))
 }
--- a/internal/kept/shard/load.go
+++ b/internal/kept/shard/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // Load returns the present capacity and queue of the shard.
@@ -65,7 +66,7 @@
 		for _, t := range j.tasks {
 			if j.isStartable(t) {
 				q.CPUMilli += t.step.CPUMilli
-				q.DrainTime += time.Duration(factor * float64(t.step.Estimate) * float64(t.step.CPUMilli) / float64(max(capacity, 1)))
+				q.DrainTime = timespan.Add(q.DrainTime, timespan.Times(t.step.Estimate, factor*float64(t.step.CPUMilli)/float64(max(capacity, 1))))
 			}
 		}
 	}
--- /dev/null
+++ b/internal/kept/shard/load_test.go
@@ -0,0 +1,36 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/standin/runhost"
+)
+
+// assignMany assigns n submissions of 4096 tasks of a step.
+func (w *world) assignMany(n int, step submission.Step) {
+	for i := range n {
+		r := w.submission(submission.ID(fmt.Sprint("s", i)), 1, runhost.Work{CPUMilli: step.CPUMilli, Hangs: true})
+		step.Count = 4096
+		r.Steps = []submission.Step{step}
+		w.assign(r)
+	}
+}
+
+// Guards against callers that are refused, or sent to a full shard: the work that waits there is so large that its sum
+// turns negative.
+func TestQueuedWorkIsNeverNegative(t *testing.T) {
+	for n := 1; n <= 8; n++ {
+		w := newWorld(t, 1)
+		w.run(100 * ms)
+		w.assignMany(n, submission.Step{CPUMilli: 16000, MemMB: 64, Estimate: 30 * 24 * time.Hour})
+		w.run(20 * ms)
+		load := w.shard.Load(w.now)
+		backlog := Backlog([]*Load{&load, &load, &load}, nil, 0, 1000)
+		if milli, drainTime := load.QueuedAhead(0, true); milli <= 0 || drainTime <= 0 || backlog.Ahead <= 0 || backlog.InTime <= 0 {
+			t.Errorf("%d submissions: %d thousandths of a core wait, for %v, backlog %+v", n, milli, drainTime, backlog)
+		}
+	}
+}
--- a/internal/kept/shard/progress.go
+++ b/internal/kept/shard/progress.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
 
@@ -46,7 +47,7 @@
 
 // isStalled reports whether the newest run of a task has made no progress for too long.
 func (s *Shard) isStalled(t *task) bool {
-	expected := time.Duration(float64(t.step.Estimate) * s.durationFactor(t.job.rec.Queue))
+	expected := timespan.Times(t.step.Estimate, s.durationFactor(t.job.rec.Queue))
 	return t.progress.IsStalled(t.startedAt, expected)
 }
 
--- a/internal/kept/shard/types.go
+++ b/internal/kept/shard/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 )
 
@@ -198,7 +199,7 @@
 	for _, q := range l.Queued {
 		if all || q.Band == policy.InTime && q.Priority <= priority {
 			milli += q.CPUMilli
-			drainTime += q.DrainTime
+			drainTime = timespan.Add(drainTime, q.DrainTime)
 		}
 	}
 	return milli, drainTime
--- a/internal/kept/shard/urgency.go
+++ b/internal/kept/shard/urgency.go
@@ -6,6 +6,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // byUrgency returns the submissions with startable tasks, the most urgent first.
@@ -81,5 +82,5 @@
 
 // estimatedRunTime returns how long a submission takes if no task has to wait for a worker.
 func (s *Shard) estimatedRunTime(j *job) time.Duration {
-	return time.Duration(float64(j.criticalPath) * s.durationFactor(j.rec.Queue))
+	return timespan.Times(j.criticalPath, s.durationFactor(j.rec.Queue))
 }
--- a/internal/kept/submission/submission.go
+++ b/internal/kept/submission/submission.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // ID identifies a submission. The caller chooses it; sending a request with the
@@ -89,7 +91,7 @@
 // Objective returns the time within which a submission with the given critical path should be
 // done.
 func (t *Terms) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(t.Stretch*float64(criticalPath)) + t.Target
+	return timespan.Add(timespan.Times(criticalPath, t.Stretch), t.Target)
 }
 
 // Progress is the stored progress of an unfinished submission.
--- a/internal/kept/vm/heldpools.go
+++ b/internal/kept/vm/heldpools.go
@@ -12,6 +12,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/pool"
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // heldPool is the pool of the shards of a failure domain that this VM holds.
@@ -264,7 +265,7 @@
 			Priority:  q.Priority,
 			Standing:  q.Standing,
 			CPUMilli:  q.CPUMilli,
-			DrainTime: time.Duration(q.Work / float64(max(report.capacityMilli, 1))),
+			DrainTime: timespan.OfNanos(q.Work / float64(max(report.capacityMilli, 1))),
 		})
 	}
 	return report
--- a/internal/kept/vm/load.go
+++ b/internal/kept/vm/load.go
@@ -10,6 +10,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // candidates returns the shards that can take a submission, or the refusal if none can.
@@ -47,14 +48,14 @@
 		_, queue := l.QueuedAhead(0, true)
 		ahead, wait := e.loadFor(r, l).QueuedAhead(r.Terms.Priority, !e.vm.config.Policy.ByPriority)
 		// Tasks that this VM has sent there since the shard's last load report count as waiting there.
-		sent := time.Duration(float64(taskTime) * float64(l.sentMilli) / float64(max(l.CapacityMilli, 1)))
+		sent := timespan.Times(taskTime, float64(l.sentMilli)/float64(max(l.CapacityMilli, 1)))
 		c := policy.Candidate{
 			Shard:       name,
 			InOwnDomain: site.DomainOf(name) == e.vm.config.Domain,
 			Free:        max(l.FreeSlots(sizeMilli, ahead)-int(l.sentMilli/sizeMilli), 0),
 			Capacity:    int(l.CapacityMilli / sizeMilli),
-			Wait:        wait + sent,
-			QueueTime:   queue + sent,
+			Wait:        timespan.Add(wait, sent),
+			QueueTime:   timespan.Add(queue, sent),
 		}
 		if hasPools {
 			e.addPoolQueue(&c, r)
@@ -101,7 +102,7 @@
 		s := &r.Steps[i]
 		work += float64(s.Count) * float64(s.CPUMilli) * float64(s.Estimate)
 	}
-	return time.Duration(work / float64(max(capacityMilli, 1)) * float64(len(e.links)+1))
+	return timespan.OfNanos(work / float64(max(capacityMilli, 1)) * float64(len(e.links)+1))
 }
 
 // largestTaskMilli returns the largest CPU demand of a task, in thousandths of a core, at least 1.
--- a/internal/kept/vm/peers.go
+++ b/internal/kept/vm/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pumiceyard/pumiceyard/internal/kept/shard"
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
 // PeerUp, PeerLost, Frame and InboundStreamEnded implement link.Events.
@@ -338,7 +339,7 @@
 			Band:      policy.LatenessBand(q.Band),
 			Priority:  int(q.Priority),
 			CPUMilli:  q.Milli,
-			DrainTime: time.Duration(q.TakesNs),
+			DrainTime: timespan.OfNanos(float64(q.TakesNs)),
 			Standing:  decodeStanding(q.Standing),
 		})
 	}
--- a/internal/kept/vm/watch.go
+++ b/internal/kept/vm/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/site"
 	"github.com/pumiceyard/pumiceyard/internal/kept/store"
+	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 	"github.com/pumiceyard/pumiceyard/internal/kept/worker"
 	"github.com/pumiceyard/pumiceyard/internal/pause"
 )
@@ -155,7 +156,7 @@
 	if vms == 0 || v.config.StoreReadsPerSecond <= 0 {
 		return 0
 	}
-	return min(time.Duration(float64(vms)/(siteReadShare*v.config.StoreReadsPerSecond)*float64(time.Second)), maxSitePause)
+	return min(timespan.Times(time.Second, float64(vms)/(siteReadShare*v.config.StoreReadsPerSecond)), maxSitePause)
 }
 
 // watchSite watches the keys of the site: members, domains and shards.
@@ -221,8 +222,8 @@
 	for _, e := range events {
 		bytes += base64.StdEncoding.EncodedLen(len(e.Value)) + entryOverhead
 	}
-	transfer := time.Duration(float64(bytes) / v.config.LinkBytesPerSecond * float64(time.Second))
-	return min(max(time.Duration(float64(maxWorkersTransfer)*float64(gathered)/float64(transfer)), minWorkersPause), maxWorkersPause)
+	transferSeconds := float64(bytes) / v.config.LinkBytesPerSecond
+	return min(max(timespan.Times(gathered, maxWorkersTransfer.Seconds()/transferSeconds), minWorkersPause), maxWorkersPause)
 }
 
 // setReadWorkers starts or stops the watch of the list of workers. The latest call counts.
