Load: tasks that no worker holds keep nobody waiting

Cause: the work that waits at a shard was summed over all startable tasks. Those that need more of a resource than any worker of the shard has are left out now.

TestTasksThatNoWorkerHoldsKeepNobodyWaiting failed before in 3 of 3 cases.

--- a/internal/kept/shard/load.go
+++ b/internal/kept/shard/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pumiceyard/pumiceyard/internal/kept/policy"
+	"github.com/pumiceyard/pumiceyard/internal/kept/submission"
 	"github.com/pumiceyard/pumiceyard/internal/kept/timespan"
 )
 
@@ -49,8 +50,9 @@
 }
 
 // queued sums the startable tasks by band, priority and standing. capacity is the CPU of the usable workers, in
-// thousandths of a core.
+// thousandths of a core. Tasks that are larger than each worker are left out: they keep nobody waiting.
 func (s *Shard) queued(now time.Duration, capacity int64) []QueuedWork {
+	largest := s.largestCapacity()
 	sums := make(map[policy.QueueKey]*QueuedWork)
 	for _, j := range s.jobs {
 		if j.state.Final() || !j.hasStartable() {
@@ -64,7 +66,7 @@
 		}
 		factor := s.durationFactor(j.rec.Queue)
 		for _, t := range j.tasks {
-			if j.isStartable(t) {
+			if j.isStartable(t) && largest.holds(t.step) {
 				q.CPUMilli += t.step.CPUMilli
 				q.DrainTime = timespan.Add(q.DrainTime, timespan.Times(t.step.Estimate, factor*float64(t.step.CPUMilli)/float64(max(capacity, 1))))
 			}
@@ -77,6 +79,26 @@
 	return out
 }
 
+// capacityBound is the most of each resource that any worker of a shard has. The zero value stands for workers that are not
+// known.
+type capacityBound struct{ cpuMilli, memMB, gpu int64 }
+
+// largestCapacity returns the most of each resource that any known worker has.
+func (s *Shard) largestCapacity() capacityBound {
+	var b capacityBound
+	for _, h := range s.workers {
+		b.cpuMilli = max(b.cpuMilli, h.info.CPUMilli)
+		b.memMB = max(b.memMB, h.info.MemMB)
+		b.gpu = max(b.gpu, h.info.GPU)
+	}
+	return b
+}
+
+// holds reports whether some worker may have room for a task of a step.
+func (b capacityBound) holds(step *submission.Step) bool {
+	return b == capacityBound{} || step.CPUMilli <= b.cpuMilli && step.MemMB <= b.memMB && step.GPU <= b.gpu
+}
+
 // FreeSlots returns how many tasks of milli thousandths of a core the free capacity has room for after
 // ahead thousandths of a core of queued work that is served first.
 func (l *Load) FreeSlots(milli, ahead int64) int {
--- a/internal/kept/shard/load_test.go
+++ b/internal/kept/shard/load_test.go
@@ -34,3 +34,22 @@
 		}
 	}
 }
+
+// Guards against callers that are refused as their work would wait behind tasks that no worker can ever run.
+func TestTasksThatNoWorkerHoldsKeepNobodyWaiting(t *testing.T) {
+	for name, step := range map[string]submission.Step{
+		"processor": {CPUMilli: 16001, MemMB: 64, Estimate: time.Hour},
+		"memory":    {CPUMilli: 1000, MemMB: 65537, Estimate: time.Hour},
+		"GPUs":      {CPUMilli: 1000, MemMB: 64, GPU: 1, Estimate: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.run(100 * ms)
+			w.assignMany(3, step)
+			load := w.shard.Load(w.now)
+			if milli, drainTime := load.QueuedAhead(0, true); milli != 0 || drainTime != 0 {
+				t.Errorf("%d thousandths of a core wait, for %v", milli, drainTime)
+			}
+		})
+	}
+}
