Lost workers: a stored task ends for what was seen under it

Cause: what was only likely counted as seen. A start sent to a worker that had crashed before ended with a refused connection, which was reported as no answer, and so counted as a worker lost under the task (weight 1). The next loss, of a worker that ran it alone, weighs 2, and 3 ends it. In the same way a worker counted that had fallen silent, let its runs lapse and crashed later.

An order for which no connection could be made was not carried out, so a start goes elsewhere at once. A loss says whether it was under the task: its run was known to have begun, and its worker to have ended before its lease could. A stored task is given up at a weight of 3 if two of its losses were under it, or with three losses, so that tasks which crash workers before these can answer still end.

TestOneCrashUnderATaskFailsNoSubmission failed before in both cases.

--- a/internal/kept/policy/workerloss.go
+++ b/internal/kept/policy/workerloss.go
@@ -28,6 +28,7 @@
 const (
 	suspectLossCount = 2 // number of losses, of any weight, that make a task a suspect
 	maxLossCount     = 3 // number of losses, of any weight, after which a task is given up
+	minLossesUnder   = 2 // losses of workers under a run of a stored task without which fewer do not end it
 )
 
 // Suspects may use one in workersPerSuspect of a shard's workers at a time, and at least
@@ -61,14 +62,28 @@
 	return s.LossEvidence > 0 && (totalWeight(losses) > 0 || len(losses) >= suspectLossCount)
 }
 
-// ShouldGiveUp reports whether a task must not be started again because the workers that start it
-// are lost. Losses count only if the worker is known to have ended, unless countUncertain is set.
-func (s *Settings) ShouldGiveUp(losses []submission.Loss, countUncertain bool) bool {
-	counted := losses
-	if !countUncertain {
-		counted = slices.DeleteFunc(slices.Clone(losses), func(l submission.Loss) bool { return !l.Certain })
+// ShouldGiveUp reports whether a task must not be started again because the workers that start it are lost. Callers of
+// transient tasks do not wait until it is known what has ended, and under which runs.
+func (s *Settings) ShouldGiveUp(losses []submission.Loss, transient bool) bool {
+	if transient {
+		return s.isEnough(losses)
 	}
-	return s.LossEvidence > 0 && (totalWeight(counted) >= s.LossEvidence || len(counted) >= maxLossCount)
+	return s.MayGiveUp(slices.DeleteFunc(slices.Clone(losses), func(l submission.Loss) bool { return !l.Certain }))
+}
+
+// MayGiveUp reports whether a stored task is given up once the workers are known to have ended.
+func (s *Settings) MayGiveUp(losses []submission.Loss) bool {
+	under := 0
+	for _, l := range losses {
+		if l.Under {
+			under++
+		}
+	}
+	return s.isEnough(losses) && (under >= minLossesUnder || len(losses) >= maxLossCount)
+}
+
+func (s *Settings) isEnough(losses []submission.Loss) bool {
+	return s.LossEvidence > 0 && (totalWeight(losses) >= s.LossEvidence || len(losses) >= maxLossCount)
 }
 
 // LossConfirmationTime is the time within which a lost worker, or its next incarnation, answers in
--- a/internal/kept/shard/crash.go
+++ b/internal/kept/shard/crash.go
@@ -41,7 +41,8 @@
 	s.recentLosses = append(s.recentLosses, lost)
 	for _, t := range tasks {
 		weight := policy.LossContext{StartedAlone: t.startedAlone, KnownToRun: t.hasBegun, UnrelatedLosses: unrelated}.Weight()
-		s.addLoss(now, t, submission.Loss{Worker: h.incarnation, Address: h.info.Address, Run: t.newestRun, Weight: weight, Certain: ended})
+		under := t.hasBegun && (ended || h.endedInLease)
+		s.addLoss(now, t, submission.Loss{Worker: h.incarnation, Address: h.info.Address, Run: t.newestRun, Weight: weight, Certain: ended, Under: under})
 	}
 	s.actions.WorkerLosses = append(s.actions.WorkerLosses, WorkerLossAction{Worker: h.incarnation, Tasks: len(tasks), Unrelated: unrelated})
 }
@@ -171,7 +172,10 @@
 		learntAt, learntHere := t.lossLearntAt[l.Run]
 		return !l.Certain && (!learntHere || now-learntAt > policy.LossConfirmationTime)
 	})
-	return !s.settings.Policy.ShouldGiveUp(mayCount, true)
+	if t.job.rec.Transient {
+		return !s.settings.Policy.ShouldGiveUp(mayCount, true)
+	}
+	return !s.settings.Policy.MayGiveUp(mayCount)
 }
 
 // giveUpTasks fails the submissions of those tasks that have lost too many workers.
--- a/internal/kept/shard/crash_test.go
+++ b/internal/kept/shard/crash_test.go
@@ -222,10 +222,10 @@
 	}
 }
 
-// uncertainLoss returns a loss of a run that an earlier holder has stored without knowing whether the worker at the
-// address has ended.
+// uncertainLoss returns a loss of a run that an earlier holder has seen and stored, without knowing whether the worker at
+// the address has ended.
 func uncertainLoss(run uint64, weight int, address string) submission.Loss {
-	return submission.Loss{Worker: "lost", Run: run, Weight: weight, Address: address}
+	return submission.Loss{Worker: "lost", Run: run, Weight: weight, Address: address, Under: true}
 }
 
 // Guards against a suspect that waits anew with each loss for the outcome of an old one, though nobody can learn it any
@@ -298,3 +298,71 @@
 		})
 	}
 }
+
+// Guards against a submission that is shown as failed though only one worker crashed under it: an earlier worker had ended
+// before it could begin anything, or fell silent until its lease was over and crashed later.
+func TestOneCrashUnderATaskFailsNoSubmission(t *testing.T) {
+	for name, loseFirst := range map[string]func(w *world){
+		"the first start has no answer": func(w *world) {
+			w.crash("w0")
+			w.assignStored(4)
+			w.run(1300 * ms)
+		},
+		"the first worker is silent and crashes later": func(w *world) {
+			w.assignStored(4)
+			w.run(200 * ms)
+			w.unreachable["w0"] = true
+			w.run(1300 * ms)
+			w.crash("w0")
+			clear(w.unreachable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			w.run(100 * ms)
+			loseFirst(w)
+			lostOnce := w.tasksWithLosses()
+			if len(lostOnce) == 0 {
+				t.Fatal("no task has lost a worker")
+			}
+			for len(lostOnce) > 0 {
+				task := lostOnce[0]
+				lostOnce = lostOnce[1:]
+				for end := w.now + 10*time.Second; task.state != taskRunning && w.now < end; {
+					w.step()
+				}
+				w.run(300 * ms)
+				if task.state == taskRunning && len(task.losses) == 1 {
+					w.crash(task.host.info.ID)
+				}
+				w.run(7 * time.Second)
+			}
+			w.run(20 * time.Second)
+			for i := range 4 {
+				if id := submission.ID(fmt.Sprint("s", i)); w.finals[id] != submission.Done {
+					t.Errorf("%s is %q, want done", id, w.finals[id])
+				}
+			}
+		})
+	}
+}
+
+// assignStored assigns n stored submissions of one task of 2.5 s.
+func (w *world) assignStored(n int) {
+	for i := range n {
+		w.assign(w.storedSubmission(submission.ID(fmt.Sprint("s", i)), 1, runhost.Work{CPUMilli: 8000, Time: 2500 * ms}))
+	}
+	w.run(20 * ms)
+}
+
+// tasksWithLosses returns the tasks under which a worker counts as lost.
+func (w *world) tasksWithLosses() (out []*task) {
+	for _, id := range slices.Sorted(maps.Keys(w.shard.jobs)) {
+		for _, t := range w.shard.jobs[id].tasks {
+			if len(t.losses) > 0 {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
--- a/internal/kept/shard/host.go
+++ b/internal/kept/shard/host.go
@@ -29,6 +29,7 @@
 	fullUntil           time.Duration // end of the backoff after it refused a run for lack of room
 	unavailableUntil    time.Duration // end of the backoff after it refused a run as unavailable
 	leaseExpired        bool          // its lease expired without an answer, and it has not answered since
+	endedInLease        bool          // its process has ended while its lease ran, and it has not answered since
 	startsVoidAt        time.Duration // when the last start order to it is void
 	leaseLimit          time.Duration // until which its lease may be extended
 	releaseAt           time.Duration // when its tasks are released, as its lease has expired; 0: there is no need
@@ -257,6 +258,14 @@
 	s.forgetHost(now, h)
 }
 
+// WorkerEndedInLease records that the process of a worker has ended before the lease of its runs could. What is at its
+// address is learnt later.
+func (s *Shard) WorkerEndedInLease(id string) {
+	if h, known := s.workers[id]; known && !h.leaseExpired {
+		h.endedInLease = true
+	}
+}
+
 // WorkerLeaseExpired handles the certain expiry of a worker's lease: all runs that were started there
 // before have ended. Nothing starts there until it answers. A worker that has left the list is removed.
 //
--- a/internal/kept/shard/incarnation.go
+++ b/internal/kept/shard/incarnation.go
@@ -130,6 +130,7 @@
 	t.startedRuns = append(t.startedRuns, startedRun{t.newestRun, h})
 	t.acceptClock = 0
 	t.stopAckClock = 0
+	t.hasBegun = false
 	if t.state != taskStoppingToRestart && t.state != taskStoppingForGood {
 		t.state = taskUnconfirmed
 		t.stateSince = now
--- a/internal/kept/shard/listing.go
+++ b/internal/kept/shard/listing.go
@@ -25,6 +25,7 @@
 		h.firstAnswerAt = now
 	}
 	h.newestListingSentAt = max(h.newestListingSentAt, sentAt)
+	h.endedInLease = false
 	h.info.Born = cmp.Or(h.info.Born, l.Born)
 	s.withdrawLoss(now, h)
 	if h.clock.observe(sentAt, now, l.Clock) {
--- a/internal/kept/shard/world_test.go
+++ b/internal/kept/shard/world_test.go
@@ -332,6 +332,9 @@
 	w.followIncarnation(id)
 	if h == nil {
 		w.missedHold[id] = true
+		if crashed := w.hosts[id]; crashed != nil && crashed.Crashed() && !w.unreachable[id] && w.now-w.lastAnsweredAt[id] < 900*ms {
+			w.shard.WorkerEndedInLease(id)
+		}
 		if last, answered := w.lastAnsweredAt[id]; answered && w.now-last > 1100*ms {
 			w.shard.WorkerLeaseExpired(w.now, id)
 		}
--- a/internal/kept/submission/loss.go
+++ b/internal/kept/submission/loss.go
@@ -13,6 +13,9 @@
 	// Certain says that the incarnation is known to have ended. A worker that is only cut off from the
 	// network looks the same until it, or its next incarnation, answers.
 	Certain bool `json:"c,omitempty"`
+	// Under says that the run is known to have begun, and that its worker ended before its lease could. A worker that falls
+	// silent may have ended long after the run.
+	Under bool `json:"u,omitempty"`
 }
 
 // AddLoss adds a loss to a list, or updates the one with the same run: several VMs may report it, and
@@ -21,6 +24,7 @@
 	for i := range losses {
 		if losses[i].Run == l.Run {
 			l.Certain = l.Certain || losses[i].Certain
+			l.Under = l.Under || losses[i].Under
 			l.Address = cmp.Or(l.Address, losses[i].Address)
 			losses[i] = l
 			return losses
--- a/internal/kept/vm/events.go
+++ b/internal/kept/vm/events.go
@@ -141,6 +141,9 @@
 		requestedAt time.Duration
 		listing     worker.Listing
 	}
+	// workerEndedEvent reports that the worker's process has ended before the lease of its runs could.
+	workerEndedEvent struct{ session *workerSession }
+
 	// workerFencedEvent reports that the worker has seen a higher fencing token.
 	workerFencedEvent struct{ session *workerSession }
 	// workerReplacedEvent reports that the worker's incarnation is gone.
--- a/internal/kept/vm/session.go
+++ b/internal/kept/vm/session.go
@@ -71,6 +71,8 @@
 	clockSentAt     time.Duration // when the call that brought lastClock left
 	clockReceivedAt time.Duration // when its answer arrived
 	maxDeadline     time.Duration // latest deadline of an order, on the worker's clock
+	heldUntil       time.Duration // deadline of the latest renewal that the worker has accepted
+	endTold         bool          // the engine was told that the worker's process has ended; no answer has come since
 }
 
 // startSession starts a session, which runs until ctx ends or another incarnation answers.
@@ -114,6 +116,9 @@
 			askedAgain = true
 			continue
 		}
+		if reply.Refused {
+			ws.postEnd()
+		}
 		ws.postExpiry()
 		pause.For(ctx, renewRetryDelay)
 	}
@@ -129,6 +134,16 @@
 	}
 }
 
+// postEnd tells the engine once that the worker's process has ended, if the lease that it has accepted certainly runs.
+func (ws *workerSession) postEnd() {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if ws.endTold || ws.lastClock == 0 || ws.latestClock(ws.vm.now()) >= ws.heldUntil {
+		return
+	}
+	ws.endTold = ws.vm.post(workerEndedEvent{session: ws})
+}
+
 // awaitAcks waits for a limited time until the ends of a listing are acknowledged: a
 // renewal that does not acknowledge them would return at once with the same ends.
 func (ws *workerSession) awaitAcks(ctx context.Context, l worker.Listing) {
@@ -209,6 +224,7 @@
 	ws.recordClock(requestedAt, reply)
 	if reply.Verdict == worker.Accepted {
 		ws.expiryPosted.Store(false)
+		ws.recordHeld(order.Deadline)
 	}
 	return listing, reply
 }
@@ -259,6 +275,14 @@
 	ws.maxDeadline = max(ws.maxDeadline, d)
 }
 
+// recordHeld keeps the deadline of a renewal that the worker has accepted; 0: it extended nothing.
+func (ws *workerSession) recordHeld(d time.Duration) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.heldUntil = max(ws.heldUntil, d)
+	ws.endTold = false
+}
+
 // recordClock keeps the worker's clock from the answer to a call that left at requestedAt.
 func (ws *workerSession) recordClock(requestedAt time.Duration, r worker.Reply) {
 	if r.Clock == 0 {
--- a/internal/kept/vm/workers.go
+++ b/internal/kept/vm/workers.go
@@ -275,6 +275,14 @@
 	}
 }
 
+func (ev workerEndedEvent) apply(e *engine) {
+	if h := e.sessionShard(ev.session); h != nil {
+		id := ev.session.info.Load().ID
+		klog.InfoS("kept: worker refuses connections", "worker", id, "shard", ev.session.shard, "lease", "not over")
+		h.core.WorkerEndedInLease(id)
+	}
+}
+
 func (ev workerReplacedEvent) apply(e *engine) {
 	h := e.sessionShard(ev.session)
 	if h == nil {
--- a/internal/kept/worker/worker.go
+++ b/internal/kept/worker/worker.go
@@ -261,6 +261,8 @@
 	Verdict Verdict
 	Clock   time.Duration // time on the worker's clock when it answered; 0: not given
 	Born    int64         // start of the incarnation that answers, as in Info; 0: not given
+	// Refused says, with NoAnswer, that nothing accepts connections at the worker's address: its process has ended.
+	Refused bool
 	// Successor is the incarnation that answered, if the verdict is Replaced; its ID is empty if not known.
 	Successor Incarnation
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -354,6 +354,15 @@
 	return h, ""
 }
 
+// isRefused reports whether a worker has crashed, and its address can be reached.
+func (c *client) isRefused(to worker.Info) bool {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	cut := c.fleet.unreachable[to.ID] || c.domain != to.Domain && (c.fleet.partitioned[to.Domain] || c.fleet.partitioned[c.domain])
+	h := c.fleet.hosts[to.Address]
+	return !cut && h != nil && h.Crashed()
+}
+
 // roundTrip makes a call after oneWayDelay and returns its reply after another one. call returns the reply
 // and whether it arrives.
 func (c *client) roundTrip(ctx context.Context, to worker.Info, call func(h *runhost.Host, now time.Duration) (worker.Reply, bool)) worker.Reply {
@@ -445,6 +454,9 @@
 			listing = l
 			return r, true
 		})
+		if r.Verdict == worker.NoAnswer {
+			r.Refused = c.isRefused(to)
+		}
 		if r.Verdict != worker.Accepted || len(listing.Ended) > 0 || !time.Now().Before(until) {
 			return listing, r
 		}
