Refusals: look a stored submission up before it is refused for want of room

Callers whose first attempt at a stored submission had no answer were told by the next VM, which had no room, that it does not run, and it ran.

Cause: the home refuses before it looks into the store, which only a write of the record would do.

--- a/internal/kept/vm/engine.go
+++ b/internal/kept/vm/engine.go
@@ -97,6 +97,7 @@
 	holdersMoved      bool                                   // a shard has another holder than before
 	checkAll          bool                                   // holders or links have changed: all of open are to be looked at
 	cancelNotices     map[submission.ID]*cancelNotice        // of stored submissions, until their holders are certain to know
+	refusalLookups    int                                    // submissions that are looked up before they are refused
 	noticesCheckedAt  time.Duration
 	deferred          []submitEvent // received before the holders of the shards are known
 	startedAt         time.Duration
--- a/internal/kept/vm/states.go
+++ b/internal/kept/vm/states.go
@@ -197,8 +197,8 @@
 type storeLookup struct {
 	state    submission.State // Unknown: there is no such submission
 	record   *submission.Record
-	revision uint64
-	revoked  bool // it was cancelled before any record of it was stored, and no caller has submitted it since
+	revision uint64 // of the record, or of the mark that it is revoked
+	revoked  bool   // it was cancelled before any record of it was stored, and no caller has submitted it since
 }
 
 // lookUpInStore starts to read a submission's state from the store.
@@ -243,7 +243,7 @@
 	if state := finalState(final); state != submission.Revoked {
 		return storeLookup{state: state}, nil
 	}
-	return storeLookup{revoked: true}, nil
+	return storeLookup{revoked: true, revision: final.Revision}, nil
 }
 
 func (ev lookupDoneEvent) apply(e *engine) {
--- a/internal/kept/vm/stored.go
+++ b/internal/kept/vm/stored.go
@@ -87,7 +87,7 @@
 		refusal = &Outcome{Kind: Refused, RetryAfter: defaultRetryAfter, Reason: "the store does not answer"}
 	}
 	if refusal != nil {
-		e.refuse(h, *refusal)
+		e.refuseUnlessStored(h, *refusal)
 		return
 	}
 	need := startableTasks(rec)
@@ -254,17 +254,22 @@
 
 // adoptStored tracks a submission that another VM, or this VM before a restart, has stored.
 func (e *engine) adoptStored(h *trackedSubmission, it store.Item) {
-	h.stored = true
-	h.revision = it.Revision
-	h.state = submission.Queued
-	h.updatedAt = e.now
 	if r, err := submission.DecodeRecord(h.record.ID, it.Value); err == nil {
 		h.record = r
 		h.shard = r.Shard
 	} else {
 		klog.ErrorS(err, "kept: cannot decode a stored submission")
 	}
-	klog.InfoS("kept: accepted before", "id", h.record.ID, "home", h.record.Home, "shard", h.shard, "revision", it.Revision)
+	e.acceptStored(h, it.Revision)
+}
+
+// acceptStored accepts a submission whose record was stored before.
+func (e *engine) acceptStored(h *trackedSubmission, revision uint64) {
+	h.stored = true
+	h.revision = revision
+	h.state = submission.Queued
+	h.updatedAt = e.now
+	klog.InfoS("kept: accepted before", "id", h.record.ID, "home", h.record.Home, "shard", h.shard, "revision", revision)
 	e.replyOutcome(h, Outcome{Kind: Accepted})
 	e.queryHolder(h)
 }
